--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+
+.PHONY: build test lint format generate run bench
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+lint:
+	@out="$$($(GO) tool gofumpt -l .)"; if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	$(GO) tool revive -config revive.toml -set_exit_status -formatter friendly -exclude ./cpwire/... ./...
+	$(GO) vet ./...
+
+test: lint build
+	@./scripts/test.sh
+
+format:
+	$(GO) tool gofumpt -w .
+
+generate:
+	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=module=github.com/clementineport/clementineport \
+		--connect-go_out=. --connect-go_opt=module=github.com/clementineport/clementineport,package_suffix=connect cpwire/peer.proto
+	$(GO) tool gofumpt -w cpwire
+
+run: build
+	@./scripts/run.sh
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/query.go
@@ -0,0 +1,128 @@
+package clementineport
+
+import "time"
+
+// Query is one request of a caller.
+type Query struct {
+	Request    RequestID
+	Service    ServiceID
+	Text       string
+	Limit      int
+	Deadline   time.Time
+	Idempotent bool
+	Policy     string
+}
+
+// Hit is one search result.
+type Hit struct {
+	Record string
+	Score  float64
+	Fields string `json:",omitempty"`
+}
+
+// ShardState says what became of a shard in an answer.
+type ShardState uint8
+
+const (
+	// ShardLate means that no answer had come when the answer was closed.
+	ShardLate ShardState = iota
+	// ShardCovered means that the shard's hits are merged.
+	ShardCovered
+	// ShardEmpty means that the shard answered and has no hits; it counts as covered.
+	ShardEmpty
+	// ShardFailed means that every attempt on the shard failed.
+	ShardFailed
+	// ShardCut means that the answer of the shard broke off.
+	ShardCut
+	// ShardUnplanned means that no usable target holds the shard in the snapshot.
+	ShardUnplanned
+)
+
+var shardStateNames = [...]string{"late", "covered", "empty", "failed", "cut", "unplanned"}
+
+// String returns the state as it appears in the caller API.
+func (s ShardState) String() string { return shardStateNames[s] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (s ShardState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Covered reports whether the shard counts as covered.
+func (s ShardState) Covered() bool { return s == ShardCovered || s == ShardEmpty }
+
+// MissingShard is a shard that an answer does not cover, and why.
+type MissingShard struct {
+	Shard ShardID
+	State ShardState
+	Fault Fault
+}
+
+// Answer is what a caller gets for one query.
+type Answer struct {
+	Request  RequestID
+	Snapshot Snapshot
+	Hits     []Hit
+	Shards   int
+	Covered  []ShardID
+	Missing  []MissingShard
+	Complete bool
+	Verdict  Verdict
+	Stats    GatherStats
+}
+
+// GatherStats counts the calls that one query cost.
+type GatherStats struct {
+	Calls    int
+	Hedges   int
+	Retries  int
+	Restarts int
+	Late     int
+}
+
+// Call is one search of one shard at one target.
+type Call struct {
+	Request    RequestID
+	Attempt    AttemptID
+	Service    ServiceID
+	Class      Class
+	Index      IndexID
+	Shard      ShardID
+	Target     TargetID
+	Snapshot   Snapshot
+	Text       string
+	Limit      int
+	Deadline   time.Time
+	Idempotent bool
+}
+
+// Signals is what a target says about itself in every response.
+type Signals struct {
+	Start    StartID
+	InFlight int
+	Held     []Snapshot
+	Draining bool
+	Cold     bool
+}
+
+// Reply is a whole response of a target to a call.
+type Reply struct {
+	Request  RequestID
+	Shard    ShardID
+	Snapshot Snapshot
+	Hits     []Hit
+	Signals  Signals
+}
+
+// CallResult is the outcome of one call, as delivered to the query that made it.
+type CallResult struct {
+	Attempt AttemptID
+	Shard   ShardID
+	Target  TargetID
+	Reply   *Reply
+	Err     error
+	// Signals is set for replies and for refusals by the target itself.
+	Signals Signals
+	// Load is the number of calls in progress and queued for the target at its owner.
+	Load int
+	// Elapsed is the time that the call took at the target, without queueing at the owner.
+	Elapsed time.Duration
+}
