--- a/cpcli/cpcli.go
+++ b/cpcli/cpcli.go
@@ -31,7 +31,7 @@
 	root := &ffcli.Command{
 		Name:       "clementineport",
 		ShortUsage: "clementineport <subcommand> [flags]",
-		FlagSet:    newFlagSet("clementineport", stderr),
+		FlagSet:    newFlagSet("clementineport", stdout),
 		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, args)
@@ -46,8 +46,8 @@
 	}
 }
 
-func newFlagSet(name string, stderr io.Writer) *flag.FlagSet {
+func newFlagSet(name string, w io.Writer) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.SetOutput(stderr)
+	fs.SetOutput(w)
 	return fs
 }
