--- /dev/null
+++ b/cpgather/cpgather.go
@@ -0,0 +1,266 @@
+// Package cpgather decides the course of one query: which calls to send, hedge, retry and cancel, which
+// results to merge, and when to close the answer.
+//
+// A Machine is pure: it takes results and the time and returns actions. It reads the target view it is
+// given and records sent calls there; it opens no connection, starts no goroutine and reads no clock.
+// Package cpscatter is the adapter that runs a Machine.
+package cpgather
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// never is a time after every deadline.
+const never = time.Duration(math.MaxInt64)
+
+// Plan is what a query is run with.
+type Plan struct {
+	Query   *clementineport.Query
+	Service *clementineport.ServiceTable
+	View    clementineport.TargetView
+	// Targets are the rows of the table that Service belongs to.
+	Targets []clementineport.TargetRow
+	// Choice is the snapshot that the query is pinned to.
+	Choice cpsnapshot.Choice
+	Home   clementineport.FailureDomain
+}
+
+// Machine is the state of one query; it is used by one goroutine.
+type Machine struct {
+	plan  Plan
+	opts  Options
+	start time.Time
+
+	shards   []shard
+	attempts []attempt
+	actions  []Action
+	hits     merger
+	pick     clementineport.PickRequest
+	tried    []clementineport.TargetIndex
+
+	// epoch is the number of attempts made before the last restart.
+	epoch       int
+	outstanding int
+	covered     int
+	// lost counts shards given up because no usable target holds the snapshot.
+	lost int
+	// few is the number of outstanding shards at which they are held to delay the query.
+	few int
+	// least is the number of covered shards that the service asks for.
+	least int
+	// slowest is the longest time after which a first call counts as a straggler.
+	slowest time.Duration
+
+	// Times since start.
+	closeAt  time.Duration
+	cutAt    time.Duration
+	hedgeAt  time.Duration
+	retryAt  time.Duration
+	replanAt time.Duration
+
+	stats      clementineport.GatherStats
+	dropped    int
+	retryAfter time.Duration
+	finished   bool
+	aborted    clementineport.Fault
+	closed     time.Duration
+}
+
+var machines = sync.Pool{New: func() any { return new(Machine) }}
+
+// New returns a machine for a plan.
+func New(plan Plan, opts ...Option) *Machine { return NewWith(plan, newOptions(opts...)) }
+
+// NewWith returns a machine for a plan with options that were made before.
+func NewWith(plan Plan, opts Options) *Machine {
+	m := machines.Get().(*Machine)
+	*m = Machine{
+		plan: plan, opts: opts,
+		shards: m.shards[:0], attempts: m.attempts[:0], actions: m.actions[:0], tried: m.tried[:0],
+		hits: merger{limit: plan.Query.Limit},
+	}
+	return m
+}
+
+// Release hands the buffers of a finished machine to later queries; the machine must not be used afterwards.
+func (m *Machine) Release() {
+	m.plan, m.opts, m.hits = Plan{}, Options{}, merger{}
+	machines.Put(m)
+}
+
+// Start plans the query and returns the first calls. Actions are valid until the next call of a method.
+func (m *Machine) Start(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	m.start = now
+	deadline := m.plan.Query.Deadline.Sub(now)
+	if m.plan.Query.Deadline.IsZero() {
+		deadline = m.plan.Service.Service.Deadline
+	}
+	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
+	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
+	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
+	m.plannedWhole(now)
+	if m.done(now) {
+		m.finish(now)
+	}
+	return m.actions
+}
+
+// Result takes the result of an attempt.
+func (m *Machine) Result(now time.Time, r *clementineport.CallResult) []Action {
+	m.actions = m.actions[:0]
+	if m.finished {
+		m.late(r)
+		return m.actions
+	}
+	m.result(now, r)
+	m.settle(now)
+	return m.actions
+}
+
+// Tick does what is due at now.
+func (m *Machine) Tick(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	if m.finished {
+		return m.actions
+	}
+	at := now.Sub(m.start)
+	if at >= m.retryAt {
+		m.retryWaiting(now)
+	}
+	if at >= m.hedgeAt {
+		m.hedge(now)
+	}
+	m.settle(now)
+	return m.actions
+}
+
+// Abort closes the query because its caller is gone.
+func (m *Machine) Abort(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	if !m.finished {
+		m.aborted = clementineport.FaultCanceled
+		m.finish(now)
+	}
+	return m.actions
+}
+
+// Next returns when Tick is due.
+func (m *Machine) Next() time.Time {
+	return m.start.Add(min(m.hedgeAt, m.retryAt, m.closing()))
+}
+
+// View returns the target view of the plan.
+func (m *Machine) View() clementineport.TargetView { return m.plan.View }
+
+// Targets returns the target rows of the plan.
+func (m *Machine) Targets() []clementineport.TargetRow { return m.plan.Targets }
+
+// Finished reports whether the answer is closed.
+func (m *Machine) Finished() bool { return m.finished }
+
+// result checks a result against its attempt and merges or fails it.
+func (m *Machine) result(now time.Time, r *clementineport.CallResult) {
+	i := int(r.Attempt) - 1
+	if i < 0 || i >= len(m.attempts) || !m.mine(i, r) {
+		m.dropped++
+		return
+	}
+	a := &m.attempts[i]
+	if a.end != open && (!m.opts.off(CheckAttempt) || int(a.shard) >= len(m.shards)) {
+		m.late(r)
+		return
+	}
+	a.took = now.Sub(m.start) - a.sent
+	err := r.Err
+	if err == nil {
+		err = m.check(a, r.Reply)
+	}
+	if err == nil {
+		m.merge(a, r.Reply)
+		return
+	}
+	m.failed(now, a, err)
+}
+
+// late counts a result that nothing waits for; a cancelled call that ends as cancelled is expected.
+func (m *Machine) late(r *clementineport.CallResult) {
+	if r.Err != nil && clementineport.FaultOf(r.Err) == clementineport.FaultCanceled {
+		return
+	}
+	m.dropped++
+	m.stats.Late++
+}
+
+// mine reports whether a result belongs to the attempt that it names and not to another request.
+func (m *Machine) mine(i int, r *clementineport.CallResult) bool {
+	if m.opts.off(CheckReply) {
+		return true
+	}
+	a := &m.attempts[i]
+	if r.Shard != a.shard || (r.Target != "" && r.Target != m.plan.Targets[a.target].ID) {
+		return false
+	}
+	return r.Err != nil || r.Reply == nil || r.Reply.Request == m.plan.Query.Request
+}
+
+// check reports why a reply must not be merged.
+func (m *Machine) check(a *attempt, r *clementineport.Reply) error {
+	switch {
+	case r == nil:
+		return errNoReply
+	case m.opts.off(CheckReply):
+		return nil
+	case r.Shard != a.shard || r.Snapshot != m.plan.Choice.Snapshot:
+		m.dropped++
+		return errMismatched
+	}
+	return nil
+}
+
+// merge takes the hits of a shard; the other attempts on it are cancelled.
+func (m *Machine) merge(a *attempt, r *clementineport.Reply) {
+	sh := &m.shards[a.shard]
+	if a.end == open {
+		sh.open--
+	}
+	a.end = merged
+	sh.state = clementineport.ShardCovered
+	if len(r.Hits) == 0 {
+		sh.state = clementineport.ShardEmpty
+	}
+	m.hits.add(r.Hits)
+	m.covered++
+	m.conclude(sh)
+	for i := sh.last; i >= 0 && sh.open > 0; i = m.attempts[i].prev {
+		if m.attempts[i].end == open {
+			m.cancel(i)
+		}
+	}
+}
+
+func (m *Machine) cancel(i int32) {
+	a := &m.attempts[i]
+	a.end = cancelled
+	m.shards[a.shard].open--
+	m.actions = append(m.actions, Action{
+		Kind: Cancel, Attempt: clementineport.AttemptID(i + 1), Shard: a.shard, Target: a.target, Try: a.try,
+	})
+}
+
+// conclude counts a shard as settled, covered or not.
+func (m *Machine) conclude(sh *shard) {
+	if sh.final {
+		return
+	}
+	sh.final = true
+	m.outstanding--
+	if m.outstanding == m.few {
+		m.hedgeAt = 0
+	}
+}
--- /dev/null
+++ b/cpgather/options.go
@@ -0,0 +1,125 @@
+package cpgather
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// Defaults of Options.
+const (
+	defaultHedgeShare  = 0.03
+	defaultMaxHedges   = 2
+	defaultMaxRetries  = 3
+	defaultMaxRestarts = 1
+	defaultTailCut     = 0.5
+	defaultReserve     = 20 * time.Millisecond
+	defaultBackoff     = 5 * time.Millisecond
+	defaultRecheck     = 10 * time.Millisecond
+	defaultReplan      = 20 * time.Millisecond
+)
+
+const (
+	// reserveShare is the part of the deadline that the reserve may take at most, as a divisor.
+	reserveShare = 10
+	// spareShare is the part of the shards for which room for further attempts is kept, as a divisor.
+	spareShare = 16
+	// projectedShare is how many times its usual time a call takes before it is hedged whatever the others do.
+	projectedShare = 2
+	// restartNeed is how many times the slowest usual call must fit into the time left for a restart.
+	restartNeed = 2
+	// roundOff keeps a least coverage such as 0.9 of 10 shards at 9.
+	roundOff = 1e-9
+)
+
+// Check is a check that can be left out to compare with a plain tier.
+type Check uint8
+
+const (
+	// CheckAttempt drops results of attempts that have ended.
+	CheckAttempt Check = 1 << iota
+	// CheckReply drops replies of another request, shard or snapshot.
+	CheckReply
+	// CheckVerdict retries non-idempotent calls only when they are proven not to have run.
+	CheckVerdict
+)
+
+// ChooseFunc chooses a snapshot; cpsnapshot.Choose and the method of its Cache have this form.
+type ChooseFunc func(
+	service *clementineport.ServiceTable, view clementineport.TargetView, now time.Time, avoid ...clementineport.Snapshot,
+) (cpsnapshot.Choice, bool)
+
+// Options are the settings of a Machine.
+type Options struct {
+	// HedgeBudget bounds hedges; without one there are none.
+	HedgeBudget clementineport.Budget
+	// RetryBudget bounds retries that cost load; without one only free ones are made.
+	RetryBudget clementineport.Budget
+	// HedgeOff reports that the tier or its targets are loaded, so that no hedge is sent.
+	HedgeOff func() bool
+	// Choose chooses another snapshot when the pinned one is lost.
+	Choose ChooseFunc
+	// HedgeShare is the share of shards that, once only they are outstanding, hold the query up.
+	HedgeShare float64
+	// MaxHedges and MaxRetries bound the calls for one shard, MaxRestarts the restarts of the query.
+	MaxHedges   int
+	MaxRetries  int
+	MaxRestarts int
+	// TailCut is the share of the deadline after which PreferTail leaves out stragglers.
+	TailCut float64
+	// Reserve is the time before the deadline at which the answer is closed.
+	Reserve time.Duration
+	// Backoff is the delay before the first retry when every target has been tried.
+	Backoff time.Duration
+	// Recheck is the delay after a hedge that the budget or the load did not allow.
+	Recheck time.Duration
+	// Replan is the least time between two looks for another snapshot.
+	Replan time.Duration
+	// Off are the checks left out.
+	Off Check
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// Budgets sets the budgets of hedges and retries.
+func Budgets(hedge, retry clementineport.Budget) Option {
+	return func(o *Options) { o.HedgeBudget, o.RetryBudget = hedge, retry }
+}
+
+// HedgeOff sets what reports that no hedge is to be sent.
+func HedgeOff(off func() bool) Option { return func(o *Options) { o.HedgeOff = off } }
+
+// Choose sets how another snapshot is chosen.
+func Choose(choose ChooseFunc) Option { return func(o *Options) { o.Choose = choose } }
+
+// TailCut sets the share of the deadline after which PreferTail leaves out stragglers.
+func TailCut(share float64) Option { return func(o *Options) { o.TailCut = share } }
+
+// Without leaves out checks.
+func Without(checks Check) Option { return func(o *Options) { o.Off |= checks } }
+
+// NewOptions returns the default options as changed; a server makes them once for all queries.
+func NewOptions(opts ...Option) Options { return newOptions(opts...) }
+
+func newOptions(opts ...Option) Options {
+	o := Options{
+		Choose:      cpsnapshot.Choose,
+		HedgeShare:  defaultHedgeShare,
+		MaxHedges:   defaultMaxHedges,
+		MaxRetries:  defaultMaxRetries,
+		MaxRestarts: defaultMaxRestarts,
+		TailCut:     defaultTailCut,
+		Reserve:     defaultReserve,
+		Backoff:     defaultBackoff,
+		Recheck:     defaultRecheck,
+		Replan:      defaultReplan,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+func (o *Options) off(c Check) bool { return o.Off&c != 0 }
--- /dev/null
+++ b/cpgather/plan.go
@@ -0,0 +1,157 @@
+package cpgather
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// plannedWhole plans the first calls; when a shard has no target it looks once for a snapshot that covers more.
+func (m *Machine) plannedWhole(now time.Time) {
+	unplanned := m.planSnapshot(now)
+	if unplanned == 0 {
+		return
+	}
+	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, now)
+	if ok && choice.Coverage() > m.prospect() {
+		m.withdraw(now)
+		m.plan.Choice = choice
+		m.planSnapshot(now)
+	}
+	if m.hopeless() {
+		m.withdraw(now)
+	}
+}
+
+// planSnapshot picks a target for each shard of the pinned snapshot and returns the number of shards without one.
+func (m *Machine) planSnapshot(now time.Time) int {
+	choice := &m.plan.Choice
+	m.epoch = len(m.attempts)
+	m.covered, m.lost = 0, 0
+	m.slowest, m.hedgeAt, m.retryAt = 0, never, never
+	m.hits.reset()
+	m.shards = m.shards[:0]
+	if choice.Layout == nil {
+		return 0
+	}
+	n := len(choice.Layout.Replicas)
+	if cap(m.shards) < n {
+		m.shards = make([]shard, 0, n)
+		m.attempts = append(make([]attempt, 0, len(m.attempts)+n+n/spareShare+1), m.attempts...)
+		m.actions = append(make([]Action, 0, n+1), m.actions...)
+	}
+	m.outstanding = n
+	m.few = 1 + int(math.Ceil(m.opts.HedgeShare*float64(n)))
+	m.least = int(math.Ceil(m.plan.Service.Service.LeastCoverage*float64(n) - roundOff))
+	unplanned := 0
+	for s := range clementineport.ShardID(n) {
+		m.shards = append(m.shards, shard{last: -1})
+		if !m.sendFirst(now, s) {
+			unplanned++
+		}
+	}
+	m.earn(n - unplanned)
+	return unplanned
+}
+
+func (m *Machine) sendFirst(now time.Time, s clementineport.ShardID) bool {
+	t, ok := m.pickTarget(now, s)
+	if !ok {
+		m.shards[s].state = clementineport.ShardUnplanned
+		m.shards[s].fault = clementineport.FaultUnavailable
+		m.lost++
+		m.conclude(&m.shards[s])
+		return false
+	}
+	m.send(now, s, t, First)
+	m.slowest = max(m.slowest, m.attempts[len(m.attempts)-1].after)
+	return true
+}
+
+// pickTarget picks a usable target that has not been tried for the shard.
+func (m *Machine) pickTarget(now time.Time, s clementineport.ShardID) (clementineport.TargetIndex, bool) {
+	sh := &m.shards[s]
+	m.tried = m.tried[:0]
+	for i := sh.last; i >= int32(m.epoch); i = m.attempts[i].prev {
+		a := &m.attempts[i]
+		if i >= sh.triedFrom || a.end == open || a.fault == clementineport.FaultSnapshot {
+			m.tried = append(m.tried, a.target)
+		}
+	}
+	m.pick = clementineport.PickRequest{
+		Replicas: m.plan.Choice.Layout.Replicas[s],
+		Snapshot: m.plan.Choice.Snapshot,
+		Tried:    m.tried,
+		Now:      now,
+		Home:     m.plan.Home,
+	}
+	return m.plan.View.Pick(&m.pick)
+}
+
+// withdraw takes back the calls that were planned and not yet sent.
+func (m *Machine) withdraw(now time.Time) {
+	for i := m.epoch; i < len(m.attempts); i++ {
+		a := &m.attempts[i]
+		a.end = withdrawn
+		m.shards[a.shard].open--
+		m.plan.View.Observe(a.target, now, &clementineport.CallResult{
+			Attempt: clementineport.AttemptID(i + 1), Shard: a.shard, Err: errWithdrawn,
+		})
+	}
+	m.actions = m.actions[:0]
+}
+
+func (m *Machine) earn(calls int) {
+	for _, b := range []clementineport.Budget{m.opts.HedgeBudget, m.opts.RetryBudget} {
+		if b != nil {
+			b.Earn(calls)
+		}
+	}
+}
+
+// prospect returns the coverage that the pinned snapshot can still reach.
+func (m *Machine) prospect() float64 {
+	if len(m.shards) == 0 {
+		return 0
+	}
+	return float64(m.covered+m.outstanding) / float64(len(m.shards))
+}
+
+// restart begins again on another snapshot when shards have been lost and that gives the better answer.
+func (m *Machine) restart(now time.Time) bool {
+	at := now.Sub(m.start)
+	if !m.plan.Query.Idempotent || m.lost == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
+		return false
+	}
+	if at < m.replanAt && m.outstanding > 0 {
+		return false
+	}
+	m.replanAt = at + m.opts.Replan
+	if at+restartNeed*m.slowest >= m.closeAt {
+		return false
+	}
+	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, now, m.plan.Choice.Snapshot)
+	if !ok || !m.preferred(&choice) {
+		return false
+	}
+	for i := m.epoch; i < len(m.attempts); i++ {
+		if m.attempts[i].end == open {
+			m.cancel(int32(i))
+		}
+	}
+	m.stats.Restarts++
+	m.plan.Choice = choice
+	m.planSnapshot(now)
+	return true
+}
+
+// preferred reports whether the service prefers a restart on the choice to what the pinned snapshot can still give.
+func (m *Machine) preferred(choice *cpsnapshot.Choice) bool {
+	service := &m.plan.Service.Service
+	if choice.Coverage() <= m.prospect() {
+		return false
+	}
+	return service.Prefer == clementineport.PreferCoverage || m.covered+m.outstanding < m.least
+}
--- /dev/null
+++ b/cpgather/retry.go
@@ -0,0 +1,153 @@
+package cpgather
+
+import (
+	"errors"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+var (
+	errNoReply    = clementineport.Fail(clementineport.FaultUnknown, "a result without reply or error")
+	errMismatched = clementineport.Fail(clementineport.FaultMismatched, "the reply has another shard or snapshot")
+	errWithdrawn  = clementineport.Fail(clementineport.FaultCanceled, "the call was planned and not sent")
+)
+
+// failed ends an attempt and retries its shard or gives it up.
+func (m *Machine) failed(now time.Time, a *attempt, err error) {
+	sh := &m.shards[a.shard]
+	if a.end == open {
+		sh.open--
+	}
+	a.end = failed
+	a.fault = clementineport.FaultOf(err)
+	sh.fault = a.fault
+	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
+	if e, ok := errors.AsType[*clementineport.Error](err); ok {
+		m.retryAfter = max(m.retryAfter, e.RetryAfter)
+	}
+	if sh.final || sh.open > 0 {
+		return
+	}
+	if m.mayRetry(now, sh) {
+		m.retry(now, a.shard)
+		return
+	}
+	m.giveUp(now, a.shard)
+}
+
+// mayRetry reports whether another call may be made for a shard that has none in progress.
+func (m *Machine) mayRetry(now time.Time, sh *shard) bool {
+	if int(sh.retries) >= m.opts.MaxRetries || now.Sub(m.start) >= m.closeAt || m.hopeless() {
+		return false
+	}
+	switch sh.fault {
+	case clementineport.FaultInvalid, clementineport.FaultUnauthorized, clementineport.FaultStale:
+		return false
+	}
+	return m.plan.Query.Idempotent || !sh.mayHaveRun || m.opts.off(CheckVerdict)
+}
+
+// retry sends a call to another target, or waits when all have been tried and one may be asked again.
+func (m *Machine) retry(now time.Time, s clementineport.ShardID) {
+	if t, ok := m.pickTarget(now, s); ok {
+		m.sendRetry(now, s, t)
+		return
+	}
+	sh := &m.shards[s]
+	if !m.held(now, s) {
+		m.giveUp(now, s)
+		return
+	}
+	backoff := m.opts.Backoff << sh.retries
+	sh.retryAt = now.Sub(m.start) + backoff
+	sh.triedFrom = int32(len(m.attempts))
+	m.retryAt = min(m.retryAt, sh.retryAt)
+}
+
+func (m *Machine) sendRetry(now time.Time, s clementineport.ShardID, t clementineport.TargetIndex) {
+	sh := &m.shards[s]
+	if !m.plan.View.Usable(t, now) || !m.spendRetry(sh.fault) {
+		m.giveUp(now, s)
+		return
+	}
+	sh.retries++
+	m.stats.Retries++
+	m.send(now, s, t, Retry)
+}
+
+// spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
+func (m *Machine) spendRetry(fault clementineport.Fault) bool {
+	overload := fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
+	if fault.Verdict() == clementineport.NotRun && !overload {
+		return true
+	}
+	return m.opts.RetryBudget != nil && m.opts.RetryBudget.Spend()
+}
+
+// retryWaiting asks the shards again whose time has come.
+func (m *Machine) retryWaiting(now time.Time) {
+	at := now.Sub(m.start)
+	m.retryAt = never
+	for i := range m.shards {
+		sh := &m.shards[i]
+		switch {
+		case sh.retryAt == 0:
+		case sh.retryAt > at:
+			m.retryAt = min(m.retryAt, sh.retryAt)
+		default:
+			sh.retryAt = 0
+			m.retryNow(now, clementineport.ShardID(i))
+		}
+	}
+}
+
+func (m *Machine) retryNow(now time.Time, s clementineport.ShardID) {
+	if t, ok := m.pickTarget(now, s); ok {
+		m.sendRetry(now, s, t)
+		return
+	}
+	m.giveUp(now, s)
+}
+
+// held reports whether a usable target may hold the shard in the pinned snapshot.
+func (m *Machine) held(now time.Time, s clementineport.ShardID) bool {
+	for _, t := range m.plan.Choice.Layout.Replicas[s] {
+		if m.plan.View.Usable(t, now) && !m.refusedSnapshot(s, t) &&
+			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) refusedSnapshot(s clementineport.ShardID, t clementineport.TargetIndex) bool {
+	for i := m.shards[s].last; i >= int32(m.epoch); i = m.attempts[i].prev {
+		if a := &m.attempts[i]; a.target == t && a.fault == clementineport.FaultSnapshot {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUp settles a shard as missing.
+func (m *Machine) giveUp(now time.Time, s clementineport.ShardID) {
+	sh := &m.shards[s]
+	sh.state = missingState(sh.fault)
+	if !m.held(now, s) {
+		m.lost++
+	}
+	m.conclude(sh)
+}
+
+// missingState returns the state of a shard whose last attempt ended with a fault.
+func missingState(fault clementineport.Fault) clementineport.ShardState {
+	switch fault {
+	case clementineport.FaultCut:
+		return clementineport.ShardCut
+	case clementineport.FaultTimeout, clementineport.FaultDeadline:
+		return clementineport.ShardLate
+	default:
+		return clementineport.ShardFailed
+	}
+}
--- /dev/null
+++ b/cpscatter/cpscatter.go
@@ -0,0 +1,114 @@
+// Package cpscatter runs the Machine of cpgather: it sends the calls of one query, hands their results back
+// and waits for the time.
+//
+// One goroutine runs the machine; senders run beside it and never wait for it. The package decides nothing
+// about targets, hedges, retries or the answer.
+package cpscatter
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpgather"
+)
+
+// Sender sends the calls of one query.
+type Sender interface {
+	// Send makes the calls and delivers the result of each; it returns when it delivers no more.
+	// A call without a result when Send returns counts as failed.
+	Send(ctx context.Context, calls []clementineport.Call, deliver func(clementineport.CallResult))
+	// Cancel stops an attempt whose result is no longer needed; it does not wait.
+	Cancel(attempt clementineport.AttemptID)
+}
+
+// SendFunc is a Sender that stops calls only through their context.
+type SendFunc func(ctx context.Context, calls []clementineport.Call, deliver func(clementineport.CallResult))
+
+// Send implements Sender.
+func (f SendFunc) Send(ctx context.Context, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+	f(ctx, calls, deliver)
+}
+
+// Cancel implements Sender.
+func (SendFunc) Cancel(clementineport.AttemptID) {}
+
+// Run runs a machine until its answer is closed. The answer states what is covered also when the error
+// refuses it. Every sent call is observed once in the target view, those with late results included.
+func Run(
+	ctx context.Context, clock clementineport.Clock, m *cpgather.Machine, s Sender,
+) (*clementineport.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &runner{clock: clock, machine: m, sender: s, box: newMailbox(clock, m)}
+	defer r.box.close()
+	r.do(ctx, m.Start(clock.Now()))
+	for !m.Finished() {
+		r.step(ctx)
+	}
+	return m.Answer(), m.Err()
+}
+
+type runner struct {
+	clock   clementineport.Clock
+	machine *cpgather.Machine
+	sender  Sender
+	box     *mailbox
+	timer   <-chan time.Time
+	timerAt time.Time
+}
+
+func (r *runner) step(ctx context.Context) {
+	now, next := r.clock.Now(), r.machine.Next()
+	if !now.Before(next) {
+		r.do(ctx, r.machine.Tick(now))
+		return
+	}
+	if r.timer == nil || next.Before(r.timerAt) {
+		r.timer, r.timerAt = r.clock.After(next.Sub(now)), next
+	}
+	select {
+	case <-ctx.Done():
+		r.do(ctx, r.machine.Abort(r.clock.Now()))
+	case <-r.box.notify:
+		r.take(ctx)
+	case <-r.timer:
+		r.timer = nil
+		r.do(ctx, r.machine.Tick(r.clock.Now()))
+	}
+}
+
+func (r *runner) take(ctx context.Context) {
+	results := r.box.take()
+	now := r.clock.Now()
+	for i := range results {
+		r.do(ctx, r.machine.Result(now, &results[i]))
+	}
+}
+
+// do carries out the actions of one step; its calls go out together.
+func (r *runner) do(ctx context.Context, actions []cpgather.Action) {
+	sends := 0
+	for _, a := range actions {
+		switch a.Kind {
+		case cpgather.Send:
+			sends++
+		case cpgather.Cancel:
+			r.sender.Cancel(a.Attempt)
+		}
+	}
+	if sends == 0 {
+		return
+	}
+	calls := make([]clementineport.Call, 0, sends)
+	for _, a := range actions {
+		if a.Kind == cpgather.Send {
+			calls = append(calls, r.machine.Call(a))
+		}
+	}
+	r.box.expect(actions)
+	go func() {
+		r.sender.Send(ctx, calls, r.box.deliver)
+		r.box.end(ctx, calls)
+	}()
+}
--- /dev/null
+++ b/cpscatter/mailbox.go
@@ -0,0 +1,122 @@
+package cpscatter
+
+import (
+	"context"
+	"sync"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpgather"
+)
+
+var errUndelivered = clementineport.Fail(clementineport.FaultUnknown, "the call ended without a result")
+
+// mailbox passes results from senders to the goroutine of the query. Senders never wait for it, and
+// results that come after it is closed are observed and dropped.
+type mailbox struct {
+	clock   clementineport.Clock
+	view    clementineport.TargetView
+	targets []clementineport.TargetRow
+	notify  chan struct{}
+
+	mu      sync.Mutex
+	calls   []expected
+	results []clementineport.CallResult
+	closed  bool
+}
+
+// expected is a call that was sent; its index is its attempt less one.
+type expected struct {
+	target   clementineport.TargetIndex
+	observed bool
+}
+
+func newMailbox(clock clementineport.Clock, m *cpgather.Machine) *mailbox {
+	return &mailbox{
+		clock: clock, view: m.View(), targets: m.Targets(), notify: make(chan struct{}, 1),
+	}
+}
+
+// expect notes the calls that are about to be sent.
+func (b *mailbox) expect(actions []cpgather.Action) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range actions {
+		if a.Kind != cpgather.Send {
+			continue
+		}
+		for len(b.calls) < int(a.Attempt) {
+			b.calls = append(b.calls, expected{observed: true})
+		}
+		b.calls[a.Attempt-1] = expected{target: a.Target}
+	}
+}
+
+// deliver observes the first result of each call and hands all results to the query.
+func (b *mailbox) deliver(r clementineport.CallResult) {
+	if t, ok := b.claim(r.Attempt, r.Target); ok {
+		b.view.Observe(t, b.clock.Now(), &r)
+	}
+	b.mu.Lock()
+	if !b.closed {
+		b.results = append(b.results, r)
+	}
+	b.mu.Unlock()
+	select {
+	case b.notify <- struct{}{}:
+	default:
+	}
+}
+
+// claim reports whether a result is the first of its call.
+func (b *mailbox) claim(id clementineport.AttemptID, target clementineport.TargetID) (clementineport.TargetIndex, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := int(id) - 1
+	if i < 0 || i >= len(b.calls) || b.calls[i].observed {
+		return clementineport.NoTarget, false
+	}
+	t := b.calls[i].target
+	if target != "" && target != b.targets[t].ID {
+		return clementineport.NoTarget, false
+	}
+	b.calls[i].observed = true
+	return t, true
+}
+
+// end fails the calls of a batch that were not delivered.
+func (b *mailbox) end(ctx context.Context, calls []clementineport.Call) {
+	err := errUndelivered
+	if ctx.Err() != nil {
+		err = clementineport.Fail(clementineport.FaultCanceled, "the query has ended")
+	}
+	for i := range calls {
+		if !b.observed(calls[i].Attempt) {
+			b.deliver(clementineport.CallResult{
+				Attempt: calls[i].Attempt, Shard: calls[i].Shard, Target: calls[i].Target, Err: err,
+			})
+		}
+	}
+}
+
+func (b *mailbox) observed(id clementineport.AttemptID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[id-1].observed
+}
+
+// take returns the results that have come.
+func (b *mailbox) take() []clementineport.CallResult {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	results := b.results
+	b.results = nil
+	return results
+}
+
+// close drops later results.
+func (b *mailbox) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.results = nil
+}
--- /dev/null
+++ b/cpsnapshot/cpsnapshot.go
@@ -0,0 +1,230 @@
+// Package cpsnapshot decides which snapshot of an index a query is drawn from.
+//
+// The choice follows what usable targets say they hold, not what is newest alone. The package reads a
+// TargetView and keeps no state of its own but for the short-lived Cache; it sends nothing.
+package cpsnapshot
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// maxCandidates bounds the snapshots of one layout that are weighed; further ones are ignored.
+const maxCandidates = 8
+
+// Choice is the snapshot chosen for a query and what it can cover.
+type Choice struct {
+	Snapshot clementineport.Snapshot
+	// Layout is the layout of the snapshot; it is nil when nothing is known.
+	Layout *clementineport.LayoutTable
+	// Shards is the number of shards in the layout.
+	Shards int
+	// Covered is the number of shards with at least one usable holder.
+	Covered int
+	// Single is the number of covered shards that depend on one usable holder.
+	Single int
+	// Replicas is the number of pairs of shard and usable holder.
+	Replicas int
+	// Probe is true when usable targets whose possession is unknown could raise the coverage.
+	Probe bool
+}
+
+// Coverage returns the share of shards that can be covered.
+func (c *Choice) Coverage() float64 {
+	if c.Shards == 0 {
+		return 0
+	}
+	return float64(c.Covered) / float64(c.Shards)
+}
+
+// Choose returns the snapshot that suits the service's preference, or false when none is known to be held.
+// Snapshots in avoid are passed over.
+func Choose(
+	service *clementineport.ServiceTable, view clementineport.TargetView, now time.Time, avoid ...clementineport.Snapshot,
+) (Choice, bool) {
+	return New().Choose(service, view, now, avoid...)
+}
+
+// Chooser chooses snapshots by its options.
+type Chooser struct {
+	opts Options
+}
+
+// New returns a Chooser.
+func New(opts ...Option) *Chooser { return &Chooser{opts: newOptions(opts...)} }
+
+// Choose returns the snapshot that suits the service's preference, or false when none is known to be held.
+func (c *Chooser) Choose(
+	service *clementineport.ServiceTable, view clementineport.TargetView, now time.Time, avoid ...clementineport.Snapshot,
+) (Choice, bool) {
+	var best Choice
+	found, probe := false, false
+	for i := range service.Layouts {
+		var t tally
+		t.count(&service.Layouts[i], view, now, avoid)
+		probe = probe || t.unknownShards > 0
+		for k := range t.candidates[:t.n] {
+			choice := t.choice(k)
+			if !found || c.better(&service.Service, &choice, &best) {
+				best, found = choice, true
+			}
+		}
+	}
+	if !found {
+		best.Probe = probe
+	}
+	return best, found
+}
+
+func (c *Chooser) better(service *clementineport.Service, a, b *Choice) bool {
+	if c.opts.NewestOnly {
+		return a.Snapshot.Newer(b.Snapshot)
+	}
+	if service.Prefer == clementineport.PreferTail {
+		safeA, safeB := c.safe(service, a), c.safe(service, b)
+		if safeA != safeB {
+			return safeA
+		}
+		if safeA {
+			return a.Snapshot.Newer(b.Snapshot)
+		}
+	}
+	if covA, covB := a.Covered*b.Shards, b.Covered*a.Shards; covA != covB {
+		return covA > covB
+	}
+	if repA, repB := a.Replicas*b.Shards, b.Replicas*a.Shards; repA != repB {
+		return repA > repB
+	}
+	return a.Snapshot.Newer(b.Snapshot)
+}
+
+// safe reports whether a snapshot covers enough and few of its shards depend on one holder.
+func (c *Chooser) safe(service *clementineport.Service, a *Choice) bool {
+	return a.Covered > 0 && a.Coverage() >= service.LeastCoverage &&
+		float64(a.Single) <= c.opts.SingleShare*float64(a.Shards)
+}
+
+// tally counts the holders of every snapshot of one layout in one pass.
+type tally struct {
+	layout        *clementineport.LayoutTable
+	candidates    [maxCandidates]candidate
+	n             int
+	unknownShards int
+}
+
+type candidate struct {
+	version  clementineport.IndexVersion
+	covered  int
+	single   int
+	replicas int
+	// holders counts the holders of the shard that is being counted.
+	holders int
+	// probe counts shards without known holder that have a target of unknown possession.
+	probe int
+}
+
+func (t *tally) count(
+	layout *clementineport.LayoutTable, view clementineport.TargetView, now time.Time, avoid []clementineport.Snapshot,
+) {
+	t.layout = layout
+	for _, replicas := range layout.Replicas {
+		unknown := false
+		for _, target := range replicas {
+			if !view.Usable(target, now) {
+				continue
+			}
+			held := view.Held(target)
+			if len(held) == 0 {
+				unknown = unknown || view.Holds(target, clementineport.Snapshot{}) == clementineport.PossessionUnknown
+			}
+			for _, s := range held {
+				if s.Layout == layout.Layout {
+					t.add(s, avoid)
+				}
+			}
+		}
+		t.close(unknown)
+	}
+}
+
+func (t *tally) add(s clementineport.Snapshot, avoid []clementineport.Snapshot) {
+	for k := range t.candidates[:t.n] {
+		if t.candidates[k].version == s.Version {
+			t.candidates[k].holders++
+			return
+		}
+	}
+	for _, a := range avoid {
+		if a == s {
+			return
+		}
+	}
+	if t.n < maxCandidates {
+		// Shards counted before this candidate was seen may also have holders that are unknown.
+		t.candidates[t.n] = candidate{version: s.Version, holders: 1, probe: t.unknownShards}
+		t.n++
+	}
+}
+
+func (t *tally) close(unknown bool) {
+	for k := range t.candidates[:t.n] {
+		c := &t.candidates[k]
+		switch {
+		case c.holders > 0:
+			c.covered++
+			c.replicas += c.holders
+			if c.holders == 1 {
+				c.single++
+			}
+		case unknown:
+			c.probe++
+		}
+		c.holders = 0
+	}
+	if unknown {
+		t.unknownShards++
+	}
+}
+
+func (t *tally) choice(k int) Choice {
+	c := &t.candidates[k]
+	return Choice{
+		Snapshot: clementineport.Snapshot{Version: c.version, Layout: t.layout.Layout},
+		Layout:   t.layout,
+		Shards:   len(t.layout.Replicas),
+		Covered:  c.covered,
+		Single:   c.single,
+		Replicas: c.replicas,
+		Probe:    c.probe > 0,
+	}
+}
+
+// Ask appends to dst up to limit usable targets of unknown possession, spread over the shards of every layout.
+func Ask(
+	dst []clementineport.TargetIndex, service *clementineport.ServiceTable, view clementineport.TargetView,
+	now time.Time, limit int,
+) []clementineport.TargetIndex {
+	for i := range service.Layouts {
+		shards := service.Layouts[i].Replicas
+		step := max(1, len(shards)/max(1, limit))
+		for s := 0; s < len(shards) && limit > 0; s += step {
+			if t, ok := firstUnknown(shards[s], view, now); ok {
+				dst = append(dst, t)
+				limit--
+			}
+		}
+	}
+	return dst
+}
+
+func firstUnknown(
+	replicas []clementineport.TargetIndex, view clementineport.TargetView, now time.Time,
+) (clementineport.TargetIndex, bool) {
+	for _, t := range replicas {
+		if view.Usable(t, now) && view.Holds(t, clementineport.Snapshot{}) == clementineport.PossessionUnknown {
+			return t, true
+		}
+	}
+	return clementineport.NoTarget, false
+}
--- /dev/null
+++ b/cpsnapshot/options.go
@@ -0,0 +1,29 @@
+package cpsnapshot
+
+// defaultSingleShare is the share of shards that may depend on one holder in a snapshot chosen for its age.
+const defaultSingleShare = 0.1
+
+// Options are the settings of a Chooser.
+type Options struct {
+	// SingleShare is the share of shards that may depend on one holder when PreferTail takes the newest snapshot.
+	SingleShare float64
+	// NewestOnly takes the newest snapshot whatever it covers; it is the plain baseline.
+	NewestOnly bool
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// SingleShare sets the share of shards that may depend on one holder.
+func SingleShare(share float64) Option { return func(o *Options) { o.SingleShare = share } }
+
+// NewestOnly takes the newest snapshot whatever it covers.
+func NewestOnly() Option { return func(o *Options) { o.NewestOnly = true } }
+
+func newOptions(opts ...Option) Options {
+	o := Options{SingleShare: defaultSingleShare}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- a/verdict.go
+++ b/verdict.go
@@ -89,6 +89,8 @@
 	FaultConflict
 	// FaultUnauthorized means that the token was missing or wrong.
 	FaultUnauthorized
+	// FaultCoverage means that the request ran and its answer is below the least coverage of the service.
+	FaultCoverage
 	numFaults
 )
 
@@ -122,6 +124,7 @@
 	FaultUnavailable:  {"unavailable", NotRun},
 	FaultConflict:     {"conflict", NotRun},
 	FaultUnauthorized: {"unauthorized", NotRun},
+	FaultCoverage:     {"coverage", MayHaveRun},
 }
 
 // Faults returns every fault.
