--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -109,12 +109,12 @@
 }
 
 // send makes a new attempt.
-func (m *Machine) send(now time.Time, s clementineport.ShardID, t clementineport.TargetIndex, try Try) {
+func (m *Machine) send(s clementineport.ShardID, t clementineport.TargetIndex, try Try) {
 	sh := &m.shards[s]
 	i := int32(len(m.attempts))
 	a := attempt{
 		shard: s, target: t, prev: sh.last, try: try,
-		sent: now.Sub(m.start), after: m.plan.View.HedgeAfter(t),
+		sent: m.at, after: m.plan.View.HedgeAfter(t),
 	}
 	m.attempts = append(m.attempts, a)
 	m.plan.View.Sent(t)
--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -7,21 +7,21 @@
 )
 
 // settle restarts or closes the query when that is due.
-func (m *Machine) settle(now time.Time) {
-	if m.finished || m.restart(now) && !m.done(now) {
+func (m *Machine) settle() {
+	if m.finished || m.restart() && !m.done() {
 		return
 	}
 	if m.hedgeAt == 0 {
-		m.hedge(now)
+		m.hedge()
 	}
-	if m.done(now) {
-		m.finish(now)
+	if m.done() {
+		m.finish()
 	}
 }
 
 // done reports whether the answer is to be closed.
-func (m *Machine) done(now time.Time) bool {
-	return m.outstanding == 0 || m.hopeless() && m.idle() || now.Sub(m.start) >= m.closing()
+func (m *Machine) done() bool {
+	return m.outstanding == 0 || m.hopeless() && m.idle() || m.at >= m.closing()
 }
 
 // hopeless reports whether the service refuses every answer that can still be reached.
@@ -51,9 +51,9 @@
 	return m.closeAt
 }
 
-func (m *Machine) finish(now time.Time) {
+func (m *Machine) finish() {
 	m.finished = true
-	m.closed = now.Sub(m.start)
+	m.closed = m.at
 	for i := range m.shards {
 		if sh := &m.shards[i]; !sh.final {
 			sh.state, sh.fault = m.lateState(sh)
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -35,6 +35,9 @@
 	plan  Plan
 	opts  Options
 	start time.Time
+	// now and at are the time of the step in progress, at counted from the start.
+	now time.Time
+	at  time.Duration
 
 	shards   []shard
 	attempts []attempt
@@ -95,8 +98,8 @@
 
 // Start plans the query and returns the first calls. Actions are valid until the next call of a method.
 func (m *Machine) Start(now time.Time) []Action {
-	m.actions = m.actions[:0]
 	m.start = now
+	m.enter(now)
 	deadline := m.plan.Query.Deadline.Sub(now)
 	if m.plan.Query.Deadline.IsZero() {
 		deadline = m.plan.Service.Service.Deadline
@@ -104,52 +107,58 @@
 	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
 	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
-	m.plannedWhole(now)
-	if m.done(now) {
-		m.finish(now)
+	m.plannedWhole()
+	if m.done() {
+		m.finish()
 	}
 	return m.actions
 }
 
 // Result takes the result of an attempt.
 func (m *Machine) Result(now time.Time, r *clementineport.CallResult) []Action {
-	m.actions = m.actions[:0]
+	m.enter(now)
 	if m.finished {
 		m.late(r)
 		return m.actions
 	}
-	m.result(now, r)
-	m.settle(now)
+	m.result(r)
+	m.settle()
 	return m.actions
 }
 
 // Tick does what is due at now.
 func (m *Machine) Tick(now time.Time) []Action {
-	m.actions = m.actions[:0]
+	m.enter(now)
 	if m.finished {
 		return m.actions
 	}
-	at := now.Sub(m.start)
-	if at >= m.retryAt {
-		m.retryWaiting(now)
+	if m.at >= m.retryAt {
+		m.retryWaiting()
 	}
-	if at >= m.hedgeAt {
-		m.hedge(now)
+	if m.at >= m.hedgeAt {
+		m.hedge()
 	}
-	m.settle(now)
+	m.settle()
 	return m.actions
 }
 
 // Abort closes the query because its caller is gone.
 func (m *Machine) Abort(now time.Time) []Action {
-	m.actions = m.actions[:0]
+	m.enter(now)
 	if !m.finished {
 		m.aborted = clementineport.FaultCanceled
-		m.finish(now)
+		m.finish()
 	}
 	return m.actions
 }
 
+// enter begins a step.
+func (m *Machine) enter(now time.Time) {
+	m.now, m.at = now, now.Sub(m.start)
+	m.actions = m.actions[:0]
+	m.pick.Now = now
+}
+
 // Next returns when Tick is due.
 func (m *Machine) Next() time.Time {
 	return m.start.Add(min(m.hedgeAt, m.retryAt, m.closing()))
@@ -165,7 +174,7 @@
 func (m *Machine) Finished() bool { return m.finished }
 
 // result checks a result against its attempt and merges or fails it.
-func (m *Machine) result(now time.Time, r *clementineport.CallResult) {
+func (m *Machine) result(r *clementineport.CallResult) {
 	i := int(r.Attempt) - 1
 	if i < 0 || i >= len(m.attempts) || !m.mine(i, r) {
 		m.dropped++
@@ -176,7 +185,7 @@
 		m.late(r)
 		return
 	}
-	a.took = now.Sub(m.start) - a.sent
+	a.took = m.at - a.sent
 	err := r.Err
 	if err == nil {
 		err = m.check(a, r.Reply)
@@ -185,7 +194,7 @@
 		m.merge(a, r.Reply)
 		return
 	}
-	m.failed(now, a, err)
+	m.failed(a, err)
 }
 
 // late counts a result that nothing waits for; a cancelled call that ends as cancelled is expected.
--- a/cpgather/fake_test.go
+++ b/cpgather/fake_test.go
@@ -71,7 +71,7 @@
 	return true
 }
 
-func newTokens(share float64) *tokens { return &tokens{share: share, left: 10} }
+func newTokens(share float64) *tokens { return &tokens{share: share} }
 
 // newPlan returns a plan over two layouts whose targets hold the given snapshots.
 func newPlan(shards, replicas int, held ...clementineport.Snapshot) (cpgather.Plan, *fakeView) {
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -7,12 +7,11 @@
 )
 
 // hedge sends second calls beside the stragglers that hold the query up.
-func (m *Machine) hedge(now time.Time) {
+func (m *Machine) hedge() {
 	m.hedgeAt = never
 	if !m.mayHedge() {
 		return
 	}
-	at := now.Sub(m.start)
 	off := m.opts.HedgeOff != nil && m.opts.HedgeOff()
 	for i := range m.shards {
 		sh := &m.shards[i]
@@ -20,33 +19,33 @@
 			continue
 		}
 		due := m.hedgeDue(&m.attempts[sh.last])
-		if due > at {
+		if due > m.at {
 			m.hedgeAt = min(m.hedgeAt, due)
 			continue
 		}
-		off = off || !m.sendHedge(now, clementineport.ShardID(i))
+		off = off || !m.sendHedge(clementineport.ShardID(i))
 		if off {
-			m.hedgeAt = min(m.hedgeAt, at+m.opts.Recheck)
+			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Recheck)
 		}
 	}
 }
 
 func (m *Machine) mayHedge() bool { return m.plan.Query.Idempotent && m.opts.HedgeBudget != nil }
 
-// hedgeDue returns when an attempt counts as a straggler that holds the query up: after its target's usual
-// time when few shards are outstanding, and after twice that time whatever the others do.
+// hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
+// outstanding than while many are.
 func (m *Machine) hedgeDue(a *attempt) time.Duration {
 	if m.outstanding <= m.few {
-		return a.sent + a.after
+		return a.sent + time.Duration(m.opts.HedgeFactor*float64(a.after))
 	}
-	return a.sent + projectedShare*a.after
+	return a.sent + time.Duration(m.opts.ProjectedFactor*float64(a.after))
 }
 
 // sendHedge sends a hedge, or reports that the budget has none left.
-func (m *Machine) sendHedge(now time.Time, s clementineport.ShardID) bool {
+func (m *Machine) sendHedge(s clementineport.ShardID) bool {
 	sh := &m.shards[s]
-	t, ok := m.pickTarget(now, s)
-	if !ok || !m.plan.View.Usable(t, now) {
+	t, ok := m.pickTarget(s)
+	if !ok || !m.plan.View.Usable(t, m.now) {
 		sh.hedges = uint8(m.opts.MaxHedges)
 		return true
 	}
@@ -55,6 +54,6 @@
 	}
 	sh.hedges++
 	m.stats.Hedges++
-	m.send(now, s, t, Hedge)
+	m.send(s, t, Hedge)
 	return true
 }
--- a/cpgather/options.go
+++ b/cpgather/options.go
@@ -9,15 +9,17 @@
 
 // Defaults of Options.
 const (
-	defaultHedgeShare  = 0.03
-	defaultMaxHedges   = 2
-	defaultMaxRetries  = 3
-	defaultMaxRestarts = 1
-	defaultTailCut     = 0.5
-	defaultReserve     = 20 * time.Millisecond
-	defaultBackoff     = 5 * time.Millisecond
-	defaultRecheck     = 10 * time.Millisecond
-	defaultReplan      = 20 * time.Millisecond
+	defaultHedgeShare      = 0.03
+	defaultHedgeFactor     = 1.25
+	defaultProjectedFactor = 2
+	defaultMaxHedges       = 2
+	defaultMaxRetries      = 3
+	defaultMaxRestarts     = 1
+	defaultTailCut         = 0.5
+	defaultReserve         = 20 * time.Millisecond
+	defaultBackoff         = 5 * time.Millisecond
+	defaultRecheck         = 10 * time.Millisecond
+	defaultReplan          = 20 * time.Millisecond
 )
 
 const (
@@ -25,8 +27,6 @@
 	reserveShare = 10
 	// spareShare is the part of the shards for which room for further attempts is kept, as a divisor.
 	spareShare = 16
-	// projectedShare is how many times its usual time a call takes before it is hedged whatever the others do.
-	projectedShare = 2
 	// restartNeed is how many times the slowest usual call must fit into the time left for a restart.
 	restartNeed = 2
 	// roundOff keeps a least coverage such as 0.9 of 10 shards at 9.
@@ -62,6 +62,10 @@
 	Choose ChooseFunc
 	// HedgeShare is the share of shards that, once only they are outstanding, hold the query up.
 	HedgeShare float64
+	// HedgeFactor is how many times its usual time a call takes before it is hedged, once few are outstanding.
+	HedgeFactor float64
+	// ProjectedFactor is the same for a call that is hedged whatever the others do.
+	ProjectedFactor float64
 	// MaxHedges and MaxRetries bound the calls for one shard, MaxRestarts the restarts of the query.
 	MaxHedges   int
 	MaxRetries  int
@@ -105,16 +109,18 @@
 
 func newOptions(opts ...Option) Options {
 	o := Options{
-		Choose:      cpsnapshot.Choose,
-		HedgeShare:  defaultHedgeShare,
-		MaxHedges:   defaultMaxHedges,
-		MaxRetries:  defaultMaxRetries,
-		MaxRestarts: defaultMaxRestarts,
-		TailCut:     defaultTailCut,
-		Reserve:     defaultReserve,
-		Backoff:     defaultBackoff,
-		Recheck:     defaultRecheck,
-		Replan:      defaultReplan,
+		Choose:          cpsnapshot.Choose,
+		HedgeShare:      defaultHedgeShare,
+		HedgeFactor:     defaultHedgeFactor,
+		ProjectedFactor: defaultProjectedFactor,
+		MaxHedges:       defaultMaxHedges,
+		MaxRetries:      defaultMaxRetries,
+		MaxRestarts:     defaultMaxRestarts,
+		TailCut:         defaultTailCut,
+		Reserve:         defaultReserve,
+		Backoff:         defaultBackoff,
+		Recheck:         defaultRecheck,
+		Replan:          defaultReplan,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -2,36 +2,36 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
 
 // plannedWhole plans the first calls; when a shard has no target it looks once for a snapshot that covers more.
-func (m *Machine) plannedWhole(now time.Time) {
-	unplanned := m.planSnapshot(now)
+func (m *Machine) plannedWhole() {
+	unplanned := m.planSnapshot()
 	if unplanned == 0 {
 		return
 	}
-	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, now)
+	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, m.now)
 	if ok && choice.Coverage() > m.prospect() {
-		m.withdraw(now)
+		m.withdraw()
 		m.plan.Choice = choice
-		m.planSnapshot(now)
+		m.planSnapshot()
 	}
 	if m.hopeless() {
-		m.withdraw(now)
+		m.withdraw()
 	}
 }
 
 // planSnapshot picks a target for each shard of the pinned snapshot and returns the number of shards without one.
-func (m *Machine) planSnapshot(now time.Time) int {
+func (m *Machine) planSnapshot() int {
 	choice := &m.plan.Choice
 	m.epoch = len(m.attempts)
 	m.covered, m.lost = 0, 0
 	m.slowest, m.hedgeAt, m.retryAt = 0, never, never
 	m.hits.reset()
+	m.pick.Snapshot, m.pick.Home = choice.Snapshot, m.plan.Home
 	m.shards = m.shards[:0]
 	if choice.Layout == nil {
 		return 0
@@ -48,7 +48,7 @@
 	unplanned := 0
 	for s := range clementineport.ShardID(n) {
 		m.shards = append(m.shards, shard{last: -1})
-		if !m.sendFirst(now, s) {
+		if !m.sendFirst(s) {
 			unplanned++
 		}
 	}
@@ -56,8 +56,8 @@
 	return unplanned
 }
 
-func (m *Machine) sendFirst(now time.Time, s clementineport.ShardID) bool {
-	t, ok := m.pickTarget(now, s)
+func (m *Machine) sendFirst(s clementineport.ShardID) bool {
+	t, ok := m.pickTarget(s)
 	if !ok {
 		m.shards[s].state = clementineport.ShardUnplanned
 		m.shards[s].fault = clementineport.FaultUnavailable
@@ -65,13 +65,13 @@
 		m.conclude(&m.shards[s])
 		return false
 	}
-	m.send(now, s, t, First)
+	m.send(s, t, First)
 	m.slowest = max(m.slowest, m.attempts[len(m.attempts)-1].after)
 	return true
 }
 
 // pickTarget picks a usable target that has not been tried for the shard.
-func (m *Machine) pickTarget(now time.Time, s clementineport.ShardID) (clementineport.TargetIndex, bool) {
+func (m *Machine) pickTarget(s clementineport.ShardID) (clementineport.TargetIndex, bool) {
 	sh := &m.shards[s]
 	m.tried = m.tried[:0]
 	for i := sh.last; i >= int32(m.epoch); i = m.attempts[i].prev {
@@ -80,23 +80,17 @@
 			m.tried = append(m.tried, a.target)
 		}
 	}
-	m.pick = clementineport.PickRequest{
-		Replicas: m.plan.Choice.Layout.Replicas[s],
-		Snapshot: m.plan.Choice.Snapshot,
-		Tried:    m.tried,
-		Now:      now,
-		Home:     m.plan.Home,
-	}
+	m.pick.Replicas, m.pick.Tried = m.plan.Choice.Layout.Replicas[s], m.tried
 	return m.plan.View.Pick(&m.pick)
 }
 
 // withdraw takes back the calls that were planned and not yet sent.
-func (m *Machine) withdraw(now time.Time) {
+func (m *Machine) withdraw() {
 	for i := m.epoch; i < len(m.attempts); i++ {
 		a := &m.attempts[i]
 		a.end = withdrawn
 		m.shards[a.shard].open--
-		m.plan.View.Observe(a.target, now, &clementineport.CallResult{
+		m.plan.View.Observe(a.target, m.now, &clementineport.CallResult{
 			Attempt: clementineport.AttemptID(i + 1), Shard: a.shard, Err: errWithdrawn,
 		})
 	}
@@ -120,19 +114,18 @@
 }
 
 // restart begins again on another snapshot when shards have been lost and that gives the better answer.
-func (m *Machine) restart(now time.Time) bool {
-	at := now.Sub(m.start)
+func (m *Machine) restart() bool {
 	if !m.plan.Query.Idempotent || m.lost == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
 		return false
 	}
-	if at < m.replanAt && m.outstanding > 0 {
+	if m.at < m.replanAt && m.outstanding > 0 {
 		return false
 	}
-	m.replanAt = at + m.opts.Replan
-	if at+restartNeed*m.slowest >= m.closeAt {
+	m.replanAt = m.at + m.opts.Replan
+	if m.at+restartNeed*m.slowest >= m.closeAt {
 		return false
 	}
-	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, now, m.plan.Choice.Snapshot)
+	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, m.now, m.plan.Choice.Snapshot)
 	if !ok || !m.preferred(&choice) {
 		return false
 	}
@@ -143,7 +136,7 @@
 	}
 	m.stats.Restarts++
 	m.plan.Choice = choice
-	m.planSnapshot(now)
+	m.planSnapshot()
 	return true
 }
 
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"github.com/clementineport/clementineport"
 )
@@ -14,7 +13,7 @@
 )
 
 // failed ends an attempt and retries its shard or gives it up.
-func (m *Machine) failed(now time.Time, a *attempt, err error) {
+func (m *Machine) failed(a *attempt, err error) {
 	sh := &m.shards[a.shard]
 	if a.end == open {
 		sh.open--
@@ -29,16 +28,16 @@
 	if sh.final || sh.open > 0 {
 		return
 	}
-	if m.mayRetry(now, sh) {
-		m.retry(now, a.shard)
+	if m.mayRetry(sh) {
+		m.retry(a.shard)
 		return
 	}
-	m.giveUp(now, a.shard)
+	m.giveUp(a.shard)
 }
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
-func (m *Machine) mayRetry(now time.Time, sh *shard) bool {
-	if int(sh.retries) >= m.opts.MaxRetries || now.Sub(m.start) >= m.closeAt || m.hopeless() {
+func (m *Machine) mayRetry(sh *shard) bool {
+	if int(sh.retries) >= m.opts.MaxRetries || m.at >= m.closeAt || m.hopeless() {
 		return false
 	}
 	switch sh.fault {
@@ -49,31 +48,31 @@
 }
 
 // retry sends a call to another target, or waits when all have been tried and one may be asked again.
-func (m *Machine) retry(now time.Time, s clementineport.ShardID) {
-	if t, ok := m.pickTarget(now, s); ok {
-		m.sendRetry(now, s, t)
+func (m *Machine) retry(s clementineport.ShardID) {
+	if t, ok := m.pickTarget(s); ok {
+		m.sendRetry(s, t)
 		return
 	}
 	sh := &m.shards[s]
-	if !m.held(now, s) {
-		m.giveUp(now, s)
+	if !m.held(s) {
+		m.giveUp(s)
 		return
 	}
 	backoff := m.opts.Backoff << sh.retries
-	sh.retryAt = now.Sub(m.start) + backoff
+	sh.retryAt = m.at + backoff
 	sh.triedFrom = int32(len(m.attempts))
 	m.retryAt = min(m.retryAt, sh.retryAt)
 }
 
-func (m *Machine) sendRetry(now time.Time, s clementineport.ShardID, t clementineport.TargetIndex) {
+func (m *Machine) sendRetry(s clementineport.ShardID, t clementineport.TargetIndex) {
 	sh := &m.shards[s]
-	if !m.plan.View.Usable(t, now) || !m.spendRetry(sh.fault) {
-		m.giveUp(now, s)
+	if !m.plan.View.Usable(t, m.now) || !m.spendRetry(sh.fault) {
+		m.giveUp(s)
 		return
 	}
 	sh.retries++
 	m.stats.Retries++
-	m.send(now, s, t, Retry)
+	m.send(s, t, Retry)
 }
 
 // spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
@@ -86,34 +85,33 @@
 }
 
 // retryWaiting asks the shards again whose time has come.
-func (m *Machine) retryWaiting(now time.Time) {
-	at := now.Sub(m.start)
+func (m *Machine) retryWaiting() {
 	m.retryAt = never
 	for i := range m.shards {
 		sh := &m.shards[i]
 		switch {
 		case sh.retryAt == 0:
-		case sh.retryAt > at:
+		case sh.retryAt > m.at:
 			m.retryAt = min(m.retryAt, sh.retryAt)
 		default:
 			sh.retryAt = 0
-			m.retryNow(now, clementineport.ShardID(i))
+			m.retryNow(clementineport.ShardID(i))
 		}
 	}
 }
 
-func (m *Machine) retryNow(now time.Time, s clementineport.ShardID) {
-	if t, ok := m.pickTarget(now, s); ok {
-		m.sendRetry(now, s, t)
+func (m *Machine) retryNow(s clementineport.ShardID) {
+	if t, ok := m.pickTarget(s); ok {
+		m.sendRetry(s, t)
 		return
 	}
-	m.giveUp(now, s)
+	m.giveUp(s)
 }
 
 // held reports whether a usable target may hold the shard in the pinned snapshot.
-func (m *Machine) held(now time.Time, s clementineport.ShardID) bool {
+func (m *Machine) held(s clementineport.ShardID) bool {
 	for _, t := range m.plan.Choice.Layout.Replicas[s] {
-		if m.plan.View.Usable(t, now) && !m.refusedSnapshot(s, t) &&
+		if m.plan.View.Usable(t, m.now) && !m.refusedSnapshot(s, t) &&
 			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
 			return true
 		}
@@ -131,10 +129,10 @@
 }
 
 // giveUp settles a shard as missing.
-func (m *Machine) giveUp(now time.Time, s clementineport.ShardID) {
+func (m *Machine) giveUp(s clementineport.ShardID) {
 	sh := &m.shards[s]
 	sh.state = missingState(sh.fault)
-	if !m.held(now, s) {
+	if !m.held(s) {
 		m.lost++
 	}
 	m.conclude(sh)
