--- /dev/null
+++ b/cpapi/errors.go
@@ -0,0 +1,67 @@
+package cpapi
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// tooLarge is the refusal of a body above the limit.
+type tooLarge struct{ limit int64 }
+
+func (e *tooLarge) Error() string { return fmt.Sprintf("body: larger than %d bytes", e.limit) }
+
+// Status returns the HTTP status for a fault.
+func Status(f clementineport.Fault) int {
+	switch f {
+	case clementineport.FaultInvalid:
+		return http.StatusBadRequest
+	case clementineport.FaultShed:
+		return http.StatusTooManyRequests
+	case clementineport.FaultDraining, clementineport.FaultStale, clementineport.FaultUnavailable,
+		clementineport.FaultTakenOut, clementineport.FaultCold:
+		return http.StatusServiceUnavailable
+	case clementineport.FaultDeadline, clementineport.FaultTimeout, clementineport.FaultCanceled:
+		return http.StatusGatewayTimeout
+	case clementineport.FaultDuplicate:
+		return http.StatusConflict
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// fail writes a refusal or failure with its verdict.
+func (s *server) fail(w http.ResponseWriter, err error) {
+	var body struct {
+		Verdict          clementineport.Verdict
+		Fault            clementineport.Fault
+		Reason           string
+		RetryAfterMillis int64  `json:",omitempty"`
+		Entry            string `json:",omitempty"`
+	}
+	body.Verdict = clementineport.VerdictOf(err)
+	body.Fault = clementineport.FaultOf(err)
+	body.Reason = err.Error()
+	status := Status(body.Fault)
+	if large, ok := errors.AsType[*tooLarge](err); ok {
+		body.Verdict, body.Fault, body.Reason = clementineport.NotRun, clementineport.FaultInvalid, large.Error()
+		status = http.StatusRequestEntityTooLarge
+	}
+	if e, ok := errors.AsType[*clementineport.Error](err); ok {
+		body.RetryAfterMillis = e.RetryAfter.Milliseconds()
+		body.Entry = e.Entry
+	}
+	if body.RetryAfterMillis > 0 {
+		w.Header().Set("Retry-After", retryAfterSeconds(time.Duration(body.RetryAfterMillis)*time.Millisecond))
+	}
+	writeJSON(w, status, body)
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/cpapi/options.go
@@ -0,0 +1,67 @@
+package cpapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// MaxRequestIDBytes bounds the id of a request.
+const MaxRequestIDBytes = 128
+
+// Defaults of Options.
+const (
+	defaultMaxBodyBytes  = 64 << 10
+	defaultMaxInProgress = 4096
+	defaultMaxLimit      = 1000
+	defaultMaxDeadline   = time.Minute
+	defaultRetryAfter    = 100 * time.Millisecond
+)
+
+// Options are the limits of the caller API.
+type Options struct {
+	Clock         clementineport.Clock
+	MaxBodyBytes  int64
+	MaxInProgress int
+	MaxLimit      int
+	MaxDeadline   time.Duration
+	RetryAfter    time.Duration
+	AllowPolicy   bool
+	Extract       func(ctx context.Context, traceparent string) context.Context
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithMaxBodyBytes bounds the body of a query.
+func WithMaxBodyBytes(n int64) Option { return func(o *Options) { o.MaxBodyBytes = n } }
+
+// WithMaxInProgress bounds the requests in progress.
+func WithMaxInProgress(n int) Option { return func(o *Options) { o.MaxInProgress = n } }
+
+// WithAllowPolicy lets callers choose the policy of a query, for comparisons.
+func WithAllowPolicy(allow bool) Option { return func(o *Options) { o.AllowPolicy = allow } }
+
+// WithExtract sets how the trace context of a caller is read.
+func WithExtract(f func(ctx context.Context, traceparent string) context.Context) Option {
+	return func(o *Options) { o.Extract = f }
+}
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		MaxBodyBytes:  defaultMaxBodyBytes,
+		MaxInProgress: defaultMaxInProgress,
+		MaxLimit:      defaultMaxLimit,
+		MaxDeadline:   defaultMaxDeadline,
+		RetryAfter:    defaultRetryAfter,
+		Extract:       func(ctx context.Context, _ string) context.Context { return ctx },
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/cppeer/cpconnect/convert.go
@@ -0,0 +1,220 @@
+package cpconnect
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpwire"
+)
+
+func snapshotToWire(s clementineport.Snapshot) *cpwire.Snapshot {
+	return &cpwire.Snapshot{Version: uint64(s.Version), Layout: uint32(s.Layout)}
+}
+
+func snapshotFromWire(s *cpwire.Snapshot) clementineport.Snapshot {
+	return clementineport.Snapshot{
+		Version: clementineport.IndexVersion(s.GetVersion()),
+		Layout:  clementineport.LayoutID(s.GetLayout()),
+	}
+}
+
+// relayToWire packs calls of one query; all calls of a RelayRequest share the query's fields.
+func relayToWire(r *clementineport.RelayRequest, now time.Time, traceparent string) *cpwire.RelayRequest {
+	first := &r.Calls[0]
+	calls := make([]cpwire.RelayCall, len(r.Calls))
+	m := &cpwire.RelayRequest{
+		From:        string(r.From),
+		Revision:    uint64(r.Revision),
+		Request:     string(first.Request),
+		Service:     string(first.Service),
+		Class:       uint32(first.Class),
+		Index:       string(first.Index),
+		Snapshot:    snapshotToWire(first.Snapshot),
+		Text:        first.Text,
+		Limit:       int32(first.Limit),
+		LeftNanos:   int64(first.Deadline.Sub(now)),
+		Idempotent:  first.Idempotent,
+		Traceparent: traceparent,
+		Calls:       make([]*cpwire.RelayCall, len(r.Calls)),
+	}
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		calls[i].Attempt, calls[i].Shard, calls[i].Target = int32(c.Attempt), int32(c.Shard), string(c.Target)
+		m.Calls[i] = &calls[i]
+	}
+	return m
+}
+
+func relayFromWire(m *cpwire.RelayRequest, now time.Time) *clementineport.RelayRequest {
+	r := &clementineport.RelayRequest{
+		From:     clementineport.VMID(m.GetFrom()),
+		Revision: clementineport.Revision(m.GetRevision()),
+		Calls:    make([]clementineport.Call, len(m.GetCalls())),
+	}
+	shared := clementineport.Call{
+		Request:    clementineport.RequestID(m.GetRequest()),
+		Service:    clementineport.ServiceID(m.GetService()),
+		Class:      clementineport.Class(m.GetClass()),
+		Index:      clementineport.IndexID(m.GetIndex()),
+		Snapshot:   snapshotFromWire(m.GetSnapshot()),
+		Text:       m.GetText(),
+		Limit:      int(m.GetLimit()),
+		Deadline:   now.Add(time.Duration(m.GetLeftNanos())),
+		Idempotent: m.GetIdempotent(),
+	}
+	for i, c := range m.GetCalls() {
+		call := shared
+		call.Attempt = clementineport.AttemptID(c.GetAttempt())
+		call.Shard = clementineport.ShardID(c.GetShard())
+		call.Target = clementineport.TargetID(c.GetTarget())
+		r.Calls[i] = call
+	}
+	return r
+}
+
+func signalsToWire(s *clementineport.Signals) *cpwire.Signals {
+	held := make([]*cpwire.Snapshot, len(s.Held))
+	for i, h := range s.Held {
+		held[i] = snapshotToWire(h)
+	}
+	return &cpwire.Signals{
+		Start:    string(s.Start),
+		InFlight: int32(s.InFlight),
+		Held:     held,
+		Draining: s.Draining,
+		Cold:     s.Cold,
+	}
+}
+
+func signalsFromWire(s *cpwire.Signals) clementineport.Signals {
+	var held []clementineport.Snapshot
+	if len(s.GetHeld()) > 0 {
+		held = make([]clementineport.Snapshot, len(s.GetHeld()))
+	}
+	for i, h := range s.GetHeld() {
+		held[i] = snapshotFromWire(h)
+	}
+	return clementineport.Signals{
+		Start:    clementineport.StartID(s.GetStart()),
+		InFlight: int(s.GetInFlight()),
+		Held:     held,
+		Draining: s.GetDraining(),
+		Cold:     s.GetCold(),
+	}
+}
+
+func resultToWire(r *clementineport.CallResult) *cpwire.RelayResult {
+	m := &cpwire.RelayResult{
+		Attempt:      int32(r.Attempt),
+		Shard:        int32(r.Shard),
+		Target:       string(r.Target),
+		Signals:      signalsToWire(&r.Signals),
+		Load:         int32(r.Load),
+		ElapsedNanos: int64(r.Elapsed),
+	}
+	if r.Err != nil {
+		m.Fault, m.Reason, m.RetryAfterNanos = errorToWire(r.Err)
+		return m
+	}
+	m.Reply = replyToWire(r.Reply)
+	return m
+}
+
+func resultFromWire(m *cpwire.RelayResult) clementineport.CallResult {
+	r := clementineport.CallResult{
+		Attempt: clementineport.AttemptID(m.GetAttempt()),
+		Shard:   clementineport.ShardID(m.GetShard()),
+		Target:  clementineport.TargetID(m.GetTarget()),
+		Signals: signalsFromWire(m.GetSignals()),
+		Load:    int(m.GetLoad()),
+		Elapsed: time.Duration(m.GetElapsedNanos()),
+	}
+	if m.GetReply() == nil {
+		r.Err = errorFromWire(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
+		return r
+	}
+	r.Reply = replyFromWire(m.GetReply())
+	r.Reply.Signals = r.Signals
+	return r
+}
+
+func replyToWire(r *clementineport.Reply) *cpwire.Reply {
+	hits := make([]cpwire.Hit, len(r.Hits))
+	m := &cpwire.Reply{
+		Request:  string(r.Request),
+		Shard:    int32(r.Shard),
+		Snapshot: snapshotToWire(r.Snapshot),
+		Hits:     make([]*cpwire.Hit, len(r.Hits)),
+	}
+	for i, h := range r.Hits {
+		hits[i].Record, hits[i].Score, hits[i].Fields = h.Record, h.Score, h.Fields
+		m.Hits[i] = &hits[i]
+	}
+	return m
+}
+
+func replyFromWire(m *cpwire.Reply) *clementineport.Reply {
+	r := &clementineport.Reply{
+		Request:  clementineport.RequestID(m.GetRequest()),
+		Shard:    clementineport.ShardID(m.GetShard()),
+		Snapshot: snapshotFromWire(m.GetSnapshot()),
+		Hits:     make([]clementineport.Hit, len(m.GetHits())),
+	}
+	for i, h := range m.GetHits() {
+		r.Hits[i] = clementineport.Hit{Record: h.GetRecord(), Score: h.GetScore(), Fields: h.GetFields()}
+	}
+	return r
+}
+
+func memberToWire(m *clementineport.Member) *cpwire.Member {
+	return &cpwire.Member{
+		VM: &cpwire.VM{
+			ID:       string(m.ID),
+			Domain:   string(m.Domain),
+			Caller:   m.Caller,
+			Peer:     m.Peer,
+			Operator: m.Operator,
+			Leaving:  m.Leaving,
+		},
+		Start:       string(m.Start),
+		State:       uint32(m.State),
+		Incarnation: m.Incarnation,
+		Revision:    uint64(m.Revision),
+		Ticket:      m.Ticket,
+	}
+}
+
+func memberFromWire(m *cpwire.Member) clementineport.Member {
+	vm := m.GetVM()
+	return clementineport.Member{
+		VM: clementineport.VM{
+			ID:       clementineport.VMID(vm.GetID()),
+			Domain:   clementineport.FailureDomain(vm.GetDomain()),
+			Caller:   vm.GetCaller(),
+			Peer:     vm.GetPeer(),
+			Operator: vm.GetOperator(),
+			Leaving:  vm.GetLeaving(),
+		},
+		Start:       clementineport.StartID(m.GetStart()),
+		State:       clementineport.MemberState(m.GetState()),
+		Incarnation: m.GetIncarnation(),
+		Revision:    clementineport.Revision(m.GetRevision()),
+		Ticket:      m.GetTicket(),
+	}
+}
+
+func membersToWire(members []clementineport.Member) []*cpwire.Member {
+	out := make([]*cpwire.Member, len(members))
+	for i := range members {
+		out[i] = memberToWire(&members[i])
+	}
+	return out
+}
+
+func membersFromWire(members []*cpwire.Member) []clementineport.Member {
+	out := make([]clementineport.Member, len(members))
+	for i, m := range members {
+		out[i] = memberFromWire(m)
+	}
+	return out
+}
--- /dev/null
+++ b/cppeer/cpconnect/forward.go
@@ -0,0 +1,65 @@
+package cpconnect
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpwire"
+)
+
+// Forward implements clementineport.Peer.
+func (c *client) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	ctx, sent := watchSent(ctx)
+	req := connect.NewRequest(&cpwire.ForwardRequest{
+		Request:     string(q.Request),
+		Service:     string(q.Service),
+		Text:        q.Text,
+		Limit:       int32(q.Limit),
+		LeftNanos:   int64(q.Deadline.Sub(c.opts.Clock.Now())),
+		Traceparent: c.opts.Tracer.Inject(ctx),
+	})
+	c.opts.Token.Set(req.Header())
+	resp, err := c.remote.Forward(ctx, req)
+	if err != nil {
+		return nil, classify(ctx, err, sent.Load())
+	}
+	m := resp.Msg
+	if len(m.GetAnswer()) == 0 {
+		return nil, errorFromWire(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
+	}
+	answer := &clementineport.Answer{}
+	if err := json.Unmarshal(m.GetAnswer(), answer); err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
+	}
+	if answer.Request != q.Request {
+		return nil, clementineport.Fail(clementineport.FaultMismatched, "answer to request %s", answer.Request)
+	}
+	return answer, nil
+}
+
+// Forward implements the connect handler.
+func (h *handler) Forward(ctx context.Context, req *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error) {
+	m := req.Msg
+	h.opts.Seen(clementineport.Revision(m.GetRevision()))
+	ctx = h.opts.Tracer.Extract(ctx, m.GetTraceparent())
+	answer, err := h.next.Forward(ctx, &clementineport.Query{
+		Request:  clementineport.RequestID(m.GetRequest()),
+		Service:  clementineport.ServiceID(m.GetService()),
+		Text:     m.GetText(),
+		Limit:    int(m.GetLimit()),
+		Deadline: h.opts.Clock.Now().Add(time.Duration(m.GetLeftNanos())),
+	})
+	resp := &cpwire.ForwardResponse{}
+	if err != nil {
+		resp.Fault, resp.Reason, resp.RetryAfterNanos = errorToWire(err)
+		return connect.NewResponse(resp), nil
+	}
+	if resp.Answer, err = json.Marshal(answer); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- /dev/null
+++ b/cppeer/cpconnect/handler.go
@@ -0,0 +1,101 @@
+package cpconnect
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cppeer"
+	"github.com/clementineport/clementineport/cpsecret"
+	"github.com/clementineport/clementineport/cpwire"
+	"github.com/clementineport/clementineport/cpwire/cpwireconnect"
+)
+
+type handler struct {
+	opts Options
+	next cppeer.Handler
+}
+
+// NewHandler returns the HTTP handler that serves other VMs.
+func NewHandler(next cppeer.Handler, opts ...Option) http.Handler {
+	h := &handler{opts: newOptions(opts), next: next}
+	path, service := cpwireconnect.NewPeerServiceHandler(h,
+		connect.WithReadMaxBytes(h.opts.MaxMessageSize), connect.WithSendMaxBytes(h.opts.MaxMessageSize))
+	mux := http.NewServeMux()
+	mux.Handle(path, cpsecret.Require(h.opts.Token, service))
+	return mux
+}
+
+// Relay implements the connect handler.
+func (h *handler) Relay(ctx context.Context, req *connect.Request[cpwire.RelayRequest], stream *connect.ServerStream[cpwire.RelayResponse]) error {
+	m := req.Msg
+	h.opts.Seen(clementineport.Revision(m.GetRevision()))
+	ctx = h.opts.Tracer.Extract(ctx, m.GetTraceparent())
+	r := relayFromWire(m, h.opts.Clock.Now())
+	results := make(chan clementineport.CallResult, len(r.Calls))
+	failed := make(chan error, 1)
+	go func() {
+		failed <- h.next.Relay(ctx, r, func(result clementineport.CallResult) { results <- result })
+		close(results)
+	}()
+	if err := sendResults(stream, results); err != nil {
+		return err
+	}
+	if err := <-failed; err != nil {
+		return connect.NewError(connect.CodeInternal, err)
+	}
+	return nil
+}
+
+// sendResults sends each result at once, together with others that are ready.
+func sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult) error {
+	for first := range results {
+		m := &cpwire.RelayResponse{Results: []*cpwire.RelayResult{resultToWire(&first)}}
+		for more := len(results); more > 0; more-- {
+			r := <-results
+			m.Results = append(m.Results, resultToWire(&r))
+		}
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Exchange implements the connect handler.
+func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
+	m := req.Msg
+	reply, err := h.next.Exchange(ctx, &clementineport.Digest{
+		From:     memberFromWire(m.GetFrom()),
+		Revision: clementineport.Revision(m.GetRevision()),
+		Fresh:    time.Duration(m.GetFreshNanos()),
+		Members:  membersFromWire(m.GetMembers()),
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&cpwire.ExchangeResponse{
+		From:       memberToWire(&reply.From),
+		Revision:   uint64(reply.Revision),
+		FreshNanos: int64(reply.Fresh),
+		Members:    membersToWire(reply.Members),
+	}), nil
+}
+
+// Config implements the connect handler.
+func (h *handler) Config(ctx context.Context, req *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error) {
+	cfg, err := h.next.Config(ctx, clementineport.Revision(req.Msg.GetHave()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	resp := &cpwire.ConfigResponse{}
+	if cfg != nil {
+		if resp.Config, err = h.opts.EncodeConfig(cfg); err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+	}
+	return connect.NewResponse(resp), nil
+}
--- /dev/null
+++ b/cppeer/cpconnect/options.go
@@ -0,0 +1,62 @@
+package cpconnect
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsecret"
+)
+
+// Limits of the connections between VMs.
+const (
+	defaultDialTimeout    = time.Second
+	defaultPingAfter      = time.Second
+	defaultPingTimeout    = time.Second
+	defaultMaxMessageSize = 8 << 20
+)
+
+// Options are the settings of a peer client or handler.
+type Options struct {
+	Address        string
+	Token          cpsecret.Token
+	Clock          clementineport.Clock
+	Transport      http.RoundTripper
+	MaxMessageSize int
+	// Seen is told the revision that every message of another VM carries.
+	Seen func(clementineport.Revision)
+	// DecodeConfig and EncodeConfig translate the configuration to and from its stored form.
+	DecodeConfig func([]byte) (*clementineport.Config, error)
+	EncodeConfig func(*clementineport.Config) ([]byte, error)
+	// Traceparent returns the trace context to send; Extract is its inverse on the receiver.
+	Tracer Tracer
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithAddress sets the peer address to call.
+func WithAddress(a string) Option { return func(o *Options) { o.Address = a } }
+
+// WithToken sets the token that VMs show each other.
+func WithToken(t cpsecret.Token) Option { return func(o *Options) { o.Token = t } }
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithTransport sets the HTTP transport of a client.
+func WithTransport(t http.RoundTripper) Option { return func(o *Options) { o.Transport = t } }
+
+// WithSeen sets the function that is told of revisions.
+func WithSeen(f func(clementineport.Revision)) Option { return func(o *Options) { o.Seen = f } }
+
+// WithCodec sets how a configuration is encoded.
+func WithCodec(encode func(*clementineport.Config) ([]byte, error), decode func([]byte) (*clementineport.Config, error)) Option {
+	return func(o *Options) { o.EncodeConfig, o.DecodeConfig = encode, decode }
+}
+
+// WithTracer sets how trace contexts cross processes.
+func WithTracer(t Tracer) Option { return func(o *Options) { o.Tracer = t } }
+
+// WithMaxMessageSize bounds a message in bytes.
+func WithMaxMessageSize(n int) Option { return func(o *Options) { o.MaxMessageSize = n } }
--- a/verdict.go
+++ b/verdict.go
@@ -168,7 +168,9 @@
 	Fault      Fault
 	Reason     string
 	RetryAfter time.Duration
-	Err        error
+	// Entry is the address of another entry VM, when the refusing one is leaving.
+	Entry string
+	Err   error
 }
 
 // Fail returns an Error for a fault.
