--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -25,13 +26,21 @@
 	Extract(ctx context.Context, traceparent string) context.Context
 }
 
+var errSilent = errors.New("the VM sent nothing for too long")
+
 type noTracer struct{}
 
 func (noTracer) Inject(context.Context) string                         { return "" }
 func (noTracer) Extract(ctx context.Context, _ string) context.Context { return ctx }
 
 func newOptions(opts []Option) Options {
-	o := Options{MaxMessageSize: defaultMaxMessageSize, Tracer: noTracer{}, Seen: func(clementineport.Revision) {}}
+	o := Options{
+		MaxMessageSize: defaultMaxMessageSize,
+		Heartbeat:      defaultHeartbeat,
+		SilentAfter:    defaultSilentAfter,
+		Tracer:         noTracer{},
+		Seen:           func(clementineport.Revision) {},
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -87,25 +96,40 @@
 	if len(r.Calls) == 0 {
 		return nil
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(c.opts.SilentAfter, func() { cancel(errSilent) })
+	defer silence.Stop()
 	ctx, sent := watchSent(ctx)
+	err := c.relay(ctx, r, func(m *cpwire.RelayResponse) {
+		silence.Reset(c.opts.SilentAfter)
+		c.opts.Seen(clementineport.Revision(m.GetRevision()))
+		for _, result := range m.GetResults() {
+			deliver(resultFromWire(result))
+		}
+	})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), errSilent) && sent.Load():
+		return &clementineport.Error{Fault: clementineport.FaultTimeout, Reason: errSilent.Error(), Err: err}
+	default:
+		return classify(ctx, err, sent.Load())
+	}
+}
+
+func (c *client) relay(ctx context.Context, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
 	req := connect.NewRequest(relayToWire(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
 	c.opts.Token.Set(req.Header())
 	stream, err := c.remote.Relay(ctx, req)
 	if err != nil {
-		return classify(ctx, err, sent.Load())
+		return err
 	}
 	defer stream.Close()
 	for stream.Receive() {
-		m := stream.Msg()
-		c.opts.Seen(clementineport.Revision(m.GetRevision()))
-		for _, result := range m.GetResults() {
-			deliver(resultFromWire(result))
-		}
+		received(stream.Msg())
 	}
-	if err := stream.Err(); err != nil {
-		return classify(ctx, err, sent.Load())
-	}
-	return nil
+	return stream.Err()
 }
 
 // Exchange implements clementineport.Peer.
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -41,7 +41,7 @@
 		failed <- h.next.Relay(ctx, r, func(result clementineport.CallResult) { results <- result })
 		close(results)
 	}()
-	if err := sendResults(stream, results); err != nil {
+	if err := sendResults(stream, results, h.opts.Heartbeat); err != nil {
 		return err
 	}
 	if err := <-failed; err != nil {
@@ -50,19 +50,29 @@
 	return nil
 }
 
-// sendResults sends each result at once, together with others that are ready.
-func sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult) error {
-	for first := range results {
-		m := &cpwire.RelayResponse{Results: []*cpwire.RelayResult{resultToWire(&first)}}
-		for more := len(results); more > 0; more-- {
-			r := <-results
-			m.Results = append(m.Results, resultToWire(&r))
+// sendResults sends each result at once, together with others that are ready, and an empty message when
+// there was none for a while, so that the caller can tell a slow target from a silent VM.
+func sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult, heartbeat time.Duration) error {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		m := &cpwire.RelayResponse{}
+		select {
+		case first, ok := <-results:
+			if !ok {
+				return nil
+			}
+			m.Results = append(m.Results, resultToWire(&first))
+			for more := len(results); more > 0; more-- {
+				r := <-results
+				m.Results = append(m.Results, resultToWire(&r))
+			}
+		case <-ticker.C:
 		}
 		if err := stream.Send(m); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
 // Exchange implements the connect handler.
--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -14,6 +14,8 @@
 	defaultPingAfter      = time.Second
 	defaultPingTimeout    = time.Second
 	defaultMaxMessageSize = 8 << 20
+	defaultHeartbeat      = 40 * time.Millisecond
+	defaultSilentAfter    = 160 * time.Millisecond
 )
 
 // Options are the settings of a peer client or handler.
@@ -23,6 +25,10 @@
 	Clock          clementineport.Clock
 	Transport      http.RoundTripper
 	MaxMessageSize int
+	// Heartbeat is how often a VM says that it is still working on a Relay.
+	Heartbeat time.Duration
+	// SilentAfter is how long a Relay may bring nothing before it is given up.
+	SilentAfter time.Duration
 	// Seen is told the revision that every message of another VM carries.
 	Seen func(clementineport.Revision)
 	// DecodeConfig and EncodeConfig translate the configuration to and from its stored form.
@@ -60,3 +66,8 @@
 
 // WithMaxMessageSize bounds a message in bytes.
 func WithMaxMessageSize(n int) Option { return func(o *Options) { o.MaxMessageSize = n } }
+
+// WithSilence sets how often a receiver reports that it is working, and when the sender gives up on it.
+func WithSilence(heartbeat, silentAfter time.Duration) Option {
+	return func(o *Options) { o.Heartbeat, o.SilentAfter = heartbeat, silentAfter }
+}
--- /dev/null
+++ b/cprelay/cprelay.go
@@ -0,0 +1,201 @@
+// Package cprelay carries the calls of a query to the VMs that own the targets, and makes the calls to the
+// targets that this VM owns. It decides which VM to go through, never which target to ask.
+package cprelay
+
+import (
+	"context"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Route is the way to a target: through this VM or through a peer.
+type Route struct {
+	VM   clementineport.VMID
+	Self bool
+	Peer clementineport.Peer
+}
+
+// Router knows the routes of one view.
+type Router interface {
+	// Route returns the owner of a target, or its deputy.
+	Route(t clementineport.TargetID, deputy bool) (Route, bool)
+	// Revision returns the revision in force.
+	Revision() clementineport.Revision
+}
+
+// Relayer makes calls and delivers each result as it comes.
+type Relayer interface {
+	Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error
+}
+
+// Sender sends the calls of queries that this VM is the root of.
+type Sender struct {
+	opts   Options
+	routes *health
+}
+
+// New returns a Sender.
+func New(opts ...Option) *Sender {
+	o := newOptions(opts)
+	return &Sender{opts: o, routes: newHealth(o.RetryRouteAfter)}
+}
+
+// Send makes the calls and delivers one result for each before it returns.
+func (s *Sender) Send(ctx context.Context, router Router, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+	groups := s.group(router, calls, deliver)
+	if len(groups) == 0 {
+		return
+	}
+	done := make(chan struct{}, len(groups))
+	for _, g := range groups[1:] {
+		go func() {
+			s.sendGroup(ctx, router, g, deliver)
+			done <- struct{}{}
+		}()
+	}
+	s.sendGroup(ctx, router, groups[0], deliver)
+	for range groups[1:] {
+		<-done
+	}
+}
+
+type group struct {
+	route  Route
+	deputy bool
+	calls  []clementineport.Call
+}
+
+// group sorts calls by the VM to send them through; calls without a route fail at once.
+func (s *Sender) group(router Router, calls []clementineport.Call, deliver func(clementineport.CallResult)) []*group {
+	var groups []*group
+	byVM := make(map[clementineport.VMID]*group)
+	for i := range calls {
+		route, deputy, ok := s.route(router, calls[i].Target)
+		if !ok {
+			deliver(failed(&calls[i], clementineport.Fail(clementineport.FaultUnavailable, "no VM for target %s", calls[i].Target)))
+			continue
+		}
+		g := byVM[route.VM]
+		if g == nil {
+			g = &group{route: route, deputy: deputy}
+			byVM[route.VM] = g
+			groups = append(groups, g)
+		}
+		g.calls = append(g.calls, calls[i])
+	}
+	return groups
+}
+
+// route returns the owner, or the deputy while the owner does not answer.
+func (s *Sender) route(router Router, t clementineport.TargetID) (route Route, deputy, ok bool) {
+	now := s.opts.Clock.Now()
+	owner, ok := router.Route(t, false)
+	if ok && (owner.Self || s.routes.usable(owner.VM, now)) {
+		return owner, false, true
+	}
+	second, found := router.Route(t, true)
+	if found && (second.Self || s.routes.usable(second.VM, now)) {
+		return second, true, true
+	}
+	return owner, false, ok
+}
+
+// sendGroup sends calls through one VM; calls that provably did not run go through the deputy once.
+func (s *Sender) sendGroup(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) {
+	left := s.attempt(ctx, router, g, deliver)
+	if left.err == nil || len(left.calls) == 0 {
+		return
+	}
+	if !g.deputy && left.err.Verdict() == clementineport.NotRun && ctx.Err() == nil {
+		for _, second := range s.deputies(router, left.calls) {
+			again := s.attempt(ctx, router, second, deliver)
+			failAll(again.calls, again.err, deliver)
+		}
+		return
+	}
+	failAll(left.calls, left.err, deliver)
+}
+
+// deputies groups calls by the deputies of their targets.
+func (s *Sender) deputies(router Router, calls []clementineport.Call) []*group {
+	var groups []*group
+	byVM := make(map[clementineport.VMID]*group)
+	for i := range calls {
+		route, ok := router.Route(calls[i].Target, true)
+		if !ok {
+			route = Route{}
+		}
+		g := byVM[route.VM]
+		if g == nil {
+			g = &group{route: route, deputy: true}
+			byVM[route.VM] = g
+			groups = append(groups, g)
+		}
+		g.calls = append(g.calls, calls[i])
+	}
+	return groups
+}
+
+// remainder is what a Relay left without a result.
+type remainder struct {
+	calls []clementineport.Call
+	err   *clementineport.Error
+}
+
+func (s *Sender) attempt(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) remainder {
+	var relayer Relayer
+	switch {
+	case g.route.Self:
+		relayer = s.opts.Local
+	case g.route.Peer != nil:
+		relayer = g.route.Peer
+	default:
+		return remainder{g.calls, clementineport.Fail(clementineport.FaultUnavailable, "no other VM for the target")}
+	}
+	pending := newPending(g.calls)
+	s.opts.Metrics.sent(len(g.calls), g.route.Self)
+	err := relayer.Relay(ctx, &clementineport.RelayRequest{
+		From:     s.opts.Self,
+		Revision: router.Revision(),
+		Calls:    g.calls,
+	}, func(r clementineport.CallResult) {
+		if pending.take(r.Attempt) {
+			deliver(r)
+		}
+	})
+	left := remainder{calls: pending.left()}
+	if err == nil && len(left.calls) > 0 {
+		err = clementineport.Fail(clementineport.FaultCut, "the VM ended the relay without a result")
+	}
+	if err != nil {
+		left.err = asError(err)
+	}
+	if !g.route.Self {
+		s.observe(ctx, g.route.VM, err)
+	}
+	return left
+}
+
+// observe records whether a VM answered; a relay that was cancelled says nothing about it.
+func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, err error) {
+	switch {
+	case err == nil:
+		s.routes.answered(vm)
+	case ctx.Err() != nil:
+	default:
+		s.opts.Metrics.RouteFailures.Inc()
+		s.routes.failed(vm, s.opts.Clock.Now())
+	}
+}
+
+func failAll(calls []clementineport.Call, err *clementineport.Error, deliver func(clementineport.CallResult)) {
+	for i := range calls {
+		r := failed(&calls[i], err)
+		r.RouteFailed = true
+		deliver(r)
+	}
+}
+
+func failed(c *clementineport.Call, err *clementineport.Error) clementineport.CallResult {
+	return clementineport.CallResult{Attempt: c.Attempt, Shard: c.Shard, Target: c.Target, Err: err}
+}
--- /dev/null
+++ b/cprelay/options.go
@@ -0,0 +1,74 @@
+package cprelay
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/clementineport/clementineport"
+)
+
+const defaultRetryRouteAfter = time.Second
+
+// Options are the settings of a Sender.
+type Options struct {
+	Self  clementineport.VMID
+	Clock clementineport.Clock
+	// Local makes the calls to targets that this VM owns.
+	Local Relayer
+	// RetryRouteAfter is how long a VM that failed a relay is avoided.
+	RetryRouteAfter time.Duration
+	Metrics         *Metrics
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithSelf sets the id of this VM.
+func WithSelf(vm clementineport.VMID) Option { return func(o *Options) { o.Self = vm } }
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithLocal sets what makes the calls to targets that this VM owns.
+func WithLocal(r Relayer) Option { return func(o *Options) { o.Local = r } }
+
+// WithRetryRouteAfter sets how long a VM that failed a relay is avoided.
+func WithRetryRouteAfter(d time.Duration) Option { return func(o *Options) { o.RetryRouteAfter = d } }
+
+// WithMetrics registers the counters in a set.
+func WithMetrics(set *metrics.Set) Option { return func(o *Options) { o.Metrics = newMetrics(set) } }
+
+func newOptions(opts []Option) Options {
+	o := Options{RetryRouteAfter: defaultRetryRouteAfter}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.Metrics == nil {
+		o.Metrics = newMetrics(metrics.NewSet())
+	}
+	return o
+}
+
+// Metrics counts relays.
+type Metrics struct {
+	LocalCalls    *metrics.Counter
+	RemoteCalls   *metrics.Counter
+	RouteFailures *metrics.Counter
+}
+
+func newMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		LocalCalls:    set.GetOrCreateCounter(`clementineport_relay_calls_total{route="local"}`),
+		RemoteCalls:   set.GetOrCreateCounter(`clementineport_relay_calls_total{route="peer"}`),
+		RouteFailures: set.GetOrCreateCounter(`clementineport_relay_route_failures_total`),
+	}
+}
+
+func (m *Metrics) sent(calls int, self bool) {
+	if self {
+		m.LocalCalls.Add(calls)
+		return
+	}
+	m.RemoteCalls.Add(calls)
+}
--- /dev/null
+++ b/cprelay/owner.go
@@ -0,0 +1,79 @@
+package cprelay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Targets finds the connection to a target.
+type Targets interface {
+	// Target returns the target, or an *Error when this VM may not call it.
+	Target(id clementineport.TargetID) (clementineport.Target, error)
+}
+
+// Owner makes calls to the targets that this VM owns, within their limits.
+type Owner struct {
+	clock   clementineport.Clock
+	targets Targets
+	limiter clementineport.Limiter
+	maySend func() error
+}
+
+// NewOwner returns an Owner; maySend is asked just before each call is sent.
+func NewOwner(clock clementineport.Clock, targets Targets, limiter clementineport.Limiter, maySend func() error) *Owner {
+	return &Owner{clock: clock, targets: targets, limiter: limiter, maySend: maySend}
+}
+
+// Relay implements Relayer.
+func (o *Owner) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
+	var wg sync.WaitGroup
+	for i := range r.Calls[1:] {
+		c := &r.Calls[i+1]
+		wg.Go(func() { deliver(o.call(ctx, c)) })
+	}
+	deliver(o.call(ctx, &r.Calls[0]))
+	wg.Wait()
+	return nil
+}
+
+func (o *Owner) call(ctx context.Context, c *clementineport.Call) clementineport.CallResult {
+	t, err := o.targets.Target(c.Target)
+	if err != nil {
+		return failed(c, asError(err))
+	}
+	done, err := o.limiter.Acquire(ctx, c)
+	if err != nil {
+		r := failed(c, asError(err))
+		r.Load = o.limiter.Load(c.Target)
+		return r
+	}
+	r := o.search(ctx, t, c)
+	done(&r)
+	r.Load = o.limiter.Load(c.Target)
+	return r
+}
+
+// search checks again that new work may be sent, since the call may have waited.
+func (o *Owner) search(ctx context.Context, t clementineport.Target, c *clementineport.Call) clementineport.CallResult {
+	if err := o.maySend(); err != nil {
+		return failed(c, asError(err))
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	start := o.clock.Now()
+	reply, err := t.Search(ctx, c)
+	r := clementineport.CallResult{
+		Attempt: c.Attempt,
+		Shard:   c.Shard,
+		Target:  c.Target,
+		Elapsed: o.clock.Now().Sub(start),
+	}
+	if err != nil {
+		r.Err = asError(err)
+		return r
+	}
+	r.Reply, r.Signals = reply, reply.Signals
+	return r
+}
