--- a/cppeer/cpconnect/errors.go
+++ b/cppeer/cpconnect/errors.go
@@ -44,6 +44,9 @@
 	case connect.CodeDeadlineExceeded:
 		return clementineport.FaultTimeout
 	case connect.CodeCanceled:
+		if ctx.Err() == nil {
+			return clementineport.FaultReset
+		}
 		return clementineport.FaultCanceled
 	case connect.CodeInvalidArgument:
 		return clementineport.FaultMalformed
--- /dev/null
+++ b/cppeer/cppeer_test.go
@@ -0,0 +1,250 @@
+package cppeer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cppeer"
+	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cpsecret"
+)
+
+const deadline = 400 * time.Millisecond
+
+// node is a handler that counts what ran and can be told to fail.
+type node struct {
+	ran  atomic.Int64
+	act  func(ctx context.Context)
+	hits int
+}
+
+func (n *node) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
+	for _, c := range r.Calls {
+		n.ran.Add(1)
+		if n.act != nil {
+			n.act(ctx)
+		}
+		deliver(clementineport.CallResult{
+			Attempt: c.Attempt,
+			Shard:   c.Shard,
+			Target:  c.Target,
+			Load:    2,
+			Signals: clementineport.Signals{Start: "s1", Held: []clementineport.Snapshot{c.Snapshot}},
+			Reply: &clementineport.Reply{
+				Request:  c.Request,
+				Shard:    c.Shard,
+				Snapshot: c.Snapshot,
+				Hits:     []clementineport.Hit{{Record: strings.Repeat("r", 1+n.hits), Score: 1.5}},
+				Signals:  clementineport.Signals{Start: "s1", Held: []clementineport.Snapshot{c.Snapshot}},
+			},
+		})
+	}
+	return nil
+}
+
+func (n *node) Exchange(_ context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
+	return d, nil
+}
+
+func (n *node) Config(_ context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+	if have >= 7 {
+		return nil, nil
+	}
+	return &clementineport.Config{Revision: 7, Text: []byte("text")}, nil
+}
+
+func (n *node) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	n.ran.Add(1)
+	if n.act != nil {
+		n.act(ctx)
+	}
+	if q.Service == "full" {
+		return nil, &clementineport.Error{Fault: clementineport.FaultShed, Reason: "full", RetryAfter: time.Second}
+	}
+	return &clementineport.Answer{Request: q.Request, Shards: 1, Verdict: clementineport.Ran}, nil
+}
+
+func encode(c *clementineport.Config) ([]byte, error) {
+	return append([]byte{byte(c.Revision)}, c.Text...), nil
+}
+
+func decode(b []byte) (*clementineport.Config, error) {
+	return &clementineport.Config{Revision: clementineport.Revision(b[0]), Text: b[1:]}, nil
+}
+
+func connectOptions(address, token string) []cpconnect.Option {
+	return []cpconnect.Option{
+		cpconnect.WithAddress(address),
+		cpconnect.WithToken(cpsecret.New(token)),
+		cpconnect.WithClock(clockwork.NewRealClock()),
+		cpconnect.WithCodec(encode, decode),
+		cpconnect.WithMaxMessageSize(64 << 10),
+	}
+}
+
+// listen serves a node over HTTP/2 and returns its address.
+func listen(t *testing.T, h http.Handler) string {
+	return serve(t, h).Listener.Addr().String()
+}
+
+func serve(t *testing.T, h http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(h)
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// accept runs act on every connection made to the returned address.
+func accept(t *testing.T, act func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			act(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func relayRequest() *clementineport.RelayRequest {
+	call := clementineport.Call{
+		Request: "q1", Attempt: 1, Service: "desk", Index: "people", Shard: 2, Target: "t1",
+		Snapshot: clementineport.Snapshot{Version: 3, Layout: 1}, Text: "name", Limit: 10,
+		Deadline: time.Now().Add(deadline), Idempotent: true,
+	}
+	second := call
+	second.Attempt, second.Shard = 2, 3
+	return &clementineport.RelayRequest{From: "vm-1", Revision: 4, Calls: []clementineport.Call{call, second}}
+}
+
+func implementations(t *testing.T, n *node) map[string]clementineport.Peer {
+	address := listen(t, cpconnect.NewHandler(n, connectOptions("", "secret")...))
+	return map[string]clementineport.Peer{
+		"memory":  cppeer.New(cppeer.WithHandler(n)),
+		"connect": cpconnect.New(connectOptions(address, "secret")...),
+	}
+}
+
+func TestPeerContract(t *testing.T) {
+	for name := range implementations(t, &node{}) {
+		t.Run(name, func(t *testing.T) {
+			n := &node{}
+			peer := implementations(t, n)[name]
+			defer peer.Close()
+			var results []clementineport.CallResult
+			err := peer.Relay(t.Context(), relayRequest(), func(r clementineport.CallResult) { results = append(results, r) })
+			assert.NilError(t, err)
+			assert.Equal(t, len(results), 2)
+			assert.Equal(t, results[1].Reply.Shard, clementineport.ShardID(3))
+			assert.DeepEqual(t, results[0].Reply.Snapshot, clementineport.Snapshot{Version: 3, Layout: 1})
+			assert.DeepEqual(t, results[0].Signals.Held, []clementineport.Snapshot{{Version: 3, Layout: 1}})
+
+			digest := &clementineport.Digest{
+				From:     clementineport.Member{VM: clementineport.VM{ID: "vm-1", Leaving: true}, Start: "s", Ticket: "s.1"},
+				Revision: 9, Fresh: time.Second, Members: []clementineport.Member{},
+			}
+			echo, err := peer.Exchange(t.Context(), digest)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, echo, digest)
+
+			cfg, err := peer.Config(t.Context(), 6)
+			assert.NilError(t, err)
+			assert.Equal(t, cfg.Revision, clementineport.Revision(7))
+			cfg, err = peer.Config(t.Context(), 7)
+			assert.NilError(t, err)
+			assert.Assert(t, cfg == nil)
+
+			answer, err := peer.Forward(t.Context(), &clementineport.Query{Request: "q9", Deadline: time.Now().Add(deadline)})
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Request, clementineport.RequestID("q9"))
+			_, err = peer.Forward(t.Context(), &clementineport.Query{Service: "full", Deadline: time.Now().Add(deadline)})
+			assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultShed)
+		})
+	}
+}
+
+func TestPeerFaults(t *testing.T) {
+	hang := func(ctx context.Context) { <-ctx.Done() }
+	cut := &node{}
+	tests := []struct {
+		name  string
+		node  *node
+		token string
+		raw   func(net.Conn)
+		want  []clementineport.Fault
+	}{
+		{name: "wrong token", node: &node{}, token: "other", want: []clementineport.Fault{clementineport.FaultUnauthorized}},
+		{name: "reset before read", raw: func(c net.Conn) { c.Close() }, want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent}},
+		{name: "reset after read", node: cut, want: []clementineport.Fault{clementineport.FaultReset}},
+		{name: "hang with heartbeats", node: &node{act: hang}, want: []clementineport.Fault{clementineport.FaultTimeout}},
+		{name: "silent", raw: func(net.Conn) {}, want: []clementineport.Fault{clementineport.FaultTimeout}},
+		{name: "malformed", raw: func(c net.Conn) { _, _ = c.Write([]byte("nonsense\r\n\r\n")); c.Close() }, want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent}},
+		{name: "oversized", node: &node{hits: 100 << 10}, want: []clementineport.Fault{clementineport.FaultOversized}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var address string
+			if tt.raw != nil {
+				address = accept(t, tt.raw)
+			} else {
+				server := serve(t, cpconnect.NewHandler(tt.node, connectOptions("", "secret")...))
+				address = server.Listener.Addr().String()
+				cut.act = func(context.Context) { server.CloseClientConnections() }
+			}
+			token := "secret"
+			if tt.token != "" {
+				token = tt.token
+			}
+			peer := cpconnect.New(connectOptions(address, token)...)
+			defer peer.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			err := peer.Relay(ctx, relayRequest(), func(clementineport.CallResult) {})
+			assert.Assert(t, slices.Contains(tt.want, clementineport.FaultOf(err)), "%v", err)
+			if clementineport.VerdictOf(err) == clementineport.NotRun && tt.node != nil {
+				assert.Equal(t, tt.node.ran.Load(), int64(0))
+			}
+		})
+	}
+}
+
+func TestPeerRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	l.Close()
+	peer := cpconnect.New(connectOptions(address, "secret")...)
+	defer peer.Close()
+	err = peer.Relay(t.Context(), relayRequest(), func(clementineport.CallResult) {})
+	assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultRefused)
+	_, err = peer.Forward(t.Context(), &clementineport.Query{Request: "q", Deadline: time.Now().Add(deadline)})
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.NotRun)
+}
+
+func TestMemoryPeerLosesReplyAfterEffect(t *testing.T) {
+	n := &node{}
+	lost := clementineport.Fail(clementineport.FaultReset, "reply lost")
+	peer := cppeer.New(cppeer.WithHandler(n), cppeer.WithAfter(func() error { return lost }))
+	_, err := peer.Forward(t.Context(), &clementineport.Query{})
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.MayHaveRun)
+	assert.Equal(t, n.ran.Load(), int64(1))
+}
