--- /dev/null
+++ b/cmd/clementineport-standin/main.go
@@ -0,0 +1,12 @@
+// Command clementineport-standin runs small stand-ins for the systems around clementineport.
+package main
+
+import (
+	"os"
+
+	"github.com/clementineport/clementineport/cpstandin"
+)
+
+func main() {
+	os.Exit(cpstandin.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
