--- /dev/null
+++ b/cptarget/cphttp/classify.go
@@ -0,0 +1,116 @@
+package cphttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// cutError is a failure while the body of a response was read.
+type cutError struct{ err error }
+
+// Error implements error.
+func (e cutError) Error() string { return "body of the response: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e cutError) Unwrap() error { return e.err }
+
+// fail classifies an error of the transport.
+func (e *exchange) fail(ctx context.Context, err error) error {
+	return &clementineport.Error{Fault: e.fault(ctx, err), Err: err}
+}
+
+func (e *exchange) fault(ctx context.Context, err error) clementineport.Fault {
+	if e.unsent() {
+		return e.unsentFault(ctx, err)
+	}
+	var cut cutError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return clementineport.FaultTimeout
+	case ctx.Err() != nil:
+		return clementineport.FaultCanceled
+	case e.conn.isSilent():
+		return clementineport.FaultTimeout
+	case errors.Is(err, errOversized), strings.Contains(err.Error(), "response headers exceeded"):
+		return clementineport.FaultOversized
+	case errors.As(err, &cut):
+		return clementineport.FaultCut
+	case strings.Contains(err.Error(), "malformed"):
+		return clementineport.FaultMalformed
+	default:
+		return clementineport.FaultReset
+	}
+}
+
+// unsent reports whether no byte of the request was written, and forbids writing it from then on.
+func (e *exchange) unsent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conn == nil || e.conn.seal(e.mark)
+}
+
+func (e *exchange) unsentFault(ctx context.Context, err error) clementineport.Fault {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return clementineport.FaultDeadline
+	case ctx.Err() != nil:
+		return clementineport.FaultUnsent
+	case errors.Is(err, errShare):
+		return clementineport.FaultShed
+	case e.conn == nil:
+		return clementineport.FaultRefused
+	default:
+		return clementineport.FaultUnsent
+	}
+}
+
+func decodeReply(call *clementineport.Call, data []byte) (*clementineport.Reply, error) {
+	var body SearchResponse
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
+	}
+	if body.Request != call.Request || body.Shard != call.Shard || body.Snapshot != call.Snapshot {
+		return nil, clementineport.Fail(clementineport.FaultMismatched,
+			"asked for %q shard %d %v, got %q shard %d %v",
+			call.Request, call.Shard, call.Snapshot, body.Request, body.Shard, body.Snapshot)
+	}
+	return &clementineport.Reply{
+		Request:  body.Request,
+		Shard:    body.Shard,
+		Snapshot: body.Snapshot,
+		Hits:     body.Hits,
+		Signals:  body.Signals,
+	}, nil
+}
+
+func decodeRefusal(call *clementineport.Call, status int, data []byte) (*clementineport.Reply, error) {
+	var body Refusal
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, clementineport.Fail(faultOfStatus(status), "status %d without a refusal", status)
+	}
+	if body.Request != call.Request || body.Shard != call.Shard {
+		return nil, clementineport.Fail(clementineport.FaultMismatched, "refusal of another call")
+	}
+	if !refusals[body.Fault] {
+		return nil, clementineport.Fail(faultOfStatus(status), "status %d: %s", status, body.Reason)
+	}
+	reply := &clementineport.Reply{Request: body.Request, Shard: body.Shard, Signals: body.Signals}
+	return reply, &clementineport.Error{
+		Fault:      body.Fault,
+		Reason:     body.Reason,
+		RetryAfter: time.Duration(body.RetryAfterMilliseconds) * time.Millisecond,
+	}
+}
+
+func faultOfStatus(status int) clementineport.Fault {
+	if status >= http.StatusInternalServerError {
+		return clementineport.FaultInternal
+	}
+	return clementineport.FaultMalformed
+}
--- /dev/null
+++ b/cptarget/cphttp/conn.go
@@ -0,0 +1,184 @@
+package cphttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+var (
+	errSealed = errors.New("connection sealed before the request was written")
+	errShare  = errors.New("share of connections is used")
+)
+
+// pool bounds the connections to one target and counts those that went silent as open for a while.
+type pool struct {
+	clock  clementineport.Clock
+	linger time.Duration
+
+	mu        sync.Mutex
+	share     int
+	open      int
+	peak      int
+	lingering []time.Time
+	// suspect makes every connection that is closed meanwhile linger.
+	suspect bool
+}
+
+func (p *pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire()
+	if p.open+len(p.lingering) >= p.share {
+		return errShare
+	}
+	p.open++
+	p.peak = max(p.peak, p.open+len(p.lingering))
+	return nil
+}
+
+func (p *pool) expire() {
+	now := p.clock.Now()
+	n := 0
+	for n < len(p.lingering) && !p.lingering[n].After(now) {
+		n++
+	}
+	p.lingering = p.lingering[n:]
+}
+
+func (p *pool) release(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	if silent || p.suspect {
+		p.lingering = append(p.lingering, p.clock.Now().Add(p.linger))
+	}
+}
+
+// hold counts one more closed connection as open for a while.
+func (p *pool) hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lingering = append(p.lingering, p.clock.Now().Add(p.linger))
+}
+
+// suspecting runs f, which closes connections that may still be open at the target.
+func (p *pool) suspecting(f func()) {
+	p.setSuspect(true)
+	f()
+	p.setSuspect(false)
+}
+
+func (p *pool) setSuspect(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspect = on
+}
+
+func (p *pool) resize(share int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+}
+
+// conn counts the bytes offered for writing, so that a failed call can be proven unsent.
+type conn struct {
+	net.Conn
+	pool *pool
+	// received counts the bytes read.
+	received atomic.Int64
+	// last is the time of the last byte read in nanoseconds since the epoch.
+	last atomic.Int64
+
+	mu      sync.Mutex
+	offered int64
+	sealed  bool
+	silent  bool
+	closed  bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.last.Store(c.pool.clock.Now().UnixNano())
+		c.received.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.offered += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.pool.release(c.silent)
+	}
+	return err
+}
+
+// markSilent makes the connection count as open at the target after it is closed.
+func (c *conn) markSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed && !c.silent {
+		c.pool.hold()
+	}
+	c.silent = true
+}
+
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *conn) mark() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.offered
+}
+
+// seal forbids further writes and reports true if nothing was written since the mark.
+func (c *conn) seal(mark int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.offered != mark {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := c.pool.reserve(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
+	defer cancel()
+	raw, err := c.opts.Dial(ctx, network, address)
+	if err != nil {
+		c.pool.release(false)
+		return nil, err
+	}
+	return &conn{Conn: raw, pool: c.pool}, nil
+}
--- /dev/null
+++ b/cptarget/cphttp/cphttp.go
@@ -0,0 +1,195 @@
+// Package cphttp implements the target port over HTTP. It decides what a failed call proves about the
+// request, which connections are silent, and how many connections may be open. It never sends a call
+// twice and knows nothing of replicas, limits or hedges.
+package cphttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
+
+// Client is a target that is reached over HTTP.
+type Client struct {
+	opts      Options
+	url       string
+	pool      *pool
+	transport *http.Transport
+	// answered is the time of the last byte of any answer in nanoseconds since the epoch.
+	answered atomic.Int64
+	// typical is the moving average of the time of an answer in nanoseconds.
+	typical atomic.Int64
+	// streak counts the calls in a row that ended without a byte of answer.
+	streak atomic.Int32
+
+	mu       sync.Mutex
+	waiting  map[*exchange]struct{}
+	watching bool
+}
+
+// New returns a client; it opens no connection until the first call.
+func New(opts ...Option) *Client {
+	o := NewOptions(opts...)
+	c := &Client{
+		opts:    o,
+		url:     "http://" + o.Address,
+		pool:    &pool{clock: o.Clock, linger: o.Linger, share: o.Connections},
+		waiting: map[*exchange]struct{}{},
+	}
+	c.transport = &http.Transport{
+		DialContext:            c.dial,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    o.Connections,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+		ForceAttemptHTTP2:      false,
+	}
+	return c
+}
+
+// Resize sets the most connections that may be open; idle connections above it are closed.
+func (c *Client) Resize(connections int) {
+	c.pool.resize(connections)
+	c.pool.mu.Lock()
+	over := c.pool.open > connections
+	c.pool.mu.Unlock()
+	if over {
+		c.transport.CloseIdleConnections()
+	}
+}
+
+// Open returns the connections that count as open and the most there have been.
+func (c *Client) Open() (n, peak int) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.pool.open + len(c.pool.lingering), c.pool.peak
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// Search implements clementineport.Target. A refusal by the target comes with a reply that holds its signals.
+func (c *Client) Search(ctx context.Context, call *clementineport.Call) (*clementineport.Reply, error) {
+	left := call.Deadline.Sub(c.opts.Clock.Now())
+	if left <= 0 {
+		return nil, clementineport.Fail(clementineport.FaultDeadline, "no time left")
+	}
+	body, err := json.Marshal(newSearchRequest(call, left))
+	if err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	e := &exchange{client: c}
+	r, err := e.request(ctx, c.url+PathSearch, body)
+	if err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
+	}
+	c.opts.Header(ctx, r.Header)
+	c.begin(e)
+	status, data, err := e.roundTrip(r)
+	c.end(e, err)
+	if err != nil {
+		return nil, e.fail(ctx, err)
+	}
+	if status == http.StatusOK {
+		return decodeReply(call, data)
+	}
+	return decodeRefusal(call, status, data)
+}
+
+// Status implements clementineport.Target.
+func (c *Client) Status(ctx context.Context) (clementineport.Signals, error) {
+	var s clementineport.Signals
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+PathHealth, http.NoBody)
+	if err != nil {
+		return s, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
+	}
+	resp, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return s, &clementineport.Error{Fault: clementineport.FaultUnavailable, Err: err}
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(io.LimitReader(resp.Body, c.opts.MaxResponseBytes)).Decode(&s)
+	if err != nil {
+		return s, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
+	}
+	return s, nil
+}
+
+// exchange is one call on the wire.
+type exchange struct {
+	client *Client
+	sent   time.Time
+
+	mu   sync.Mutex
+	conn *conn
+	// mark and received are the bytes written to and read from the connection before this call.
+	mark     int64
+	received int64
+}
+
+// singleUse hides the type of the body, so that net/http cannot rewind it and send it again.
+type singleUse struct{ r *bytes.Reader }
+
+// Read implements io.Reader.
+func (s singleUse) Read(b []byte) (int, error) { return s.r.Read(b) }
+
+func (e *exchange) request(ctx context.Context, url string, body []byte) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, singleUse{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	return r, nil
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	cn, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn, e.mark, e.received = cn, cn.mark(), cn.received.Load()
+	e.sent = e.client.opts.Clock.Now()
+}
+
+var errOversized = errors.New("response is larger than allowed")
+
+func (e *exchange) roundTrip(r *http.Request) (int, []byte, error) {
+	resp, err := e.client.transport.RoundTrip(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	limit := e.client.opts.MaxResponseBytes
+	if resp.ContentLength > limit {
+		return 0, nil, errOversized
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return 0, nil, cutError{err}
+	}
+	if int64(len(data)) > limit {
+		return 0, nil, errOversized
+	}
+	return resp.StatusCode, data, nil
+}
--- /dev/null
+++ b/cptarget/cphttp/options.go
@@ -0,0 +1,80 @@
+package cphttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	Clock clementineport.Clock
+	// Address is the host and port of the target.
+	Address string
+	// Connections is the most connections that may be open to the target.
+	Connections int
+	// MaxResponseBytes bounds the body of a response.
+	MaxResponseBytes int64
+	// DialTimeout bounds the time to open a connection.
+	DialTimeout time.Duration
+	// Linger is how long a connection that went silent counts as open at the target.
+	Linger time.Duration
+	// Silence decides which connections are silent.
+	Silence Silence
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Header adds headers to a call, such as those of a trace.
+	Header func(ctx context.Context, h http.Header)
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	o := Options{
+		Clock:            clockwork.NewRealClock(),
+		Connections:      8,
+		MaxResponseBytes: 4 << 20,
+		DialTimeout:      time.Second,
+		Linger:           15 * time.Second,
+		Silence:          DefaultSilence(),
+		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
+		Header:           func(context.Context, http.Header) {},
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// Clock sets the clock.
+func Clock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// Address sets the host and port of the target.
+func Address(a string) Option { return func(o *Options) { o.Address = a } }
+
+// Connections sets the most connections that may be open to the target.
+func Connections(n int) Option { return func(o *Options) { o.Connections = n } }
+
+// MaxResponseBytes bounds the body of a response.
+func MaxResponseBytes(n int64) Option { return func(o *Options) { o.MaxResponseBytes = n } }
+
+// DialTimeout bounds the time to open a connection.
+func DialTimeout(d time.Duration) Option { return func(o *Options) { o.DialTimeout = d } }
+
+// Linger sets how long a connection that went silent counts as open at the target.
+func Linger(d time.Duration) Option { return func(o *Options) { o.Linger = d } }
+
+// DetectSilence sets the rule for silent connections.
+func DetectSilence(s Silence) Option { return func(o *Options) { o.Silence = s } }
+
+// Header adds headers to each call, such as those of a trace.
+func Header(f func(ctx context.Context, h http.Header)) Option {
+	return func(o *Options) { o.Header = f }
+}
