--- /dev/null
+++ b/cppick/cppick.go
@@ -0,0 +1,240 @@
+// Package cppick decides which target gets the call for a shard, and what is known of each target.
+// What responses and connections show decides; health endpoints are not read. The package sends
+// nothing and enforces no limit; the owner of a target does.
+package cppick
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Picker keeps a row of state for each target from one revision to the next.
+type Picker struct {
+	opts Options
+	rng  random
+
+	mu       sync.Mutex
+	revision clementineport.Revision
+	rows     map[clementineport.TargetID]*row
+	groups   map[clementineport.GroupID]*group
+}
+
+// New returns a picker that knows no target.
+func New(opts ...Option) *Picker {
+	p := &Picker{
+		opts:   NewOptions(opts...),
+		rows:   map[clementineport.TargetID]*row{},
+		groups: map[clementineport.GroupID]*group{},
+	}
+	p.rng.state.Store(p.opts.Seed)
+	return p
+}
+
+// View implements clementineport.Picker. Targets that the newest table does not have, or has as taken
+// out, disappear from all views at once.
+func (p *Picker) View(t *clementineport.Table) clementineport.TargetView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := t.Revision >= p.revision
+	v := &View{picker: p, entries: make([]entry, len(t.Targets))}
+	for i := range t.Targets {
+		target := &t.Targets[i]
+		w := p.row(target)
+		if newest {
+			w.out.Store(target.Out)
+		}
+		v.entries[i] = entry{row: w, domain: target.Domain}
+	}
+	if newest {
+		p.revision = t.Revision
+		p.retire(t)
+	}
+	return v
+}
+
+func (p *Picker) row(t *clementineport.TargetRow) *row {
+	g := p.groups[t.Group.Name]
+	if g == nil {
+		g = &group{}
+		p.groups[t.Group.Name] = g
+	}
+	w := p.rows[t.ID]
+	if w == nil {
+		w = newRow(t.ID, g)
+		p.rows[t.ID] = w
+	}
+	if w.group.Load() != g {
+		w.readmit()
+		w.group.Store(g)
+	}
+	return w
+}
+
+// retire removes the rows of targets that the table does not have and counts the groups.
+func (p *Picker) retire(t *clementineport.Table) {
+	sizes := map[clementineport.GroupID]int32{}
+	for i := range t.Targets {
+		sizes[t.Targets[i].Group.Name]++
+	}
+	for id, w := range p.rows {
+		if _, ok := t.ByID[id]; ok {
+			continue
+		}
+		w.out.Store(true)
+		w.readmit()
+		delete(p.rows, id)
+	}
+	for id, g := range p.groups {
+		g.size.Store(sizes[id])
+	}
+}
+
+type entry struct {
+	row    *row
+	domain clementineport.FailureDomain
+}
+
+// View is what is known of the targets of one table.
+type View struct {
+	picker  *Picker
+	entries []entry
+}
+
+// Pick implements clementineport.TargetView. It takes the better of two random candidates; targets that
+// are known to hold the snapshot come before those that have not said. A target whose ejection has
+// run out gets a single trial call first, and a slow one is taken when there is no other.
+func (v *View) Pick(r *clementineport.PickRequest) (clementineport.TargetIndex, bool) {
+	now := r.Now.UnixNano()
+	s := sampler{rng: v.picker.rng.next()}
+	last := clementineport.NoTarget
+	for _, t := range r.Replicas {
+		w := v.entries[t].row
+		if !w.usable(now) || slices.Contains(r.Tried, t) {
+			continue
+		}
+		possession := w.holds(r.Snapshot)
+		if possession == clementineport.PossessionNo {
+			continue
+		}
+		if w.onTrial() {
+			if w.claimTrial(now, &v.picker.opts) {
+				return t, true
+			}
+			if w.slow.Load() {
+				last = t
+			}
+			continue
+		}
+		s.add(t, possession)
+	}
+	if s.n == 0 {
+		return last, last != clementineport.NoTarget
+	}
+	return v.better(&s, now, r.Home)
+}
+
+// sampler keeps two random candidates of the best rank seen.
+type sampler struct {
+	rng  uint64
+	rank clementineport.Possession
+	n    uint64
+	a, b clementineport.TargetIndex
+}
+
+func (s *sampler) add(t clementineport.TargetIndex, rank clementineport.Possession) {
+	if rank < s.rank {
+		return
+	}
+	if rank > s.rank {
+		s.rank, s.n = rank, 0
+	}
+	s.n++
+	switch s.n {
+	case 1:
+		s.a = t
+		return
+	case 2:
+		s.b = t
+		return
+	}
+	s.rng = s.rng*6364136223846793005 + 1442695040888963407
+	switch (s.rng >> 32) % s.n {
+	case 0:
+		s.a = t
+	case 1:
+		s.b = t
+	}
+}
+
+func (v *View) better(s *sampler, now int64, home clementineport.FailureDomain) (clementineport.TargetIndex, bool) {
+	if s.n == 1 {
+		return s.a, true
+	}
+	a, b := s.a, s.b
+	if s.rng>>63 == 0 {
+		a, b = b, a
+	}
+	o := &v.picker.opts
+	ea, eb := &v.entries[a], &v.entries[b]
+	x, y := ea.row.score(now, o), eb.row.score(now, o)
+	if x > y {
+		a, b, x, y, ea, eb = b, a, y, x, eb, ea
+	}
+	near := float64(y-x) <= o.HomeMargin*float64(x)
+	if near && ea.domain != home && eb.domain == home {
+		return b, true
+	}
+	return a, true
+}
+
+// Usable implements clementineport.TargetView.
+func (v *View) Usable(t clementineport.TargetIndex, now time.Time) bool {
+	return v.entries[t].row.usable(now.UnixNano())
+}
+
+// Holds implements clementineport.TargetView.
+func (v *View) Holds(t clementineport.TargetIndex, s clementineport.Snapshot) clementineport.Possession {
+	return v.entries[t].row.holds(s)
+}
+
+// Held implements clementineport.TargetView; the result must not be changed.
+func (v *View) Held(t clementineport.TargetIndex) []clementineport.Snapshot {
+	if held := v.entries[t].row.held.Load(); held != nil {
+		return *held
+	}
+	return nil
+}
+
+// HedgeAfter implements clementineport.TargetView. A target that is slow as a whole does not delay its
+// own hedges beyond twice the group's figure.
+func (v *View) HedgeAfter(t clementineport.TargetIndex) time.Duration {
+	o := &v.picker.opts
+	w := v.entries[t].row
+	own, all := w.high.load(), w.group.Load().high.load()
+	d := own
+	switch {
+	case all == 0:
+		d = o.HedgeUnknown
+	case int(w.samples.Load()) < o.ColdCalls:
+		d = all
+	}
+	if all > 0 {
+		d = min(d, 2*all)
+	}
+	return min(max(d, o.HedgeMin), o.HedgeMax)
+}
+
+// Sent implements clementineport.TargetView.
+func (v *View) Sent(t clementineport.TargetIndex) { v.entries[t].row.own.Add(1) }
+
+// Observe implements clementineport.TargetView.
+func (v *View) Observe(t clementineport.TargetIndex, now time.Time, r *clementineport.CallResult) {
+	w := v.entries[t].row
+	w.own.Add(-1)
+	w.load.Store(int32(r.Load))
+	w.loadAt.Store(now.UnixNano())
+	w.observe(now, r, &v.picker.opts, &v.picker.rng)
+}
--- /dev/null
+++ b/cppick/options.go
@@ -0,0 +1,87 @@
+package cppick
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Options are the settings of a Picker.
+type Options struct {
+	Seed uint64
+	// HedgeMin and HedgeMax bound the time after which a call counts as a straggler.
+	HedgeMin time.Duration
+	HedgeMax time.Duration
+	// HedgeUnknown is used before anything has been measured.
+	HedgeUnknown time.Duration
+	// HedgeQuantile is the share of calls that should end before they count as stragglers.
+	HedgeQuantile float64
+	// EjectAfter is the number of failures in a row after which a target is ejected; zero means never.
+	EjectAfter int
+	// EjectShare is the largest share of a group that may be ejected at once.
+	EjectShare float64
+	// BackoffMin and BackoffMax bound the time before an ejected target gets a trial call.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// SlowFactor is how many times slower than its group a target must be to be ejected; zero means never.
+	SlowFactor float64
+	// SlowMargin is the least difference from the group for which a target is ejected as slow.
+	SlowMargin time.Duration
+	// SlowBackoff is the first time before a slow target gets a trial call.
+	SlowBackoff time.Duration
+	// DrainRecheck is the time after which a draining target gets a trial call.
+	DrainRecheck time.Duration
+	// ColdCalls is the number of answers before which a target counts as cold.
+	ColdCalls int
+	// LoadAge is how long a reported load counts.
+	LoadAge time.Duration
+	// HomeMargin is the relative difference in load below which the home failure domain decides.
+	HomeMargin float64
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	o := Options{
+		Seed:          1,
+		HedgeMin:      2 * time.Millisecond,
+		HedgeMax:      time.Second,
+		HedgeUnknown:  50 * time.Millisecond,
+		HedgeQuantile: 0.95,
+		EjectAfter:    3,
+		EjectShare:    0.5,
+		BackoffMin:    250 * time.Millisecond,
+		BackoffMax:    10 * time.Second,
+		SlowFactor:    3,
+		SlowMargin:    5 * time.Millisecond,
+		SlowBackoff:   2 * time.Second,
+		DrainRecheck:  30 * time.Second,
+		ColdCalls:     8,
+		LoadAge:       200 * time.Millisecond,
+		HomeMargin:    0.25,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// Seed sets the seed of the random choices.
+func Seed(n uint64) Option { return func(o *Options) { o.Seed = n } }
+
+// Hedge bounds the time after which a call counts as a straggler.
+func Hedge(least, most time.Duration) Option {
+	return func(o *Options) { o.HedgeMin, o.HedgeMax = least, most }
+}
+
+// Eject sets the failures in a row after which a target is ejected, and the largest share ejected at once.
+func Eject(after int, share float64) Option {
+	return func(o *Options) { o.EjectAfter, o.EjectShare = after, share }
+}
+
+// Slow sets how many times slower than its group a target must be to be ejected.
+func Slow(factor float64) Option { return func(o *Options) { o.SlowFactor = factor } }
+
+var _ clementineport.Picker = (*Picker)(nil)
--- /dev/null
+++ b/cppick/row.go
@@ -0,0 +1,191 @@
+package cppick
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// group is what is known of all targets of one group together.
+type group struct {
+	median  quantile
+	high    quantile
+	size    atomic.Int32
+	ejected atomic.Int32
+}
+
+// row is what is known of one target; all revisions share it.
+type row struct {
+	id      clementineport.TargetID
+	group   atomic.Pointer[group]
+	out     atomic.Bool
+	cold    atomic.Bool
+	own     atomic.Int32
+	load    atomic.Int32
+	loadAt  atomic.Int64
+	shed    atomic.Int64
+	samples atomic.Int32
+	fails   atomic.Int32
+	median  quantile
+	high    quantile
+	// until is when an ejected target may get a trial call; zero means that it is not ejected.
+	until   atomic.Int64
+	backoff atomic.Int64
+	// slow is true for an ejected target that answers, but slowly; it is still the last choice.
+	slow atomic.Bool
+	// trial is true while a trial call is in progress.
+	trial atomic.Bool
+	// drain is when a draining target may get a trial call; zero means that it is not draining.
+	drain atomic.Int64
+	start atomic.Pointer[clementineport.StartID]
+	held  atomic.Pointer[[]clementineport.Snapshot]
+}
+
+func newRow(id clementineport.TargetID, g *group) *row {
+	w := &row{id: id}
+	w.group.Store(g)
+	w.cold.Store(true)
+	return w
+}
+
+// usable reports whether new work may be sent, a trial call included.
+func (w *row) usable(now int64) bool {
+	return !w.out.Load() && now >= w.drain.Load() && (now >= w.until.Load() || w.slow.Load())
+}
+
+// claimTrial reports whether the caller may make the single trial call to an ejected or draining target.
+func (w *row) claimTrial(now int64, o *Options) bool {
+	if drain := w.drain.Load(); drain != 0 {
+		return w.drain.CompareAndSwap(drain, now+int64(o.DrainRecheck))
+	}
+	until := w.until.Load()
+	if until == 0 || now < until ||
+		!w.until.CompareAndSwap(until, now+max(w.backoff.Load(), int64(o.BackoffMin))) {
+		return false
+	}
+	w.trial.Store(true)
+	return true
+}
+
+// onTrial reports whether the target takes trial calls only.
+func (w *row) onTrial() bool { return w.until.Load() != 0 || w.drain.Load() != 0 }
+
+// score rises with the load and the latency; the target with the lower score is better.
+func (w *row) score(now int64, o *Options) int64 {
+	load := int64(w.own.Load())
+	if now-w.loadAt.Load() < int64(o.LoadAge) {
+		load = max(load, int64(w.load.Load()))
+	}
+	latency := int64(w.typical())
+	score := (load + 1) * max(latency, 1)
+	if now < w.shed.Load() || (load > 0 && w.cold.Load()) {
+		score *= penalty
+	}
+	return score
+}
+
+// penalty multiplies the score of a target that sheds or is cold and busy.
+const penalty = 8
+
+func (w *row) typical() time.Duration {
+	if d := w.median.load(); d > 0 {
+		return d
+	}
+	return w.group.Load().median.load()
+}
+
+func (w *row) holds(s clementineport.Snapshot) clementineport.Possession {
+	held := w.held.Load()
+	switch {
+	case held == nil:
+		return clementineport.PossessionUnknown
+	case slices.Contains(*held, s):
+		return clementineport.PossessionYes
+	default:
+		return clementineport.PossessionNo
+	}
+}
+
+func (w *row) signal(now time.Time, s *clementineport.Signals, o *Options) {
+	if s.Start == "" {
+		return
+	}
+	if old := w.start.Load(); old == nil || *old != s.Start {
+		w.restarted(s.Start)
+	}
+	if old := w.held.Load(); old == nil || !slices.Equal(*old, s.Held) {
+		held := slices.Clone(s.Held)
+		w.held.Store(&held)
+	}
+	switch {
+	case s.Draining:
+		w.drain.CompareAndSwap(0, now.Add(o.DrainRecheck).UnixNano())
+	default:
+		w.drain.Store(0)
+	}
+	w.cold.Store(s.Cold || int(w.samples.Load()) < o.ColdCalls)
+}
+
+// restarted forgets what was measured of an earlier process.
+func (w *row) restarted(start clementineport.StartID) {
+	w.start.Store(&start)
+	w.samples.Store(0)
+	w.median.reset()
+	w.high.reset()
+	w.cold.Store(true)
+}
+
+func (w *row) sample(x time.Duration, o *Options) {
+	g := w.group.Load()
+	w.samples.Add(1)
+	w.median.observe(x, g.median.load(), 0.5)
+	w.high.observe(x, g.high.load(), o.HedgeQuantile)
+	g.median.observe(x, 0, 0.5)
+	g.high.observe(x, 0, o.HedgeQuantile)
+}
+
+// isSlow reports whether a time is out of line with the group.
+func (w *row) isSlow(x time.Duration, o *Options) bool {
+	typical := w.group.Load().median.load()
+	return o.SlowFactor > 0 && typical > 0 &&
+		float64(x) > o.SlowFactor*float64(typical) && x-typical > o.SlowMargin
+}
+
+// eject takes the target out of choice for a while, unless too much of the group is out already.
+func (w *row) eject(now time.Time, slow bool, o *Options, rng *random) {
+	first := o.BackoffMin
+	if slow {
+		first = o.SlowBackoff
+	}
+	backoff := min(max(2*time.Duration(w.backoff.Load()), first), max(o.BackoffMax, first))
+	until := now.Add(rng.jitter(backoff)).UnixNano()
+	if w.until.Load() != 0 {
+		w.slow.Store(slow)
+		w.backoff.Store(int64(backoff))
+		w.until.Store(until)
+		return
+	}
+	g := w.group.Load()
+	if float64(g.ejected.Load()+1) > o.EjectShare*float64(g.size.Load()) {
+		return
+	}
+	if w.until.CompareAndSwap(0, until) {
+		w.slow.Store(slow)
+		w.backoff.Store(int64(backoff))
+		g.ejected.Add(1)
+	}
+}
+
+func (w *row) readmit() {
+	until := w.until.Load()
+	if until == 0 || !w.until.CompareAndSwap(until, 0) {
+		return
+	}
+	w.group.Load().ejected.Add(-1)
+	w.backoff.Store(0)
+	w.slow.Store(false)
+	w.trial.Store(false)
+	w.median.reset()
+}
