--- /dev/null
+++ b/cpbudget/cpbudget.go
@@ -0,0 +1,106 @@
+// Package cpbudget decides whether an extra call (a hedge or a retry) may be made, so that extra load stays
+// a bounded share of ordinary load. It keeps counters only: it reads no clock, takes no locks and makes no calls.
+package cpbudget
+
+import (
+	"sync/atomic"
+
+	"github.com/clementineport/clementineport"
+)
+
+// microsPerCall is the number of budget units that one extra call costs.
+const microsPerCall = 1_000_000
+
+var (
+	_ clementineport.Budget = (*Bucket)(nil)
+
+	// Off grants every extra call.
+	Off clementineport.Budget = unlimited{}
+	// None grants no extra call.
+	None clementineport.Budget = empty{}
+)
+
+// Bucket is a budget that ordinary calls fill and extra calls drain.
+// Over any run of calls it grants at most the share of the ordinary calls plus the burst.
+type Bucket struct {
+	perCall int64
+	burst   int64
+	charged *Bucket
+	level   atomic.Int64
+}
+
+// New returns a budget with the defaults for hedges.
+func New(opts ...Option) *Bucket {
+	o := Options{Share: DefaultHedgeShare, Burst: DefaultHedgeBurst}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	b := &Bucket{
+		perCall: int64(o.Share * microsPerCall),
+		burst:   int64(o.Burst) * microsPerCall,
+		charged: o.Charged,
+	}
+	b.level.Store(min(int64(o.Start)*microsPerCall, b.burst))
+	return b
+}
+
+// NewPair returns the budgets for hedges and for retries. Retries are charged to the hedges as well, so that
+// hedges are given up first and hedges and retries together stay within the share of hedges unless retries
+// alone exceed it.
+func NewPair() (hedges, retries *Bucket) {
+	hedges = New()
+	retries = New(Share(DefaultRetryShare), Burst(DefaultRetryBurst), Start(DefaultRetryBurst), Charged(hedges))
+	return hedges, retries
+}
+
+// Earn implements clementineport.Budget.
+func (b *Bucket) Earn(calls int) {
+	earned := int64(calls) * b.perCall
+	for {
+		level := b.level.Load()
+		next := min(level+earned, b.burst)
+		if next == level || b.level.CompareAndSwap(level, next) {
+			return
+		}
+	}
+}
+
+// Spend implements clementineport.Budget.
+func (b *Bucket) Spend() bool {
+	for {
+		level := b.level.Load()
+		if level < microsPerCall {
+			return false
+		}
+		if b.level.CompareAndSwap(level, level-microsPerCall) {
+			break
+		}
+	}
+	if b.charged != nil {
+		b.charged.charge()
+	}
+	return true
+}
+
+// charge takes one call that another budget has granted; the debt is bounded by the burst.
+func (b *Bucket) charge() {
+	for {
+		level := b.level.Load()
+		next := max(level-microsPerCall, -b.burst)
+		if next == level || b.level.CompareAndSwap(level, next) {
+			return
+		}
+	}
+}
+
+type unlimited struct{}
+
+func (unlimited) Earn(int) {}
+
+func (unlimited) Spend() bool { return true }
+
+type empty struct{}
+
+func (empty) Earn(int) {}
+
+func (empty) Spend() bool { return false }
--- /dev/null
+++ b/cpbudget/options.go
@@ -0,0 +1,44 @@
+package cpbudget
+
+// Defaults of a budget for hedges and a budget for retries.
+const (
+	DefaultHedgeShare = 0.05
+	DefaultHedgeBurst = 50 // calls
+	DefaultRetryShare = 0.10
+	DefaultRetryBurst = 20 // calls
+)
+
+// Options are the settings of a budget.
+type Options struct {
+	// Share is the number of extra calls that one ordinary call pays for.
+	Share float64
+	// Burst is the largest number of extra calls that can be saved up.
+	Burst int
+	// Start is the number of extra calls that a new budget holds.
+	Start int
+	// Charged is a budget that every extra call of this one is charged to as well.
+	Charged *Bucket
+}
+
+// Option changes one of the Options.
+type Option func(*Options)
+
+// Share sets the number of extra calls that one ordinary call pays for.
+func Share(share float64) Option {
+	return func(o *Options) { o.Share = share }
+}
+
+// Burst sets the largest number of extra calls that can be saved up.
+func Burst(calls int) Option {
+	return func(o *Options) { o.Burst = calls }
+}
+
+// Start sets the number of extra calls that a new budget holds.
+func Start(calls int) Option {
+	return func(o *Options) { o.Start = calls }
+}
+
+// Charged sets a budget that every extra call is charged to as well.
+func Charged(b *Bucket) Option {
+	return func(o *Options) { o.Charged = b }
+}
--- /dev/null
+++ b/cpcaller/cpcaller.go
@@ -0,0 +1,208 @@
+// Package cpcaller is the caller's side of the query tier: it keeps the list of entry VMs, spreads queries
+// over them, and resends a query when that cannot run it twice. It decides nothing about targets, and it
+// never gives a request a new id after a send that may have run.
+package cpcaller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbudget"
+)
+
+// Caller sends queries to the query tier.
+type Caller interface {
+	// Query runs one query; the error is an *Error whose verdict says whether the query may have run.
+	Query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error)
+	// Close ends idle connections.
+	Close() error
+}
+
+// The entry is given less than the time left, so that its answer arrives before the deadline.
+const (
+	answerMarginParts = 10 // of the time left
+	maxAnswerMargin   = 10 * time.Millisecond
+)
+
+type caller struct {
+	opts    Options
+	sender  *sender
+	list    *List
+	fetches singleflight.Group
+}
+
+// New returns a caller.
+func New(opts ...Option) Caller {
+	c := &caller{opts: newOptions(opts)}
+	if c.opts.Extra == nil {
+		c.opts.Extra = cpbudget.New(
+			cpbudget.Share(DefaultExtraShare), cpbudget.Burst(DefaultExtraBurst), cpbudget.Start(DefaultExtraBurst),
+		)
+	}
+	c.sender = newSender(&c.opts)
+	c.list = NewList(c.opts.SuspectFor)
+	return c
+}
+
+// Close implements Caller.
+func (c *caller) Close() error {
+	c.sender.client.CloseIdleConnections()
+	return nil
+}
+
+// Query implements Caller.
+func (c *caller) Query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	now := c.opts.Clock.Now()
+	query := *q
+	if query.Deadline.IsZero() {
+		query.Deadline = now.Add(c.opts.Deadline)
+	}
+	ctx, cancel := context.WithTimeout(ctx, query.Deadline.Sub(now))
+	defer cancel()
+	c.opts.Extra.Earn(1)
+	request := NewRequest(c.opts.Rules, &query, now, c.newID, c.opts.Rand)
+	return c.run(ctx, request, &query)
+}
+
+// result is what became of one send.
+type result struct {
+	entry   Entry
+	answer  *clementineport.Answer
+	outcome Outcome
+}
+
+// run carries out the actions of a request until it has an answer or is given up.
+func (c *caller) run(
+	ctx context.Context, request *Request, q *clementineport.Query,
+) (*clementineport.Answer, error) {
+	results := make(chan result, c.opts.Rules.MaxSends)
+	entries, err := c.entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var last Entry
+	for {
+		now := c.opts.Clock.Now()
+		action := request.Next(now, entries)
+		switch action.Kind {
+		case ActionFinish:
+			return nil, action.Err
+		case ActionSend:
+			if action.Overlap {
+				c.list.Suspect(now, last.Address)
+			}
+			last = action.Entry
+			c.send(ctx, q, action, results)
+			continue
+		}
+		select {
+		case res := <-results:
+			if res.answer != nil {
+				return res.answer, nil
+			}
+			now = c.opts.Clock.Now()
+			c.note(now, res)
+			request.Failed(now, res.outcome)
+			entries = c.again(ctx, entries)
+		case <-c.opts.Clock.After(action.Until.Sub(now)):
+			if request.Overlapping(c.opts.Clock.Now()) && !c.opts.Extra.Spend() {
+				request.Refuse()
+			}
+		case <-ctx.Done():
+			return nil, request.Finish()
+		}
+	}
+}
+
+func (c *caller) send(ctx context.Context, q *clementineport.Query, action Action, results chan<- result) {
+	sent := *q
+	sent.Request = action.Request
+	go func() {
+		left := q.Deadline.Sub(c.opts.Clock.Now())
+		left -= min(left/answerMarginParts, maxAnswerMargin)
+		answer, outcome := c.sender.query(ctx, action.Entry.Address, &sent, left)
+		results <- result{action.Entry, answer, outcome}
+	}()
+}
+
+// note makes later requests use an entry last that failed or is leaving.
+func (c *caller) note(now time.Time, res result) {
+	switch res.outcome.Err.Fault {
+	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
+		clementineport.FaultCut, clementineport.FaultDraining, clementineport.FaultStale:
+		c.list.Suspect(now, res.entry.Address)
+	}
+}
+
+// entries returns the entries in order for one request; it waits for a list if there is none.
+func (c *caller) entries(ctx context.Context) ([]Entry, error) {
+	now := c.opts.Clock.Now()
+	usable, refresh := c.list.State(now)
+	if refresh {
+		fetched := c.fetch(ctx)
+		if !usable {
+			select {
+			case res := <-fetched:
+				if res.Err != nil {
+					return nil, res.Err
+				}
+			case <-ctx.Done():
+				return nil, clementineport.Fail(clementineport.FaultDeadline, "no list of entries in time")
+			}
+		}
+	}
+	return c.list.Order(now, c.opts.Domain), nil
+}
+
+// again returns the entries for a resend, which may come from a newer list.
+func (c *caller) again(ctx context.Context, old []Entry) []Entry {
+	entries, err := c.entries(ctx)
+	if err != nil {
+		return old
+	}
+	return entries
+}
+
+func (c *caller) fetch(ctx context.Context) <-chan singleflight.Result {
+	ctx = context.WithoutCancel(ctx)
+	return c.fetches.DoChan("entries", func() (any, error) { return nil, c.fetchList(ctx) })
+}
+
+// fetchList asks the listed entries in turn for a new list, then the seeds.
+func (c *caller) fetchList(ctx context.Context) error {
+	var first error
+	listed := c.list.Addresses()
+	for _, address := range slices.Concat(listed, c.opts.Seeds) {
+		entries, life, err := c.fetchFrom(ctx, address)
+		if err == nil {
+			c.list.Set(c.opts.Clock.Now(), entries, life, c.opts.Rand())
+			return nil
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	return &clementineport.Error{
+		Fault:  clementineport.FaultUnavailable,
+		Reason: "no entry or seed address gave a list of entries",
+		Err:    first,
+	}
+}
+
+func (c *caller) fetchFrom(ctx context.Context, address string) ([]Entry, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, DefaultListTimeout)
+	defer cancel()
+	return c.sender.entries(ctx, address)
+}
+
+// newID returns a request id that begins with a ticket.
+func (c *caller) newID(ticket string) clementineport.RequestID {
+	if ticket == "" {
+		return clementineport.RequestID(c.opts.Unique())
+	}
+	return clementineport.RequestID(ticket + "-" + c.opts.Unique())
+}
--- /dev/null
+++ b/cpcaller/http.go
@@ -0,0 +1,181 @@
+package cpcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/clementineport/clementineport"
+)
+
+// sender makes the HTTP requests of a caller.
+type sender struct {
+	opts   *Options
+	client *http.Client
+}
+
+func newSender(o *Options) *sender {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if err := o.Allow(address); err != nil {
+				return nil, err
+			}
+			conn, err := o.Dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxIdleConns:        DefaultIdle,
+		MaxIdleConnsPerHost: DefaultIdlePerEntry,
+		IdleConnTimeout:     DefaultIdleTimeout,
+		DisableCompression:  true,
+	}
+	return &sender{
+		opts: o,
+		client: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// query sends a query to one entry.
+func (s *sender) query(
+	ctx context.Context, address string, q *clementineport.Query, left time.Duration,
+) (*clementineport.Answer, Outcome) {
+	body, err := json.Marshal(struct {
+		Request        clementineport.RequestID
+		Service        clementineport.ServiceID
+		Text           string
+		Limit          int
+		DeadlineMillis int64
+		Idempotent     bool
+		Policy         string `json:",omitempty"`
+	}{q.Request, q.Service, q.Text, q.Limit, max(left.Milliseconds(), 1), q.Idempotent, q.Policy})
+	if err != nil {
+		return nil, failed(clementineport.FaultInvalid, err)
+	}
+	status, data, fault, err := s.do(ctx, http.MethodPost, address, "/v1/query", nil, body)
+	switch {
+	case err != nil:
+		return nil, failed(fault, err)
+	case status != http.StatusOK:
+		return nil, refusal(status, data)
+	}
+	answer := new(clementineport.Answer)
+	if err := json.Unmarshal(data, answer); err != nil {
+		return nil, failed(clementineport.FaultMalformed, err)
+	}
+	if answer.Request != q.Request {
+		return nil, Outcome{Err: clementineport.Fail(clementineport.FaultMismatched, "answer to %q", answer.Request)}
+	}
+	return answer, Outcome{}
+}
+
+// entries asks one entry for the list of entries.
+func (s *sender) entries(ctx context.Context, address string) ([]Entry, time.Duration, error) {
+	values := url.Values{"Domain": {string(s.opts.Domain)}}
+	status, data, fault, err := s.do(ctx, http.MethodGet, address, "/v1/entries", values, nil)
+	switch {
+	case err != nil:
+		return nil, 0, failed(fault, err).Err
+	case status != http.StatusOK:
+		return nil, 0, refusal(status, data).Err
+	}
+	var list struct {
+		Entries     []Entry
+		LifeSeconds float64
+	}
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, 0, failed(clementineport.FaultMalformed, err).Err
+	}
+	if len(list.Entries) == 0 {
+		return nil, 0, clementineport.Fail(clementineport.FaultMalformed, "%s listed no entry", address)
+	}
+	return list.Entries, time.Duration(list.LifeSeconds * float64(time.Second)), nil
+}
+
+func (s *sender) do(
+	ctx context.Context, method, address, path string, values url.Values, body []byte,
+) (status int, data []byte, fault clementineport.Fault, err error) {
+	var trace sendTrace
+	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: values.Encode()}
+	r, err := http.NewRequestWithContext(trace.context(ctx), method, u.String(), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, clementineport.FaultInvalid, err
+	}
+	r.GetBody = nil // the transport must not send a body twice
+	r.Header.Set("Content-Type", "application/json")
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	w, err := s.client.Do(r)
+	if err != nil {
+		return 0, nil, sendFault(ctx, &trace, err), err
+	}
+	defer w.Body.Close()
+	data, err = io.ReadAll(io.LimitReader(w.Body, s.opts.MaxAnswerBytes+1))
+	switch {
+	case err != nil && isTimeout(ctx, err):
+		return 0, nil, clementineport.FaultTimeout, err
+	case err != nil:
+		return 0, nil, clementineport.FaultCut, err
+	case int64(len(data)) > s.opts.MaxAnswerBytes:
+		return 0, nil, clementineport.FaultOversized, errors.New("answer larger than allowed")
+	}
+	return w.StatusCode, data, clementineport.FaultUnknown, nil
+}
+
+// sendFault classifies a request that got no response.
+func sendFault(ctx context.Context, trace *sendTrace, err error) clementineport.Fault {
+	switch {
+	case !trace.connected():
+		return clementineport.FaultRefused
+	case !trace.mayHaveWritten():
+		return clementineport.FaultUnsent
+	case isTimeout(ctx, err):
+		return clementineport.FaultTimeout
+	case errors.Is(err, context.Canceled):
+		return clementineport.FaultCanceled
+	default:
+		return clementineport.FaultReset
+	}
+}
+
+func isTimeout(ctx context.Context, err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
+func failed(fault clementineport.Fault, err error) Outcome {
+	return Outcome{Err: &clementineport.Error{Fault: fault, Err: err}}
+}
+
+// refusal reads the body of a response that is not an answer. A fault that proves "not run" counts only if
+// the body's verdict says the same.
+func refusal(status int, data []byte) Outcome {
+	var body struct {
+		Verdict          clementineport.Verdict
+		Fault            clementineport.Fault
+		Reason           string
+		RetryAfterMillis int64
+		Entry            string
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return Outcome{Err: clementineport.Fail(clementineport.FaultMalformed, "status %d without a verdict", status)}
+	}
+	e := clementineport.Fail(body.Fault, "%s", body.Reason)
+	e.RetryAfter = time.Duration(body.RetryAfterMillis) * time.Millisecond
+	if body.Verdict != clementineport.NotRun && body.Fault.Verdict() == clementineport.NotRun {
+		e.Fault = clementineport.FaultInternal
+		e.Reason = body.Fault.String() + ", verdict " + body.Verdict.String() + ": " + body.Reason
+	}
+	return Outcome{Err: e, Redirect: body.Entry}
+}
--- /dev/null
+++ b/cpcaller/list.go
@@ -0,0 +1,109 @@
+package cpcaller
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// refreshShare is the share of a list's life after which the next list is fetched in the background.
+const refreshShare = 0.75
+
+// minRefresh is the shortest time between two background fetches.
+const minRefresh = time.Second
+
+// List keeps the list of entries for its life and spreads requests evenly over it.
+type List struct {
+	mu         sync.Mutex
+	suspectFor time.Duration
+	entries    []Entry
+	expires    time.Time
+	refresh    time.Time
+	next       int
+	suspects   map[string]time.Time
+}
+
+// NewList returns an empty list; an entry that failed is used last for the given time.
+func NewList(suspectFor time.Duration) *List {
+	return &List{suspectFor: suspectFor, suspects: make(map[string]time.Time)}
+}
+
+// Set replaces the list; start in [0, 1) says at which entry the spread begins.
+func (l *List) Set(now time.Time, entries []Entry, life time.Duration, start float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = slices.Clone(entries)
+	l.expires = now.Add(life)
+	l.refresh = now.Add(time.Duration(float64(life) * refreshShare))
+	l.next = int(start * float64(len(entries)))
+}
+
+// Order returns the entries in the order in which one request uses them: each request begins at the next
+// entry, entries of the failure domain home come first among the others, and suspect entries come last.
+func (l *List) Order(now time.Time, home clementineport.FailureDomain) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) == 0 {
+		return nil
+	}
+	l.next = (l.next + 1) % len(l.entries)
+	order := slices.Concat(l.entries[l.next:], l.entries[:l.next])
+	slices.SortStableFunc(order[1:], func(a, b Entry) int { return rank(a, home) - rank(b, home) })
+	slices.SortStableFunc(order, func(a, b Entry) int { return l.suspicion(a, now) - l.suspicion(b, now) })
+	return order
+}
+
+// State reports whether the list can be used and whether the next one should be fetched.
+func (l *List) State(now time.Time) (usable, refresh bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usable = len(l.entries) > 0 && now.Before(l.expires)
+	refresh = !usable || !now.Before(l.refresh)
+	if refresh && usable {
+		l.refresh = now.Add(minRefresh)
+	}
+	return usable, refresh
+}
+
+// Suspect records that an entry failed or is leaving; the next list is fetched soon.
+func (l *List) Suspect(now time.Time, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.suspects[address]; !known {
+		l.refresh = now
+	}
+	l.suspects[address] = now.Add(l.suspectFor)
+}
+
+// Addresses returns the addresses of the listed entries, whether or not the list has expired.
+func (l *List) Addresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addresses := make([]string, 0, len(l.entries))
+	for _, e := range l.entries {
+		addresses = append(addresses, e.Address)
+	}
+	return addresses
+}
+
+func (l *List) suspicion(e Entry, now time.Time) int {
+	until, known := l.suspects[e.Address]
+	switch {
+	case !known:
+		return 0
+	case now.Before(until):
+		return 1
+	default:
+		delete(l.suspects, e.Address)
+		return 0
+	}
+}
+
+func rank(e Entry, home clementineport.FailureDomain) int {
+	if e.Domain == home {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/cpcaller/options.go
@@ -0,0 +1,128 @@
+package cpcaller
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Defaults of a caller.
+const (
+	DefaultDeadline       = time.Second
+	DefaultMaxSends       = 8
+	DefaultBackoff        = 5 * time.Millisecond
+	DefaultMaxBackoff     = 200 * time.Millisecond
+	DefaultOverlapShare   = 0.6 // of the time left when the first send starts
+	DefaultExtraShare     = 0.05
+	DefaultExtraBurst     = 20 // sends
+	DefaultSuspectFor     = 2 * time.Second
+	DefaultListTimeout    = time.Second
+	DefaultMaxAnswerBytes = 8 << 20
+	DefaultIdlePerEntry   = 8  // connections
+	DefaultIdle           = 64 // connections
+	DefaultIdleTimeout    = 30 * time.Second
+)
+
+// Options are the settings of a caller.
+type Options struct {
+	// Seeds are the addresses to ask when no listed entry answers.
+	Seeds []string
+	// Domain is the failure domain of the caller.
+	Domain clementineport.FailureDomain
+	// Deadline is the time given to a query that states no deadline.
+	Deadline time.Duration
+	// Rules bound the sends of one request.
+	Rules Rules
+	// Extra bounds the second sends of requests whose first send is silent.
+	Extra clementineport.Budget
+	// SuspectFor is how long an entry that failed is used last.
+	SuspectFor time.Duration
+	// MaxAnswerBytes is the size of the largest answer that is read.
+	MaxAnswerBytes int64
+	// Allow refuses addresses that must not be connected to.
+	Allow func(address string) error
+	// Dialer opens connections.
+	Dialer *net.Dialer
+	// Clock tells and waits for the time.
+	Clock clementineport.Clock
+	// Rand returns a number in [0, 1); it may be called from many goroutines.
+	Rand func() float64
+	// Unique returns the unique part of a request id.
+	Unique func() string
+}
+
+// Option changes one of the Options.
+type Option func(*Options)
+
+// Seeds sets the addresses to ask when no listed entry answers.
+func Seeds(addresses ...string) Option {
+	return func(o *Options) { o.Seeds = addresses }
+}
+
+// Domain sets the failure domain of the caller.
+func Domain(d clementineport.FailureDomain) Option {
+	return func(o *Options) { o.Domain = d }
+}
+
+// Deadline sets the time given to a query that states no deadline.
+func Deadline(d time.Duration) Option {
+	return func(o *Options) { o.Deadline = d }
+}
+
+// WithRules sets the bounds on the sends of one request.
+func WithRules(r Rules) Option {
+	return func(o *Options) { o.Rules = r }
+}
+
+// Extra sets the budget of second sends of silent requests.
+func Extra(b clementineport.Budget) Option {
+	return func(o *Options) { o.Extra = b }
+}
+
+// MaxAnswerBytes sets the size of the largest answer that is read.
+func MaxAnswerBytes(n int64) Option {
+	return func(o *Options) { o.MaxAnswerBytes = n }
+}
+
+// Allow sets a function that refuses addresses that must not be connected to.
+func Allow(f func(address string) error) Option {
+	return func(o *Options) { o.Allow = f }
+}
+
+// Clock sets the clock.
+func Clock(c clementineport.Clock) Option {
+	return func(o *Options) { o.Clock = c }
+}
+
+// Rand sets the source of random numbers in [0, 1).
+func Rand(f func() float64) Option {
+	return func(o *Options) { o.Rand = f }
+}
+
+// Unique sets the source of the unique parts of request ids.
+func Unique(f func() string) Option {
+	return func(o *Options) { o.Unique = f }
+}
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Deadline:       DefaultDeadline,
+		Rules:          DefaultRules(),
+		SuspectFor:     DefaultSuspectFor,
+		MaxAnswerBytes: DefaultMaxAnswerBytes,
+		Allow:          func(string) error { return nil },
+		Dialer:         &net.Dialer{Timeout: DefaultListTimeout},
+		Clock:          clockwork.NewRealClock(),
+		Rand:           rand.Float64,
+		Unique:         uuid.NewString,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/cpload/cpload.go
@@ -0,0 +1,173 @@
+// Package cpload is an open-loop load generator: it starts queries at a fixed rate, whatever becomes of the
+// earlier ones, and measures each from its intended start. It talks to entry VMs through cpcaller only.
+package cpload
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	vegeta "github.com/tsenart/vegeta/v12/lib"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcaller"
+	"github.com/clementineport/clementineport/cpreport"
+)
+
+// run is the state of one load run.
+type run struct {
+	opts      Options
+	rand      *rand.Rand
+	weight    float64
+	callers   []cpcaller.Caller
+	collector *cpreport.Collector
+	slots     chan struct{}
+	unsent    int
+	wg        sync.WaitGroup
+}
+
+// Run sends queries until the duration has passed or ctx ends, waits for the last answers, and reports.
+func Run(ctx context.Context, opts ...Option) (*cpreport.Report, error) {
+	o := DefaultOptions()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	r := &run{
+		opts:      o,
+		rand:      rand.New(rand.NewPCG(o.Seed, 0)),
+		collector: cpreport.NewCollector(),
+		slots:     make(chan struct{}, o.MaxInProgress),
+	}
+	r.open()
+	defer r.close()
+	start := time.Now()
+	r.send(ctx, start)
+	sent := time.Since(start)
+	r.wg.Wait()
+	report := r.collector.Report()
+	report.Start = start
+	report.Seconds = sent.Seconds()
+	report.Rate = o.Rate
+	report.Callers = o.Callers
+	report.Seed = o.Seed
+	report.NonIdempotent = o.NonIdempotent
+	report.Unsent = r.unsent
+	return report, nil
+}
+
+func (r *run) open() {
+	newCaller := r.opts.NewCaller
+	if newCaller == nil {
+		newCaller = func(int) cpcaller.Caller {
+			return cpcaller.New(cpcaller.Seeds(r.opts.Entries...), cpcaller.Domain(r.opts.Domain), cpcaller.Allow(r.opts.allow))
+		}
+	}
+	for n := range r.opts.Callers {
+		r.callers = append(r.callers, newCaller(n))
+	}
+	for _, s := range r.opts.Services {
+		r.weight += s.Weight
+	}
+}
+
+func (r *run) close() {
+	for _, c := range r.callers {
+		_ = c.Close()
+	}
+}
+
+// send starts the queries on time; it never waits for an answer.
+func (r *run) send(ctx context.Context, start time.Time) {
+	pacer := vegeta.ConstantPacer{Freq: int(r.opts.Rate * float64(time.Hour/time.Second)), Per: time.Hour}
+	total := int(r.opts.Rate * r.opts.Duration.Seconds())
+	interval := time.Duration(float64(time.Second) / r.opts.Rate)
+	for n := range total {
+		wait, stop := pacer.Pace(time.Since(start), uint64(n))
+		if stop || !sleep(ctx, wait) {
+			return
+		}
+		q, policy := r.next(n, total)
+		due := time.Duration(n) * interval
+		select {
+		case r.slots <- struct{}{}:
+			r.wg.Add(1)
+			go r.query(ctx, r.callers[n%len(r.callers)], q, policy, start, due)
+		default:
+			r.unsent++
+		}
+	}
+}
+
+// next draws the next query; the sequence depends on the seed only.
+func (r *run) next(n, total int) (q *clementineport.Query, policy string) {
+	service := r.service()
+	policy = r.opts.Policies[n%len(r.opts.Policies)]
+	if r.opts.Sequential {
+		policy = r.opts.Policies[n*len(r.opts.Policies)/total]
+	}
+	q = &clementineport.Query{
+		Service:    service.Service,
+		Text:       r.opts.Text(r.rand),
+		Limit:      r.opts.Limit,
+		Idempotent: r.rand.Float64() >= r.opts.NonIdempotent,
+		Policy:     policy,
+	}
+	if policy == CurrentPolicy {
+		q.Policy = ""
+	}
+	deadline := r.opts.Deadline
+	if service.Deadline > 0 {
+		deadline = service.Deadline
+	}
+	q.Deadline = time.Now().Add(deadline)
+	return q, policy
+}
+
+func (r *run) service() *WeightedService {
+	left := r.rand.Float64() * r.weight
+	for i := range r.opts.Services {
+		left -= r.opts.Services[i].Weight
+		if left < 0 {
+			return &r.opts.Services[i]
+		}
+	}
+	return &r.opts.Services[len(r.opts.Services)-1]
+}
+
+func (r *run) query(
+	ctx context.Context, c cpcaller.Caller, q *clementineport.Query, policy string, start time.Time, due time.Duration,
+) {
+	defer r.wg.Done()
+	defer func() { <-r.slots }()
+	answer, err := c.Query(context.WithoutCancel(ctx), q)
+	result := &cpreport.Result{
+		Service: q.Service,
+		Policy:  policy,
+		Due:     due,
+		Latency: time.Since(start) - due,
+		Answer:  answer,
+		Err:     err,
+	}
+	if err == nil && r.opts.Check != nil {
+		result.Wrong = r.opts.Check(q, answer)
+	}
+	r.collector.Add(result)
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/query.go
+++ b/query.go
@@ -1,6 +1,9 @@
 package clementineport
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Query is one request of a caller.
 type Query struct {
@@ -46,6 +49,17 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s ShardState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *ShardState) UnmarshalText(text []byte) error {
+	for i, name := range shardStateNames {
+		if name == string(text) {
+			*s = ShardState(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown shard state %q", text)
+}
+
 // Covered reports whether the shard counts as covered.
 func (s ShardState) Covered() bool { return s == ShardCovered || s == ShardEmpty }
 
