Name options of the load packages like the others, and budget resends after answered failures

A resend after a lost connection costs the remaining entries nothing extra; one after an answered failure does, so that it and the second send of a silent request share one budget.

--- a/cpbudget/cpbudget.go
+++ b/cpbudget/cpbudget.go
@@ -49,7 +49,9 @@
 // alone exceed it.
 func NewPair() (hedges, retries *Bucket) {
 	hedges = New()
-	retries = New(Share(DefaultRetryShare), Burst(DefaultRetryBurst), Start(DefaultRetryBurst), Charged(hedges))
+	retries = New(
+		WithShare(DefaultRetryShare), WithBurst(DefaultRetryBurst), WithStart(DefaultRetryBurst), WithCharged(hedges),
+	)
 	return hedges, retries
 }
 
--- a/cpbudget/options.go
+++ b/cpbudget/options.go
@@ -23,22 +23,22 @@
 // Option changes one of the Options.
 type Option func(*Options)
 
-// Share sets the number of extra calls that one ordinary call pays for.
-func Share(share float64) Option {
+// WithShare sets the number of extra calls that one ordinary call pays for.
+func WithShare(share float64) Option {
 	return func(o *Options) { o.Share = share }
 }
 
-// Burst sets the largest number of extra calls that can be saved up.
-func Burst(calls int) Option {
+// WithBurst sets the largest number of extra calls that can be saved up.
+func WithBurst(calls int) Option {
 	return func(o *Options) { o.Burst = calls }
 }
 
-// Start sets the number of extra calls that a new budget holds.
-func Start(calls int) Option {
+// WithStart sets the number of extra calls that a new budget holds.
+func WithStart(calls int) Option {
 	return func(o *Options) { o.Start = calls }
 }
 
-// Charged sets a budget that every extra call is charged to as well.
-func Charged(b *Bucket) Option {
+// WithCharged sets a budget that every extra call is charged to as well.
+func WithCharged(b *Bucket) Option {
 	return func(o *Options) { o.Charged = b }
 }
--- a/cpcaller/cpcaller.go
+++ b/cpcaller/cpcaller.go
@@ -40,7 +40,7 @@
 	c := &caller{opts: newOptions(opts)}
 	if c.opts.Extra == nil {
 		c.opts.Extra = cpbudget.New(
-			cpbudget.Share(DefaultExtraShare), cpbudget.Burst(DefaultExtraBurst), cpbudget.Start(DefaultExtraBurst),
+			cpbudget.WithShare(DefaultExtraShare), cpbudget.WithBurst(DefaultExtraBurst), cpbudget.WithStart(DefaultExtraBurst),
 		)
 	}
 	c.sender = newSender(&c.opts)
@@ -70,9 +70,9 @@
 
 // result is what became of one send.
 type result struct {
-	entry   Entry
-	answer  *clementineport.Answer
-	outcome Outcome
+	entry  Entry
+	answer *clementineport.Answer
+	err    *clementineport.Error
 }
 
 // run carries out the actions of a request until it has an answer or is given up.
@@ -87,6 +87,9 @@
 	var last Entry
 	for {
 		now := c.opts.Clock.Now()
+		if request.NeedsBudget(now) && !c.opts.Extra.Spend() {
+			request.Refuse()
+		}
 		action := request.Next(now, entries)
 		switch action.Kind {
 		case ActionFinish:
@@ -106,12 +109,9 @@
 			}
 			now = c.opts.Clock.Now()
 			c.note(now, res)
-			request.Failed(now, res.outcome)
+			request.Failed(now, res.err)
 			entries = c.again(ctx, entries)
 		case <-c.opts.Clock.After(action.Until.Sub(now)):
-			if request.Overlapping(c.opts.Clock.Now()) && !c.opts.Extra.Spend() {
-				request.Refuse()
-			}
 		case <-ctx.Done():
 			return nil, request.Finish()
 		}
@@ -124,16 +124,14 @@
 	go func() {
 		left := q.Deadline.Sub(c.opts.Clock.Now())
 		left -= min(left/answerMarginParts, maxAnswerMargin)
-		answer, outcome := c.sender.query(ctx, action.Entry.Address, &sent, left)
-		results <- result{action.Entry, answer, outcome}
+		answer, err := c.sender.query(ctx, action.Entry.Address, &sent, left)
+		results <- result{action.Entry, answer, err}
 	}()
 }
 
 // note makes later requests use an entry last that failed or is leaving.
 func (c *caller) note(now time.Time, res result) {
-	switch res.outcome.Err.Fault {
-	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
-		clementineport.FaultCut, clementineport.FaultDraining, clementineport.FaultStale:
+	if isConnectionLoss(res.err) {
 		c.list.Suspect(now, res.entry.Address)
 	}
 }
--- a/cpcaller/http.go
+++ b/cpcaller/http.go
@@ -11,9 +11,6 @@
 	"net/url"
 	"time"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
-
 	"github.com/clementineport/clementineport"
 )
 
@@ -52,7 +49,7 @@
 // query sends a query to one entry.
 func (s *sender) query(
 	ctx context.Context, address string, q *clementineport.Query, left time.Duration,
-) (*clementineport.Answer, Outcome) {
+) (*clementineport.Answer, *clementineport.Error) {
 	body, err := json.Marshal(struct {
 		Request        clementineport.RequestID
 		Service        clementineport.ServiceID
@@ -77,9 +74,9 @@
 		return nil, failed(clementineport.FaultMalformed, err)
 	}
 	if answer.Request != q.Request {
-		return nil, Outcome{Err: clementineport.Fail(clementineport.FaultMismatched, "answer to %q", answer.Request)}
+		return nil, clementineport.Fail(clementineport.FaultMismatched, "answer to %q", answer.Request)
 	}
-	return answer, Outcome{}
+	return answer, nil
 }
 
 // entries asks one entry for the list of entries.
@@ -88,16 +85,16 @@
 	status, data, fault, err := s.do(ctx, http.MethodGet, address, "/v1/entries", values, nil)
 	switch {
 	case err != nil:
-		return nil, 0, failed(fault, err).Err
+		return nil, 0, failed(fault, err)
 	case status != http.StatusOK:
-		return nil, 0, refusal(status, data).Err
+		return nil, 0, refusal(status, data)
 	}
 	var list struct {
 		Entries     []Entry
 		LifeSeconds float64
 	}
 	if err := json.Unmarshal(data, &list); err != nil {
-		return nil, 0, failed(clementineport.FaultMalformed, err).Err
+		return nil, 0, failed(clementineport.FaultMalformed, err)
 	}
 	if len(list.Entries) == 0 {
 		return nil, 0, clementineport.Fail(clementineport.FaultMalformed, "%s listed no entry", address)
@@ -116,7 +113,9 @@
 	}
 	r.GetBody = nil // the transport must not send a body twice
 	r.Header.Set("Content-Type", "application/json")
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	if parent := s.opts.Inject(ctx); parent != "" {
+		r.Header.Set("Traceparent", parent)
+	}
 	w, err := s.client.Do(r)
 	if err != nil {
 		return 0, nil, sendFault(ctx, &trace, err), err
@@ -154,13 +153,13 @@
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded)
 }
 
-func failed(fault clementineport.Fault, err error) Outcome {
-	return Outcome{Err: &clementineport.Error{Fault: fault, Err: err}}
+func failed(fault clementineport.Fault, err error) *clementineport.Error {
+	return &clementineport.Error{Fault: fault, Err: err}
 }
 
 // refusal reads the body of a response that is not an answer. A fault that proves "not run" counts only if
 // the body's verdict says the same.
-func refusal(status int, data []byte) Outcome {
+func refusal(status int, data []byte) *clementineport.Error {
 	var body struct {
 		Verdict          clementineport.Verdict
 		Fault            clementineport.Fault
@@ -169,7 +168,7 @@
 		Entry            string
 	}
 	if err := json.Unmarshal(data, &body); err != nil {
-		return Outcome{Err: clementineport.Fail(clementineport.FaultMalformed, "status %d without a verdict", status)}
+		return clementineport.Fail(clementineport.FaultMalformed, "status %d without a verdict", status)
 	}
 	e := clementineport.Fail(body.Fault, "%s", body.Reason)
 	e.RetryAfter = time.Duration(body.RetryAfterMillis) * time.Millisecond
@@ -177,5 +176,6 @@
 		e.Fault = clementineport.FaultInternal
 		e.Reason = body.Fault.String() + ", verdict " + body.Verdict.String() + ": " + body.Reason
 	}
-	return Outcome{Err: e, Redirect: body.Entry}
+	e.Entry = body.Entry
+	return e
 }
--- a/cpcaller/options.go
+++ b/cpcaller/options.go
@@ -1,6 +1,7 @@
 package cpcaller
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -38,12 +39,14 @@
 	Deadline time.Duration
 	// Rules bound the sends of one request.
 	Rules Rules
-	// Extra bounds the second sends of requests whose first send is silent.
+	// Extra bounds the sends that may add load to entries that are slow or failing.
 	Extra clementineport.Budget
 	// SuspectFor is how long an entry that failed is used last.
 	SuspectFor time.Duration
 	// MaxAnswerBytes is the size of the largest answer that is read.
 	MaxAnswerBytes int64
+	// Inject returns the traceparent header of a query, or nothing.
+	Inject func(ctx context.Context) string
 	// Allow refuses addresses that must not be connected to.
 	Allow func(address string) error
 	// Dialer opens connections.
@@ -59,18 +62,18 @@
 // Option changes one of the Options.
 type Option func(*Options)
 
-// Seeds sets the addresses to ask when no listed entry answers.
-func Seeds(addresses ...string) Option {
+// WithSeeds sets the addresses to ask when no listed entry answers.
+func WithSeeds(addresses ...string) Option {
 	return func(o *Options) { o.Seeds = addresses }
 }
 
-// Domain sets the failure domain of the caller.
-func Domain(d clementineport.FailureDomain) Option {
+// WithDomain sets the failure domain of the caller.
+func WithDomain(d clementineport.FailureDomain) Option {
 	return func(o *Options) { o.Domain = d }
 }
 
-// Deadline sets the time given to a query that states no deadline.
-func Deadline(d time.Duration) Option {
+// WithDeadline sets the time given to a query that states no deadline.
+func WithDeadline(d time.Duration) Option {
 	return func(o *Options) { o.Deadline = d }
 }
 
@@ -79,33 +82,38 @@
 	return func(o *Options) { o.Rules = r }
 }
 
-// Extra sets the budget of second sends of silent requests.
-func Extra(b clementineport.Budget) Option {
+// WithExtra sets the budget of sends that may add load to entries that are slow or failing.
+func WithExtra(b clementineport.Budget) Option {
 	return func(o *Options) { o.Extra = b }
 }
 
-// MaxAnswerBytes sets the size of the largest answer that is read.
-func MaxAnswerBytes(n int64) Option {
+// WithMaxAnswerBytes sets the size of the largest answer that is read.
+func WithMaxAnswerBytes(n int64) Option {
 	return func(o *Options) { o.MaxAnswerBytes = n }
 }
 
-// Allow sets a function that refuses addresses that must not be connected to.
-func Allow(f func(address string) error) Option {
+// WithAllow sets a function that refuses addresses that must not be connected to.
+func WithAllow(f func(address string) error) Option {
 	return func(o *Options) { o.Allow = f }
 }
 
-// Clock sets the clock.
-func Clock(c clementineport.Clock) Option {
+// WithInject sets the source of the traceparent header.
+func WithInject(f func(ctx context.Context) string) Option {
+	return func(o *Options) { o.Inject = f }
+}
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option {
 	return func(o *Options) { o.Clock = c }
 }
 
-// Rand sets the source of random numbers in [0, 1).
-func Rand(f func() float64) Option {
+// WithRand sets the source of random numbers in [0, 1).
+func WithRand(f func() float64) Option {
 	return func(o *Options) { o.Rand = f }
 }
 
-// Unique sets the source of the unique parts of request ids.
-func Unique(f func() string) Option {
+// WithUnique sets the source of the unique parts of request ids.
+func WithUnique(f func() string) Option {
 	return func(o *Options) { o.Unique = f }
 }
 
@@ -115,6 +123,7 @@
 		Rules:          DefaultRules(),
 		SuspectFor:     DefaultSuspectFor,
 		MaxAnswerBytes: DefaultMaxAnswerBytes,
+		Inject:         func(context.Context) string { return "" },
 		Allow:          func(string) error { return nil },
 		Dialer:         &net.Dialer{Timeout: DefaultListTimeout},
 		Clock:          clockwork.NewRealClock(),
--- a/cpcaller/resend.go
+++ b/cpcaller/resend.go
@@ -63,13 +63,6 @@
 	Err     *clementineport.Error
 }
 
-// Outcome is the failure of one send.
-type Outcome struct {
-	Err *clementineport.Error
-	// Redirect is the address of the entry to use instead, if the entry named one.
-	Redirect string
-}
-
 // Request decides the sends of one request. It is pure: time, entries and outcomes are passed in.
 type Request struct {
 	rules      Rules
@@ -137,22 +130,37 @@
 }
 
 // Failed records the failure of one send.
-func (r *Request) Failed(now time.Time, o Outcome) {
+func (r *Request) Failed(now time.Time, err *clementineport.Error) {
 	r.inFlight--
-	r.last = o.Err
-	r.redirect = o.Redirect
-	if o.Err.Verdict() == clementineport.NotRun {
+	r.last = err
+	r.redirect = err.Entry
+	if err.Verdict() == clementineport.NotRun {
 		r.unproven--
 	} else if r.open == nil {
-		r.open = o.Err
+		r.open = err
 	}
-	r.final = r.final || isFinal(o.Err)
+	r.final = r.final || isFinal(err)
 	backoff := min(r.rules.Backoff<<max(r.sends-1, 0), r.rules.MaxBackoff)
 	r.notBefore = now.Add(time.Duration((0.5 + r.jitter()) * float64(backoff)))
 }
 
-// Refuse withholds the second send of a silent request; the request waits for its first send.
-func (r *Request) Refuse() { r.overlapAt = r.deadline }
+// NeedsBudget reports whether the next send may add load to entries that are slow or failing: a second send
+// while the first is silent, or a resend after an entry answered with a failure.
+func (r *Request) NeedsBudget(now time.Time) bool {
+	if r.final || r.sends == 0 || r.sends >= r.rules.MaxSends {
+		return false
+	}
+	if r.inFlight > 0 {
+		return r.overlapDue(now)
+	}
+	return !now.Before(r.notBefore) && !isConnectionLoss(r.last)
+}
+
+// Refuse withholds a send that needs budget: a silent send is waited for, and a failed request is given up.
+func (r *Request) Refuse() {
+	r.overlapAt = r.deadline
+	r.final = r.inFlight == 0
+}
 
 // Finish gives the request up and returns its error, which says what is known of the sends.
 func (r *Request) Finish() *clementineport.Error { return r.finish().Err }
@@ -263,12 +271,20 @@
 	}
 }
 
+// isConnectionLoss reports whether a failure shows that the entry is gone or leaving, not that it is loaded.
+func isConnectionLoss(err *clementineport.Error) bool {
+	switch err.Fault {
+	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
+		clementineport.FaultCut, clementineport.FaultDraining, clementineport.FaultStale:
+		return true
+	default:
+		return false
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
 	}
 	return b
 }
-
-// Overlapping reports whether the next send would be a second one while the first is silent.
-func (r *Request) Overlapping(now time.Time) bool { return !r.final && r.overlapDue(now) }
--- a/cpcli/load.go
+++ b/cpcli/load.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	f.opts.Services = services
-	report, err := cpload.Run(ctx, cpload.With(f.opts))
+	report, err := cpload.Run(ctx, cpload.WithOptions(f.opts))
 	if err != nil {
 		return err
 	}
--- a/cpload/cpload.go
+++ b/cpload/cpload.go
@@ -63,7 +63,11 @@
 	newCaller := r.opts.NewCaller
 	if newCaller == nil {
 		newCaller = func(int) cpcaller.Caller {
-			return cpcaller.New(cpcaller.Seeds(r.opts.Entries...), cpcaller.Domain(r.opts.Domain), cpcaller.Allow(r.opts.allow))
+			return cpcaller.New(
+				cpcaller.WithSeeds(r.opts.Entries...),
+				cpcaller.WithDomain(r.opts.Domain),
+				cpcaller.WithAllow(r.opts.allow),
+			)
 		}
 	}
 	for n := range r.opts.Callers {
--- a/cpload/options.go
+++ b/cpload/options.go
@@ -64,8 +64,8 @@
 // Option changes one of the Options.
 type Option func(*Options)
 
-// With replaces all settings; it is meant for settings read from flags.
-func With(other Options) Option {
+// WithOptions replaces all settings; it is meant for settings read from flags.
+func WithOptions(other Options) Option {
 	return func(o *Options) { *o = other }
 }
 
