--- /dev/null
+++ b/cpadmit/cpadmit.go
@@ -0,0 +1,132 @@
+// Package cpadmit decides which queries a VM starts: it limits the queries in progress by their latency,
+// orders waiting ones by class and deadline, and refuses at once what cannot be done in time.
+// It knows nothing of targets and makes no calls.
+package cpadmit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/clementineport/clementineport"
+)
+
+var classNames = [clementineport.NumClasses]string{"interactive", "standard", "batch"}
+
+// Admitter runs a Gate for many goroutines.
+type Admitter struct {
+	clock    clementineport.Clock
+	mu       sync.Mutex
+	gate     *Gate
+	waiters  map[Ticket]chan struct{}
+	admitted [clementineport.NumClasses]*metrics.Counter
+	refused  [clementineport.NumClasses]*metrics.Counter
+}
+
+var _ clementineport.Admitter = (*Admitter)(nil)
+
+// New returns an admitter.
+func New(opts ...Option) *Admitter {
+	o := NewOptions(opts...)
+	a := &Admitter{clock: o.Clock, gate: NewGate(o), waiters: make(map[Ticket]chan struct{})}
+	for c, name := range classNames {
+		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_admitted_total{class=%q}`, name))
+		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_refused_total{class=%q}`, name))
+	}
+	o.Metrics.GetOrCreateGauge("admit_limit", func() float64 { return float64(a.Limit()) })
+	o.Metrics.GetOrCreateGauge("admit_in_progress", func() float64 { return float64(a.InProgress()) })
+	return a
+}
+
+// Limit returns the present limit on queries in progress.
+func (a *Admitter) Limit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Limit()
+}
+
+// InProgress returns the number of queries in progress.
+func (a *Admitter) InProgress() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.InProgress()
+}
+
+// Admit implements clementineport.Admitter.
+func (a *Admitter) Admit(
+	ctx context.Context, s *clementineport.Service, q *clementineport.Query,
+) (done func(*clementineport.Answer), err error) {
+	arrival := Arrival{
+		Service:  s.Name,
+		Class:    min(s.Class, clementineport.NumClasses-1),
+		Deadline: q.Deadline,
+	}
+	d, granted := a.offer(arrival)
+	if d.Kind == KindQueued {
+		d = a.wait(ctx, arrival, d, granted)
+	}
+	if d.Kind == KindRefused {
+		a.refused[arrival.Class].Inc()
+		refusal := clementineport.Fail(clementineport.FaultShed, "overloaded; class %s", classNames[arrival.Class])
+		refusal.RetryAfter = d.RetryAfter
+		return nil, refusal
+	}
+	a.admitted[arrival.Class].Inc()
+	var once sync.Once
+	return func(answer *clementineport.Answer) {
+		once.Do(func() { a.done(d.Ticket, outcomeOf(answer)) })
+	}, nil
+}
+
+func (a *Admitter) offer(arrival Arrival) (Decision, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := a.gate.Offer(a.clock.Now(), arrival)
+	if d.Kind != KindQueued {
+		return d, nil
+	}
+	granted := make(chan struct{})
+	a.waiters[d.Ticket] = granted
+	return d, granted
+}
+
+// wait waits until the query may start, its wait has run out, or its caller has gone.
+func (a *Admitter) wait(ctx context.Context, arrival Arrival, d Decision, granted <-chan struct{}) Decision {
+	select {
+	case <-granted:
+		return Decision{Kind: KindAdmitted, Ticket: d.Ticket}
+	case <-a.clock.After(max(d.Until.Sub(a.clock.Now()), time.Nanosecond)):
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiters, d.Ticket)
+	return a.gate.Withdraw(d.Ticket, arrival)
+}
+
+func (a *Admitter) done(t Ticket, o Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, started := range a.gate.Done(a.clock.Now(), t, o) {
+		if granted, found := a.waiters[started]; found {
+			close(granted)
+			delete(a.waiters, started)
+		}
+	}
+}
+
+// outcomeOf reads from an answer whether targets refused a part of the query because of load.
+func outcomeOf(answer *clementineport.Answer) Outcome {
+	if answer == nil {
+		return OutcomeFailed
+	}
+	for _, m := range answer.Missing {
+		if m.Fault == clementineport.FaultShed {
+			return OutcomeShed
+		}
+	}
+	return OutcomeAnswered
+}
