--- /dev/null
+++ b/cpcontrol/api.go
@@ -0,0 +1,112 @@
+package cpcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpowner"
+)
+
+// Exchange answers a peer's exchange.
+func (c *Control) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
+	answer := make(chan *clementineport.Digest, 1)
+	c.send(ctx, heard{digest: d, answer: answer})
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "exchange given up: %v", ctx.Err())
+	}
+}
+
+// Config returns the configuration in force if it is newer than have, or nil.
+func (c *Control) Config(_ context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+	v := c.View()
+	if v.Revision <= have {
+		return nil, nil
+	}
+	return v.Config, nil
+}
+
+// Seen records the revision that a call from or to a peer carried; it does not block.
+func (c *Control) Seen(r clementineport.Revision, from clementineport.VMID) {
+	if r <= c.View().Revision {
+		return
+	}
+	c.post(noticed{revision: r, from: from})
+}
+
+// Doubt records that a peer did not answer a call, so that it is probed soon; it does not block.
+func (c *Control) Doubt(id clementineport.VMID) {
+	c.post(change(func(c *Control, now time.Time) { c.member.Doubt(now, id) }))
+}
+
+// Contacted records that a peer answered a call that was sent at began; it does not block.
+func (c *Control) Contacted(began time.Time) { c.freshness.Contacted(began) }
+
+// Leave tells the peers that this VM is shutting down.
+func (c *Control) Leave() {
+	c.events <- change(func(c *Control, _ time.Time) { c.member.Leave() })
+}
+
+// SetTicket sets the ticket that this VM tells its peers.
+func (c *Control) SetTicket(ticket string) {
+	c.events <- change(func(c *Control, _ time.Time) { c.member.SetTicket(ticket) })
+}
+
+// Accepted puts a configuration in force whose submission this VM has carried out, and asks the
+// other VMs for confirmation.
+func (c *Control) Accepted(ctx context.Context, cfg *clementineport.Config) error {
+	if cfg.Revision <= c.View().Revision {
+		return nil
+	}
+	table, err := c.options.Compile(cfg)
+	if err != nil {
+		return err
+	}
+	c.send(ctx, accepted{cfg: cfg, table: table})
+	return nil
+}
+
+// Status returns what an operator sees of this VM's control state.
+func (c *Control) Status(ctx context.Context) (*Status, error) {
+	answer := make(chan *Status, 1)
+	c.send(ctx, asked{answer: answer})
+	select {
+	case s := <-answer:
+		return s, nil
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "status given up: %v", ctx.Err())
+	}
+}
+
+func (c *Control) row(m *clementineport.Member, now time.Time) Row {
+	r := Row{
+		VM:        m.VM,
+		Start:     m.Start,
+		State:     m.State,
+		Revision:  m.Revision,
+		Confirmed: m.Revision >= c.spread.Revision(),
+		Answered:  -1,
+	}
+	if c.table != nil {
+		r.Out = cpowner.IsOut(&m.VM, &c.table.Out)
+	}
+	if at := c.member.Answered(m.ID); !at.IsZero() {
+		r.Answered = now.Sub(at)
+	}
+	if m.ID == c.options.Self.ID {
+		r.Answered = 0
+	}
+	return r
+}
+
+// post gives an event to the loop, or drops and counts it when the loop is behind.
+func (c *Control) post(e event) {
+	select {
+	case c.events <- e:
+	default:
+		c.counters.dropped.Inc()
+	}
+}
--- /dev/null
+++ b/cpcontrol/calls.go
@@ -0,0 +1,161 @@
+package cpcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpspread"
+)
+
+// withTimeout ends a context by the clock that the decisions use.
+func (c *Control) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	after := c.options.Clock.After(d)
+	go func() {
+		select {
+		case <-after:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// send gives an event to the loop.
+func (c *Control) send(ctx context.Context, e event) {
+	select {
+	case c.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// dial returns the peer of a VM; a VM whose address has changed is dialed anew.
+func (c *Control) dial(vm clementineport.VM) clementineport.Peer {
+	d, known := c.peers[vm.ID]
+	if known && d.vm.Peer == vm.Peer {
+		return d.peer
+	}
+	c.hangUp(vm.ID)
+	d = dialed{vm: vm, peer: c.options.Dial(vm)}
+	c.peers[vm.ID] = d
+	return d.peer
+}
+
+// hangUp closes the peer of a VM, so that the next call uses a new connection.
+func (c *Control) hangUp(id clementineport.VMID) {
+	if d, known := c.peers[id]; known {
+		delete(c.peers, id)
+		go func() { _ = d.peer.Close() }()
+	}
+}
+
+// list reads the platform's list of VMs.
+func (c *Control) list(ctx context.Context, now time.Time) {
+	if c.listing || now.Before(c.nextList) || c.options.Directory == nil {
+		return
+	}
+	c.listing = true
+	c.nextList = now.Add(c.options.ListPeriod)
+	go func() {
+		call, cancel := c.withTimeout(ctx, c.options.ListTimeout)
+		defer cancel()
+		vms, err := c.options.Directory.List(call)
+		c.send(ctx, listed{vms: vms, err: err})
+	}()
+}
+
+// exchange swaps digests with a peer.
+func (c *Control) exchange(ctx context.Context, e exchanged, vm clementineport.VM) {
+	p := c.dial(vm)
+	d := c.member.Digest(vm.ID)
+	d.Fresh = c.options.Clock.Now().Sub(c.spread.Fresh())
+	c.countSent(d)
+	go func() {
+		call, cancel := c.withTimeout(ctx, e.timeout)
+		defer cancel()
+		e.digest, e.err = p.Exchange(call, d)
+		if e.err == nil {
+			c.freshness.Contacted(e.began)
+		}
+		c.send(ctx, e)
+	}()
+}
+
+// exchangeWith swaps digests with a peer to tell or renew.
+func (c *Control) exchangeWith(ctx context.Context, a cpspread.Action, now time.Time) {
+	m := c.View().Member(a.Peer)
+	if m == nil {
+		return
+	}
+	c.exchange(ctx, exchanged{peer: a.Peer, began: now, timeout: a.Timeout, kind: exchangeSpread}, m.VM)
+}
+
+// askStore reads or watches the configuration in the store.
+func (c *Control) askStore(ctx context.Context, a cpspread.Action) {
+	go func() {
+		call, cancel := c.withTimeout(ctx, a.Timeout)
+		defer cancel()
+		var item clementineport.Item
+		var err error
+		if a.Kind == cpspread.KindWatch {
+			c.counters.storeWatches.Inc()
+			item, err = c.options.Store.Watch(call, c.options.Key, a.Seen, a.Wait)
+		} else {
+			c.counters.storeReads.Inc()
+			item, err = c.options.Store.Get(call, c.options.Key)
+		}
+		if err != nil {
+			c.counters.storeFailures.Inc()
+			c.send(ctx, stored{action: a, err: err})
+			return
+		}
+		c.freshness.Contacted(a.Began)
+		e := stored{action: a, version: item.Version}
+		if item.Version > 0 {
+			e.cfg, e.table, e.err = c.read(item.Value)
+		}
+		c.send(ctx, e)
+	}()
+}
+
+// read decodes a configuration and compiles it if it is newer than the one in force.
+func (c *Control) read(value []byte) (*clementineport.Config, *clementineport.Table, error) {
+	cfg, err := c.options.Decode(value)
+	if err != nil {
+		return nil, nil, err
+	}
+	if cfg.Revision <= c.View().Revision {
+		return cfg, nil, nil
+	}
+	table, err := c.options.Compile(cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	return cfg, table, nil
+}
+
+// fetch asks a peer for its configuration.
+func (c *Control) fetch(ctx context.Context, a cpspread.Action) {
+	m := c.View().Member(a.Peer)
+	if m == nil {
+		c.spread.Failed(a.Began, a)
+		return
+	}
+	p := c.dial(m.VM)
+	have := c.View().Revision
+	c.counters.fetches.Inc()
+	go func() {
+		call, cancel := c.withTimeout(ctx, a.Timeout)
+		defer cancel()
+		e := fetched{action: a}
+		e.cfg, e.err = p.Config(call, have)
+		if e.err == nil {
+			c.freshness.Contacted(a.Began)
+		}
+		if e.err == nil && e.cfg != nil && e.cfg.Revision > have {
+			e.table, e.err = c.options.Compile(e.cfg)
+		}
+		c.send(ctx, e)
+	}()
+}
--- /dev/null
+++ b/cpcontrol/events.go
@@ -0,0 +1,196 @@
+package cpcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpspread"
+)
+
+type exchangeKind uint8
+
+const (
+	exchangeMember exchangeKind = iota
+	exchangeSpread
+)
+
+// exchanged is the result of an exchange that this VM began.
+type exchanged struct {
+	peer    clementineport.VMID
+	began   time.Time
+	timeout time.Duration
+	kind    exchangeKind
+	digest  *clementineport.Digest
+	err     error
+}
+
+func (e exchanged) apply(ctx context.Context, c *Control, now time.Time) {
+	if e.err != nil {
+		c.counters.exchangeFailures.Inc()
+		c.hangUp(e.peer)
+		c.member.Failed(now, e.peer, e.began, clementineport.FaultOf(e.err))
+		return
+	}
+	c.countReceived(e.digest)
+	c.member.Reached(now, e.peer, e.began, e.digest)
+	c.spread.Contacted(e.began)
+	c.spread.Freshness(e.began, e.digest.Revision, e.digest.Fresh)
+	c.seen(ctx, now, e.peer, e.digest.Revision)
+}
+
+// seen takes a revision that a peer announced, and fetches it at once if it is newer.
+func (c *Control) seen(ctx context.Context, now time.Time, from clementineport.VMID, r clementineport.Revision) {
+	if r <= c.spread.Revision() {
+		return
+	}
+	if c.View().Member(from) == nil {
+		c.publish()
+	}
+	c.spread.Seen(now, from, r)
+	c.spreadTick(ctx, now)
+}
+
+// stored is the result of a read or watch of the store.
+type stored struct {
+	action  cpspread.Action
+	version uint64
+	cfg     *clementineport.Config
+	table   *clementineport.Table
+	err     error
+}
+
+func (e stored) apply(ctx context.Context, c *Control, now time.Time) {
+	if e.err != nil {
+		c.spread.Failed(now, e.action)
+		if e.version > 0 {
+			c.rejected(e.err)
+		}
+		return
+	}
+	var r clementineport.Revision
+	if e.cfg != nil {
+		r = e.cfg.Revision
+	}
+	before := c.spread.Restored()
+	verdict := c.spread.Stored(now, e.action, e.version, r)
+	c.put(ctx, now, verdict, e.cfg, e.table)
+	if restored := c.spread.Restored(); restored != before {
+		c.dirty = true
+		c.logRestored(restored)
+	}
+}
+
+// put puts a newer configuration in force.
+func (c *Control) put(ctx context.Context, now time.Time, v cpspread.Verdict, cfg *clementineport.Config, table *clementineport.Table) {
+	if v != cpspread.VerdictNewer || table == nil {
+		return
+	}
+	c.inForce(cfg, table)
+	c.spreadTick(ctx, now)
+}
+
+// fetched is the result of asking a peer for its configuration.
+type fetched struct {
+	action cpspread.Action
+	cfg    *clementineport.Config
+	table  *clementineport.Table
+	err    error
+}
+
+func (e fetched) apply(ctx context.Context, c *Control, now time.Time) {
+	if e.err != nil {
+		c.counters.fetchFailures.Inc()
+		c.spread.Failed(now, e.action)
+		c.spreadTick(ctx, now)
+		return
+	}
+	var r clementineport.Revision
+	if e.cfg != nil {
+		r = e.cfg.Revision
+	}
+	c.put(ctx, now, c.spread.Fetched(now, e.action, r), e.cfg, e.table)
+}
+
+// listed is the platform's list of VMs.
+type listed struct {
+	vms []clementineport.VM
+	err error
+}
+
+func (e listed) apply(_ context.Context, c *Control, now time.Time) {
+	c.listing = false
+	if e.err != nil {
+		c.counters.listFailures.Inc()
+		return
+	}
+	if len(e.vms) > c.listed {
+		c.listed = len(e.vms)
+		c.dirty = true
+	}
+	c.member.Listed(now, e.vms)
+}
+
+// heard is a peer's digest; the loop answers with its own.
+type heard struct {
+	digest *clementineport.Digest
+	answer chan<- *clementineport.Digest
+}
+
+func (e heard) apply(ctx context.Context, c *Control, now time.Time) {
+	c.countReceived(e.digest)
+	d := c.member.Heard(now, e.digest)
+	d.Fresh = now.Sub(c.spread.Fresh())
+	c.countSent(d)
+	e.answer <- d
+	c.seen(ctx, now, e.digest.From.ID, e.digest.Revision)
+}
+
+// noticed is a revision that a call between VMs carried.
+type noticed struct {
+	revision clementineport.Revision
+	from     clementineport.VMID
+}
+
+func (e noticed) apply(ctx context.Context, c *Control, now time.Time) {
+	c.seen(ctx, now, e.from, e.revision)
+}
+
+// accepted is a configuration whose submission this VM has carried out.
+type accepted struct {
+	cfg   *clementineport.Config
+	table *clementineport.Table
+}
+
+func (e accepted) apply(ctx context.Context, c *Control, now time.Time) {
+	c.chaseUntil = now.Add(c.options.ChaseFor)
+	c.put(ctx, now, c.spread.Accept(now, e.cfg.Revision), e.cfg, e.table)
+}
+
+// change is a change of what this VM says about itself.
+type change func(c *Control, now time.Time)
+
+func (e change) apply(_ context.Context, c *Control, now time.Time) {
+	e(c, now)
+	c.dirty = true
+}
+
+// asked is a request for the status.
+type asked struct {
+	answer chan<- *Status
+}
+
+func (e asked) apply(_ context.Context, c *Control, now time.Time) {
+	s := &Status{
+		Revision: c.spread.Revision(),
+		Fresh:    now.Sub(c.spread.Fresh()),
+		Contact:  c.freshness.Age(),
+		Watcher:  c.spread.Watcher(),
+		Restored: c.spread.Restored(),
+		Health:   c.member.Health(),
+	}
+	for _, m := range c.member.Members() {
+		s.Rows = append(s.Rows, c.row(&m, now))
+	}
+	e.answer <- s
+}
--- /dev/null
+++ b/cpcontrol/options.go
@@ -0,0 +1,167 @@
+package cpcontrol
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadvice"
+	"github.com/clementineport/clementineport/cpmember"
+	"github.com/clementineport/clementineport/cpspread"
+)
+
+// Options holds the ports and settings of the control loop.
+type Options struct {
+	// Self describes this process; its ID, Domain, addresses and Start are set.
+	Self      clementineport.Member
+	Store     clementineport.Store
+	Directory clementineport.Directory
+	// Dial returns a Peer that the control loop alone uses and closes; it does not block.
+	Dial   func(clementineport.VM) clementineport.Peer
+	Picker clementineport.Picker
+	Clock  clementineport.Clock
+	// Decode reads a configuration as it is stored.
+	Decode func([]byte) (*clementineport.Config, error)
+	// Compile checks a configuration and returns its table.
+	Compile func(*clementineport.Config) (*clementineport.Table, error)
+	// OnView is called by the loop with each new view; it does not block.
+	OnView func(*View)
+	// Size returns the bytes that a digest takes in a message; it is used for metrics.
+	Size    func(*clementineport.Digest) int
+	Metrics *metrics.Set
+	Log     *zap.Logger
+	// Key is the store's key of the configuration.
+	Key string
+	// Seed seeds every random choice.
+	Seed uint64
+	// TickPeriod is the time between two steps of the decisions.
+	TickPeriod time.Duration
+	// ListPeriod is the time between two reads of the platform's list.
+	ListPeriod time.Duration
+	// ListTimeout is how long a read of the platform's list may take.
+	ListTimeout time.Duration
+	// ChaseFor is how long the VM that accepted a submission asks the others whether it is in force there.
+	ChaseFor time.Duration
+	Member   []cpmember.Option
+	Spread   []cpspread.Option
+	Advice   []cpadvice.Option
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// DefaultKey is the store's key of the configuration.
+const DefaultKey = "clementineport/config"
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{
+		Log:         zap.NewNop(),
+		Size:        cpmember.Size,
+		Key:         DefaultKey,
+		TickPeriod:  100 * time.Millisecond,
+		ListPeriod:  5 * time.Second,
+		ListTimeout: 2 * time.Second,
+		ChaseFor:    10 * time.Second,
+		OnView:      func(*View) {},
+	}
+	for _, o := range opts {
+		o(&options)
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
+	return options
+}
+
+// WithSelf describes this process.
+func WithSelf(self clementineport.Member) Option {
+	return func(o *Options) { o.Self = self }
+}
+
+// WithStore sets the platform's store.
+func WithStore(s clementineport.Store) Option {
+	return func(o *Options) { o.Store = s }
+}
+
+// WithDirectory sets the platform's list of VMs.
+func WithDirectory(d clementineport.Directory) Option {
+	return func(o *Options) { o.Directory = d }
+}
+
+// WithDial sets how peers are called.
+func WithDial(dial func(clementineport.VM) clementineport.Peer) Option {
+	return func(o *Options) { o.Dial = dial }
+}
+
+// WithPicker sets what keeps the state of targets.
+func WithPicker(p clementineport.Picker) Option {
+	return func(o *Options) { o.Picker = p }
+}
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option {
+	return func(o *Options) { o.Clock = c }
+}
+
+// WithDecode sets how a stored configuration is read.
+func WithDecode(decode func([]byte) (*clementineport.Config, error)) Option {
+	return func(o *Options) { o.Decode = decode }
+}
+
+// WithCompile sets how a configuration is made into a table.
+func WithCompile(compile func(*clementineport.Config) (*clementineport.Table, error)) Option {
+	return func(o *Options) { o.Compile = compile }
+}
+
+// WithOnView sets what is called with each new view.
+func WithOnView(f func(*View)) Option {
+	return func(o *Options) { o.OnView = f }
+}
+
+// WithSize sets how the bytes of a digest are counted.
+func WithSize(size func(*clementineport.Digest) int) Option {
+	return func(o *Options) { o.Size = size }
+}
+
+// WithMetrics sets where metrics are registered.
+func WithMetrics(set *metrics.Set) Option {
+	return func(o *Options) { o.Metrics = set }
+}
+
+// WithLog sets the log of state changes.
+func WithLog(log *zap.Logger) Option {
+	return func(o *Options) { o.Log = log }
+}
+
+// WithKey sets the store's key of the configuration.
+func WithKey(key string) Option {
+	return func(o *Options) { o.Key = key }
+}
+
+// WithSeed seeds every random choice.
+func WithSeed(seed uint64) Option {
+	return func(o *Options) { o.Seed = seed }
+}
+
+// WithListPeriod sets the time between two reads of the platform's list.
+func WithListPeriod(d time.Duration) Option {
+	return func(o *Options) { o.ListPeriod = d }
+}
+
+// WithMember sets options of the membership.
+func WithMember(opts ...cpmember.Option) Option {
+	return func(o *Options) { o.Member = append(o.Member, opts...) }
+}
+
+// WithSpread sets options of the spread of the configuration.
+func WithSpread(opts ...cpspread.Option) Option {
+	return func(o *Options) { o.Spread = append(o.Spread, opts...) }
+}
+
+// WithAdvice sets options of the advice to callers.
+func WithAdvice(opts ...cpadvice.Option) Option {
+	return func(o *Options) { o.Advice = append(o.Advice, opts...) }
+}
--- /dev/null
+++ b/cpcontrol/view.go
@@ -0,0 +1,89 @@
+package cpcontrol
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadvice"
+	"github.com/clementineport/clementineport/cpowner"
+)
+
+// View is what the query path reads of the control state. It is immutable.
+type View struct {
+	// Revision is zero, and Config, Table and Targets are nil, until a configuration is known.
+	Revision clementineport.Revision
+	Config   *clementineport.Config
+	Table    *clementineport.Table
+	Targets  clementineport.TargetView
+	Self     clementineport.VMID
+	// Members holds this VM and all others that are known, sorted by id.
+	Members []clementineport.Member
+	// Owners and Deputies hold, for each target of Table, an index into Members or cpowner.NoMember.
+	Owners   []int32
+	Deputies []int32
+	Adviser  *cpadvice.Adviser
+	// Restored is the lower revision that the store answers with, or zero.
+	Restored clementineport.Revision
+}
+
+// Member returns a member, or nil.
+func (v *View) Member(id clementineport.VMID) *clementineport.Member {
+	at, found := slices.BinarySearchFunc(v.Members, id, func(m clementineport.Member, id clementineport.VMID) int {
+		return strings.Compare(string(m.ID), string(id))
+	})
+	if !found {
+		return nil
+	}
+	return &v.Members[at]
+}
+
+// Owner returns the owner of a target, or nil.
+func (v *View) Owner(t clementineport.TargetIndex) *clementineport.Member {
+	return v.at(v.Owners, t)
+}
+
+// Deputy returns the VM that is asked when the owner of a target does not answer, or nil.
+func (v *View) Deputy(t clementineport.TargetIndex) *clementineport.Member {
+	return v.at(v.Deputies, t)
+}
+
+func (v *View) at(indexes []int32, t clementineport.TargetIndex) *clementineport.Member {
+	if t < 0 || int(t) >= len(indexes) || indexes[t] == cpowner.NoMember {
+		return nil
+	}
+	return &v.Members[indexes[t]]
+}
+
+// SelfOut reports whether operators have taken this VM or its failure domain out of service.
+func (v *View) SelfOut() bool {
+	m := v.Member(v.Self)
+	return m != nil && v.Table != nil && cpowner.IsOut(&m.VM, &v.Table.Out)
+}
+
+// Row is what an operator sees of one VM.
+type Row struct {
+	VM       clementineport.VM
+	Start    clementineport.StartID
+	State    clementineport.MemberState
+	Revision clementineport.Revision
+	// Confirmed is true when the VM has said that the revision in force here is in force there.
+	Confirmed bool
+	Out       bool
+	// Answered is the time since the VM last answered this one; it is negative if it never has.
+	Answered time.Duration
+}
+
+// Status is what an operator sees of the control state of one VM.
+type Status struct {
+	Revision clementineport.Revision
+	// Fresh is the time since the revision was last known to be the newest accepted.
+	Fresh time.Duration
+	// Contact is the time since the store or a peer last answered.
+	Contact  time.Duration
+	Watcher  bool
+	Restored clementineport.Revision
+	Health   int
+	Rows     []Row
+}
--- /dev/null
+++ b/cpmember/cpmember.go
@@ -0,0 +1,380 @@
+// Package cpmember decides which entry VMs are alive, and whom to ask next.
+//
+// It is a membership protocol of the SWIM family as a pure state machine: exchanges, failures, the
+// platform's list and the time in, exchanges to make out. It makes no calls and starts no goroutines.
+// No promise about a request may rest on what it believes.
+package cpmember
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Action asks for an exchange with a peer. Its result is given to Reached or Failed.
+type Action struct {
+	Peer    clementineport.VM
+	Timeout time.Duration
+	// Began is the time of the decision; it goes back with the result.
+	Began time.Time
+}
+
+// Membership is one VM's view of the others. It is not safe for concurrent use.
+type Membership struct {
+	options Options
+	self    clementineport.Member
+	rand    *rand.Rand
+	health  health
+	bucket  bucket
+
+	peers   []*peer // sorted by id
+	byID    map[clementineport.VMID]*peer
+	changed []*peer // peers with tellings left
+	suspect []*peer
+	urgent  []clementineport.VM
+
+	round    []clementineport.VMID
+	rounds   int
+	page     clementineport.VMID
+	sample   int
+	joined   bool
+	next     time.Time
+	nextDead time.Time
+	lastTick time.Time
+	version  uint64
+}
+
+// peer is another VM.
+type peer struct {
+	member clementineport.Member
+	hash   uint64
+	// known is false while the VM is only listed or claims to exist, and nobody has reached it.
+	known         bool
+	listed        bool
+	listedLeaving bool
+	failures      int
+	doubted       time.Time
+	answered      time.Time
+	deadline      time.Time
+	muted         time.Time
+	died          time.Time
+	tellings      int
+}
+
+// New returns the membership of a VM that knows nobody yet.
+func New(self clementineport.Member, opts ...Option) *Membership {
+	options := NewOptions(opts...)
+	self.State = clementineport.MemberAlive
+	self.Incarnation = 0
+	seed := xxhash.Sum64String(string(self.ID) + "/" + string(self.Start))
+	return &Membership{
+		options: options,
+		self:    self,
+		rand:    rand.New(rand.NewPCG(options.Seed, seed)),
+		health:  health{highest: options.HighestHealth},
+		bucket:  bucket{rate: options.UrgentPerSecond, burst: options.UrgentBurst},
+		byID:    map[clementineport.VMID]*peer{},
+		version: 1,
+	}
+}
+
+// Self returns what this VM says about itself.
+func (m *Membership) Self() clementineport.Member { return m.self }
+
+// Joined reports whether this VM has been told of the others.
+func (m *Membership) Joined() bool { return m.joined }
+
+// Version changes whenever Members would return something else.
+func (m *Membership) Version() uint64 { return m.version }
+
+// Health returns the local health score; zero is healthy.
+func (m *Membership) Health() int { return m.health.score }
+
+// Answered returns when the VM last answered an exchange of this VM, or the zero time.
+func (m *Membership) Answered(id clementineport.VMID) time.Time {
+	if p := m.byID[id]; p != nil {
+		return p.answered
+	}
+	return time.Time{}
+}
+
+// Members returns this VM and all others that are known, sorted by id.
+func (m *Membership) Members() []clementineport.Member {
+	members := make([]clementineport.Member, 0, len(m.peers)+1)
+	for _, p := range m.peers {
+		if p.known {
+			members = append(members, p.view())
+		}
+	}
+	at, _ := slices.BinarySearchFunc(members, m.self.ID, func(x clementineport.Member, id clementineport.VMID) int {
+		return strings.Compare(string(x.ID), string(id))
+	})
+	return slices.Insert(members, at, m.self)
+}
+
+// view returns the member as it is published: the platform's word that it leaves counts too.
+func (p *peer) view() clementineport.Member {
+	r := p.member
+	if p.listedLeaving && r.State <= clementineport.MemberSuspect {
+		r.State = clementineport.MemberLeaving
+	}
+	return r
+}
+
+// SetRevision records the revision in force at this VM.
+func (m *Membership) SetRevision(r clementineport.Revision) {
+	if m.self.Revision != r {
+		m.self.Revision = r
+		m.version++
+	}
+}
+
+// SetTicket records the ticket of this process.
+func (m *Membership) SetTicket(ticket string) {
+	if m.self.Ticket != ticket {
+		m.self.Ticket = ticket
+		m.announce()
+	}
+}
+
+// Leave records that this VM is shutting down and tells some peers at once.
+func (m *Membership) Leave() {
+	if m.self.State == clementineport.MemberLeaving {
+		return
+	}
+	m.self.State = clementineport.MemberLeaving
+	m.announce()
+	m.pushAll()
+}
+
+// announce makes what this VM says about itself newer than what others have heard.
+func (m *Membership) announce() {
+	m.version++
+	if m.joined {
+		m.self.Incarnation++
+	}
+}
+
+// pushAll asks for exchanges with as many peers as the burst allows.
+func (m *Membership) pushAll() {
+	for _, p := range m.pick(int(m.options.UrgentBurst)) {
+		m.push(p)
+	}
+}
+
+// Doubt asks for a probe of a VM that has failed to answer other calls.
+func (m *Membership) Doubt(now time.Time, id clementineport.VMID) {
+	p := m.byID[id]
+	if p == nil || now.Sub(p.doubted) < m.options.Period {
+		return
+	}
+	p.doubted = now
+	m.push(p)
+}
+
+// Tick returns the exchanges to make now. It is called several times a second.
+func (m *Membership) Tick(now time.Time) []Action {
+	m.noticePause(now)
+	m.expire(now)
+	m.reportCut(now)
+	var actions []Action
+	if m.next.IsZero() {
+		m.next, m.nextDead = now, now.Add(m.jitter(m.options.DeadPeriod))
+	}
+	if !now.Before(m.next) {
+		period := m.options.Period
+		if !m.joined {
+			period = m.options.JoinPeriod
+		}
+		m.next = now.Add(m.jitter(period))
+		if p := m.regular(); p != nil {
+			actions = append(actions, m.action(p.member.VM, now))
+		}
+	}
+	if !now.Before(m.nextDead) {
+		m.nextDead = now.Add(m.jitter(m.options.DeadPeriod))
+		m.forget(now)
+		if p := m.unreached(); p != nil {
+			m.push(p)
+		}
+	}
+	m.bucket.fill(now)
+	for len(m.urgent) > 0 && m.bucket.take() {
+		actions = append(actions, m.action(m.urgent[0], now))
+		m.urgent = m.urgent[1:]
+	}
+	return actions
+}
+
+func (m *Membership) action(vm clementineport.VM, now time.Time) Action {
+	return Action{Peer: vm, Timeout: m.health.timeout(m.options.ProbeTimeout), Began: now}
+}
+
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.9 + 0.2*m.rand.Float64()))
+}
+
+// noticePause raises the tolerance of a VM that was paused or starved, and gives suspects the time back.
+func (m *Membership) noticePause(now time.Time) {
+	gap := now.Sub(m.lastTick)
+	late := !m.lastTick.IsZero() && gap > m.options.PauseAfter
+	m.lastTick = now
+	if !late || m.options.HighestHealth == 0 {
+		return
+	}
+	m.health.paused(now, int(gap/m.options.PauseAfter))
+	for _, p := range m.suspect {
+		p.deadline = p.deadline.Add(gap)
+	}
+}
+
+// expire declares suspects dead whose time has run out.
+func (m *Membership) expire(now time.Time) {
+	for i := 0; i < len(m.suspect); {
+		p := m.suspect[i]
+		if now.Before(p.deadline) {
+			i++
+			continue
+		}
+		m.setState(p, clementineport.MemberDead, now)
+	}
+}
+
+// reportCut reports this VM as suspect while it hears others but reaches nobody.
+func (m *Membership) reportCut(now time.Time) {
+	cut := m.health.cut(now, m.options.CutAfter)
+	switch {
+	case cut && m.self.State == clementineport.MemberAlive:
+		m.self.State = clementineport.MemberSuspect
+		m.announce()
+	case !cut && m.self.State == clementineport.MemberSuspect:
+		m.self.State = clementineport.MemberAlive
+		m.announce()
+	}
+}
+
+// regular returns the peer of the next regular exchange. The successor in hash order and a random peer take
+// turns: every VM has one predecessor that probes it, and news spread along random pairs.
+func (m *Membership) regular() *peer {
+	if !m.joined {
+		return m.seed()
+	}
+	m.rounds++
+	if m.rounds%2 == 0 {
+		return m.successor()
+	}
+	for range 2 {
+		for len(m.round) > 0 {
+			p := m.byID[m.round[0]]
+			m.round = m.round[1:]
+			if p.answers() {
+				return p
+			}
+		}
+		m.shuffle()
+	}
+	return nil
+}
+
+// answers reports whether the peer is expected to answer.
+func (p *peer) answers() bool {
+	return p != nil && p.known && p.member.State != clementineport.MemberDead &&
+		p.member.State != clementineport.MemberSuspect
+}
+
+func (m *Membership) shuffle() {
+	m.round = m.round[:0]
+	for _, p := range m.peers {
+		if p.answers() {
+			m.round = append(m.round, p.member.ID)
+		}
+	}
+	m.rand.Shuffle(len(m.round), func(i, j int) { m.round[i], m.round[j] = m.round[j], m.round[i] })
+}
+
+func (m *Membership) successor() *peer {
+	own := xxhash.Sum64String(string(m.self.ID))
+	var best *peer
+	for _, p := range m.peers {
+		if p.answers() && (best == nil || p.hash-own < best.hash-own) {
+			best = p
+		}
+	}
+	return best
+}
+
+// seed returns a peer to join through.
+func (m *Membership) seed() *peer {
+	if len(m.peers) == 0 {
+		return nil
+	}
+	start := m.rand.IntN(len(m.peers))
+	for i := range m.peers {
+		p := m.peers[(start+i)%len(m.peers)]
+		if p.failures == 0 && p.member.State != clementineport.MemberDead {
+			return p
+		}
+	}
+	return m.peers[start]
+}
+
+// unreached returns a peer that is dead or has never been reached.
+func (m *Membership) unreached() *peer {
+	if len(m.peers) == 0 {
+		return nil
+	}
+	start := m.rand.IntN(len(m.peers))
+	for i := range m.peers {
+		p := m.peers[(start+i)%len(m.peers)]
+		if !p.known || p.member.State == clementineport.MemberDead {
+			return p
+		}
+	}
+	return nil
+}
+
+// pick returns up to n random peers that are expected to answer.
+func (m *Membership) pick(n int) []*peer {
+	var picked []*peer
+	if len(m.peers) == 0 {
+		return nil
+	}
+	for _, i := range m.rand.Perm(len(m.peers)) {
+		if len(picked) == n {
+			break
+		}
+		if m.peers[i].answers() {
+			picked = append(picked, m.peers[i])
+		}
+	}
+	return picked
+}
+
+// push asks for an exchange beyond the regular ones.
+func (m *Membership) push(p *peer) {
+	queued := slices.ContainsFunc(m.urgent, func(vm clementineport.VM) bool { return vm.ID == p.member.ID })
+	if !queued && len(m.urgent) < 4*int(m.options.UrgentBurst) {
+		m.urgent = append(m.urgent, p.member.VM)
+	}
+}
+
+// forget drops dead VMs and claims that the platform does not list.
+func (m *Membership) forget(now time.Time) {
+	kept := m.peers[:0]
+	for _, p := range m.peers {
+		gone := !p.known || p.member.State == clementineport.MemberDead
+		if gone && !p.listed && now.Sub(p.died) > m.options.Forget {
+			delete(m.byID, p.member.ID)
+			m.version++
+			continue
+		}
+		kept = append(kept, p)
+	}
+	clear(m.peers[len(kept):])
+	m.peers = kept
+}
--- /dev/null
+++ b/cpowner/cpowner.go
@@ -0,0 +1,300 @@
+// Package cpowner decides which VM owns each target, and which VM is its deputy.
+//
+// The decision is a pure function of the table and the members; the Assigner only caches scores.
+// The package makes no calls, reads no clock and keeps no promise about requests: two VMs with
+// different views may both believe that they own a target.
+package cpowner
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementineport/clementineport"
+)
+
+// NoMember is the index of no member.
+const NoMember int32 = -1
+
+// Assignment holds, for each target of a table, the indexes of its owner and deputy in a member list.
+type Assignment struct {
+	Owners   []int32
+	Deputies []int32
+}
+
+// Assigner assigns owners to targets. It is not safe for concurrent use.
+type Assigner struct {
+	options Options
+	table   *clementineport.Table
+	hashes  []uint64
+	domains map[clementineport.FailureDomain][]int32
+	vms     []vm
+	byID    map[clementineport.VMID]int32
+	best    []pair
+}
+
+// vm is a VM that was eligible at some time since the last rebuild.
+type vm struct {
+	id       clementineport.VMID
+	domain   clementineport.FailureDomain
+	hash     uint64
+	eligible bool
+	member   int32
+}
+
+// pair holds the two best VMs of a target, as positions in Assigner.vms.
+type pair struct {
+	owner, deputy           int32
+	ownerScore, deputyScore uint64
+}
+
+var noPair = pair{owner: NoMember, deputy: NoMember}
+
+// New returns an Assigner.
+func New(opts ...Option) *Assigner {
+	return &Assigner{options: NewOptions(opts...)}
+}
+
+// Eligible reports whether a member may own targets.
+func Eligible(m *clementineport.Member, out *clementineport.Out) bool {
+	if m.State != clementineport.MemberAlive && m.State != clementineport.MemberSuspect {
+		return false
+	}
+	return !IsOut(&m.VM, out)
+}
+
+// IsOut reports whether operators have taken the VM or its failure domain out of service.
+func IsOut(v *clementineport.VM, out *clementineport.Out) bool {
+	for _, id := range out.VMs {
+		if id == v.ID {
+			return true
+		}
+	}
+	for _, d := range out.Domains {
+		if d == v.Domain {
+			return true
+		}
+	}
+	return false
+}
+
+// Assign returns the owner and deputy of every target of the table.
+func (a *Assigner) Assign(table *clementineport.Table, members []clementineport.Member) Assignment {
+	joined, left := a.update(table, members)
+	changed := float64(len(joined) + len(left))
+	switch {
+	case a.table != table || changed > a.options.RebuildShare*float64(len(a.vms)):
+		a.rebuild(table, members)
+	case changed > 0:
+		a.change(joined, left)
+	}
+	return a.assignment()
+}
+
+// update records which VMs are eligible now, and returns the positions of those that joined and left.
+func (a *Assigner) update(table *clementineport.Table, members []clementineport.Member) (joined, left []int32) {
+	if a.table == nil {
+		a.byID = map[clementineport.VMID]int32{}
+	}
+	seen := make([]bool, len(a.vms), len(a.vms)+len(members))
+	for i := range members {
+		m := &members[i]
+		if !Eligible(m, &table.Out) {
+			continue
+		}
+		at, known := a.byID[m.ID]
+		if known && a.vms[at].domain != m.Domain {
+			a.byID[m.ID] = int32(len(a.vms))
+			known = false
+		}
+		if !known {
+			at = int32(len(a.vms))
+			a.byID[m.ID] = at
+			a.vms = append(a.vms, vm{id: m.ID, domain: m.Domain, hash: xxhash.Sum64String(string(m.ID))})
+			seen = append(seen, false)
+		}
+		v := &a.vms[at]
+		if !v.eligible {
+			joined = append(joined, at)
+		}
+		v.eligible, v.member = true, int32(i)
+		seen[at] = true
+	}
+	for at := range a.vms {
+		if a.vms[at].eligible && !seen[at] {
+			a.vms[at].eligible = false
+			left = append(left, int32(at))
+		}
+	}
+	return joined, left
+}
+
+func (a *Assigner) rebuild(table *clementineport.Table, members []clementineport.Member) {
+	if a.table != table {
+		a.hashes = make([]uint64, len(table.Targets))
+		for t := range table.Targets {
+			a.hashes[t] = xxhash.Sum64String(string(table.Targets[t].ID))
+		}
+		a.best = make([]pair, len(table.Targets))
+		a.table = table
+	}
+	a.vms = nil
+	clear(a.byID)
+	a.update(table, members)
+	a.group()
+	for t := range a.best {
+		a.choose(t)
+	}
+}
+
+// group lists the eligible VMs of each failure domain, and all of them under the empty domain.
+func (a *Assigner) group() {
+	a.domains = map[clementineport.FailureDomain][]int32{}
+	for at := range a.vms {
+		if !a.vms[at].eligible {
+			continue
+		}
+		d := a.vms[at].domain
+		if d != "" {
+			a.domains[d] = append(a.domains[d], int32(at))
+		}
+		a.domains[""] = append(a.domains[""], int32(at))
+	}
+}
+
+// change chooses anew for the targets that the joined and left VMs concern.
+func (a *Assigner) change(joined, left []int32) {
+	before := a.domains
+	a.group()
+	gone := make(map[int32]bool, len(left))
+	for _, at := range left {
+		gone[at] = true
+	}
+	for t := range a.best {
+		d := a.table.Targets[t].Domain
+		p := &a.best[t]
+		if len(before[d]) == 0 || len(a.domains[d]) == 0 || gone[p.owner] || gone[p.deputy] {
+			a.choose(t)
+			continue
+		}
+		for _, at := range joined {
+			if a.vms[at].domain == d {
+				p.offer(at, score(a.hashes[t], a.vms[at].hash))
+			} else if p.deputy == NoMember {
+				a.choose(t)
+				break
+			}
+		}
+	}
+}
+
+// choose finds the owner and deputy of one target; a domain with a single VM gets its deputy from elsewhere.
+func (a *Assigner) choose(t int) {
+	p := noPair
+	own := a.domains[a.table.Targets[t].Domain]
+	for _, at := range own {
+		p.offer(at, score(a.hashes[t], a.vms[at].hash))
+	}
+	if len(own) < 2 {
+		p = a.chooseElsewhere(t, p)
+	}
+	a.best[t] = p
+}
+
+func (a *Assigner) chooseElsewhere(t int, own pair) pair {
+	all := noPair
+	for _, at := range a.domains[""] {
+		if at != own.owner {
+			all.offer(at, score(a.hashes[t], a.vms[at].hash))
+		}
+	}
+	if own.owner == NoMember {
+		return all
+	}
+	own.deputy, own.deputyScore = all.owner, all.ownerScore
+	return own
+}
+
+func (p *pair) offer(at int32, s uint64) {
+	switch {
+	case p.owner == NoMember || s > p.ownerScore:
+		p.deputy, p.deputyScore = p.owner, p.ownerScore
+		p.owner, p.ownerScore = at, s
+	case p.deputy == NoMember || s > p.deputyScore:
+		p.deputy, p.deputyScore = at, s
+	}
+}
+
+func (a *Assigner) assignment() Assignment {
+	owners := make([]int32, 2*len(a.best))
+	r := Assignment{Owners: owners[:len(a.best)], Deputies: owners[len(a.best):]}
+	for t := range a.best {
+		r.Owners[t] = a.member(a.best[t].owner)
+		r.Deputies[t] = a.member(a.best[t].deputy)
+	}
+	return r
+}
+
+func (a *Assigner) member(at int32) int32 {
+	if at == NoMember {
+		return NoMember
+	}
+	return a.vms[at].member
+}
+
+// score mixes the hashes of a target and a VM into a rendezvous score.
+func score(target, vm uint64) uint64 {
+	x := target ^ vm*0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// Rank returns the n eligible members with the highest rendezvous scores for a key, best first.
+func Rank(key string, members []clementineport.Member, n int, eligible func(*clementineport.Member) bool) []int32 {
+	h := xxhash.Sum64String(key)
+	ranks := make([]int32, 0, n)
+	scores := make([]uint64, 0, n)
+	for i := range members {
+		if !eligible(&members[i]) {
+			continue
+		}
+		s := score(h, xxhash.Sum64String(string(members[i].ID)))
+		at := len(scores)
+		for at > 0 && scores[at-1] < s {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		if len(scores) == n {
+			ranks, scores = ranks[:n-1], scores[:n-1]
+		}
+		ranks = append(ranks[:at], append([]int32{int32(i)}, ranks[at:]...)...)
+		scores = append(scores[:at], append([]uint64{s}, scores[at:]...)...)
+	}
+	return ranks
+}
+
+// Spread returns how far the busiest owner is above the mean, as a share of the mean.
+func (r *Assignment) Spread(members int) float64 {
+	counts := make([]int, members)
+	total := 0
+	for _, m := range r.Owners {
+		if m != NoMember {
+			counts[m]++
+			total++
+		}
+	}
+	highest, owners := 0, 0
+	for _, n := range counts {
+		highest = max(highest, n)
+		owners += min(n, 1)
+	}
+	if owners == 0 {
+		return 0
+	}
+	return math.Max(0, float64(highest*owners)/float64(total)-1)
+}
--- /dev/null
+++ b/cpspread/cpspread.go
@@ -0,0 +1,378 @@
+// Package cpspread decides how one VM learns of configuration changes and passes them on.
+//
+// The machine is pure: members, results of calls and the time in, calls to make out. It keeps the rule
+// that the revision in force only rises, whatever the store or a peer says. It makes no calls itself.
+package cpspread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpowner"
+)
+
+// Kind is the kind of call that an Action asks for.
+type Kind uint8
+
+const (
+	// KindRead asks for a read of the store.
+	KindRead Kind = iota
+	// KindWatch asks for one watch of the store that waits until the version differs from Seen.
+	KindWatch
+	// KindFetch asks for the configuration of a peer.
+	KindFetch
+	// KindTell asks for an exchange with a peer, which learns of the revision by it.
+	KindTell
+	// KindRenew asks for an exchange with a peer to show that this VM is still connected.
+	KindRenew
+)
+
+var kindNames = [...]string{"read", "watch", "fetch", "tell", "renew"}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// Action is a call to make; its result is given to Stored, Fetched, Contact or Failed.
+type Action struct {
+	Kind    Kind
+	Peer    clementineport.VMID
+	Seen    uint64
+	Wait    time.Duration
+	Timeout time.Duration
+	Began   time.Time
+	// Round is the number of the watch; the result of an earlier one is ignored.
+	Round uint64
+}
+
+// Verdict says what became of a configuration that was offered.
+type Verdict uint8
+
+const (
+	// VerdictSame means that the revision is already in force.
+	VerdictSame Verdict = iota
+	// VerdictNewer means that the configuration is now in force.
+	VerdictNewer
+	// VerdictLower means that the revision is lower than the one in force and was refused.
+	VerdictLower
+)
+
+// Spread is the state machine of one VM. It is not safe for concurrent use.
+type Spread struct {
+	options Options
+	self    clementineport.VMID
+	rand    *rand.Rand
+	members []clementineport.Member
+	watcher bool
+
+	revision clementineport.Revision
+	since    time.Time // when revision came in force
+	version  uint64    // of the store's item
+	fetching clementineport.VMID
+	wanted   map[clementineport.VMID]clementineport.Revision
+	pending  []Action
+
+	watching  bool
+	round     uint64
+	nextWatch time.Time
+	watchWait time.Duration
+	reading   bool
+	nextRead  time.Time
+	readWait  time.Duration
+	nextRenew time.Time
+	// nextRenewRead is the earliest time of a read that renews contact.
+	nextRenewRead time.Time
+
+	contact  time.Time
+	fresh    time.Time
+	alone    bool
+	restored clementineport.Revision
+	missed   int
+}
+
+// New returns the machine of a VM without a configuration.
+func New(self clementineport.VMID, opts ...Option) *Spread {
+	options := NewOptions(opts...)
+	return &Spread{
+		options: options,
+		self:    self,
+		rand:    rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(string(self)))),
+		wanted:  map[clementineport.VMID]clementineport.Revision{},
+	}
+}
+
+// Revision returns the revision in force.
+func (s *Spread) Revision() clementineport.Revision { return s.revision }
+
+// Watcher reports whether this VM watches the store.
+func (s *Spread) Watcher() bool { return s.watcher }
+
+// Contact returns when the store or a peer last answered; the time is that of the question.
+func (s *Spread) Contact() time.Time { return s.contact }
+
+// Fresh returns the last time at which the revision in force is known to have been the newest accepted.
+func (s *Spread) Fresh() time.Time { return s.fresh }
+
+// Restored returns the lower revision with which the store has answered a question that was asked
+// after the revision in force was known, or zero.
+func (s *Spread) Restored() clementineport.Revision { return s.restored }
+
+// Missed returns how many revisions a safety read found that a running watch had not reported.
+func (s *Spread) Missed() int { return s.missed }
+
+// Alone reports whether this VM has never known of another one.
+func (s *Spread) Alone() bool { return s.alone }
+
+// SetMembers takes the members, this VM included, and chooses the watchers of its failure domain;
+// everListed is the highest number of VMs that the platform has listed at once.
+func (s *Spread) SetMembers(members []clementineport.Member, everListed int) {
+	s.members = members
+	s.alone = everListed == 1 && len(members) <= 1
+	var own clementineport.FailureDomain
+	for i := range members {
+		if members[i].ID == s.self {
+			own = members[i].Domain
+		}
+	}
+	s.watcher = false
+	for _, i := range cpowner.Rank("watch", members, s.options.Watchers, func(m *clementineport.Member) bool {
+		return m.Domain == own && m.State == clementineport.MemberAlive
+	}) {
+		s.watcher = s.watcher || members[i].ID == s.self
+	}
+}
+
+// Tick returns the calls to make now.
+func (s *Spread) Tick(now time.Time) []Action {
+	actions := s.pending
+	s.pending = nil
+	if s.nextRead.IsZero() {
+		s.nextRead = now
+	}
+	if s.options.ReadPeriod > 0 && !s.reading && !now.Before(s.nextRead) {
+		s.reading = true
+		actions = append(actions, s.read(now))
+	}
+	if s.watcher && !s.watching && !now.Before(s.nextWatch) {
+		s.watching = true
+		s.round++
+		actions = append(actions, s.watch(now))
+	}
+	return append(actions, s.renew(now)...)
+}
+
+func (s *Spread) watch(now time.Time) Action {
+	return Action{
+		Kind:    KindWatch,
+		Seen:    s.version,
+		Wait:    s.options.WatchWait,
+		Timeout: s.options.WatchWait + s.options.WatchGrace,
+		Began:   now,
+		Round:   s.round,
+	}
+}
+
+// renew asks two more peers when the regular exchanges have not been answered for a while,
+// and the store when there are none or they don't answer either.
+func (s *Spread) renew(now time.Time) []Action {
+	age := now.Sub(s.contact)
+	if s.alone || age < s.options.RenewAfter || now.Before(s.nextRenew) {
+		return nil
+	}
+	s.nextRenew = now.Add(s.options.RenewPeriod)
+	actions := s.ask(KindRenew, 2, now)
+	silent := len(actions) == 0 || age >= s.options.RenewAfter+2*s.options.RenewPeriod
+	if silent && !s.reading && s.options.ReadPeriod > 0 && !now.Before(s.nextRenewRead) {
+		s.reading = true
+		actions = append(actions, s.read(now))
+	}
+	return actions
+}
+
+func (s *Spread) read(now time.Time) Action {
+	return Action{Kind: KindRead, Timeout: s.options.ReadTimeout, Began: now}
+}
+
+// ask returns exchanges with up to n random live peers that are not known to have the revision in force.
+func (s *Spread) ask(kind Kind, n int, now time.Time) []Action {
+	var actions []Action
+	for _, i := range s.rand.Perm(len(s.members)) {
+		m := &s.members[i]
+		if len(actions) == n {
+			break
+		}
+		if m.ID == s.self || m.State != clementineport.MemberAlive {
+			continue
+		}
+		if kind == KindTell && m.Revision >= s.revision {
+			continue
+		}
+		actions = append(actions, Action{Kind: kind, Peer: m.ID, Timeout: s.options.ReadTimeout, Began: now})
+	}
+	return actions
+}
+
+// Chase asks up to n peers that have not confirmed the revision in force.
+func (s *Spread) Chase(now time.Time, n int) {
+	s.pending = append(s.pending, s.ask(KindTell, n, now)...)
+}
+
+// Accept takes a configuration from anywhere; a newer one is told to peers at once.
+func (s *Spread) Accept(now time.Time, r clementineport.Revision) Verdict {
+	switch {
+	case r == s.revision:
+		return VerdictSame
+	case r < s.revision:
+		return VerdictLower
+	}
+	s.revision, s.since = r, now
+	for id, wanted := range s.wanted {
+		if wanted <= r {
+			delete(s.wanted, id)
+		}
+	}
+	s.pending = append(s.pending, s.ask(KindTell, s.options.FanOut, now)...)
+	return VerdictNewer
+}
+
+// Stored takes the store's answer to a read or watch that this VM began.
+func (s *Spread) Stored(now time.Time, a Action, version uint64, r clementineport.Revision) Verdict {
+	s.Contacted(a.Began)
+	before := s.revision
+	s.version = max(s.version, version)
+	if r < before {
+		s.version = version
+	}
+	verdict := s.Accept(now, r)
+	switch {
+	case verdict != VerdictLower:
+		s.restored = 0
+		s.fresh = later(s.fresh, a.Began)
+	case a.Began.After(s.since):
+		s.restored = r
+	}
+	s.finish(now, a)
+	if a.Kind == KindRead && verdict == VerdictNewer && s.watching && before > 0 {
+		s.missed++
+		s.watching, s.nextWatch = false, now
+	}
+	return verdict
+}
+
+// finish schedules the next call of the kind after an answer.
+func (s *Spread) finish(now time.Time, a Action) {
+	switch {
+	case a.Kind == KindRead:
+		s.reading, s.readWait = false, 0
+		s.nextRead = now.Add(s.readPeriod())
+	case a.Round == s.round:
+		s.watching, s.watchWait = false, 0
+		s.nextWatch = now.Add(s.jitter(s.options.LeastBackoff / 10))
+	}
+}
+
+// readPeriod grows with the fleet, so that the fleet's reads do not.
+func (s *Spread) readPeriod() time.Duration {
+	scale := max(1, float64(len(s.members))/float64(s.options.ReadFleet))
+	return s.jitter(time.Duration(float64(s.options.ReadPeriod) * scale))
+}
+
+func (s *Spread) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + s.rand.Float64()))
+}
+
+// Failed takes a call that was not answered.
+func (s *Spread) Failed(now time.Time, a Action) {
+	switch a.Kind {
+	case KindRead:
+		s.reading = false
+		s.readWait = s.backoff(s.readWait)
+		s.nextRead = now.Add(s.readWait)
+		s.nextRenewRead = s.nextRead
+		if s.revision > 0 {
+			s.nextRead = now.Add(max(s.readWait, s.readPeriod()))
+		}
+	case KindWatch:
+		if a.Round == s.round {
+			s.watching = false
+			s.watchWait = s.backoff(s.watchWait)
+			s.nextWatch = now.Add(s.watchWait)
+		}
+	case KindFetch:
+		s.fetched(now, a.Peer)
+	}
+}
+
+// backoff returns a random wait that grows up to the bound, so that calls after an outage are spread out.
+func (s *Spread) backoff(last time.Duration) time.Duration {
+	least := s.options.LeastBackoff
+	most := min(s.options.MostBackoff, 3*max(last, least))
+	return least + time.Duration(s.rand.Int64N(int64(most-least)+1))
+}
+
+// Seen takes the revision that a call from or to a peer carried.
+func (s *Spread) Seen(now time.Time, from clementineport.VMID, r clementineport.Revision) {
+	if r <= s.revision || from == s.self {
+		return
+	}
+	s.wanted[from] = max(s.wanted[from], r)
+	s.fetch(now)
+}
+
+// fetch asks the peer with the highest announced revision, one at a time.
+func (s *Spread) fetch(now time.Time) {
+	if s.fetching != "" {
+		return
+	}
+	var best clementineport.VMID
+	for id, r := range s.wanted {
+		if best == "" || r > s.wanted[best] || r == s.wanted[best] && id < best {
+			best = id
+		}
+	}
+	if best == "" {
+		return
+	}
+	s.fetching = best
+	s.pending = append(s.pending, Action{Kind: KindFetch, Peer: best, Timeout: s.options.ReadTimeout, Began: now})
+}
+
+// fetched ends a fetch and starts the next one if a higher revision is still wanted.
+func (s *Spread) fetched(now time.Time, peer clementineport.VMID) {
+	s.fetching = ""
+	delete(s.wanted, peer)
+	s.fetch(now)
+}
+
+// Fetched takes a peer's configuration; a zero revision means that the peer had nothing newer.
+func (s *Spread) Fetched(now time.Time, a Action, r clementineport.Revision) Verdict {
+	s.Contacted(a.Began)
+	verdict := VerdictSame
+	if r > 0 {
+		verdict = s.Accept(now, r)
+	}
+	s.fetched(now, a.Peer)
+	return verdict
+}
+
+// Contacted records that the store or a peer answered a question that was asked at began.
+// Calls by others do not count: after a pause they may have waited in a buffer.
+func (s *Spread) Contacted(began time.Time) {
+	s.contact = later(s.contact, began)
+}
+
+// Freshness takes how long before began a peer with the same revision knew that it was the newest.
+func (s *Spread) Freshness(began time.Time, r clementineport.Revision, age time.Duration) {
+	if r == s.revision && r > 0 && age >= 0 {
+		s.fresh = later(s.fresh, began.Add(-age))
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if y.After(x) {
+		return y
+	}
+	return x
+}
