--- a/cpapi/errors.go
+++ b/cpapi/errors.go
@@ -21,6 +21,8 @@
 	switch f {
 	case clementineport.FaultInvalid:
 		return http.StatusBadRequest
+	case clementineport.FaultNotFound:
+		return http.StatusNotFound
 	case clementineport.FaultShed:
 		return http.StatusTooManyRequests
 	case clementineport.FaultDraining, clementineport.FaultStale, clementineport.FaultUnavailable,
--- a/cpcaller/cpcaller.go
+++ b/cpcaller/cpcaller.go
@@ -202,5 +202,5 @@
 	if ticket == "" {
 		return clementineport.RequestID(c.opts.Unique())
 	}
-	return clementineport.RequestID(ticket + "-" + c.opts.Unique())
+	return clementineport.RequestID(ticket + "." + c.opts.Unique())
 }
--- /dev/null
+++ b/cpentry/cpentry.go
@@ -0,0 +1,184 @@
+// Package cpentry runs queries on one VM: it admits a query, chooses its snapshot, runs its state machine
+// and answers. The decisions are made in cpadmit, cpsnapshot, cpgather and cponce; this package joins them.
+package cpentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpapi"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpscatter"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// Entry runs the queries of one VM.
+type Entry struct {
+	opts      Options
+	snapshots *cpsnapshot.Cache
+	prober    *prober
+	explained *explanations
+	metrics   *queryMetrics
+	inFlight  atomic.Int64
+}
+
+// New returns an Entry.
+func New(opts ...Option) *Entry {
+	o := newOptions(opts)
+	e := &Entry{
+		opts:      o,
+		snapshots: cpsnapshot.NewCache(cpsnapshot.New(), defaultChoiceLife),
+		explained: newExplanations(o.Explained),
+		metrics:   newQueryMetrics(o.Metrics),
+	}
+	e.opts.Gather.Choose = e.snapshots.Choose
+	e.prober = newProber(o.Clock, o.ProbeInterval)
+	return e
+}
+
+// InFlight returns the number of queries and relays in progress.
+func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
+
+// Ready implements cpapi.Service.
+func (e *Entry) Ready() error {
+	if err := e.opts.Admit(); err != nil {
+		return err
+	}
+	if err := e.opts.Control.MaySend(); err != nil {
+		return err
+	}
+	if e.opts.Control.View().Table == nil {
+		return clementineport.Fail(clementineport.FaultUnavailable, "no configuration is known yet")
+	}
+	return nil
+}
+
+// Entries implements cpapi.Service.
+func (e *Entry) Entries(caller string, domain clementineport.FailureDomain) ([]cpapi.Entry, time.Duration, clementineport.Revision) {
+	view := e.opts.Control.View()
+	advice := advise(view, caller, domain, e.opts.Clock.Now())
+	entries := make([]cpapi.Entry, len(advice.Entries))
+	for i, entry := range advice.Entries {
+		entries[i] = cpapi.Entry(entry)
+	}
+	return entries, advice.Life, view.Revision
+}
+
+// Query implements cpapi.Service.
+func (e *Entry) Query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	ctx, end := e.opts.Tracer.Start(ctx, "query", attribute.String("service", string(q.Service)))
+	answer, err := e.query(ctx, q)
+	end(err)
+	e.metrics.answered(q.Service, answer, err)
+	return answer, err
+}
+
+func (e *Entry) query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	if err := e.opts.Admit(); err != nil {
+		return nil, err
+	}
+	if q.Idempotent {
+		return e.run(ctx, q)
+	}
+	return e.runOnce(ctx, q, true)
+}
+
+// run runs a query on this VM.
+func (e *Entry) run(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	if err := e.opts.Control.MaySend(); err != nil {
+		return nil, err
+	}
+	view := e.opts.Control.View()
+	service, err := lookup(view, q)
+	if err != nil {
+		return nil, err
+	}
+	if latest := e.opts.Clock.Now().Add(service.Service.Deadline); q.Deadline.After(latest) {
+		q.Deadline = latest
+	}
+	if q.Policy == BaselinePolicy {
+		return e.runBaseline(ctx, q, view, service)
+	}
+	done, err := e.opts.Admitter.Admit(ctx, &service.Service, q)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := e.gather(ctx, q, view, service)
+	done(answer)
+	return answer, err
+}
+
+func lookup(view *cpcontrol.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
+	if view.Table == nil {
+		return nil, clementineport.Fail(clementineport.FaultUnavailable, "no configuration is known yet")
+	}
+	service := view.Table.Services[q.Service]
+	if service == nil {
+		return nil, clementineport.Fail(clementineport.FaultNotFound, "service %q does not exist", q.Service)
+	}
+	return service, nil
+}
+
+func (e *Entry) gather(
+	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
+) (*clementineport.Answer, error) {
+	router := &router{view: view, peers: e.opts.Peers}
+	choice, err := e.choose(ctx, q, view, service, router)
+	if err != nil {
+		return nil, err
+	}
+	machine := cpgather.NewWith(cpgather.Plan{
+		Query:   q,
+		Service: service,
+		View:    view.Targets,
+		Targets: view.Table.Targets,
+		Choice:  choice,
+		Home:    e.opts.Self.Domain,
+	}, e.opts.Gather)
+	answer, err := cpscatter.Run(ctx, e.opts.Clock, machine, cpscatter.SendFunc(
+		func(ctx context.Context, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+			e.opts.Sender.Send(ctx, router, calls, deliver)
+		},
+	))
+	e.explained.add(machine.Trace())
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// choose chooses the snapshot; when nothing is known it asks some targets first.
+func (e *Entry) choose(
+	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
+) (cpsnapshot.Choice, error) {
+	choice, ok := e.snapshots.Choose(service, view.Targets, e.opts.Clock.Now())
+	if !ok || choice.Probe {
+		probed := e.prober.start(service, func() { e.probe(q, view, service, router) })
+		if !ok {
+			wait(ctx, probed)
+			choice, ok = e.snapshots.Choose(service, view.Targets, e.opts.Clock.Now())
+		}
+	}
+	if !ok {
+		return choice, &clementineport.Error{
+			Fault:      clementineport.FaultUnavailable,
+			Reason:     "no usable target has said which snapshots it holds",
+			RetryAfter: e.opts.ProbeInterval,
+		}
+	}
+	return choice, nil
+}
+
+func wait(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cpentry/once.go
@@ -0,0 +1,70 @@
+package cpentry
+
+import (
+	"context"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cponce"
+)
+
+// runOnce runs a non-idempotent query if this process may, or hands it to the one that may.
+func (e *Entry) runOnce(ctx context.Context, q *clementineport.Query, mayForward bool) (*clementineport.Answer, error) {
+	d := e.opts.Once.Begin(e.opts.Clock.Now(), q.Request)
+	switch d.Kind {
+	case cponce.Run:
+		// The run goes on when the caller disconnects, since a resend may join it.
+		answer, err := e.run(context.WithoutCancel(ctx), q)
+		e.opts.Once.End(q.Request, answer, err)
+		return answer, err
+	case cponce.Join:
+		return join(ctx, d.Pending)
+	case cponce.Done:
+		return d.Answer, d.Err
+	case cponce.Elsewhere:
+		if !mayForward {
+			return nil, clementineport.Fail(clementineport.FaultDuplicate, "the process of this request id is another one")
+		}
+		return e.forward(ctx, q, d.Start)
+	default:
+		return nil, d.Err
+	}
+}
+
+func join(ctx context.Context, pending *cponce.Pending) (*clementineport.Answer, error) {
+	select {
+	case <-pending.Done():
+		return pending.Outcome()
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultTimeout, "the first run of this request has not ended")
+	}
+}
+
+// forward hands a query to the process with a start id. A failure says nothing about earlier sends of the
+// same request, so the verdict is that it may have run.
+func (e *Entry) forward(ctx context.Context, q *clementineport.Query, start clementineport.StartID) (*clementineport.Answer, error) {
+	view := e.opts.Control.View()
+	for i := range view.Members {
+		m := &view.Members[i]
+		if m.Start != start {
+			continue
+		}
+		e.metrics.Forwarded.Inc()
+		answer, err := e.opts.Peers.Get(m.VM).Forward(ctx, q)
+		if err != nil && forwardLost(err) {
+			return nil, &clementineport.Error{Fault: clementineport.FaultDuplicate, Reason: "the process of this request id does not answer", Err: err}
+		}
+		return answer, err
+	}
+	return nil, clementineport.Fail(clementineport.FaultDuplicate, "the process of this request id is gone")
+}
+
+// forwardLost reports whether the process did not answer at all, as opposed to refusing.
+func forwardLost(err error) bool {
+	switch clementineport.FaultOf(err) {
+	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset, clementineport.FaultUnknown,
+		clementineport.FaultUnauthorized, clementineport.FaultDeadline:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/cpentry/options.go
@@ -0,0 +1,113 @@
+package cpentry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cponce"
+	"github.com/clementineport/clementineport/cprelay"
+	"github.com/clementineport/clementineport/cptrace"
+)
+
+// Defaults of Options.
+const (
+	defaultProbeInterval = time.Second
+	defaultProbeTimeout  = time.Second
+	defaultProbeTargets  = 64
+	defaultChoiceLife    = 20 * time.Millisecond
+	defaultExplained     = 1024
+	defaultStaleRetry    = 500 * time.Millisecond
+)
+
+// Control is the part of the control state that queries use.
+type Control interface {
+	View() *cpcontrol.View
+	MaySend() error
+	Seen(r clementineport.Revision, from clementineport.VMID)
+}
+
+// Options are the parts and settings of an Entry.
+type Options struct {
+	Clock    clementineport.Clock
+	Self     clementineport.VM
+	Control  Control
+	Sender   *cprelay.Sender
+	Owner    cprelay.Relayer
+	Peers    *Peers
+	Admitter clementineport.Admitter
+	Once     *cponce.Registry
+	Gather   cpgather.Options
+	Tracer   *cptrace.Tracer
+	Metrics  *metrics.Set
+	// Admit refuses callers' queries while this VM is leaving or taken out.
+	Admit func() error
+	// Baseline is the policy that queries can ask for to be compared with; nil allows none.
+	Baseline *Baseline
+	// ProbeInterval is the least time between two probes of one service.
+	ProbeInterval time.Duration
+	// ProbeTargets is the most targets that one probe asks.
+	ProbeTargets int
+	// Explained is the number of recent queries that can be explained.
+	Explained int
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithSelf describes this VM.
+func WithSelf(vm clementineport.VM) Option { return func(o *Options) { o.Self = vm } }
+
+// WithControl sets the control state.
+func WithControl(c Control) Option { return func(o *Options) { o.Control = c } }
+
+// WithRelay sets how calls are sent to owners, and how calls to this VM's own targets are made.
+func WithRelay(s *cprelay.Sender, owner cprelay.Relayer) Option {
+	return func(o *Options) { o.Sender, o.Owner = s, owner }
+}
+
+// WithPeers sets the connections to other VMs.
+func WithPeers(p *Peers) Option { return func(o *Options) { o.Peers = p } }
+
+// WithAdmitter sets what decides which queries start.
+func WithAdmitter(a clementineport.Admitter) Option { return func(o *Options) { o.Admitter = a } }
+
+// WithOnce sets what remembers non-idempotent requests.
+func WithOnce(r *cponce.Registry) Option { return func(o *Options) { o.Once = r } }
+
+// WithGather sets the options of the state machine of a query.
+func WithGather(g cpgather.Options) Option { return func(o *Options) { o.Gather = g } }
+
+// WithTracer sets the tracer.
+func WithTracer(t *cptrace.Tracer) Option { return func(o *Options) { o.Tracer = t } }
+
+// WithMetrics registers the counters in a set.
+func WithMetrics(set *metrics.Set) Option { return func(o *Options) { o.Metrics = set } }
+
+// WithAdmit sets what refuses callers' queries while this VM is leaving or taken out.
+func WithAdmit(admit func() error) Option { return func(o *Options) { o.Admit = admit } }
+
+// WithBaseline lets queries ask for the baseline policy.
+func WithBaseline(b *Baseline) Option { return func(o *Options) { o.Baseline = b } }
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Admit:         func() error { return nil },
+		ProbeInterval: defaultProbeInterval,
+		ProbeTargets:  defaultProbeTargets,
+		Explained:     defaultExplained,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
--- /dev/null
+++ b/cpentry/peerside.go
@@ -0,0 +1,33 @@
+package cpentry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Relay makes the calls of another VM's query to targets that this VM owns.
+func (e *Entry) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
+	if len(r.Calls) == 0 {
+		return nil
+	}
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	e.opts.Control.Seen(r.Revision, r.From)
+	ctx, end := e.opts.Tracer.Start(ctx, "relay", attribute.Int("calls", len(r.Calls)))
+	err := e.opts.Owner.Relay(ctx, r, deliver)
+	end(err)
+	return err
+}
+
+// Forward runs a non-idempotent query whose request id names this process.
+func (e *Entry) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	q.Idempotent = false
+	answer, err := e.runOnce(ctx, q, false)
+	e.metrics.answered(q.Service, answer, err)
+	return answer, err
+}
--- /dev/null
+++ b/cpentry/probe.go
@@ -0,0 +1,93 @@
+package cpentry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// prober runs at most one probe of a service at a time, and not too often.
+type prober struct {
+	clock    clementineport.Clock
+	interval time.Duration
+	mu       sync.Mutex
+	probes   map[clementineport.ServiceID]*probe
+	sequence uint64
+}
+
+type probe struct {
+	began time.Time
+	done  chan struct{}
+}
+
+func newProber(clock clementineport.Clock, interval time.Duration) *prober {
+	return &prober{clock: clock, interval: interval, probes: make(map[clementineport.ServiceID]*probe)}
+}
+
+// start runs f unless the service was probed shortly before; the channel closes when the probe ends.
+func (p *prober) start(service *clementineport.ServiceTable, f func()) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	name := service.Service.Name
+	if last := p.probes[name]; last != nil && now.Sub(last.began) < p.interval {
+		return last.done
+	}
+	next := &probe{began: now, done: make(chan struct{})}
+	p.probes[name] = next
+	go func() {
+		defer close(next.done)
+		f()
+	}()
+	return next.done
+}
+
+func (p *prober) requestID(vm clementineport.VMID) clementineport.RequestID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	return clementineport.RequestID(fmt.Sprintf("probe-%s-%d", vm, p.sequence))
+}
+
+// probe asks targets for a snapshot that none holds; their refusals say what they do hold.
+func (e *Entry) probe(q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router) {
+	now := e.opts.Clock.Now()
+	targets := cpsnapshot.Ask(nil, service, view.Targets, now, e.opts.ProbeTargets)
+	ctx, cancel := context.WithTimeout(context.Background(), defaultProbeTimeout)
+	defer cancel()
+	id := e.prober.requestID(e.opts.Self.ID)
+	calls := make([]clementineport.Call, len(targets))
+	for i, t := range targets {
+		view.Targets.Sent(t)
+		calls[i] = clementineport.Call{
+			Request:    id,
+			Attempt:    clementineport.AttemptID(i + 1),
+			Service:    q.Service,
+			Class:      service.Service.Class,
+			Index:      service.Service.Index,
+			Shard:      firstShard(&view.Table.Targets[t]),
+			Target:     view.Table.Targets[t].ID,
+			Limit:      1,
+			Deadline:   now.Add(defaultProbeTimeout),
+			Idempotent: true,
+		}
+	}
+	e.opts.Sender.Send(ctx, router, calls, func(r clementineport.CallResult) {
+		view.Targets.Observe(targets[r.Attempt-1], e.opts.Clock.Now(), &r)
+	})
+	e.metrics.Probes.Add(len(calls))
+}
+
+func firstShard(t *clementineport.TargetRow) clementineport.ShardID {
+	for _, h := range t.Holds {
+		if len(h.Shards) > 0 {
+			return h.Shards[0]
+		}
+	}
+	return 0
+}
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -39,7 +39,8 @@
 		Heartbeat:      defaultHeartbeat,
 		SilentAfter:    defaultSilentAfter,
 		Tracer:         noTracer{},
-		Seen:           func(clementineport.Revision) {},
+		Revision:       func() clementineport.Revision { return 0 },
+		Seen:           func(clementineport.Revision, clementineport.VMID) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -103,7 +104,7 @@
 	ctx, sent := watchSent(ctx)
 	err := c.relay(ctx, r, func(m *cpwire.RelayResponse) {
 		silence.Reset(c.opts.SilentAfter)
-		c.opts.Seen(clementineport.Revision(m.GetRevision()))
+		c.opts.Seen(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
 			deliver(resultFromWire(result))
 		}
--- a/cppeer/cpconnect/forward.go
+++ b/cppeer/cpconnect/forward.go
@@ -15,6 +15,8 @@
 func (c *client) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	ctx, sent := watchSent(ctx)
 	req := connect.NewRequest(&cpwire.ForwardRequest{
+		From:        string(c.opts.Self),
+		Revision:    uint64(c.opts.Revision()),
 		Request:     string(q.Request),
 		Service:     string(q.Service),
 		Text:        q.Text,
@@ -44,7 +46,7 @@
 // Forward implements the connect handler.
 func (h *handler) Forward(ctx context.Context, req *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error) {
 	m := req.Msg
-	h.opts.Seen(clementineport.Revision(m.GetRevision()))
+	h.opts.Seen(clementineport.Revision(m.GetRevision()), clementineport.VMID(m.GetFrom()))
 	ctx = h.opts.Tracer.Extract(ctx, m.GetTraceparent())
 	answer, err := h.next.Forward(ctx, &clementineport.Query{
 		Request:  clementineport.RequestID(m.GetRequest()),
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -32,7 +32,7 @@
 // Relay implements the connect handler.
 func (h *handler) Relay(ctx context.Context, req *connect.Request[cpwire.RelayRequest], stream *connect.ServerStream[cpwire.RelayResponse]) error {
 	m := req.Msg
-	h.opts.Seen(clementineport.Revision(m.GetRevision()))
+	h.opts.Seen(clementineport.Revision(m.GetRevision()), clementineport.VMID(m.GetFrom()))
 	ctx = h.opts.Tracer.Extract(ctx, m.GetTraceparent())
 	r := relayFromWire(m, h.opts.Clock.Now())
 	results := make(chan clementineport.CallResult, len(r.Calls))
@@ -41,7 +41,7 @@
 		failed <- h.next.Relay(ctx, r, func(result clementineport.CallResult) { results <- result })
 		close(results)
 	}()
-	if err := sendResults(stream, results, h.opts.Heartbeat); err != nil {
+	if err := h.sendResults(stream, results); err != nil {
 		return err
 	}
 	if err := <-failed; err != nil {
@@ -52,11 +52,11 @@
 
 // sendResults sends each result at once, together with others that are ready, and an empty message when
 // there was none for a while, so that the caller can tell a slow target from a silent VM.
-func sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult, heartbeat time.Duration) error {
-	ticker := time.NewTicker(heartbeat)
+func (h *handler) sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult) error {
+	ticker := time.NewTicker(h.opts.Heartbeat)
 	defer ticker.Stop()
 	for {
-		m := &cpwire.RelayResponse{}
+		m := &cpwire.RelayResponse{Revision: uint64(h.opts.Revision())}
 		select {
 		case first, ok := <-results:
 			if !ok {
--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -29,13 +29,16 @@
 	Heartbeat time.Duration
 	// SilentAfter is how long a Relay may bring nothing before it is given up.
 	SilentAfter time.Duration
-	// Seen is told the revision that every message of another VM carries.
-	Seen func(clementineport.Revision)
+	// Self is the id of this VM.
+	Self clementineport.VMID
+	// Revision returns the revision in force, which every call and answer carries.
+	Revision func() clementineport.Revision
+	// Seen is told the revision that a call or answer of another VM carries; from is empty in an answer.
+	Seen func(r clementineport.Revision, from clementineport.VMID)
 	// DecodeConfig and EncodeConfig translate the configuration to and from its stored form.
 	DecodeConfig func([]byte) (*clementineport.Config, error)
 	EncodeConfig func(*clementineport.Config) ([]byte, error)
-	// Traceparent returns the trace context to send; Extract is its inverse on the receiver.
-	Tracer Tracer
+	Tracer       Tracer
 }
 
 // Option changes Options.
@@ -53,8 +56,13 @@
 // WithTransport sets the HTTP transport of a client.
 func WithTransport(t http.RoundTripper) Option { return func(o *Options) { o.Transport = t } }
 
-// WithSeen sets the function that is told of revisions.
-func WithSeen(f func(clementineport.Revision)) Option { return func(o *Options) { o.Seen = f } }
+// WithSelf sets the id of this VM.
+func WithSelf(vm clementineport.VMID) Option { return func(o *Options) { o.Self = vm } }
+
+// WithRevision sets the revision that this VM sends, and what is told of the revisions of others.
+func WithRevision(revision func() clementineport.Revision, seen func(clementineport.Revision, clementineport.VMID)) Option {
+	return func(o *Options) { o.Revision, o.Seen = revision, seen }
+}
 
 // WithCodec sets how a configuration is encoded.
 func WithCodec(encode func(*clementineport.Config) ([]byte, error), decode func([]byte) (*clementineport.Config, error)) Option {
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/clementineport/clementineport"
 )
@@ -154,6 +155,7 @@
 	}
 	pending := newPending(g.calls)
 	s.opts.Metrics.sent(len(g.calls), g.route.Self)
+	began := s.opts.Clock.Now()
 	err := relayer.Relay(ctx, &clementineport.RelayRequest{
 		From:     s.opts.Self,
 		Revision: router.Revision(),
@@ -171,20 +173,22 @@
 		left.err = asError(err)
 	}
 	if !g.route.Self {
-		s.observe(ctx, g.route.VM, err)
+		s.observe(ctx, g.route.VM, began, err)
 	}
 	return left
 }
 
 // observe records whether a VM answered; a relay that was cancelled says nothing about it.
-func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, err error) {
+func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, began time.Time, err error) {
 	switch {
 	case err == nil:
 		s.routes.answered(vm)
+		s.opts.OnAnswered(vm, began)
 	case ctx.Err() != nil:
 	default:
 		s.opts.Metrics.RouteFailures.Inc()
 		s.routes.failed(vm, s.opts.Clock.Now())
+		s.opts.OnFailed(vm)
 	}
 }
 
--- a/cprelay/options.go
+++ b/cprelay/options.go
@@ -18,7 +18,10 @@
 	Local Relayer
 	// RetryRouteAfter is how long a VM that failed a relay is avoided.
 	RetryRouteAfter time.Duration
-	Metrics         *Metrics
+	// OnAnswered and OnFailed are told whether a VM answered a relay that began at a time.
+	OnAnswered func(vm clementineport.VMID, began time.Time)
+	OnFailed   func(vm clementineport.VMID)
+	Metrics    *Metrics
 }
 
 // Option changes Options.
@@ -36,11 +39,20 @@
 // WithRetryRouteAfter sets how long a VM that failed a relay is avoided.
 func WithRetryRouteAfter(d time.Duration) Option { return func(o *Options) { o.RetryRouteAfter = d } }
 
+// WithObserver sets what is told whether VMs answer.
+func WithObserver(answered func(clementineport.VMID, time.Time), failed func(clementineport.VMID)) Option {
+	return func(o *Options) { o.OnAnswered, o.OnFailed = answered, failed }
+}
+
 // WithMetrics registers the counters in a set.
 func WithMetrics(set *metrics.Set) Option { return func(o *Options) { o.Metrics = newMetrics(set) } }
 
 func newOptions(opts []Option) Options {
-	o := Options{RetryRouteAfter: defaultRetryRouteAfter}
+	o := Options{
+		RetryRouteAfter: defaultRetryRouteAfter,
+		OnAnswered:      func(clementineport.VMID, time.Time) {},
+		OnFailed:        func(clementineport.VMID) {},
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/cprelay/owner.go
+++ b/cprelay/owner.go
@@ -70,10 +70,13 @@
 		Target:  c.Target,
 		Elapsed: o.clock.Now().Sub(start),
 	}
+	if reply != nil {
+		r.Signals = reply.Signals
+	}
 	if err != nil {
 		r.Err = asError(err)
 		return r
 	}
-	r.Reply, r.Signals = reply, reply.Signals
+	r.Reply = reply
 	return r
 }
--- a/verdict.go
+++ b/verdict.go
@@ -91,6 +91,8 @@
 	FaultUnauthorized
 	// FaultCoverage means that the request ran and its answer is below the least coverage of the service.
 	FaultCoverage
+	// FaultNotFound means that the service asked for does not exist.
+	FaultNotFound
 	numFaults
 )
 
@@ -124,6 +126,7 @@
 	FaultUnavailable:  {"unavailable", NotRun},
 	FaultConflict:     {"conflict", NotRun},
 	FaultUnauthorized: {"unauthorized", NotRun},
+	FaultNotFound:     {"not-found", NotRun},
 	FaultCoverage:     {"coverage", MayHaveRun},
 }
 
--- a/verdict_test.go
+++ b/verdict_test.go
@@ -26,6 +26,7 @@
 		clementineport.FaultUnavailable:  true,
 		clementineport.FaultConflict:     true,
 		clementineport.FaultUnauthorized: true,
+		clementineport.FaultNotFound:     true,
 	}
 	for _, f := range clementineport.Faults() {
 		t.Run(f.String(), func(t *testing.T) {
