Add the estate text, settings, store, submission and operator commands

cpyaml decodes YAML strictly and lists every fault with line, key and what is allowed; cpestate and cpsettings check the meaning on top of it. cpstore holds the platform's store and list of VMs in memory with scripted failures; cphttpstore and cpstoreserver are its two ends over HTTP. cpsubmit decides who wins a race and settles lost replies by reading back; cpoperator serves it to operators and cpcli calls it. cpsample generates the users' estates of today and the two-year size; examples/ holds its output. Tests so far cover only that the generated sizes pass the check.

--- /dev/null
+++ b/cpcli/check.go
@@ -0,0 +1,108 @@
+package cpcli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/zeebo/errs"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cpsample"
+	"github.com/clementineport/clementineport/cpsettings"
+	"github.com/clementineport/clementineport/cpyaml"
+)
+
+// NewCheckCommand returns the check command, which needs no running system.
+func NewCheckCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("check", stderr)
+	kind := fs.String("kind", "auto", "what the file holds: estate, settings or auto")
+	asJSON := fs.Bool("json", false, "print JSON")
+	return configCommand(fs, "FILE [flags]", "Check an estate text or the settings of a process and list all faults.", func(_ context.Context, args []string) error {
+		if len(args) != 1 {
+			return usagef("check needs one file")
+		}
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return errs.Wrap(err)
+		}
+		summary, err := checkText(*kind, text)
+		var faults cpyaml.Faults
+		if err != nil && !errors.As(err, &faults) {
+			return err
+		}
+		if err := printCheck(stdout, *asJSON, args[0], summary, faults); err != nil {
+			return err
+		}
+		if len(faults) > 0 {
+			return clementineport.Fail(clementineport.FaultInvalid, "%s has %d faults", args[0], len(faults))
+		}
+		return nil
+	})
+}
+
+// checkText checks a text; a text with a key VM at its start of a line is taken for settings.
+func checkText(kind string, text []byte) (string, error) {
+	if kind == "auto" {
+		kind = "estate"
+		if bytes.HasPrefix(text, []byte("VM:")) || bytes.Contains(text, []byte("\nVM:")) {
+			kind = "settings"
+		}
+	}
+	switch kind {
+	case "estate":
+		e, err := cpestate.Parse(text)
+		if err != nil {
+			return "", err
+		}
+		return cpestate.Summary(e), nil
+	case "settings":
+		s, err := cpsettings.Parse(text)
+		if err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("settings of VM %s in failure domain %s", s.VM, s.Domain), nil
+	default:
+		return "", usagef("--kind is %q; allowed: estate, settings, auto", kind)
+	}
+}
+
+func printCheck(stdout io.Writer, asJSON bool, file, summary string, faults cpyaml.Faults) error {
+	if asJSON {
+		return json.NewEncoder(stdout).Encode(struct {
+			File    string
+			Summary string        `json:",omitempty"`
+			Faults  cpyaml.Faults `json:",omitempty"`
+		}{file, summary, faults})
+	}
+	for _, f := range faults {
+		fmt.Fprintf(stdout, "%s: %s\n", file, f)
+	}
+	if len(faults) == 0 {
+		fmt.Fprintf(stdout, "%s: good: %s\n", file, summary)
+	}
+	return nil
+}
+
+// NewGenerateCommand returns the generate command.
+func NewGenerateCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("generate", stderr)
+	size := fs.String("size", string(cpsample.SizeSmall), fmt.Sprintf("one of %v", cpsample.Sizes()))
+	return configCommand(fs, "--size SIZE", "Print an estate text of a size.", func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return usagef("generate takes no arguments")
+		}
+		e, err := cpsample.Generate(cpsample.Size(*size))
+		if err != nil {
+			return usagef("%v", err)
+		}
+		_, err = stdout.Write(cpestate.Format(e))
+		return err
+	})
+}
--- /dev/null
+++ b/cpestate/compile.go
@@ -0,0 +1,70 @@
+package cpestate
+
+import (
+	"slices"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Compile turns a checked estate into the table that queries read.
+func Compile(revision clementineport.Revision, e *clementineport.Estate, out clementineport.Out) *clementineport.Table {
+	t := &clementineport.Table{
+		Revision: revision,
+		Out:      out,
+		Targets:  make([]clementineport.TargetRow, len(e.Targets)),
+		ByID:     make(map[clementineport.TargetID]clementineport.TargetIndex, len(e.Targets)),
+		Services: make(map[clementineport.ServiceID]*clementineport.ServiceTable, len(e.Services)),
+	}
+	groups := make(map[clementineport.GroupID]clementineport.Group, len(e.Groups))
+	for _, g := range e.Groups {
+		groups[g.Name] = g
+	}
+	for i, spec := range e.Targets {
+		t.Targets[i] = clementineport.TargetRow{
+			TargetSpec: spec,
+			Group:      groups[spec.Group],
+			Out:        spec.Domain != "" && slices.Contains(out.Domains, spec.Domain),
+		}
+		t.ByID[spec.ID] = clementineport.TargetIndex(i)
+	}
+	for _, s := range e.Services {
+		t.Services[s.Name] = compileService(e, s)
+	}
+	return t
+}
+
+func compileService(e *clementineport.Estate, s clementineport.Service) *clementineport.ServiceTable {
+	table := &clementineport.ServiceTable{Service: s}
+	for _, index := range e.Indexes {
+		if index.Name != s.Index {
+			continue
+		}
+		for _, l := range index.Layouts {
+			if layout, held := compileLayout(e, &s, l); held {
+				table.Layouts = append(table.Layouts, layout)
+			}
+		}
+	}
+	return table
+}
+
+func compileLayout(e *clementineport.Estate, s *clementineport.Service, l clementineport.Layout) (clementineport.LayoutTable, bool) {
+	table := clementineport.LayoutTable{Layout: l.Layout, Replicas: make([][]clementineport.TargetIndex, l.Shards)}
+	held := false
+	for i := range e.Targets {
+		t := &e.Targets[i]
+		if !slices.Contains(s.DependsOn, t.Group) {
+			continue
+		}
+		for _, h := range t.Holds {
+			if h.Layout != l.Layout {
+				continue
+			}
+			for _, shard := range h.Shards {
+				table.Replicas[shard] = append(table.Replicas[shard], clementineport.TargetIndex(i))
+				held = true
+			}
+		}
+	}
+	return table, held
+}
--- /dev/null
+++ b/cpestate/cpestate.go
@@ -0,0 +1,170 @@
+// Package cpestate turns the operators' estate text into a checked estate and the table that queries read.
+// It decides whether a text is acceptable and lists all that is wrong with it; it touches no network and no file.
+package cpestate
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpyaml"
+)
+
+// MaxTextBytes bounds an estate text.
+const MaxTextBytes = 8 << 20
+
+// Fault is one thing that is wrong with a text.
+type Fault = cpyaml.Fault
+
+// Faults is the error of Parse; it lists everything that is wrong with a text.
+type Faults = cpyaml.Faults
+
+// The document types mirror the estate; they add the place of each mapping and take enumerations as text.
+type document struct {
+	Region   string
+	Domains  []clementineport.FailureDomain
+	Services []serviceText
+	Indexes  []indexText
+	Groups   []groupText
+	Targets  []targetText
+	At       cpyaml.Place
+}
+
+type serviceText struct {
+	Name          clementineport.ServiceID
+	DependsOn     []clementineport.GroupID
+	Index         clementineport.IndexID
+	Deadline      time.Duration
+	Class         string
+	LeastCoverage float64
+	BelowLeast    clementineport.BelowLeast
+	Prefer        clementineport.Preference
+	At            cpyaml.Place
+}
+
+type indexText struct {
+	Name    clementineport.IndexID
+	Layouts []layoutText
+	At      cpyaml.Place
+}
+
+type layoutText struct {
+	Layout clementineport.LayoutID
+	Shards int
+	At     cpyaml.Place
+}
+
+type groupText struct {
+	Name           clementineport.GroupID
+	Index          clementineport.IndexID
+	Slots          int
+	Queue          int
+	Connections    int
+	ConnectionCost time.Duration
+	At             cpyaml.Place
+}
+
+type targetText struct {
+	ID      clementineport.TargetID
+	Group   clementineport.GroupID
+	Address string
+	Domain  clementineport.FailureDomain
+	Holds   []holdingText
+	At      cpyaml.Place
+}
+
+type holdingText struct {
+	Layout clementineport.LayoutID
+	Shards []shardRange
+	At     cpyaml.Place
+}
+
+// shardRange is one shard or a range of shards, both ends included.
+type shardRange struct {
+	First, Last clementineport.ShardID
+}
+
+type rangeError struct{}
+
+func (rangeError) Error() string { return "a shard number such as 7, or a range such as 4-9" }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *shardRange) UnmarshalText(text []byte) error {
+	first, last, isRange := strings.Cut(string(text), "-")
+	if !isRange {
+		last = first
+	}
+	a, err := strconv.ParseUint(first, 10, 31)
+	if err != nil {
+		return rangeError{}
+	}
+	b, err := strconv.ParseUint(last, 10, 31)
+	if err != nil || b < a || b >= MaxShards {
+		return rangeError{}
+	}
+	r.First, r.Last = clementineport.ShardID(a), clementineport.ShardID(b)
+	return nil
+}
+
+// Parse decodes and checks an estate text; the error is Faults and lists every fault of the text.
+func Parse(text []byte) (*clementineport.Estate, error) {
+	var doc document
+	var faults Faults
+	cpyaml.Decode(text, MaxTextBytes, &doc, &faults)
+	if doc.At == (cpyaml.Place{}) {
+		return nil, faults.Err()
+	}
+	c := newChecker(&doc, &faults)
+	c.check()
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return doc.estate(), nil
+}
+
+func (d *document) estate() *clementineport.Estate {
+	e := &clementineport.Estate{Region: d.Region, Domains: d.Domains}
+	for i := range d.Services {
+		e.Services = append(e.Services, d.Services[i].service())
+	}
+	for _, x := range d.Indexes {
+		index := clementineport.Index{Name: x.Name}
+		for _, l := range x.Layouts {
+			index.Layouts = append(index.Layouts, clementineport.Layout{Layout: l.Layout, Shards: l.Shards})
+		}
+		e.Indexes = append(e.Indexes, index)
+	}
+	for _, g := range d.Groups {
+		e.Groups = append(e.Groups, clementineport.Group{
+			Name: g.Name, Index: g.Index, Slots: g.Slots, Queue: g.Queue,
+			Connections: g.Connections, ConnectionCost: g.ConnectionCost,
+		})
+	}
+	e.Targets = make([]clementineport.TargetSpec, len(d.Targets))
+	for i := range d.Targets {
+		e.Targets[i] = d.Targets[i].spec()
+	}
+	return e
+}
+
+func (s *serviceText) service() clementineport.Service {
+	return clementineport.Service{
+		Name: s.Name, DependsOn: s.DependsOn, Index: s.Index, Deadline: s.Deadline, Class: classes[s.Class],
+		LeastCoverage: s.LeastCoverage, BelowLeast: s.BelowLeast, Prefer: s.Prefer,
+	}
+}
+
+func (t *targetText) spec() clementineport.TargetSpec {
+	spec := clementineport.TargetSpec{ID: t.ID, Group: t.Group, Address: t.Address, Domain: t.Domain}
+	for _, h := range t.Holds {
+		holding := clementineport.Holding{Layout: h.Layout}
+		for _, r := range h.Shards {
+			for s := r.First; s <= r.Last; s++ {
+				holding.Shards = append(holding.Shards, s)
+			}
+		}
+		spec.Holds = append(spec.Holds, holding)
+	}
+	return spec
+}
--- /dev/null
+++ b/cpoperator/cpoperator.go
@@ -0,0 +1,174 @@
+// Package cpoperator serves the operators' calls that change or show the configuration, over HTTP and JSON.
+// It decides who may call and what an outcome looks like; the changes themselves are decided by cpsubmit.
+package cpoperator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cpsubmit"
+	"github.com/clementineport/clementineport/cpyaml"
+)
+
+// Paths of the operators' calls.
+const (
+	SubmitPath = "/v1/submit"
+	OutPath    = "/v1/out"
+	ConfigPath = "/v1/config"
+	StatusPath = "/v1/status"
+)
+
+// OutcomeAccepted is the outcome of every change that is answered without an error.
+const OutcomeAccepted = "accepted"
+
+// Submitter makes changes; *cpsubmit.Submitter is one.
+type Submitter interface {
+	Submit(ctx context.Context, sub cpsubmit.Submission) (cpsubmit.Result, error)
+	Move(ctx context.Context, m cpsubmit.Move) (cpsubmit.Result, error)
+}
+
+// Handler serves SubmitPath, OutPath and ConfigPath.
+type Handler struct {
+	opts Options
+	mux  *http.ServeMux
+}
+
+// New returns a handler.
+func New(opts ...Option) *Handler {
+	h := &Handler{opts: newOptions(opts), mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST "+SubmitPath, h.submit)
+	h.mux.HandleFunc("POST "+OutPath, h.out)
+	h.mux.HandleFunc("GET "+ConfigPath, h.config)
+	return h
+}
+
+// ServeHTTP implements http.Handler; a call without the token is refused.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	Authorize(h.opts.Token, h.mux).ServeHTTP(w, r)
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Submission clementineport.SubmissionID
+		Author     string
+		BasedOn    clementineport.Revision
+		Text       string
+	}
+	if !readBody(w, r, &body) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), h.opts.Timeout)
+	defer cancel()
+	result, err := h.opts.Submitter.Submit(ctx, cpsubmit.Submission{
+		ID: body.Submission, Author: body.Author, BasedOn: body.BasedOn, Text: []byte(body.Text),
+	})
+	h.answer(w, &result, err)
+}
+
+func (h *Handler) out(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Submission clementineport.SubmissionID
+		Author     string
+		BasedOn    clementineport.Revision
+		Action     cpsubmit.Action
+		Kind       cpsubmit.Kind
+		Name       string
+	}
+	if !readBody(w, r, &body) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), h.opts.Timeout)
+	defer cancel()
+	result, err := h.opts.Submitter.Move(ctx, cpsubmit.Move{
+		ID: body.Submission, Author: body.Author, BasedOn: body.BasedOn,
+		Action: body.Action, Kind: body.Kind, Name: body.Name,
+	})
+	h.answer(w, &result, err)
+}
+
+func (h *Handler) answer(w http.ResponseWriter, result *cpsubmit.Result, err error) {
+	if err != nil {
+		WriteError(w, err)
+		return
+	}
+	h.opts.Accepted(result)
+	writeJSON(w, http.StatusOK, struct {
+		Revision clementineport.Revision
+		Outcome  string
+		Repeated bool `json:",omitempty"`
+		Restored bool `json:",omitempty"`
+	}{result.Revision, OutcomeAccepted, result.Repeated, result.Restored})
+}
+
+func (h *Handler) config(w http.ResponseWriter, _ *http.Request) {
+	cfg := h.opts.Current()
+	if cfg == nil {
+		cfg = &clementineport.Config{}
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Revision clementineport.Revision
+		Text     string
+		Out      clementineport.Out
+		Changes  []clementineport.Change
+	}{cfg.Revision, string(cfg.Text), cfg.Out, cfg.Changes})
+}
+
+// maxBodyBytes bounds a request: a whole text, with room for JSON escapes.
+const maxBodyBytes = 2*cpestate.MaxTextBytes + 64<<10
+
+func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(body); err != nil {
+		WriteError(w, clementineport.Fail(clementineport.FaultInvalid, "body: %v", err))
+		return false
+	}
+	return true
+}
+
+var statuses = map[clementineport.Fault]int{
+	clementineport.FaultInvalid:      http.StatusBadRequest,
+	clementineport.FaultUnauthorized: http.StatusUnauthorized,
+	clementineport.FaultConflict:     http.StatusConflict,
+	clementineport.FaultDuplicate:    http.StatusConflict,
+	clementineport.FaultShed:         http.StatusTooManyRequests,
+	clementineport.FaultUnavailable:  http.StatusServiceUnavailable,
+	clementineport.FaultTimeout:      http.StatusGatewayTimeout,
+}
+
+// WriteError writes an error with its verdict, and what others changed or what is wrong with a text.
+func WriteError(w http.ResponseWriter, err error) {
+	fault := clementineport.FaultOf(err)
+	status, ok := statuses[fault]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	var conflict *cpsubmit.ConflictError
+	var changes []clementineport.Change
+	if errors.As(err, &conflict) {
+		changes = conflict.Changes
+	}
+	var faults cpyaml.Faults
+	errors.As(err, &faults)
+	writeJSON(w, status, struct {
+		Verdict clementineport.Verdict
+		Fault   clementineport.Fault
+		Reason  string
+		Changes []clementineport.Change `json:",omitempty"`
+		Faults  cpyaml.Faults           `json:",omitempty"`
+	}{fault.Verdict(), fault, err.Error(), changes, faults})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// defaultTimeout bounds one change.
+const defaultTimeout = 10 * time.Second
--- /dev/null
+++ b/cpstandin/store.go
@@ -0,0 +1,64 @@
+package cpstandin
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/clementineport/clementineport/cpstore"
+	"github.com/clementineport/clementineport/cpstore/cpstoreserver"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	closeTimeout  = time.Second
+)
+
+// StoreCommand returns the subcommand that serves a store and a list of VMs.
+func StoreCommand(stdout io.Writer) *ffcli.Command {
+	fs := flag.NewFlagSet("clementineport-standin store", flag.ContinueOnError)
+	fs.SetOutput(stdout)
+	listen := fs.String("listen", "127.0.0.1:18900", "address to listen on")
+	writes := fs.Int("writes", cpstore.DefaultWritesPerSecond, "writes a second; 0 for no bound")
+	reads := fs.Int("reads", cpstore.DefaultReadsPerSecond, "reads and watches a second; 0 for no bound")
+	lag := fs.Duration("lag", 2*time.Second, "how far the list of VMs is behind")
+	return &ffcli.Command{
+		Name:       "store",
+		ShortUsage: "clementineport-standin store [flags]",
+		ShortHelp:  "Serve a key-value store and a list of VMs from memory.",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			store := cpstore.New(cpstore.WithRates(*writes, *reads))
+			directory := cpstore.NewDirectory(cpstore.WithLag(*lag))
+			return serveStore(ctx, stdout, *listen, cpstoreserver.New(store, directory))
+		},
+	}
+}
+
+func serveStore(ctx context.Context, stdout io.Writer, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout, "store listens on", ln.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			_ = server.Close()
+		}
+	})
+	defer stop()
+	if err := server.Serve(ln); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/cpstore/cpstore.go
@@ -0,0 +1,168 @@
+// Package cpstore holds the platform's store in memory, with failures that tests and stand-ins can script.
+// It decides nothing about what is stored; a value is bytes to it.
+package cpstore
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Store is a clementineport.Store in memory. A version is never used twice, also after a restore.
+type Store struct {
+	// Script decides which calls fail.
+	Script Script
+	opts   Options
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	counts [NumOps]atomic.Int64
+
+	mu      sync.Mutex
+	last    uint64
+	items   map[string]clementineport.Item
+	leases  map[string]clementineport.Lease
+	changed chan struct{}
+}
+
+var _ clementineport.Store = (*Store)(nil)
+
+// Image is the contents of a store at one time.
+type Image struct {
+	items map[string][]byte
+}
+
+// New returns an empty store.
+func New(opts ...Option) *Store {
+	o := newOptions(opts)
+	return &Store{
+		opts:    o,
+		writes:  newLimiter(o.WritesPerSecond),
+		reads:   newLimiter(o.ReadsPerSecond),
+		items:   make(map[string]clementineport.Item),
+		leases:  make(map[string]clementineport.Lease),
+		changed: make(chan struct{}),
+	}
+}
+
+func newLimiter(perSecond int) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+// Get implements clementineport.Store.
+func (s *Store) Get(ctx context.Context, key string) (clementineport.Item, error) {
+	return run(ctx, s.opts.Clock, s.Script.Next(OpGet), func() (clementineport.Item, error) { return s.plainGet(key) })
+}
+
+// CompareAndSwap implements clementineport.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	return run(ctx, s.opts.Clock, s.Script.Next(OpSwap), func() (uint64, error) { return s.plainSwap(key, expected, value) })
+}
+
+// Watch implements clementineport.Store.
+func (s *Store) Watch(ctx context.Context, key string, seen uint64, wait time.Duration) (clementineport.Item, error) {
+	return run(ctx, s.opts.Clock, s.Script.Next(OpWatch), func() (clementineport.Item, error) { return s.plainWatch(ctx, key, seen, wait) })
+}
+
+// Acquire implements clementineport.Store.
+func (s *Store) Acquire(ctx context.Context, key, holder string, ttl time.Duration) (clementineport.Lease, error) {
+	return run(ctx, s.opts.Clock, s.Script.Next(OpLease), func() (clementineport.Lease, error) { return s.plainAcquire(key, holder, ttl) })
+}
+
+// run makes one call and fails it as the script says.
+func run[T any](ctx context.Context, clock clementineport.Clock, f Failure, call func() (T, error)) (T, error) {
+	var none T
+	switch f.Mode {
+	case ModeDown:
+		return none, clementineport.Fail(clementineport.FaultUnavailable, "the store is down")
+	case ModeRefuse:
+		return none, clementineport.Fail(clementineport.FaultRefused, "no connection to the store")
+	case ModeResetBefore:
+		return none, clementineport.Fail(clementineport.FaultReset, "the connection to the store broke")
+	case ModeHang:
+		return none, hang(ctx)
+	case ModeSlow:
+		select {
+		case <-ctx.Done():
+			return none, hang(ctx)
+		case <-clock.After(f.Delay):
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return none, clementineport.Fail(clementineport.FaultUnsent, "the call was given up: %v", err)
+	}
+	value, err := call()
+	switch f.Mode {
+	case ModeLoseReply:
+		return none, clementineport.Fail(clementineport.FaultReset, "the connection to the store broke")
+	case ModeCut:
+		return none, clementineport.Fail(clementineport.FaultCut, "the response ended early")
+	case ModeHangAfter:
+		return none, hang(ctx)
+	case ModeMalformed:
+		return none, clementineport.Fail(clementineport.FaultMalformed, "the response can't be decoded")
+	case ModeOversized:
+		return none, clementineport.Fail(clementineport.FaultOversized, "the response is too large")
+	}
+	return value, err
+}
+
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return clementineport.Fail(clementineport.FaultTimeout, "no response in time")
+	}
+	return clementineport.Fail(clementineport.FaultCanceled, "the call was canceled")
+}
+
+// Plain returns the store without the script, for a server that carries the failures out itself.
+func (s *Store) Plain() clementineport.Store { return plain{s} }
+
+type plain struct{ s *Store }
+
+func (p plain) Get(_ context.Context, key string) (clementineport.Item, error) {
+	return p.s.plainGet(key)
+}
+
+func (p plain) CompareAndSwap(_ context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	return p.s.plainSwap(key, expected, value)
+}
+
+func (p plain) Watch(ctx context.Context, key string, seen uint64, wait time.Duration) (clementineport.Item, error) {
+	return p.s.plainWatch(ctx, key, seen, wait)
+}
+
+func (p plain) Acquire(_ context.Context, key, holder string, ttl time.Duration) (clementineport.Lease, error) {
+	return p.s.plainAcquire(key, holder, ttl)
+}
+
+// Counts returns the number of calls of each kind.
+func (s *Store) Counts() map[string]int64 {
+	counts := make(map[string]int64, NumOps)
+	for op := range NumOps {
+		counts[op.String()] = s.counts[op].Load()
+	}
+	return counts
+}
+
+// Count counts one call and reports whether the rates allow it.
+func (s *Store) Count(op Op) error {
+	s.counts[op].Add(1)
+	limiter := s.reads
+	if op == OpSwap || op == OpLease {
+		limiter = s.writes
+	}
+	if limiter.AllowN(s.opts.Clock.Now(), 1) {
+		return nil
+	}
+	return &clementineport.Error{
+		Fault: clementineport.FaultShed, Reason: "too many calls a second", RetryAfter: time.Second,
+	}
+}
--- /dev/null
+++ b/cpstore/cpstoreserver/cpstoreserver.go
@@ -0,0 +1,189 @@
+// Package cpstoreserver serves a store and a list of VMs in memory over HTTP, as a stand-in for the platform's.
+// It carries out scripted failures on the connections; it is not meant for production.
+package cpstoreserver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpstore"
+)
+
+// Header names and bounds of the protocol.
+const (
+	VersionHeader = "Store-Version"
+	// MaxWatch bounds how long a watch may wait.
+	MaxWatch        = time.Minute
+	maxRequestBytes = 2 << 20
+	// oversizedBytes is what ModeOversized sends.
+	oversizedBytes = 4 << 20
+)
+
+// Server serves a store and a directory.
+type Server struct {
+	store     *cpstore.Store
+	plain     clementineport.Store
+	directory *cpstore.Directory
+	mux       *http.ServeMux
+
+	mu    sync.Mutex
+	saved cpstore.Image
+}
+
+// New returns a handler that serves a store and a directory.
+func New(store *cpstore.Store, directory *cpstore.Directory) *Server {
+	s := &Server{store: store, plain: store.Plain(), directory: directory, mux: http.NewServeMux(), saved: store.Save()}
+	s.mux.HandleFunc("GET /v1/keys/{key...}", s.get)
+	s.mux.HandleFunc("PUT /v1/keys/{key...}", s.put)
+	s.mux.HandleFunc("POST /v1/leases/{key...}", s.acquire)
+	s.mux.HandleFunc("GET /v1/vms", s.list)
+	s.mux.HandleFunc("PUT /admin/vms", s.setVMs)
+	s.mux.HandleFunc("POST /admin/vms", s.putVM)
+	s.mux.HandleFunc("DELETE /admin/vms/{id}", s.removeVM)
+	s.mux.HandleFunc("POST /admin/faults", s.addFailure)
+	s.mux.HandleFunc("DELETE /admin/faults", s.clearFailures)
+	s.mux.HandleFunc("POST /admin/save", s.save)
+	s.mux.HandleFunc("POST /admin/restore", s.restore)
+	s.mux.HandleFunc("GET /admin/counters", s.counters)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	key, query := r.PathValue("key"), r.URL.Query()
+	if !query.Has("wait") {
+		s.run(w, r, cpstore.OpGet, func(w http.ResponseWriter) {
+			item, err := s.plain.Get(r.Context(), key)
+			writeItem(w, item, err)
+		})
+		return
+	}
+	seen, err := strconv.ParseUint(query.Get("seen"), 10, 64)
+	if err != nil {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "seen is %q, not a version", query.Get("seen")))
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || wait < 0 || wait > MaxWatch {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "wait is %q; allowed: 0s to %s", query.Get("wait"), MaxWatch))
+		return
+	}
+	s.run(w, r, cpstore.OpWatch, func(w http.ResponseWriter) {
+		item, err := s.plain.Watch(r.Context(), key, seen, wait)
+		writeItem(w, item, err)
+	})
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseUint(r.URL.Query().Get("expected"), 10, 64)
+	if err != nil {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "expected is not a version"))
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "read the value: %v", err))
+		return
+	}
+	s.run(w, r, cpstore.OpSwap, func(w http.ResponseWriter) {
+		version, err := s.plain.CompareAndSwap(r.Context(), r.PathValue("key"), expected, value)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{ Version uint64 }{version})
+	})
+}
+
+func (s *Server) acquire(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Holder string
+		TTL    string
+	}
+	if !readJSON(w, r, &body) {
+		return
+	}
+	ttl, err := time.ParseDuration(body.TTL)
+	if err != nil || ttl <= 0 || body.Holder == "" {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "Holder and TTL are needed"))
+		return
+	}
+	s.run(w, r, cpstore.OpLease, func(w http.ResponseWriter) {
+		lease, err := s.plain.Acquire(r.Context(), r.PathValue("key"), body.Holder, ttl)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, lease)
+	})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.run(w, r, cpstore.OpList, func(w http.ResponseWriter) {
+		if err := s.store.Count(cpstore.OpList); err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, s.directory.Shown())
+	})
+}
+
+func writeItem(w http.ResponseWriter, item clementineport.Item, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set(VersionHeader, strconv.FormatUint(item.Version, 10))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(item.Value)))
+	_, _ = w.Write(item.Value)
+}
+
+var statuses = map[clementineport.Fault]int{
+	clementineport.FaultConflict:    http.StatusConflict,
+	clementineport.FaultInvalid:     http.StatusBadRequest,
+	clementineport.FaultShed:        http.StatusTooManyRequests,
+	clementineport.FaultUnavailable: http.StatusServiceUnavailable,
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var e *clementineport.Error
+	if !errors.As(err, &e) {
+		e = clementineport.Fail(clementineport.FaultInternal, "%v", err)
+	}
+	status, ok := statuses[e.Fault]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfter.Seconds())))
+	}
+	writeJSON(w, status, struct {
+		Fault  clementineport.Fault
+		Reason string
+	}{e.Fault, e.Reason})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, body any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(body); err != nil {
+		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "body: %v", err))
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/cpsubmit/cpsubmit.go
@@ -0,0 +1,178 @@
+// Package cpsubmit writes configuration changes to the platform's store.
+// It decides who wins when operators race and what became of a change whose reply was lost; it keeps no state
+// of its own and does not spread a configuration to VMs.
+package cpsubmit
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/clementineport/clementineport"
+)
+
+const (
+	// ConfigKey is the key of the store that holds the configuration.
+	ConfigKey = "clementineport/config"
+	// KeptChanges is how many changes a configuration remembers.
+	KeptChanges = 64
+)
+
+// Submission is an edited text.
+type Submission struct {
+	ID      clementineport.SubmissionID
+	Author  string
+	BasedOn clementineport.Revision
+	Text    []byte
+}
+
+// Action says whether a move takes out or brings back.
+type Action string
+
+const (
+	// TakeOut takes a VM or failure domain out of service.
+	TakeOut Action = "take-out"
+	// BringBack brings it back.
+	BringBack Action = "bring-back"
+)
+
+// Kind says what a move moves.
+type Kind string
+
+const (
+	// KindVM is an entry VM.
+	KindVM Kind = "vm"
+	// KindDomain is a failure domain.
+	KindDomain Kind = "domain"
+)
+
+// Move takes a VM or a failure domain out of service, or brings it back.
+type Move struct {
+	ID     clementineport.SubmissionID
+	Author string
+	// BasedOn is the revision that the operator last saw; zero means unknown.
+	// With it, a resend that comes after more than KeptChanges other changes is recognized as too old to tell.
+	BasedOn clementineport.Revision
+	Action  Action
+	Kind    Kind
+	Name    string
+}
+
+// Result is an accepted change.
+type Result struct {
+	Revision clementineport.Revision
+	// Config is the newest configuration that the change is part of.
+	Config *clementineport.Config
+	// Repeated is true when an earlier try of the same submission had been accepted.
+	Repeated bool
+	// Restored is true when the store held a lower revision than the one in force.
+	Restored bool
+}
+
+// ConflictError says that others changed the configuration first.
+type ConflictError struct {
+	Current clementineport.Revision
+	Changes []clementineport.Change
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	text := fmt.Sprintf("revision %d is in force", e.Current)
+	for _, c := range e.Changes {
+		text += fmt.Sprintf("; revision %d by %s: %s", c.Revision, c.Author, c.Summary)
+	}
+	return text
+}
+
+// Unwrap returns the error with its fault.
+func (e *ConflictError) Unwrap() error {
+	return clementineport.Fail(clementineport.FaultConflict, "revision %d is in force", e.Current)
+}
+
+// request is a change that can be applied to any configuration.
+type request interface {
+	id() clementineport.SubmissionID
+	author() string
+	basedOn() clementineport.Revision
+	// apply returns the text and what is out after the change, and a summary of it.
+	apply(current *clementineport.Config) (text []byte, out clementineport.Out, summary string, err error)
+	// exact reports whether the change is valid for the revision only that it was based on.
+	exact() bool
+}
+
+type textRequest struct {
+	Submission
+	diff func(from, to []byte) string
+}
+
+func (r *textRequest) id() clementineport.SubmissionID  { return r.ID }
+func (r *textRequest) author() string                   { return r.Author }
+func (r *textRequest) basedOn() clementineport.Revision { return r.BasedOn }
+func (r *textRequest) exact() bool                      { return true }
+
+func (r *textRequest) apply(current *clementineport.Config) ([]byte, clementineport.Out, string, error) {
+	return r.Text, current.Out, r.diff(current.Text, r.Text), nil
+}
+
+type moveRequest struct {
+	Move
+	// hasDomain reports whether a text has a failure domain.
+	hasDomain func(text []byte, domain clementineport.FailureDomain) bool
+}
+
+func (r *moveRequest) id() clementineport.SubmissionID  { return r.ID }
+func (r *moveRequest) author() string                   { return r.Author }
+func (r *moveRequest) basedOn() clementineport.Revision { return r.BasedOn }
+func (r *moveRequest) exact() bool                      { return false }
+
+func (r *moveRequest) apply(current *clementineport.Config) ([]byte, clementineport.Out, string, error) {
+	out := clementineport.Out{VMs: slices.Clone(current.Out.VMs), Domains: slices.Clone(current.Out.Domains)}
+	domain := clementineport.FailureDomain(r.Name)
+	if r.Kind == KindVM {
+		out.VMs = moved(out.VMs, clementineport.VMID(r.Name), r.Action)
+	} else {
+		known := r.hasDomain(current.Text, domain) || slices.Contains(out.Domains, domain)
+		if !known {
+			return nil, out, "", clementineport.Fail(clementineport.FaultInvalid, "%q is not a failure domain of the estate", r.Name)
+		}
+		out.Domains = moved(out.Domains, domain, r.Action)
+	}
+	return current.Text, out, fmt.Sprintf("%s %s %s", r.Action, r.Kind, r.Name), nil
+}
+
+// moved returns the sorted list with the name added or removed.
+func moved[T ~string](list []T, name T, action Action) []T {
+	list = slices.DeleteFunc(list, func(other T) bool { return other == name })
+	if action == TakeOut {
+		list = append(list, name)
+		slices.Sort(list)
+	}
+	return list
+}
+
+func checkMove(m *Move) error {
+	switch {
+	case m.Action != TakeOut && m.Action != BringBack:
+		return clementineport.Fail(clementineport.FaultInvalid, "Action is %q; allowed: %s, %s", m.Action, TakeOut, BringBack)
+	case m.Kind != KindVM && m.Kind != KindDomain:
+		return clementineport.Fail(clementineport.FaultInvalid, "Kind is %q; allowed: %s, %s", m.Kind, KindVM, KindDomain)
+	case m.Name == "":
+		return clementineport.Fail(clementineport.FaultInvalid, "Name is empty")
+	}
+	return checkIdentity(m.ID, m.Author)
+}
+
+// Bounds of what operators send besides the text.
+const (
+	maxIDBytes     = 128
+	maxAuthorBytes = 128
+)
+
+func checkIdentity(id clementineport.SubmissionID, author string) error {
+	switch {
+	case id == "" || len(id) > maxIDBytes:
+		return clementineport.Fail(clementineport.FaultInvalid, "Submission needs 1 to %d bytes", maxIDBytes)
+	case author == "" || len(author) > maxAuthorBytes:
+		return clementineport.Fail(clementineport.FaultInvalid, "Author needs 1 to %d bytes", maxAuthorBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/cpsubmit/options.go
@@ -0,0 +1,96 @@
+package cpsubmit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpestate"
+)
+
+// Options are the settings of a Submitter and its sessions.
+type Options struct {
+	Store clementineport.Store
+	// InForce returns the newest configuration that this VM knows of, or nil.
+	InForce func() *clementineport.Config
+	Clock   clementineport.Clock
+	Seed    uint64
+	// Tries bounds the failed calls to the store in one session.
+	Tries int
+	// Pause is the wait after the first failed call; it doubles with each further one.
+	Pause time.Duration
+	// Check returns what is wrong with a text.
+	Check func(text []byte) error
+	// Diff says in one line how texts differ.
+	Diff func(from, to []byte) string
+	// HasDomain reports whether a text has a failure domain.
+	HasDomain func(text []byte, domain clementineport.FailureDomain) bool
+	// ReadBack settles a lost reply by reading the key again.
+	ReadBack bool
+	// Floor keeps revisions above the one in force.
+	Floor bool
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithStore sets the store.
+func WithStore(store clementineport.Store) Option { return func(o *Options) { o.Store = store } }
+
+// WithInForce sets the source of the newest configuration known.
+func WithInForce(inForce func() *clementineport.Config) Option {
+	return func(o *Options) { o.InForce = inForce }
+}
+
+// WithClock sets the clock.
+func WithClock(clock clementineport.Clock) Option { return func(o *Options) { o.Clock = clock } }
+
+// WithSeed sets the seed of the pauses.
+func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
+
+// WithPause sets the wait after a first failed call and how many calls may fail.
+func WithPause(pause time.Duration, tries int) Option {
+	return func(o *Options) { o.Pause, o.Tries = pause, tries }
+}
+
+// WithCheck replaces the check, the comparison and the list of domains of the estate text.
+func WithCheck(check func([]byte) error, diff func(from, to []byte) string, has func([]byte, clementineport.FailureDomain) bool) Option {
+	return func(o *Options) { o.Check, o.Diff, o.HasDomain = check, diff, has }
+}
+
+// WithReadBack says whether a lost reply is settled by reading the key again.
+func WithReadBack(on bool) Option { return func(o *Options) { o.ReadBack = on } }
+
+// WithFloor says whether revisions are kept above the one in force.
+func WithFloor(on bool) Option { return func(o *Options) { o.Floor = on } }
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		InForce:   func() *clementineport.Config { return nil },
+		Clock:     clockwork.NewRealClock(),
+		Seed:      1,
+		Tries:     5,
+		Pause:     50 * time.Millisecond,
+		Check:     checkEstate,
+		Diff:      cpestate.Diff,
+		HasDomain: hasDomain,
+		ReadBack:  true,
+		Floor:     true,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+func checkEstate(text []byte) error {
+	_, err := cpestate.Parse(text)
+	return err
+}
+
+func hasDomain(text []byte, domain clementineport.FailureDomain) bool {
+	e, err := cpestate.Parse(text)
+	return err == nil && slices.Contains(e.Domains, domain)
+}
