--- a/cpestate/compile.go
+++ b/cpestate/compile.go
@@ -68,3 +68,12 @@
 	}
 	return table, held
 }
+
+// CompileConfig checks the text of a configuration and returns its table.
+func CompileConfig(cfg *clementineport.Config) (*clementineport.Table, error) {
+	e, err := Parse(cfg.Text)
+	if err != nil {
+		return nil, err
+	}
+	return Compile(cfg.Revision, e, cfg.Out), nil
+}
--- a/cpstandin/cpstandin.go
+++ b/cpstandin/cpstandin.go
@@ -30,6 +30,7 @@
 		ShortUsage: "clementineport-standin <subcommand> [flags]",
 		FlagSet:    newFlagSet("clementineport-standin", stderr),
 		Subcommands: []*ffcli.Command{
+			StoreCommand(stdout, stderr),
 			targetCommand(stdout, stderr),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/cpstandin/store.go
+++ b/cpstandin/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -22,9 +21,8 @@
 )
 
 // StoreCommand returns the subcommand that serves a store and a list of VMs.
-func StoreCommand(stdout io.Writer) *ffcli.Command {
-	fs := flag.NewFlagSet("clementineport-standin store", flag.ContinueOnError)
-	fs.SetOutput(stdout)
+func StoreCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("store", stderr)
 	listen := fs.String("listen", "127.0.0.1:18900", "address to listen on")
 	writes := fs.Int("writes", cpstore.DefaultWritesPerSecond, "writes a second; 0 for no bound")
 	reads := fs.Int("reads", cpstore.DefaultReadsPerSecond, "reads and watches a second; 0 for no bound")
