Add the owner-side limits of targets

A pure state machine per target (slots, queue by class and deadline, ramp of a cold target, handover of ownership) and a Limiter that blocks.

--- /dev/null
+++ b/cplimit/advance.go
@@ -0,0 +1,145 @@
+package cplimit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+func (t *Target) advance(now time.Time) []Grant {
+	t.grants = t.grants[:0]
+	t.step(now)
+	return t.grants
+}
+
+// step drops what has expired and starts what may start.
+func (t *Target) step(now time.Time) {
+	t.lingering = slices.DeleteFunc(t.lingering, func(l linger) bool { return !l.until.After(now) })
+	t.refuseQueued(now)
+	for len(t.queue) > 0 && t.free(now) {
+		w := t.queue[0]
+		t.queue = slices.Delete(t.queue, 0, 1)
+		t.running = append(t.running, running{w.Ticket, now, w.Deadline})
+		t.grants = append(t.grants, Grant{Ticket: w.Ticket})
+	}
+}
+
+func (t *Target) refuseQueued(now time.Time) {
+	var err error
+	switch {
+	case t.closed != clementineport.FaultUnknown:
+		err = clementineport.Fail(t.closed, "target is no longer served here")
+	case now.Before(t.drained):
+		err = clementineport.Fail(clementineport.FaultDraining, "target is draining")
+	}
+	t.queue = slices.DeleteFunc(t.queue, func(w Waiter) bool {
+		cause := err
+		if cause == nil && !w.Deadline.After(now) {
+			cause = clementineport.Fail(clementineport.FaultDeadline, "deadline passed in the queue")
+		}
+		if cause != nil {
+			t.grants = append(t.grants, Grant{w.Ticket, cause})
+		}
+		return cause != nil
+	})
+}
+
+// free reports whether one more call may start. When canceled calls alone block a warm target, one
+// call more is allowed after a while: its answer shows whether they have stopped.
+func (t *Target) free(now time.Time) bool {
+	if t.InUse() < t.Limit(now) {
+		return true
+	}
+	return t.ramp.warm() && len(t.running) == 0 && !now.Before(t.probeAt())
+}
+
+func (t *Target) probeAt() time.Time {
+	at := time.Time{}
+	for _, l := range t.lingering {
+		if since := l.since.Add(t.opts.CancelGrace); since.After(at) {
+			at = since
+		}
+	}
+	return at
+}
+
+// Next returns when something is due without an event, if calls are queued.
+func (t *Target) Next(now time.Time) (time.Time, bool) {
+	if len(t.queue) == 0 {
+		return time.Time{}, false
+	}
+	next := t.queue[0].Deadline
+	for _, w := range t.queue {
+		next = earlier(next, w.Deadline)
+	}
+	for _, l := range t.lingering {
+		next = earlier(next, l.until)
+	}
+	if len(t.lingering) > 0 && len(t.running) == 0 && t.probeAt().After(now) {
+		next = earlier(next, t.probeAt())
+	}
+	for _, at := range [...]time.Time{t.handover, t.sharedUntil} {
+		if at.After(now) {
+			next = earlier(next, at)
+		}
+	}
+	return next, true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// mayStillRun reports whether the target may go on with a call that has ended here.
+func mayStillRun(res *clementineport.CallResult) bool {
+	switch clementineport.FaultOf(res.Err) {
+	case clementineport.FaultCanceled, clementineport.FaultTimeout, clementineport.FaultReset:
+		return res.Err != nil
+	default:
+		return false
+	}
+}
+
+// confirm drops the lingering calls that an answer shows to have stopped: it was sent after they were
+// canceled, and the target reports no more calls than are known to be in progress.
+func (t *Target) confirm(call running, res *clementineport.CallResult) {
+	if res.Signals.Start == "" || len(t.lingering) == 0 || res.Signals.InFlight > len(t.running) {
+		return
+	}
+	t.lingering = slices.DeleteFunc(t.lingering, func(l linger) bool { return l.since.Before(call.started) })
+}
+
+// observeOthers lowers the limit while the target reports calls that this VM has not sent.
+func (t *Target) observeOthers(now time.Time, res *clementineport.CallResult) {
+	others := res.Signals.InFlight - t.InUse()
+	if res.Signals.Start == "" || others <= 0 {
+		return
+	}
+	if now.Before(t.sharedUntil) {
+		others = max(others, t.shared)
+	}
+	t.shared, t.sharedUntil = others, now.Add(t.opts.SharedTime)
+}
+
+func (t *Target) observeDrain(now time.Time, res *clementineport.CallResult) {
+	switch {
+	case res.Signals.Draining, clementineport.FaultOf(res.Err) == clementineport.FaultDraining:
+		t.drained = now.Add(t.opts.DrainRecheck)
+	case res.Signals.Start != "":
+		t.drained = time.Time{}
+	}
+}
+
+func (t *Target) observeTime(res *clementineport.CallResult) {
+	if res.Err != nil || res.Elapsed <= 0 {
+		return
+	}
+	t.service.Observe(res.Elapsed)
+	if t.ramp.warm() && !res.Signals.Cold && !t.ramp.isJump(res.Elapsed, t.warmTime.Value()) {
+		t.warmTime.Observe(res.Elapsed)
+	}
+}
--- /dev/null
+++ b/cplimit/cplimit.go
@@ -0,0 +1,225 @@
+// Package cplimit decides when a call to a target that this VM owns may start. It counts slots, keeps a
+// small queue ordered by class and deadline, and ramps cold targets up. Target is the pure state
+// machine, Limiter the adapter that blocks. The package opens no connection and chooses no target.
+package cplimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Limiter bounds the calls to the targets that this VM owns.
+type Limiter struct {
+	opts Options
+
+	mu      sync.RWMutex
+	entries map[clementineport.TargetID]*entry
+	groups  map[clementineport.GroupID]*Average
+}
+
+// entry is the state of one target and the calls that wait for it.
+type entry struct {
+	mu      sync.Mutex
+	state   *Target
+	last    Ticket
+	waiters map[Ticket]chan error
+}
+
+// New returns a limiter that owns no target.
+func New(opts ...Option) *Limiter {
+	return &Limiter{
+		opts:    NewOptions(opts...),
+		entries: map[clementineport.TargetID]*entry{},
+		groups:  map[clementineport.GroupID]*Average{},
+	}
+}
+
+// Update takes in a new table and which of its targets this VM owns. Queued calls to targets that are
+// taken out or no longer owned are refused at once.
+func (l *Limiter) Update(t *clementineport.Table, owned func(clementineport.TargetID) bool) {
+	now := l.opts.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range t.Targets {
+		l.update(now, &t.Targets[i], owned(t.Targets[i].ID))
+	}
+	for id, e := range l.entries {
+		if _, ok := t.ByID[id]; !ok {
+			e.close(now, clementineport.FaultTakenOut)
+			delete(l.entries, id)
+		}
+	}
+}
+
+func (l *Limiter) update(now time.Time, t *clementineport.TargetRow, owned bool) {
+	e := l.entries[t.ID]
+	if e == nil && owned {
+		e = l.add(now, t)
+	}
+	switch {
+	case e == nil:
+	case t.Out:
+		e.close(now, clementineport.FaultTakenOut)
+	case !owned:
+		e.close(now, clementineport.FaultNotOwner)
+	default:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Open(now)
+		e.deliver(e.state.Resize(now, t.Group.Slots, t.Group.Queue), 0)
+	}
+}
+
+func (l *Limiter) add(now time.Time, t *clementineport.TargetRow) *entry {
+	warmTime := l.groups[t.Group.Name]
+	if warmTime == nil {
+		warmTime = &Average{}
+		l.groups[t.Group.Name] = warmTime
+	}
+	e := &entry{
+		state:   NewTarget(&l.opts, xxhash.Sum64String(string(t.ID)), &t.Group, warmTime, now),
+		waiters: map[Ticket]chan error{},
+	}
+	l.entries[t.ID] = e
+	return e
+}
+
+func (l *Limiter) entry(id clementineport.TargetID) *entry {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.entries[id]
+}
+
+// Load implements clementineport.Limiter.
+func (l *Limiter) Load(id clementineport.TargetID) int {
+	e := l.entry(id)
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.InUse() + e.state.Queued()
+}
+
+// Cold returns the number of owned targets that are not allowed all their slots.
+func (l *Limiter) Cold() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	n := 0
+	for _, e := range l.entries {
+		e.mu.Lock()
+		if e.state.closed == clementineport.FaultUnknown && e.state.Cold() {
+			n++
+		}
+		e.mu.Unlock()
+	}
+	return n
+}
+
+// Acquire implements clementineport.Limiter.
+func (l *Limiter) Acquire(ctx context.Context, c *clementineport.Call) (func(*clementineport.CallResult), error) {
+	e := l.entry(c.Target)
+	if e == nil {
+		return nil, clementineport.Fail(clementineport.FaultNotOwner, "target %q is not owned here", c.Target)
+	}
+	id, ready, err := e.offer(l.opts.Clock.Now(), c)
+	if err == nil && ready != nil {
+		err = l.wait(ctx, e, id, ready)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return func(r *clementineport.CallResult) { e.done(l.opts.Clock.Now(), id, r) }, nil
+}
+
+// offer returns a nil channel if the call may start at once.
+func (e *entry) offer(now time.Time, c *clementineport.Call) (Ticket, chan error, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last++
+	id := e.last
+	granted, err := e.deliver(e.state.Offer(now, Waiter{id, c.Class, c.Deadline}), id)
+	if granted {
+		return id, nil, err
+	}
+	ready := make(chan error, 1)
+	e.waiters[id] = ready
+	return id, ready, nil
+}
+
+// deliver hands out grants and returns the one for the call own.
+func (e *entry) deliver(grants []Grant, own Ticket) (granted bool, err error) {
+	for _, g := range grants {
+		if g.Ticket == own {
+			granted, err = true, g.Err
+			continue
+		}
+		if ready, ok := e.waiters[g.Ticket]; ok {
+			delete(e.waiters, g.Ticket)
+			ready <- g.Err
+		}
+	}
+	return granted, err
+}
+
+// wait blocks until the call is granted or refused, or its caller gives up.
+func (l *Limiter) wait(ctx context.Context, e *entry, id Ticket, ready chan error) error {
+	for {
+		select {
+		case err := <-ready:
+			return err
+		case <-ctx.Done():
+			return e.abandon(l.opts.Clock.Now(), id, ready, ctx.Err())
+		case <-l.opts.Clock.After(e.untilNext(l.opts.Clock.Now())):
+			e.tick(l.opts.Clock.Now())
+		}
+	}
+}
+
+// abandon takes a call out of the queue; if it was granted meanwhile, the grant is given back.
+func (e *entry) abandon(now time.Time, id Ticket, ready chan error, cause error) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, waiting := e.waiters[id]; waiting {
+		delete(e.waiters, id)
+		e.deliver(e.state.Abandon(now, id), 0)
+	} else if err := <-ready; err == nil {
+		e.deliver(e.state.Done(now, id, &clementineport.CallResult{Err: errGivenUp}), 0)
+	}
+	return &clementineport.Error{Fault: clementineport.FaultDeadline, Reason: "given up in the queue", Err: cause}
+}
+
+var errGivenUp = clementineport.Fail(clementineport.FaultDeadline, "given up in the queue")
+
+func (e *entry) untilNext(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, ok := e.state.Next(now)
+	if !ok {
+		return time.Second
+	}
+	return max(next.Sub(now), time.Millisecond)
+}
+
+func (e *entry) tick(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deliver(e.state.Tick(now), 0)
+}
+
+func (e *entry) done(now time.Time, id Ticket, r *clementineport.CallResult) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deliver(e.state.Done(now, id, r), 0)
+}
+
+func (e *entry) close(now time.Time, f clementineport.Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deliver(e.state.Close(now, f), 0)
+}
--- /dev/null
+++ b/cplimit/ramp.go
@@ -0,0 +1,177 @@
+package cplimit
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// ramp decides how many calls at a time a target is allowed, from the answers alone.
+// A target starts with one call at a time and gets more only on evidence.
+type ramp struct {
+	opts  RampOptions
+	slots int
+	// allowance is the number of calls at a time; equal to slots when the target is warm.
+	allowance int
+	// saved is the allowance to return to when a suspected restart turns out not to be one.
+	saved int
+	start clementineport.StartID
+	// used is the most calls at a time since the last step.
+	used  int
+	good  int
+	bad   int
+	jumps int
+	seen  int
+	// failures counts refusals or failed connections in a row.
+	failures int
+	// cut is when the allowance was last lowered; calls started before it lower it no further.
+	cut time.Time
+}
+
+func newRamp(o RampOptions, slots int) ramp {
+	r := ramp{opts: o, slots: slots, allowance: 1}
+	if o.Off {
+		r.allowance = slots
+	}
+	return r
+}
+
+func (r *ramp) warm() bool { return r.allowance >= r.slots && r.saved == 0 }
+
+func (r *ramp) resize(slots int) {
+	if r.warm() && slots > r.slots && !r.opts.Off {
+		r.used = 0
+	}
+	if r.opts.Off {
+		r.allowance = slots
+	}
+	r.slots = slots
+	r.allowance = min(r.allowance, slots)
+	r.saved = min(r.saved, slots)
+}
+
+// suspect allows one call at a time until an answer shows whether the target has restarted.
+func (r *ramp) suspect() {
+	if r.opts.Off {
+		return
+	}
+	if r.saved == 0 {
+		r.saved = r.allowance
+	}
+	r.allowance = 1
+}
+
+func (r *ramp) chill() {
+	if r.opts.Off {
+		return
+	}
+	r.allowance, r.saved = 1, 0
+	r.reset()
+}
+
+func (r *ramp) reset() { r.used, r.good, r.bad, r.jumps, r.seen = 0, 0, 0, 0, 0 }
+
+// observe takes in the result of a call that started at started, while inUse calls were counted;
+// warmTime is the time of a warm answer, or zero if it is not known.
+func (r *ramp) observe(now, started time.Time, res *clementineport.CallResult, inUse int, warmTime time.Duration) {
+	if r.opts.Off {
+		return
+	}
+	r.used = max(r.used, inUse)
+	if s := res.Signals.Start; s != "" && s != r.start {
+		if r.start != "" {
+			r.chill()
+		}
+		r.start = s
+	}
+	if res.Err != nil {
+		r.failed(now, started, clementineport.FaultOf(res.Err), res.Elapsed, warmTime)
+		return
+	}
+	r.failures = 0
+	if r.saved > 0 {
+		r.allowance, r.saved = r.saved, 0
+	}
+	r.answered(res, warmTime)
+}
+
+func (r *ramp) failed(now, started time.Time, f clementineport.Fault, elapsed, warmTime time.Duration) {
+	switch f {
+	case clementineport.FaultCold:
+		r.chill()
+	case clementineport.FaultShed:
+		r.failures++
+		r.lower(now, started)
+	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
+		clementineport.FaultCut:
+		r.failures++
+		r.suspect()
+	case clementineport.FaultTimeout, clementineport.FaultCanceled:
+		if r.isJump(elapsed, warmTime) {
+			r.judge(false, true)
+		}
+		return
+	default:
+		return
+	}
+	if r.failures >= r.opts.Burst {
+		r.chill()
+	}
+}
+
+// lower halves the allowance once for all the calls that were in progress.
+func (r *ramp) lower(now, started time.Time) {
+	if started.Before(r.cut) {
+		return
+	}
+	r.cut = now
+	r.allowance = max(r.allowance/2, 1)
+	r.reset()
+}
+
+func (r *ramp) isJump(elapsed, warmTime time.Duration) bool {
+	return warmTime > 0 && float64(elapsed) > r.opts.JumpFactor*float64(warmTime)
+}
+
+func (r *ramp) answered(res *clementineport.CallResult, warmTime time.Duration) {
+	good := !res.Signals.Cold &&
+		(warmTime == 0 || float64(res.Elapsed) <= r.opts.GoodFactor*float64(warmTime))
+	r.judge(good, r.isJump(res.Elapsed, warmTime))
+	if res.Signals.Cold && r.warm() && r.slots > 1 {
+		r.chill()
+		return
+	}
+	step := r.opts.Step
+	if warmTime == 0 {
+		step *= r.opts.BlindFactor
+	}
+	if !r.warm() && r.good >= step && r.used >= r.allowance && r.bad*4 <= r.good {
+		r.allowance++
+		r.reset()
+	}
+}
+
+// judge counts one answer and lowers the allowance when most of a window are latency jumps.
+func (r *ramp) judge(good, jump bool) {
+	if good {
+		r.good++
+	} else {
+		r.bad++
+	}
+	if jump {
+		r.jumps++
+	}
+	r.seen++
+	if r.seen < r.opts.Window {
+		return
+	}
+	if r.jumps*2 > r.seen {
+		r.allowance = max(r.allowance/2, 1)
+		r.reset()
+		return
+	}
+	r.seen, r.jumps = 0, 0
+	if r.bad*4 > r.good {
+		r.good, r.bad = 0, 0
+	}
+}
--- /dev/null
+++ b/cplimit/target.go
@@ -0,0 +1,231 @@
+package cplimit
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Ticket numbers one call at one target.
+type Ticket uint64
+
+// Waiter is a call that asks to start.
+type Waiter struct {
+	Ticket   Ticket
+	Class    clementineport.Class
+	Deadline time.Time
+}
+
+// Grant says that a call may start, or why it will not.
+type Grant struct {
+	Ticket Ticket
+	Err    error
+}
+
+type running struct {
+	ticket   Ticket
+	started  time.Time
+	deadline time.Time
+}
+
+// linger is a call that ended here but may still run at the target.
+type linger struct {
+	since time.Time
+	until time.Time
+}
+
+// Target is the state machine of the limits of one target. It is not safe for concurrent use.
+// The slices that its methods return are valid until the next call.
+type Target struct {
+	opts *Options
+	rng  *rand.Rand
+	ramp ramp
+	// warmTime is the time of a warm answer, shared by the targets of a group.
+	warmTime *Average
+
+	slots, queueSize int
+	closed           clementineport.Fault
+	drained          time.Time
+	handover         time.Time
+	shared           int
+	sharedUntil      time.Time
+	service          Average
+
+	running   []running
+	lingering []linger
+	queue     []Waiter
+	grants    []Grant
+}
+
+// NewTarget returns the state of a target that this VM has just begun to own.
+func NewTarget(o *Options, seed uint64, g *clementineport.Group, warmTime *Average, now time.Time) *Target {
+	return &Target{
+		opts:      o,
+		rng:       rand.New(rand.NewPCG(o.Seed, seed)),
+		ramp:      newRamp(o.Ramp, g.Slots),
+		warmTime:  warmTime,
+		slots:     g.Slots,
+		queueSize: g.Queue,
+		handover:  now.Add(o.Handover),
+	}
+}
+
+// Resize changes the settings of the target.
+func (t *Target) Resize(now time.Time, slots, queue int) []Grant {
+	t.slots, t.queueSize = slots, queue
+	t.ramp.resize(slots)
+	return t.advance(now)
+}
+
+// Close refuses the queued and all further calls with a fault.
+func (t *Target) Close(now time.Time, f clementineport.Fault) []Grant {
+	t.closed = f
+	return t.advance(now)
+}
+
+// Open accepts calls again, as a new owner.
+func (t *Target) Open(now time.Time) {
+	if t.closed == clementineport.FaultUnknown {
+		return
+	}
+	t.closed = clementineport.FaultUnknown
+	t.handover = now.Add(t.opts.Handover)
+	t.ramp.suspect()
+}
+
+// Offer asks to start a call; without a grant for it in the result the call is queued.
+func (t *Target) Offer(now time.Time, w Waiter) []Grant {
+	t.grants = t.grants[:0]
+	if err := t.refusal(now, w); err != nil {
+		t.grants = append(t.grants, Grant{w.Ticket, err})
+		return t.grants
+	}
+	i, _ := slices.BinarySearchFunc(t.queue, w, compareWaiters)
+	t.queue = slices.Insert(t.queue, i, w)
+	t.step(now)
+	if len(t.queue) > t.queueSize {
+		last := len(t.queue) - 1
+		t.grants = append(t.grants, Grant{t.queue[last].Ticket, t.shed("queue is full", last)})
+		t.queue = t.queue[:last]
+	}
+	return t.grants
+}
+
+func compareWaiters(a, b Waiter) int {
+	if a.Class != b.Class {
+		return cmp.Compare(a.Class, b.Class)
+	}
+	if c := a.Deadline.Compare(b.Deadline); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Ticket, b.Ticket)
+}
+
+// refusal says why a call is refused at once, if it is.
+func (t *Target) refusal(now time.Time, w Waiter) error {
+	switch {
+	case t.closed != clementineport.FaultUnknown:
+		return clementineport.Fail(t.closed, "target is not served here")
+	case now.Before(t.drained):
+		return clementineport.Fail(clementineport.FaultDraining, "target is draining")
+	case !w.Deadline.After(now):
+		return clementineport.Fail(clementineport.FaultDeadline, "no time left")
+	}
+	ahead, _ := slices.BinarySearchFunc(t.queue, w, compareWaiters)
+	if wait := t.predict(now, ahead); now.Add(wait).After(w.Deadline) {
+		return t.shed("would not start before its deadline", ahead)
+	}
+	return nil
+}
+
+// predict returns how long a call with so many calls ahead of it is likely to wait.
+func (t *Target) predict(now time.Time, ahead int) time.Duration {
+	limit := t.Limit(now)
+	if t.InUse()+ahead < limit {
+		return 0
+	}
+	return t.serviceTime() * time.Duration(ahead+1) / time.Duration(limit)
+}
+
+func (t *Target) serviceTime() time.Duration {
+	if d := t.service.Value(); d > 0 {
+		return d
+	}
+	if d := t.warmTime.Value(); d > 0 {
+		return d
+	}
+	return t.opts.ServiceTime
+}
+
+// shed refuses a call and spreads the times at which callers return.
+func (t *Target) shed(reason string, ahead int) error {
+	drain := t.serviceTime() * time.Duration(ahead+1) / time.Duration(max(t.ramp.allowance, 1))
+	drain = max(drain, t.opts.MinRetryAfter)
+	return &clementineport.Error{
+		Fault:      clementineport.FaultShed,
+		Reason:     reason,
+		RetryAfter: drain/2 + time.Duration(t.rng.Int64N(int64(drain)+1)),
+	}
+}
+
+// Done records the result of a call that was started.
+func (t *Target) Done(now time.Time, id Ticket, res *clementineport.CallResult) []Grant {
+	i := slices.IndexFunc(t.running, func(r running) bool { return r.ticket == id })
+	if i < 0 {
+		return t.advance(now)
+	}
+	call, inUse := t.running[i], t.InUse()
+	t.running = slices.Delete(t.running, i, i+1)
+	t.observeTime(res)
+	t.confirm(call, res)
+	start := t.ramp.start
+	t.ramp.observe(now, call.started, res, inUse, t.warmTime.Value())
+	if start != "" && t.ramp.start != start {
+		t.lingering = t.lingering[:0]
+	}
+	if mayStillRun(res) && call.deadline.After(now) {
+		t.lingering = append(t.lingering, linger{now, call.deadline})
+	}
+	t.observeOthers(now, res)
+	t.observeDrain(now, res)
+	return t.advance(now)
+}
+
+// Abandon removes a queued call whose caller has given up.
+func (t *Target) Abandon(now time.Time, id Ticket) []Grant {
+	t.queue = slices.DeleteFunc(t.queue, func(w Waiter) bool { return w.Ticket == id })
+	return t.advance(now)
+}
+
+// Tick carries out what is due at a time.
+func (t *Target) Tick(now time.Time) []Grant { return t.advance(now) }
+
+// Limit returns the number of calls at a time that are allowed now.
+func (t *Target) Limit(now time.Time) int {
+	n := t.ramp.allowance
+	if now.Before(t.handover) {
+		n = min(n, t.handoverPart())
+	}
+	if now.Before(t.sharedUntil) {
+		n = min(n, t.slots-t.shared)
+	}
+	return max(n, 1)
+}
+
+// handoverPart is what a new owner may add to the calls of the old one: a part of the slots, and no
+// more than the queue of the target.
+func (t *Target) handoverPart() int {
+	return min(int(t.opts.HandoverShare*float64(t.slots)), t.queueSize)
+}
+
+// InUse returns the number of calls that count against the limit.
+func (t *Target) InUse() int { return len(t.running) + len(t.lingering) }
+
+// Queued returns the number of calls that wait.
+func (t *Target) Queued() int { return len(t.queue) }
+
+// Cold reports whether the target gets fewer calls at a time than it has slots.
+func (t *Target) Cold() bool { return !t.ramp.warm() }
