--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -66,6 +66,9 @@
 	if sh.open == 0 {
 		return missingState(sh.fault), sh.fault
 	}
+	if m.at < m.closing() {
+		return clementineport.ShardLate, clementineport.FaultCanceled
+	}
 	return clementineport.ShardLate, clementineport.FaultTimeout
 }
 
@@ -163,7 +166,7 @@
 		return m.aborted
 	}
 	for i := range m.shards {
-		if m.shards[i].state == clementineport.ShardLate {
+		if m.shards[i].fault == clementineport.FaultTimeout {
 			return clementineport.FaultTimeout
 		}
 	}
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -39,6 +39,7 @@
 	now time.Time
 	at  time.Duration
 
+	layout   *clementineport.LayoutTable
 	shards   []shard
 	attempts []attempt
 	actions  []Action
@@ -69,6 +70,8 @@
 	stats      clementineport.GatherStats
 	dropped    int
 	retryAfter time.Duration
+	// overloaded is true when a target refused a call of the query for overload.
+	overloaded bool
 	finished   bool
 	aborted    clementineport.Fault
 	closed     time.Duration
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -12,7 +12,7 @@
 	if !m.mayHedge() {
 		return
 	}
-	off := m.opts.HedgeOff != nil && m.opts.HedgeOff()
+	off := m.overloaded || m.opts.HedgeOff != nil && m.opts.HedgeOff()
 	for i := range m.shards {
 		sh := &m.shards[i]
 		if sh.final || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -33,10 +33,12 @@
 	m.hits.reset()
 	m.pick.Snapshot, m.pick.Home = choice.Snapshot, m.plan.Home
 	m.shards = m.shards[:0]
-	if choice.Layout == nil {
+	// The choice may have been made under another revision, whose target indexes differ.
+	m.layout = m.plan.Service.Layout(choice.Snapshot.Layout)
+	if m.layout == nil {
 		return 0
 	}
-	n := len(choice.Layout.Replicas)
+	n := len(m.layout.Replicas)
 	if cap(m.shards) < n {
 		m.shards = make([]shard, 0, n)
 		m.attempts = append(make([]attempt, 0, len(m.attempts)+n+n/spareShare+1), m.attempts...)
@@ -80,7 +82,7 @@
 			m.tried = append(m.tried, a.target)
 		}
 	}
-	m.pick.Replicas, m.pick.Tried = m.plan.Choice.Layout.Replicas[s], m.tried
+	m.pick.Replicas, m.pick.Tried = m.layout.Replicas[s], m.tried
 	return m.plan.View.Pick(&m.pick)
 }
 
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -21,6 +21,7 @@
 	a.end = failed
 	a.fault = clementineport.FaultOf(err)
 	sh.fault = a.fault
+	m.overloaded = m.overloaded || overload(a.fault)
 	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
@@ -77,13 +78,17 @@
 
 // spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
 func (m *Machine) spendRetry(fault clementineport.Fault) bool {
-	overload := fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
-	if fault.Verdict() == clementineport.NotRun && !overload {
+	if fault.Verdict() == clementineport.NotRun && !overload(fault) {
 		return true
 	}
 	return m.opts.RetryBudget != nil && m.opts.RetryBudget.Spend()
 }
 
+// overload reports whether a fault shows that targets have more work than they can do.
+func overload(fault clementineport.Fault) bool {
+	return fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
+}
+
 // retryWaiting asks the shards again whose time has come.
 func (m *Machine) retryWaiting() {
 	m.retryAt = never
@@ -110,7 +115,7 @@
 
 // held reports whether a usable target may hold the shard in the pinned snapshot.
 func (m *Machine) held(s clementineport.ShardID) bool {
-	for _, t := range m.plan.Choice.Layout.Replicas[s] {
+	for _, t := range m.layout.Replicas[s] {
 		if m.plan.View.Usable(t, m.now) && !m.refusedSnapshot(s, t) &&
 			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
 			return true
--- a/cpscatter/mailbox.go
+++ b/cpscatter/mailbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpgather"
@@ -27,6 +28,7 @@
 // expected is a call that was sent; its index is its attempt less one.
 type expected struct {
 	target   clementineport.TargetIndex
+	sent     time.Time
 	observed bool
 }
 
@@ -38,6 +40,7 @@
 
 // expect notes the calls that are about to be sent.
 func (b *mailbox) expect(actions []cpgather.Action) {
+	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, a := range actions {
@@ -47,14 +50,19 @@
 		for len(b.calls) < int(a.Attempt) {
 			b.calls = append(b.calls, expected{observed: true})
 		}
-		b.calls[a.Attempt-1] = expected{target: a.Target}
+		b.calls[a.Attempt-1] = expected{target: a.Target, sent: now}
 	}
 }
 
 // deliver observes the first result of each call and hands all results to the query.
 func (b *mailbox) deliver(r clementineport.CallResult) {
-	if t, ok := b.claim(r.Attempt, r.Target); ok {
-		b.view.Observe(t, b.clock.Now(), &r)
+	if c, ok := b.claim(r.Attempt, r.Target); ok {
+		now := b.clock.Now()
+		if r.Elapsed == 0 && clementineport.FaultOf(r.Err) == clementineport.FaultCanceled {
+			// A target whose calls are always overtaken by hedges must be seen to be slow.
+			r.Elapsed = now.Sub(c.sent)
+		}
+		b.view.Observe(c.target, now, &r)
 	}
 	b.mu.Lock()
 	if !b.closed {
@@ -68,19 +76,19 @@
 }
 
 // claim reports whether a result is the first of its call.
-func (b *mailbox) claim(id clementineport.AttemptID, target clementineport.TargetID) (clementineport.TargetIndex, bool) {
+func (b *mailbox) claim(id clementineport.AttemptID, target clementineport.TargetID) (expected, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := int(id) - 1
 	if i < 0 || i >= len(b.calls) || b.calls[i].observed {
-		return clementineport.NoTarget, false
+		return expected{}, false
 	}
-	t := b.calls[i].target
-	if target != "" && target != b.targets[t].ID {
-		return clementineport.NoTarget, false
+	c := b.calls[i]
+	if target != "" && target != b.targets[c.target].ID {
+		return expected{}, false
 	}
 	b.calls[i].observed = true
-	return t, true
+	return c, true
 }
 
 // end fails the calls of a batch that were not delivered.
--- a/cpsnapshot/cache.go
+++ b/cpsnapshot/cache.go
@@ -13,7 +13,7 @@
 type Cache struct {
 	chooser  *Chooser
 	interval time.Duration
-	services sync.Map // of *clementineport.ServiceTable to *cacheEntry
+	services sync.Map // of clementineport.ServiceID to *cacheEntry
 }
 
 type cacheEntry struct {
@@ -21,13 +21,14 @@
 }
 
 type cached struct {
-	view   clementineport.TargetView
-	choice Choice
-	until  time.Time
+	service *clementineport.ServiceTable
+	view    clementineport.TargetView
+	choice  Choice
+	until   time.Time
 }
 
 // NewCache returns a Cache that keeps a choice for the interval.
-// One Cache serves one configuration revision or many; entries of older revisions are dropped by Forget.
+// A choice made under another revision of the configuration is not used.
 func NewCache(chooser *Chooser, interval time.Duration) *Cache {
 	return &Cache{chooser: chooser, interval: interval}
 }
@@ -39,23 +40,26 @@
 	if len(avoid) > 0 {
 		return c.chooser.Choose(service, view, now, avoid...)
 	}
-	v, ok := c.services.Load(service)
+	v, ok := c.services.Load(service.Service.Name)
 	if !ok {
-		v, _ = c.services.LoadOrStore(service, &cacheEntry{})
+		v, _ = c.services.LoadOrStore(service.Service.Name, &cacheEntry{})
 	}
 	entry := v.(*cacheEntry)
-	if last := entry.last.Load(); last != nil && last.view == view && now.Before(last.until) {
+	last := entry.last.Load()
+	if last != nil && last.service == service && last.view == view && now.Before(last.until) {
 		return last.choice, true
 	}
 	choice, ok := c.chooser.Choose(service, view, now)
 	if ok && choice.Covered == choice.Shards {
-		entry.last.Store(&cached{view: view, choice: choice, until: now.Add(c.interval)})
+		entry.last.Store(&cached{service: service, view: view, choice: choice, until: now.Add(c.interval)})
 	}
 	return choice, ok
 }
 
 // Invalidate drops the choice of a service; call it when a target no longer holds a snapshot.
-func (c *Cache) Invalidate(service *clementineport.ServiceTable) { c.services.Delete(service) }
+func (c *Cache) Invalidate(service *clementineport.ServiceTable) {
+	c.services.Delete(service.Service.Name)
+}
 
-// Forget drops all choices; call it when a new revision is in force.
+// Forget drops all choices.
 func (c *Cache) Forget() { c.services.Clear() }
