--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -67,8 +67,6 @@
 	fault  clementineport.Fault
 	sent   time.Duration
 	took   time.Duration
-	// after is how long the call may take before it counts as a straggler.
-	after time.Duration
 }
 
 // shard is the state of one shard of the query.
@@ -112,16 +110,15 @@
 func (m *Machine) send(s clementineport.ShardID, t clementineport.TargetIndex, try Try) {
 	sh := &m.shards[s]
 	i := int32(len(m.attempts))
-	a := attempt{
-		shard: s, target: t, prev: sh.last, try: try,
-		sent: m.at, after: m.plan.View.HedgeAfter(t),
-	}
-	m.attempts = append(m.attempts, a)
+	m.attempts = append(m.attempts, attempt{shard: s, target: t, prev: sh.last, try: try, sent: m.at})
 	m.plan.View.Sent(t)
 	sh.last = i
 	sh.open++
 	m.actions = append(m.actions, Action{
 		Kind: Send, Try: try, Attempt: clementineport.AttemptID(i + 1), Shard: s, Target: t,
 	})
-	m.hedgeAt = min(m.hedgeAt, m.hedgeDue(&a))
+	if try != First || m.hedgeAt == never {
+		// The usual time of the first target stands for all until stragglers are looked for.
+		m.hedgeAt = min(m.hedgeAt, m.hedgeDue(&m.attempts[i]))
+	}
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -57,8 +57,6 @@
 	few int
 	// least is the number of covered shards that the service asks for.
 	least int
-	// slowest is the longest time after which a first call counts as a straggler.
-	slowest time.Duration
 
 	// Times since start.
 	closeAt  time.Duration
@@ -88,14 +86,15 @@
 	*m = Machine{
 		plan: plan, opts: opts,
 		shards: m.shards[:0], attempts: m.attempts[:0], actions: m.actions[:0], tried: m.tried[:0],
-		hits: merger{limit: plan.Query.Limit},
+		hits: merger{limit: plan.Query.Limit, hits: m.hits.hits},
 	}
 	return m
 }
 
 // Release hands the buffers of a finished machine to later queries; the machine must not be used afterwards.
 func (m *Machine) Release() {
-	m.plan, m.opts, m.hits = Plan{}, Options{}, merger{}
+	m.hits.reset()
+	m.plan, m.opts, m.layout, m.pick = Plan{}, Options{}, nil, clementineport.PickRequest{}
 	machines.Put(m)
 }
 
--- /dev/null
+++ b/cpgather/cpgathertest/cpgathertest.go
@@ -0,0 +1,177 @@
+// Package cpgathertest has a target view, a budget and replies for tests of queries.
+//
+// It keeps what a test sets and decides nothing; it is not for use outside tests.
+package cpgathertest
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// Start is the time at which queries start.
+var Start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// Snapshots of the index of NewPlan: an old and a new version, and the new version in another layout.
+var (
+	Old   = clementineport.Snapshot{Version: 7, Layout: 1}
+	New   = clementineport.Snapshot{Version: 8, Layout: 1}
+	Split = clementineport.Snapshot{Version: 8, Layout: 2}
+)
+
+// View is a target view that tests set; it picks the replica with the fewest calls sent.
+type View struct {
+	// Snapshots lists what each target holds; nil means that the target has not said.
+	Snapshots [][]clementineport.Snapshot
+	Out       []bool
+	// After is the usual time of every target.
+	After time.Duration
+
+	mu       sync.Mutex
+	sent     []int
+	sends    int
+	observed int
+}
+
+// Pick implements clementineport.TargetView.
+func (v *View) Pick(r *clementineport.PickRequest) (clementineport.TargetIndex, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	best := clementineport.NoTarget
+	for _, t := range r.Replicas {
+		if v.Out[t] || v.Holds(t, r.Snapshot) == clementineport.PossessionNo || slices.Contains(r.Tried, t) {
+			continue
+		}
+		if best == clementineport.NoTarget || v.sent[t] < v.sent[best] {
+			best = t
+		}
+	}
+	return best, best != clementineport.NoTarget
+}
+
+// Usable implements clementineport.TargetView.
+func (v *View) Usable(t clementineport.TargetIndex, _ time.Time) bool { return !v.Out[t] }
+
+// Holds implements clementineport.TargetView.
+func (v *View) Holds(t clementineport.TargetIndex, s clementineport.Snapshot) clementineport.Possession {
+	switch {
+	case v.Snapshots[t] == nil:
+		return clementineport.PossessionUnknown
+	case slices.Contains(v.Snapshots[t], s):
+		return clementineport.PossessionYes
+	}
+	return clementineport.PossessionNo
+}
+
+// Held implements clementineport.TargetView.
+func (v *View) Held(t clementineport.TargetIndex) []clementineport.Snapshot { return v.Snapshots[t] }
+
+// HedgeAfter implements clementineport.TargetView.
+func (v *View) HedgeAfter(clementineport.TargetIndex) time.Duration { return v.After }
+
+// Sent implements clementineport.TargetView.
+func (v *View) Sent(t clementineport.TargetIndex) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sent[t]++
+	v.sends++
+}
+
+// Observe implements clementineport.TargetView.
+func (v *View) Observe(clementineport.TargetIndex, time.Time, *clementineport.CallResult) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.observed++
+}
+
+// Counts returns how many calls were sent and how many results observed.
+func (v *View) Counts() (sent, observed int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.sends, v.observed
+}
+
+// Forget forgets the calls that were sent.
+func (v *View) Forget() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.sent)
+}
+
+// NewPlan returns the plan of an idempotent query over targets that hold the snapshots. Target i holds shard
+// i modulo the number of shards of layout 1, and both shards of layout 2 into which that one is split.
+func NewPlan(shards, targets int, held ...clementineport.Snapshot) (cpgather.Plan, *View) {
+	v := &View{
+		Snapshots: make([][]clementineport.Snapshot, targets), Out: make([]bool, targets),
+		After: 10 * time.Millisecond, sent: make([]int, targets),
+	}
+	rows := make([]clementineport.TargetRow, targets)
+	one, two := make([][]clementineport.TargetIndex, shards), make([][]clementineport.TargetIndex, 2*shards)
+	for i := range rows {
+		rows[i].ID = clementineport.TargetID(fmt.Sprintf("t%d", i))
+		v.Snapshots[i] = slices.Clone(held)
+		s, t := i%shards, clementineport.TargetIndex(i)
+		one[s], two[2*s], two[2*s+1] = append(one[s], t), append(two[2*s], t), append(two[2*s+1], t)
+	}
+	service := &clementineport.ServiceTable{
+		Service: clementineport.Service{
+			Name: "invoice-desk", Index: "invoices", Deadline: time.Second,
+			LeastCoverage: 1, BelowLeast: clementineport.BelowRefuse, Prefer: clementineport.PreferCoverage,
+		},
+		Layouts: []clementineport.LayoutTable{{Layout: 1, Replicas: one}, {Layout: 2, Replicas: two}},
+	}
+	query := &clementineport.Query{
+		Request: "r1", Service: "invoice-desk", Limit: 5, Deadline: Start.Add(time.Second), Idempotent: true,
+	}
+	choice, _ := cpsnapshot.Choose(service, v, Start)
+	return cpgather.Plan{Query: query, Service: service, View: v, Targets: rows, Choice: choice}, v
+}
+
+// Budget earns a share of the calls and holds at most a hundred.
+type Budget struct {
+	Share float64
+	left  float64
+}
+
+// Earn implements clementineport.Budget.
+func (b *Budget) Earn(calls int) { b.left = min(b.left+b.Share*float64(calls), 100) }
+
+// Spend implements clementineport.Budget.
+func (b *Budget) Spend() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+// Hits returns the hits of a shard; their records name the request, snapshot and shard they come from.
+func Hits(r clementineport.RequestID, s clementineport.Snapshot, shard clementineport.ShardID) []clementineport.Hit {
+	var hits []clementineport.Hit
+	for i := range int(shard) % 3 {
+		hits = append(hits, clementineport.Hit{Record: fmt.Sprintf("%s/%v/s%d/%d", r, s, shard, i), Score: float64(i)})
+	}
+	return hits
+}
+
+// ReplyTo returns the whole reply to a call.
+func ReplyTo(c *clementineport.Call) clementineport.CallResult {
+	return clementineport.CallResult{
+		Attempt: c.Attempt, Shard: c.Shard, Target: c.Target,
+		Reply: &clementineport.Reply{
+			Request: c.Request, Shard: c.Shard, Snapshot: c.Snapshot, Hits: Hits(c.Request, c.Snapshot, c.Shard),
+		},
+	}
+}
+
+// FailureOf returns a failed result of a call.
+func FailureOf(c *clementineport.Call, fault clementineport.Fault) clementineport.CallResult {
+	return clementineport.CallResult{
+		Attempt: c.Attempt, Shard: c.Shard, Target: c.Target, Err: clementineport.Fail(fault, "test"),
+	}
+}
--- /dev/null
+++ b/cpgather/decision_test.go
@@ -0,0 +1,234 @@
+package cpgather_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpgather/cpgathertest"
+)
+
+// reply answers the calls of the given attempts.
+func (g *model) reply(attempts ...int) {
+	for _, a := range attempts {
+		g.deliver(cpgathertest.ReplyTo(&g.calls[a-1]))
+	}
+}
+
+// fail ends an attempt with a fault.
+func (g *model) fail(attempt int, fault clementineport.Fault) {
+	g.deliver(cpgathertest.FailureOf(&g.calls[attempt-1], fault))
+}
+
+// run ticks whenever the machine asks for it, until at.
+func (g *model) run(at time.Duration) {
+	for !g.m.Finished() && !g.m.Next().After(cpgathertest.Start.Add(at)) {
+		g.now = g.m.Next()
+		g.take(g.m.Tick(g.now))
+	}
+	g.now = cpgathertest.Start.Add(at)
+}
+
+func TestFaultDecidesRetry(t *testing.T) {
+	permanent := map[clementineport.Fault]bool{
+		clementineport.FaultInvalid: true, clementineport.FaultNotFound: true,
+		clementineport.FaultUnauthorized: true, clementineport.FaultStale: true,
+	}
+	states := map[clementineport.Fault]clementineport.ShardState{
+		clementineport.FaultCut: clementineport.ShardCut, clementineport.FaultTimeout: clementineport.ShardLate,
+		clementineport.FaultDeadline: clementineport.ShardLate,
+	}
+	for _, idempotent := range []bool{true, false} {
+		for _, fault := range clementineport.Faults() {
+			t.Run(fmt.Sprintf("%v/Idempotent=%v", fault, idempotent), func(t *testing.T) {
+				plan, v := cpgathertest.NewPlan(1, 2, cpgathertest.Old)
+				plan.Query.Idempotent = idempotent
+				g := newModel(plan, v, cpgather.Budgets(nil, &cpgathertest.Budget{Share: 1}))
+				g.fail(1, fault)
+				if !permanent[fault] && (idempotent || fault.Verdict() == clementineport.NotRun) {
+					assert.Equal(t, len(g.calls), 2)
+					assert.Assert(t, g.calls[1].Target != g.calls[0].Target)
+					g.reply(2)
+					assert.Assert(t, g.m.Finished() && g.m.Answer().Complete)
+					return
+				}
+				assert.Assert(t, g.m.Finished(), "the answer is held")
+				answer := g.m.Answer()
+				want, ok := states[fault]
+				if !ok {
+					want = clementineport.ShardFailed
+				}
+				assert.DeepEqual(t, answer.Missing, []clementineport.MissingShard{{Shard: 0, State: want, Fault: fault}})
+				assert.Equal(t, answer.Verdict, fault.Verdict())
+				assert.Equal(t, clementineport.VerdictOf(g.m.Err()), fault.Verdict())
+			})
+		}
+	}
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault  clementineport.Fault
+		budget clementineport.Budget
+		calls  int
+	}{
+		"free refusal":             {clementineport.FaultDraining, nil, 4},
+		"overload without budget":  {clementineport.FaultShed, nil, 1},
+		"failure without budget":   {clementineport.FaultReset, nil, 1},
+		"failure with a budget":    {clementineport.FaultReset, &cpgathertest.Budget{Share: 2}, 3},
+		"failure with much budget": {clementineport.FaultReset, &cpgathertest.Budget{Share: 100}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// One replica: every retry waits for its backoff and asks the same target again.
+			plan, v := cpgathertest.NewPlan(1, 1, cpgathertest.Old)
+			g := newModel(plan, v, cpgather.Budgets(nil, c.budget))
+			for at := time.Duration(0); !g.m.Finished() && at < time.Second; at += 50 * time.Millisecond {
+				g.run(at)
+				g.fail(len(g.calls), c.fault)
+			}
+			assert.Equal(t, len(g.calls), c.calls)
+			assert.Assert(t, g.m.Err() != nil)
+			assert.Assert(t, g.now.Before(cpgathertest.Start.Add(500*time.Millisecond)), "the answer is held")
+		})
+	}
+}
+
+func TestHedgesOnlyStragglersOfIdempotentQueries(t *testing.T) {
+	off := func() bool { return true }
+	for name, c := range map[string]struct {
+		change func(*cpgather.Plan, *cpgathertest.View)
+		opts   []cpgather.Option
+		budget float64
+		hedges int
+	}{
+		"straggler":       {nil, nil, 1, 1},
+		"no budget":       {nil, nil, 0, 0},
+		"loaded":          {nil, []cpgather.Option{cpgather.HedgeOff(off)}, 1, 0},
+		"non-idempotent":  {func(p *cpgather.Plan, _ *cpgathertest.View) { p.Query.Idempotent = false }, nil, 1, 0},
+		"no other target": {func(_ *cpgather.Plan, v *cpgathertest.View) { v.Out[10] = true }, nil, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan, v := cpgathertest.NewPlan(10, 20, cpgathertest.Old)
+			if c.change != nil {
+				c.change(&plan, v)
+			}
+			g := newModel(plan, v, append(c.opts, cpgather.Budgets(&cpgathertest.Budget{Share: c.budget}, nil))...)
+			g.run(5 * time.Millisecond)
+			g.reply(2, 3, 4, 5, 6, 7, 8, 9, 10)
+			g.run(12 * time.Millisecond)
+			assert.Equal(t, len(g.calls), 10, "hedged before the usual time has passed")
+			g.run(13 * time.Millisecond)
+			assert.Equal(t, len(g.calls), 10+c.hedges)
+			if c.hedges == 1 {
+				assert.Assert(t, g.calls[10].Target != g.calls[0].Target)
+				g.reply(11)
+				assert.Assert(t, !g.open[1], "the straggler is not cancelled")
+			} else {
+				g.reply(1)
+			}
+			assert.Assert(t, g.m.Finished() && g.m.Answer().Complete)
+		})
+	}
+}
+
+func TestHedgesWaitWhileMostShardsAreOutstanding(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(10, 20, cpgathertest.Old)
+	g := newModel(plan, v, cpgather.Budgets(&cpgathertest.Budget{Share: 1}, nil))
+	g.run(19 * time.Millisecond)
+	assert.Equal(t, len(g.calls), 10)
+	g.run(20 * time.Millisecond)
+	assert.Equal(t, len(g.calls), 20)
+}
+
+func TestClosing(t *testing.T) {
+	for name, c := range map[string]struct {
+		prefer  clementineport.Preference
+		least   float64
+		below   clementineport.BelowLeast
+		covered int
+		closed  time.Duration
+		fault   clementineport.Fault
+	}{
+		"tail closes early":          {clementineport.PreferTail, 0.9, clementineport.BelowRefuse, 9, 500 * time.Millisecond, 0},
+		"coverage waits":             {clementineport.PreferCoverage, 0.9, clementineport.BelowRefuse, 9, 980 * time.Millisecond, 0},
+		"tail below least waits":     {clementineport.PreferTail, 0.9, clementineport.BelowRefuse, 8, 980 * time.Millisecond, clementineport.FaultTimeout},
+		"below least is marked":      {clementineport.PreferCoverage, 0.9, clementineport.BelowMark, 8, 980 * time.Millisecond, 0},
+		"nothing covered is refused": {clementineport.PreferTail, 0, clementineport.BelowMark, 0, 980 * time.Millisecond, clementineport.FaultTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan, v := cpgathertest.NewPlan(10, 10, cpgathertest.Old)
+			service := &plan.Service.Service
+			service.Prefer, service.LeastCoverage, service.BelowLeast = c.prefer, c.least, c.below
+			g := newModel(plan, v)
+			for a := range c.covered {
+				g.reply(a + 1)
+			}
+			g.run(time.Second)
+			answer := g.m.Answer()
+			assert.Equal(t, g.m.Trace().Took, c.closed)
+			assert.Assert(t, g.m.Finished() && !answer.Complete)
+			assert.Equal(t, len(answer.Covered), c.covered)
+			assert.Equal(t, clementineport.FaultOf(g.m.Err()), c.fault)
+			assert.Equal(t, len(answer.Hits) > 0, c.fault == 0)
+		})
+	}
+}
+
+func TestRefusedBeforeAnythingIsSent(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(10, 10, cpgathertest.Old)
+	plan.Query.Idempotent = false
+	v.Out[4] = true
+	g := newModel(plan, v)
+	assert.Assert(t, g.m.Finished())
+	assert.Equal(t, len(g.calls), 0)
+	assert.Equal(t, g.m.Answer().Verdict, clementineport.NotRun)
+	assert.Equal(t, clementineport.VerdictOf(g.m.Err()), clementineport.NotRun)
+}
+
+// A version goes away while a query runs: shard 1 has no holder left, and the new version covers all.
+func TestLostSnapshot(t *testing.T) {
+	for name, c := range map[string]struct {
+		prefer     clementineport.Preference
+		least      float64
+		idempotent bool
+		at         time.Duration
+		next       clementineport.Snapshot
+		pinned     clementineport.Snapshot
+		covered    int
+	}{
+		"coverage restarts":           {clementineport.PreferCoverage, 0.5, true, 0, cpgathertest.New, cpgathertest.New, 4},
+		"coverage restarts on layout": {clementineport.PreferCoverage, 0.5, true, 0, cpgathertest.Split, cpgathertest.Split, 8},
+		"tail goes on":                {clementineport.PreferTail, 0.5, true, 0, cpgathertest.New, cpgathertest.Old, 3},
+		"tail restarts below least":   {clementineport.PreferTail, 1, true, 0, cpgathertest.New, cpgathertest.New, 4},
+		"no time left":                {clementineport.PreferCoverage, 0.5, true, 970 * time.Millisecond, cpgathertest.New, cpgathertest.Old, 3},
+		"non-idempotent goes on":      {clementineport.PreferCoverage, 0.5, false, 0, cpgathertest.New, cpgathertest.Old, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan, v := cpgathertest.NewPlan(4, 8, cpgathertest.Old)
+			plan.Query.Idempotent = c.idempotent
+			service := &plan.Service.Service
+			service.Prefer, service.LeastCoverage = c.prefer, c.least
+			g := newModel(plan, v, cpgather.TailCut(1))
+			g.run(c.at)
+			g.reply(1)
+			for i := range v.Snapshots {
+				v.Snapshots[i] = append(v.Snapshots[i], c.next)
+			}
+			v.Snapshots[1], v.Snapshots[5] = []clementineport.Snapshot{c.next}, []clementineport.Snapshot{c.next}
+			g.fail(2, clementineport.FaultSnapshot)
+			for a := 2; a <= len(g.calls); a++ {
+				if g.open[clementineport.AttemptID(a)] {
+					g.reply(a)
+				}
+			}
+			g.check()
+			assert.Equal(t, g.fault, "")
+			assert.Equal(t, g.m.Answer().Snapshot, c.pinned)
+			assert.Equal(t, len(g.m.Answer().Covered), c.covered)
+		})
+	}
+}
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -35,10 +35,11 @@
 // hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
 // outstanding than while many are.
 func (m *Machine) hedgeDue(a *attempt) time.Duration {
+	factor := m.opts.ProjectedFactor
 	if m.outstanding <= m.few {
-		return a.sent + time.Duration(m.opts.HedgeFactor*float64(a.after))
+		factor = m.opts.HedgeFactor
 	}
-	return a.sent + time.Duration(m.opts.ProjectedFactor*float64(a.after))
+	return a.sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.target)))
 }
 
 // sendHedge sends a hedge, or reports that the budget has none left.
--- a/cpgather/merge.go
+++ b/cpgather/merge.go
@@ -3,52 +3,53 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 
 	"github.com/clementineport/clementineport"
 )
 
-// pruneSlack is the number of hits kept beyond twice the limit before the worst are dropped.
-const pruneSlack = 64
-
-// merger keeps the best hits, by score and then by record.
+// merger keeps the best hits in order, by score and then by record; without a limit it keeps all.
 type merger struct {
 	limit int
 	hits  []clementineport.Hit
-	// worst is the worst hit that can still be among the best, once full is true.
-	worst clementineport.Hit
-	full  bool
 }
 
-func compareHits(a, b clementineport.Hit) int {
+func compareHits(a, b *clementineport.Hit) int {
 	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Record, b.Record), cmp.Compare(a.Fields, b.Fields))
 }
 
+// reset drops all hits and keeps the buffer.
 func (g *merger) reset() {
+	clear(g.hits)
 	g.hits = g.hits[:0]
-	g.full = false
 }
 
 func (g *merger) add(hits []clementineport.Hit) {
-	for i := range hits {
-		if g.full && compareHits(hits[i], g.worst) >= 0 {
-			continue
-		}
-		g.hits = append(g.hits, hits[i])
+	if g.limit <= 0 {
+		g.hits = append(g.hits, hits...)
+		return
 	}
-	if g.limit > 0 && len(g.hits) > 2*g.limit+pruneSlack {
-		g.prune()
+	for i := range hits {
+		g.insert(&hits[i])
 	}
 }
 
-func (g *merger) prune() {
-	slices.SortFunc(g.hits, compareHits)
-	if g.limit > 0 && len(g.hits) >= g.limit {
-		g.hits = g.hits[:g.limit]
-		g.worst, g.full = g.hits[g.limit-1], true
+func (g *merger) insert(h *clementineport.Hit) {
+	n := len(g.hits)
+	if n == g.limit {
+		if compareHits(h, &g.hits[n-1]) >= 0 {
+			return
+		}
+		g.hits = g.hits[:n-1]
 	}
+	at := sort.Search(len(g.hits), func(k int) bool { return compareHits(h, &g.hits[k]) < 0 })
+	g.hits = slices.Insert(g.hits, at, *h)
 }
 
+// result returns the hits in a slice of their own.
 func (g *merger) result() []clementineport.Hit {
-	g.prune()
+	if g.limit <= 0 {
+		slices.SortFunc(g.hits, func(a, b clementineport.Hit) int { return compareHits(&a, &b) })
+	}
 	return slices.Clone(g.hits)
 }
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpsnapshot"
@@ -29,7 +30,7 @@
 	choice := &m.plan.Choice
 	m.epoch = len(m.attempts)
 	m.covered, m.lost = 0, 0
-	m.slowest, m.hedgeAt, m.retryAt = 0, never, never
+	m.hedgeAt, m.retryAt = never, never
 	m.hits.reset()
 	m.pick.Snapshot, m.pick.Home = choice.Snapshot, m.plan.Home
 	m.shards = m.shards[:0]
@@ -68,7 +69,6 @@
 		return false
 	}
 	m.send(s, t, First)
-	m.slowest = max(m.slowest, m.attempts[len(m.attempts)-1].after)
 	return true
 }
 
@@ -120,11 +120,11 @@
 	if !m.plan.Query.Idempotent || m.lost == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
 		return false
 	}
-	if m.at < m.replanAt && m.outstanding > 0 {
+	if m.at < m.replanAt && m.outstanding > 0 && !m.hopeless() {
 		return false
 	}
 	m.replanAt = m.at + m.opts.Replan
-	if m.at+restartNeed*m.slowest >= m.closeAt {
+	if m.at+restartNeed*m.slowest() >= m.closeAt {
 		return false
 	}
 	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, m.now, m.plan.Choice.Snapshot)
@@ -142,6 +142,15 @@
 	return true
 }
 
+// slowest returns the longest usual time of the targets asked since the last restart.
+func (m *Machine) slowest() time.Duration {
+	var d time.Duration
+	for i := m.epoch; i < len(m.attempts); i++ {
+		d = max(d, m.plan.View.HedgeAfter(m.attempts[i].target))
+	}
+	return d
+}
+
 // preferred reports whether the service prefers a restart on the choice to what the pinned snapshot can still give.
 func (m *Machine) preferred(choice *cpsnapshot.Choice) bool {
 	service := &m.plan.Service.Service
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -42,7 +42,8 @@
 		return false
 	}
 	switch sh.fault {
-	case clementineport.FaultInvalid, clementineport.FaultUnauthorized, clementineport.FaultStale:
+	case clementineport.FaultInvalid, clementineport.FaultNotFound, clementineport.FaultUnauthorized,
+		clementineport.FaultStale:
 		return false
 	}
 	return m.plan.Query.Idempotent || !sh.mayHaveRun || m.opts.off(CheckVerdict)
--- a/cponce/cponce.go
+++ b/cponce/cponce.go
@@ -209,13 +209,16 @@
 
 // keep holds the answer of a request and drops the oldest ones beyond the budget.
 func (r *Registry) keep(q *request) {
+	if q.answer == nil {
+		return
+	}
 	r.kept = append(r.kept, q)
 	r.keptBytes += q.size
-	n := 0
 	for r.keptBytes > r.opts.AnswerBytes {
-		r.keptBytes -= r.kept[n].size
-		r.kept[n].answer = nil
-		n++
+		oldest := r.kept[0]
+		r.keptBytes -= oldest.size
+		oldest.answer = nil
+		r.kept[0] = nil
+		r.kept = r.kept[1:]
 	}
-	r.kept = slices.Delete(r.kept, 0, n)
 }
--- /dev/null
+++ b/cponce/cponce_test.go
@@ -0,0 +1,221 @@
+package cponce_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cponce"
+)
+
+var now = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// fleet is a few processes that requests are sent to in any order.
+type fleet struct {
+	now     time.Time
+	opts    []cponce.Option
+	starts  int
+	procs   map[clementineport.StartID]*cponce.Registry
+	names   []clementineport.StartID
+	running map[clementineport.RequestID]clementineport.StartID
+	// runs counts the runs of an id that are not proven not to have run.
+	runs    map[clementineport.RequestID]int
+	answers map[clementineport.RequestID]*clementineport.Answer
+	fault   string
+}
+
+func (f *fleet) blame(format string, args ...any) { f.fault = fmt.Sprintf(format, args...) }
+
+// start replaces process i by a new one that remembers nothing.
+func (f *fleet) start(i int) {
+	delete(f.procs, f.names[i])
+	for id, owner := range f.running {
+		if owner == f.names[i] {
+			delete(f.running, id)
+		}
+	}
+	f.starts++
+	f.names[i] = clementineport.StartID(fmt.Sprintf("s%d", f.starts))
+	f.procs[f.names[i]], _ = cponce.New(f.names[i], f.now, f.opts...)
+}
+
+// send hands a request to a process as an entry does.
+func (f *fleet) send(to clementineport.StartID, id clementineport.RequestID) {
+	d := f.procs[to].Begin(f.now, id)
+	if d.Kind == cponce.Elsewhere {
+		if f.procs[d.Start] == nil {
+			return
+		}
+		to, d = d.Start, f.procs[d.Start].Begin(f.now, id)
+	}
+	switch d.Kind {
+	case cponce.Run:
+		f.runs[id]++
+		if f.runs[id] > 1 {
+			f.blame("%s runs %d times", id, f.runs[id])
+		}
+		f.running[id] = to
+	case cponce.Join:
+		if f.running[id] != to {
+			f.blame("%s joins a run that has ended", id)
+		}
+	case cponce.Done:
+		if d.Answer != nil && d.Answer != f.answers[id] {
+			f.blame("%s gets the answer of another run", id)
+		}
+		if d.Verdict == clementineport.NotRun || d.Answer == nil && d.Err == nil {
+			f.blame("%s is done with verdict %v and no outcome", id, d.Verdict)
+		}
+	case cponce.Refuse:
+		if f.runs[id] > 0 && d.Verdict == clementineport.NotRun {
+			f.blame("%s ran, but is refused as not run", id)
+		}
+	}
+}
+
+// end ends the run of a request.
+func (f *fleet) end(id clementineport.RequestID, fault clementineport.Fault) {
+	var err error
+	answer := &clementineport.Answer{Request: id, Verdict: clementineport.Ran, Hits: make([]clementineport.Hit, 4)}
+	if fault != clementineport.FaultUnknown {
+		answer, err = nil, clementineport.Fail(fault, "test")
+	}
+	f.procs[f.running[id]].End(id, answer, err)
+	delete(f.running, id)
+	f.answers[id] = answer
+	if clementineport.VerdictOf(err) == clementineport.NotRun {
+		f.runs[id]--
+	}
+}
+
+// play drives a fleet through drawn events and returns the first promise that it broke.
+func play(t *rapid.T, opts ...cponce.Option) string {
+	f := &fleet{
+		now: now, names: make([]clementineport.StartID, 3),
+		opts:    append(opts, cponce.Generations(time.Minute, 3), cponce.Limits(rapid.IntRange(1, 8).Draw(t, "ids"), 700)),
+		procs:   map[clementineport.StartID]*cponce.Registry{},
+		running: map[clementineport.RequestID]clementineport.StartID{},
+		runs:    map[clementineport.RequestID]int{},
+		answers: map[clementineport.RequestID]*clementineport.Answer{},
+	}
+	for i := range f.names {
+		f.start(i)
+	}
+	var ids []clementineport.RequestID
+	for n := range 40 {
+		vm := rapid.IntRange(0, 2).Draw(t, "vm")
+		switch kind := rapid.IntRange(0, 9).Draw(t, "event"); {
+		case kind < 3 || len(ids) == 0:
+			ticket := f.procs[f.names[vm]].Ticket(f.now)
+			ids = append(ids, clementineport.RequestID(fmt.Sprintf("%s.%d", ticket, n)))
+		case kind < 7:
+			f.send(f.names[vm], rapid.SampledFrom(ids).Draw(t, "id"))
+		case kind < 8:
+			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "s")) * time.Second)
+		case kind < 9:
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			if _, ok := f.running[id]; ok {
+				f.end(id, rapid.SampledFrom([]clementineport.Fault{0, clementineport.FaultReset, clementineport.FaultShed}).Draw(t, "fault"))
+			}
+		case rapid.IntRange(0, 3).Draw(t, "restart") == 0:
+			f.start(vm)
+		}
+		if f.fault != "" {
+			break
+		}
+	}
+	return f.fault
+}
+
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := play(t); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+func TestRunsTwiceWithoutMemory(t *testing.T) {
+	games := rapid.Custom(func(t *rapid.T) string { return play(t, cponce.Forgetful()) })
+	faults := 0
+	for seed := range 100 {
+		if games.Example(seed) != "" {
+			faults++
+		}
+	}
+	assert.Assert(t, faults > 0)
+}
+
+func TestParseTicket(t *testing.T) {
+	for id, ok := range map[clementineport.RequestID]bool{
+		"s1.0.a": true, "s1.12.a.b": true,
+		"": false, "s1": false, "s1.0": false, "s1.0.": false, ".0.a": false, "s1.x.a": false, "s1.01.a": false,
+		"s1.-1.a": false, "s1.+1.a": false, "s1.99999999999999999999.a": false,
+	} {
+		_, _, got := cponce.ParseTicket(id)
+		assert.Equal(t, got, ok, "%q", id)
+	}
+}
+
+func TestResendJoinsAndThenGetsTheAnswer(t *testing.T) {
+	r, err := cponce.New("s1", now, cponce.Generations(time.Minute, 2))
+	assert.NilError(t, err)
+	id := clementineport.RequestID(r.Ticket(now) + ".a")
+	assert.Equal(t, r.Begin(now, id).Kind, cponce.Run)
+	first := r.Begin(now, id)
+	assert.Equal(t, first.Kind, cponce.Join)
+	answer := &clementineport.Answer{Request: id, Verdict: clementineport.Ran}
+	r.End(id, answer, nil)
+	<-first.Pending.Done()
+	joined, err := first.Pending.Outcome()
+	assert.Assert(t, joined == answer && err == nil)
+	done := r.Begin(now.Add(119*time.Second), id)
+	assert.Assert(t, done.Kind == cponce.Done && done.Answer == answer && done.Err == nil)
+	expired := r.Begin(now.Add(120*time.Second), id)
+	assert.Assert(t, expired.Kind == cponce.Refuse && expired.Verdict == clementineport.MayHaveRun)
+	other := r.Begin(now, "s2.0.a")
+	assert.Assert(t, other.Kind == cponce.Elsewhere && other.Start == "s2")
+	unknown := r.Begin(now, "s1.9.a")
+	assert.Equal(t, clementineport.FaultOf(unknown.Err), clementineport.FaultInvalid)
+	_, err = cponce.New("s.1", now)
+	assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultInvalid)
+}
+
+func BenchmarkRemember(b *testing.B) {
+	for _, ids := range []int{1_000, 100_000} {
+		for _, hits := range []int{0, 10} {
+			b.Run(fmt.Sprintf("IDs=%d/Hits=%d", ids, hits), func(b *testing.B) {
+				var before, after runtime.MemStats
+				kept := make([]*cponce.Registry, 0, b.N)
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for b.Loop() {
+					r, _ := cponce.New("0f8fad5b-d9cb-469f-a165-70867728950e", now, cponce.Limits(ids, 1<<30))
+					ticket := r.Ticket(now)
+					for i := range ids {
+						id := clementineport.RequestID(fmt.Sprintf("%s.%016x", ticket, i))
+						r.Begin(now, id)
+						answer := &clementineport.Answer{Request: id, Verdict: clementineport.Ran}
+						for range hits {
+							hit := clementineport.Hit{Record: strings.Repeat("r", 32), Fields: strings.Repeat("f", 64)}
+							answer.Hits = append(answer.Hits, hit)
+						}
+						r.End(id, answer, nil)
+					}
+					kept = append(kept, r)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(ids*len(kept)), "kept-B/id")
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(ids*len(kept)), "ns/id")
+				runtime.KeepAlive(kept)
+			})
+		}
+	}
+}
