Send the retries of one batch together and take results before the time

A process that was paused merges the results that came in time before it closes the answer. A trace row tells whether a dropped reply came late.

--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -65,6 +65,7 @@
 	try    Try
 	end    ending
 	fault  clementineport.Fault
+	late   bool
 	sent   time.Duration
 	took   time.Duration
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -184,6 +184,7 @@
 	}
 	a := &m.attempts[i]
 	if a.end != open && (!m.opts.off(CheckAttempt) || int(a.shard) >= len(m.shards)) {
+		a.late = r.Reply != nil
 		m.late(r)
 		return
 	}
--- a/cpgather/trace.go
+++ b/cpgather/trace.go
@@ -18,6 +18,8 @@
 	// Ending is open, merged, failed, cancelled or withdrawn.
 	Ending string
 	Fault  clementineport.Fault
+	// Late is true when a reply came after the attempt had ended; it was dropped.
+	Late bool
 	// Epoch is the number of restarts before the attempt.
 	Epoch int
 }
@@ -66,6 +68,7 @@
 			Took:    a.took,
 			Ending:  endingNames[a.end],
 			Fault:   a.fault,
+			Late:    a.late,
 		}
 		if i >= t.epoch {
 			rows[i].Epoch = t.Stats.Restarts
--- a/cpscatter/cpscatter.go
+++ b/cpscatter/cpscatter.go
@@ -54,11 +54,19 @@
 	machine *cpgather.Machine
 	sender  Sender
 	box     *mailbox
+	calls   []clementineport.Call
 	timer   <-chan time.Time
 	timerAt time.Time
 }
 
+// step takes the results that have come before it looks at the time, so that a paused process merges them.
 func (r *runner) step(ctx context.Context) {
+	select {
+	case <-r.box.notify:
+		r.take(ctx)
+		return
+	default:
+	}
 	now, next := r.clock.Now(), r.machine.Next()
 	if !now.Before(next) {
 		r.do(ctx, r.machine.Tick(now))
@@ -82,31 +90,43 @@
 	results := r.box.take()
 	now := r.clock.Now()
 	for i := range results {
-		r.do(ctx, r.machine.Result(now, &results[i]))
+		r.collect(r.machine.Result(now, &results[i]))
 	}
+	r.flush(ctx)
 }
 
-// do carries out the actions of one step; its calls go out together.
+// do carries out the actions of one step.
 func (r *runner) do(ctx context.Context, actions []cpgather.Action) {
-	sends := 0
+	r.collect(actions)
+	r.flush(ctx)
+}
+
+// collect cancels calls at once and notes those to be sent.
+func (r *runner) collect(actions []cpgather.Action) {
+	if len(actions) == 0 {
+		return
+	}
+	if r.calls == nil {
+		r.calls = make([]clementineport.Call, 0, len(actions))
+	}
 	for _, a := range actions {
 		switch a.Kind {
 		case cpgather.Send:
-			sends++
+			r.calls = append(r.calls, r.machine.Call(a))
 		case cpgather.Cancel:
 			r.sender.Cancel(a.Attempt)
 		}
 	}
-	if sends == 0 {
+	r.box.expect(actions)
+}
+
+// flush sends the noted calls together, so that those to one VM can share a message.
+func (r *runner) flush(ctx context.Context) {
+	calls := r.calls
+	r.calls = nil
+	if len(calls) == 0 {
 		return
 	}
-	calls := make([]clementineport.Call, 0, sends)
-	for _, a := range actions {
-		if a.Kind == cpgather.Send {
-			calls = append(calls, r.machine.Call(a))
-		}
-	}
-	r.box.expect(actions)
 	go func() {
 		r.sender.Send(ctx, calls, r.box.deliver)
 		r.box.end(ctx, calls)
