--- a/cpcli/cpcli.go
+++ b/cpcli/cpcli.go
@@ -31,19 +31,24 @@
 	root := &ffcli.Command{
 		Name:       "clementineport",
 		ShortUsage: "clementineport <subcommand> [flags]",
-		FlagSet:    newFlagSet("clementineport", stdout),
-		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+		FlagSet:    newFlagSet("clementineport", stderr),
+		Subcommands: append([]*ffcli.Command{
+			newEntryCommand(stdout, stderr),
+			newStatusCommand(stdout, stderr),
+			newExplainCommand(stdout, stderr),
+			NewLoadCommand(stdout, stderr),
+			NewPlotCommand(stdout, stderr),
+		}, ConfigCommands(stdout, stderr)...),
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
-	err := root.ParseAndRun(ctx, args)
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.Is(err, flag.ErrHelp):
-		return ExitUsage
-	default:
+	err := root.Parse(args)
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(stderr, "clementineport:", err)
-		return ExitFailed
 	}
+	return ExitCode(err)
 }
 
 func newFlagSet(name string, w io.Writer) *flag.FlagSet {
--- /dev/null
+++ b/cpcli/status.go
@@ -0,0 +1,97 @@
+package cpcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpoperator"
+)
+
+const explainPath = "/v1/explain/"
+
+// newStatusCommand returns the subcommand that shows what one VM knows of the fleet.
+func newStatusCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("status", stderr)
+	var f operatorFlags
+	f.register(fs)
+	return configCommand(fs, "[flags]", "show the VMs and the revision in force at each",
+		func(ctx context.Context, _ []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			var status cpcontrol.Status
+			if err := client.call(ctx, http.MethodGet, cpoperator.StatusPath, nil, &status); err != nil {
+				return err
+			}
+			if f.json {
+				return json.NewEncoder(stdout).Encode(&status)
+			}
+			return printStatus(stdout, &status)
+		})
+}
+
+func printStatus(stdout io.Writer, s *cpcontrol.Status) error {
+	fmt.Fprintf(stdout, "revision %d in force, known to be the newest %s ago\n", s.Revision, s.Fresh.Round(time.Millisecond))
+	if s.Restored != 0 {
+		fmt.Fprintf(stdout, "the store answers with the older revision %d; it was restored\n", s.Restored)
+	}
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "VM\tDOMAIN\tSTATE\tREVISION\tCONFIRMED\tOUT\tANSWERED")
+	for i := range s.Rows {
+		r := &s.Rows[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\t%s\n",
+			r.VM.ID, r.VM.Domain, r.State, r.Revision, r.Confirmed, r.Out, r.Answered.Round(time.Millisecond))
+	}
+	return w.Flush()
+}
+
+// newExplainCommand returns the subcommand that shows how one recent query was run.
+func newExplainCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("explain", stderr)
+	var f operatorFlags
+	f.register(fs)
+	return configCommand(fs, "REQUEST-ID [flags]", "show the attempts of a recent query",
+		func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("usage: clementineport explain REQUEST-ID [flags]")
+			}
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			var reply struct {
+				cpgather.Trace
+				Attempts []cpgather.TraceRow
+			}
+			if err := client.call(ctx, http.MethodGet, explainPath+url.PathEscape(args[0]), nil, &reply); err != nil {
+				return err
+			}
+			if f.json {
+				return json.NewEncoder(stdout).Encode(&reply)
+			}
+			return printTrace(stdout, &reply.Trace, reply.Attempts)
+		})
+}
+
+func printTrace(stdout io.Writer, t *cpgather.Trace, attempts []cpgather.TraceRow) error {
+	fmt.Fprintf(stdout, "request %s, snapshot %s, took %s, %d calls, %d hedges, %d retries, %d dropped\n",
+		t.Request, t.Snapshot, t.Took, t.Stats.Calls, t.Stats.Hedges, t.Stats.Retries, t.Dropped)
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ATTEMPT\tSHARD\tTARGET\tTRY\tSENT\tTOOK\tENDING\tFAULT")
+	for i := range attempts {
+		a := &attempts[i]
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", a.Attempt, a.Shard, a.Target, a.Try, a.Sent, a.Took, a.Ending, a.Fault)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cpnode/baseline.go
@@ -0,0 +1,40 @@
+package cpnode
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbudget"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpentry"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cppick/cprandom"
+	"github.com/clementineport/clementineport/cprelay"
+)
+
+// baselineHedgeAfter is never reached, since the baseline has no budget for hedges.
+const baselineHedgeAfter = time.Hour
+
+// baseline runs the policy that the tier is compared with: every VM calls every target directly.
+type baseline struct {
+	policy *cpentry.Baseline
+	pool   *cprelay.Pool
+}
+
+func newBaseline(n *Node) *baseline {
+	b := &baseline{pool: cprelay.NewPool(n.dialTarget)}
+	b.policy = cpentry.NewBaseline(
+		cprandom.New(n.seed, baselineHedgeAfter),
+		cprelay.NewOwner(n.clock, b.pool, cprelay.Unlimited{}, n.control.MaySend),
+		cpgather.NewOptions(cpgather.Budgets(nil, cpbudget.Off)),
+	)
+	return b
+}
+
+func (b *baseline) update(v *cpcontrol.View) {
+	vms := max(1, len(v.Members))
+	b.pool.Update(v.Table, func(t clementineport.TargetIndex) int {
+		return max(1, v.Table.Targets[t].Group.Connections/vms)
+	})
+	b.policy.Update(v.Table)
+}
--- /dev/null
+++ b/cpnode/control.go
@@ -0,0 +1,59 @@
+package cpnode
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadvice"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cppick"
+)
+
+func (n *Node) newControl() {
+	n.control = cpcontrol.New(
+		cpcontrol.WithSelf(clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}),
+		cpcontrol.WithStore(n.store),
+		cpcontrol.WithDirectory(n.list),
+		cpcontrol.WithDial(n.dialPeer),
+		cpcontrol.WithPicker(cppick.New(cppick.Seed(n.seed))),
+		cpcontrol.WithClock(n.clock),
+		cpcontrol.WithSeed(n.seed),
+		cpcontrol.WithDecode(cpestate.DecodeConfig),
+		cpcontrol.WithCompile(cpestate.CompileConfig),
+		cpcontrol.WithOnView(n.onView),
+		cpcontrol.WithMetrics(n.metrics),
+		cpcontrol.WithLog(n.log),
+		cpcontrol.WithAdvice(cpadvice.WithLife(n.settings.Shutdown.AdviceLife)),
+		cpcontrol.WithSize(func(d *clementineport.Digest) int { return proto.Size(cpconnect.DigestMessage(d)) }),
+	)
+}
+
+// onView passes a new view to the parts that hold state for each target or VM.
+func (n *Node) onView(v *cpcontrol.View) {
+	n.peers.Keep(v.Members)
+	n.drain.setTakenOut(v.SelfOut())
+	if v.Table == nil {
+		return
+	}
+	n.pool.Update(v.Table, func(t clementineport.TargetIndex) int { return connectionShare(v, t) })
+	n.limiter.Update(v.Table, func(id clementineport.TargetID) bool {
+		return connectionShare(v, v.Table.ByID[id]) > 0
+	})
+	if n.baseline != nil {
+		n.baseline.update(v)
+	}
+}
+
+// connectionShare returns how many connections this VM may open to a target.
+func connectionShare(v *cpcontrol.View, t clementineport.TargetIndex) int {
+	most := v.Table.Targets[t].Group.Connections
+	if owner := v.Owner(t); owner != nil && owner.ID == v.Self {
+		return max(1, most/ownerConnectionShare)
+	}
+	if deputy := v.Deputy(t); deputy != nil && deputy.ID == v.Self {
+		return max(1, most/deputyConnectionShare)
+	}
+	return 0
+}
--- /dev/null
+++ b/cpnode/drain.go
@@ -0,0 +1,105 @@
+package cpnode
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdrain"
+)
+
+const drainPeriod = 50 * time.Millisecond
+
+// drainer runs the state machine of a graceful shutdown.
+type drainer struct {
+	n     *Node
+	mu    sync.Mutex
+	drain *cpdrain.Drain
+	out   bool
+}
+
+func newDrainer(n *Node) *drainer {
+	return &drainer{n: n, drain: cpdrain.New(
+		cpdrain.WithAdviceLife(n.settings.Shutdown.AdviceLife),
+		cpdrain.WithLongest(n.settings.Shutdown.Whole),
+	)}
+}
+
+// admit returns nil when callers' queries are taken, or the refusal with another VM to ask.
+func (d *drainer) admit() error {
+	d.mu.Lock()
+	err := d.drain.Admit()
+	d.mu.Unlock()
+	if err == nil {
+		return nil
+	}
+	return &clementineport.Error{
+		Fault: clementineport.FaultOf(err), Reason: "this VM takes no new queries", Entry: d.otherEntry(), Err: err,
+	}
+}
+
+// otherEntry returns the address of an entry VM that callers are advised to use.
+func (d *drainer) otherEntry() string {
+	entries, _, _ := d.n.entry.Entries("", d.n.self.Domain)
+	for _, e := range entries {
+		if e.VM != d.n.self.ID {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+func (d *drainer) setTakenOut(out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if out != d.out {
+		d.out = out
+		d.n.log.Info("operators changed whether this VM is in service", zap.Bool("out", out))
+	}
+	d.drain.TakenOut(d.n.clock.Now(), out)
+}
+
+func (d *drainer) cut() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drain.Cut()
+}
+
+// run returns when the shutdown that a signal began has ended, or ctx ends.
+func (d *drainer) run(ctx context.Context, signals <-chan os.Signal) {
+	last := cpdrain.StateServing
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			d.signal()
+		case <-d.n.clock.After(drainPeriod):
+		}
+		state := d.tick()
+		if state != last {
+			d.n.log.Info("shutdown", zap.Stringer("state", state), zap.Int("in_flight", d.n.entry.InFlight()))
+			last = state
+		}
+		if state == cpdrain.StateEnded {
+			return
+		}
+	}
+}
+
+func (d *drainer) signal() {
+	d.mu.Lock()
+	d.drain.Signal(d.n.clock.Now())
+	d.mu.Unlock()
+	d.n.control.Leave()
+}
+
+func (d *drainer) tick() cpdrain.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drain.Tick(d.n.clock.Now(), d.n.entry.InFlight())
+}
--- /dev/null
+++ b/cpnode/servers.go
@@ -0,0 +1,161 @@
+package cpnode
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpapi"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpoperator"
+	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cpsecret"
+	"github.com/clementineport/clementineport/cpsubmit"
+)
+
+// Bounds of the listeners.
+const (
+	bodyTimeout     = 10 * time.Second
+	writeTimeout    = 90 * time.Second
+	peerStreams     = 10_000
+	closeTimeout    = time.Second
+	acceptedTimeout = 2 * time.Second
+)
+
+// server is one listener as a supervised service.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// Serve implements suture.Service.
+func (s *server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if s.http.Shutdown(closing) != nil {
+			_ = s.http.Close()
+		}
+	})
+	defer stop()
+	if err := s.http.Serve(s.listener); ctx.Err() == nil {
+		return Error.New("%s listener: %v", s.name, err)
+	}
+	return ctx.Err()
+}
+
+// String names the service in the supervisor's events.
+func (s *server) String() string { return s.name }
+
+// listen opens the listeners of callers, peers and operators.
+func (n *Node) listen() ([]suture.Service, error) {
+	var services []suture.Service
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"caller", n.settings.Listen.Caller, n.callerHandler()},
+		{"peer", n.settings.Listen.Peer, cpconnect.NewHandler(n.peerHandler(), append(n.peerOptions(),
+			cpconnect.WithRevision(n.revision, n.control.Seen))...)},
+		{"operator", n.settings.Listen.Operator, n.operatorHandler()},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		listener = netutil.LimitListener(listener, n.settings.Limits.Connections)
+		services = append(services, &server{l.name, listener, n.httpServer(l.name, l.handler)})
+	}
+	return services, nil
+}
+
+func (n *Node) httpServer(name string, h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: n.settings.Limits.HeaderTimeout,
+		IdleTimeout:       n.settings.Limits.IdleTimeout,
+		MaxHeaderBytes:    int(n.settings.Limits.HeaderBytes),
+		Protocols:         &http.Protocols{},
+	}
+	if name == "peer" {
+		s.Protocols.SetUnencryptedHTTP2(true)
+		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: peerStreams}
+		return s
+	}
+	s.Protocols.SetHTTP1(true)
+	s.ReadTimeout, s.WriteTimeout = bodyTimeout, writeTimeout
+	return s
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return cpapi.New(
+		n.entry,
+		cpapi.WithClock(n.clock),
+		cpapi.WithMaxBodyBytes(int64(n.settings.Limits.BodyBytes)),
+		cpapi.WithMaxInProgress(n.settings.Limits.QueriesInProgress),
+		cpapi.WithAllowPolicy(n.settings.AllowPolicy),
+		cpapi.WithExtract(n.tracer.Extract),
+	)
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	submitter := cpsubmit.New(
+		cpsubmit.WithStore(n.store),
+		cpsubmit.WithInForce(func() *clementineport.Config { return n.control.View().Config }),
+		cpsubmit.WithClock(n.clock),
+		cpsubmit.WithSeed(n.seed),
+	)
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", cpoperator.New(
+		cpoperator.WithSubmitter(submitter),
+		cpoperator.WithCurrent(func() *clementineport.Config { return n.control.View().Config }),
+		cpoperator.WithAccepted(n.accepted),
+		cpoperator.WithToken(n.settings.Token.Reveal()),
+	))
+	mux.Handle("GET "+cpoperator.StatusPath, cpsecret.Require(n.token, http.HandlerFunc(n.status)))
+	mux.Handle("GET /v1/explain/{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	return mux
+}
+
+// accepted puts a change in force here at once and spreads it.
+func (n *Node) accepted(r *cpsubmit.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptedTimeout)
+	defer cancel()
+	if err := n.control.Accepted(ctx, r.Config); err != nil {
+		n.log.Warn("an accepted configuration is not in force here yet")
+	}
+}
+
+func (n *Node) status(w http.ResponseWriter, r *http.Request) {
+	status, err := n.control.Status(r.Context())
+	if err != nil {
+		cpoperator.WriteError(w, err)
+		return
+	}
+	writeJSON(w, status)
+}
+
+func (n *Node) explain(w http.ResponseWriter, r *http.Request) {
+	trace := n.entry.Explain(clementineport.RequestID(r.PathValue("request")))
+	if trace == nil {
+		cpoperator.WriteError(w, clementineport.Fail(clementineport.FaultNotFound, "this VM has not run the request lately"))
+		return
+	}
+	writeJSON(w, struct {
+		*cpgather.Trace
+		Attempts []cpgather.TraceRow
+	}{trace, trace.Rows()})
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/cpnode/traffic.go
@@ -0,0 +1,129 @@
+package cpnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpbudget"
+	"github.com/clementineport/clementineport/cpentry"
+	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cplimit"
+	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cprelay"
+	"github.com/clementineport/clementineport/cptarget/cphttp"
+	"github.com/clementineport/clementineport/cptrace"
+)
+
+// Shares of a target's connections. An owner that is being replaced, its successor and both deputies stay
+// within the limit together, also while the connections of a lost VM still count at the target.
+const (
+	ownerConnectionShare  = 3  // one part in
+	deputyConnectionShare = 12 // one part in
+)
+
+// hedgeOffShare is the load of the admission limit, in parts of ten, above which no hedges are sent.
+const hedgeOffShare = 8
+
+func (n *Node) newTraffic() {
+	n.limiter = cplimit.New(cplimit.Clock(n.clock), cplimit.Seed(n.seed))
+	n.pool = cprelay.NewPool(n.dialTarget)
+	n.peers = cpentry.NewPeers(n.dialPeer)
+	n.admitter = cpadmit.New(cpadmit.WithClock(n.clock), cpadmit.WithSeed(n.seed), cpadmit.WithMetrics(n.metrics))
+}
+
+func (n *Node) newEntry() {
+	owner := cprelay.NewOwner(n.clock, n.pool, n.limiter, n.control.MaySend)
+	sender := cprelay.New(
+		cprelay.WithSelf(n.self.ID),
+		cprelay.WithClock(n.clock),
+		cprelay.WithLocal(owner),
+		cprelay.WithMetrics(n.metrics),
+		cprelay.WithObserver(
+			func(_ clementineport.VMID, began time.Time) { n.control.Contacted(began) },
+			n.control.Doubt,
+		),
+	)
+	hedges, retries := cpbudget.NewPair()
+	opts := []cpentry.Option{
+		cpentry.WithClock(n.clock),
+		cpentry.WithSelf(n.self),
+		cpentry.WithControl(n.control),
+		cpentry.WithRelay(sender, owner),
+		cpentry.WithPeers(n.peers),
+		cpentry.WithAdmitter(n.admitter),
+		cpentry.WithOnce(n.once),
+		cpentry.WithGather(cpgather.NewOptions(cpgather.Budgets(hedges, retries), cpgather.HedgeOff(n.loaded))),
+		cpentry.WithTracer(n.tracer),
+		cpentry.WithMetrics(n.metrics),
+		cpentry.WithAdmit(n.drain.admit),
+	}
+	if n.settings.AllowPolicy {
+		n.baseline = newBaseline(n)
+		opts = append(opts, cpentry.WithBaseline(n.baseline.policy))
+	}
+	n.entry = cpentry.New(opts...)
+}
+
+// loaded reports whether this VM has too little room for extra calls.
+func (n *Node) loaded() bool {
+	return n.admitter.InProgress()*10 > n.admitter.Limit()*hedgeOffShare
+}
+
+func (n *Node) dialTarget(t *clementineport.TargetRow, connections int) clementineport.Target {
+	client := cphttp.New(
+		cphttp.Clock(n.clock),
+		cphttp.Address(t.Address),
+		cphttp.Connections(connections),
+		cphttp.Header(func(ctx context.Context, h http.Header) {
+			if traceparent := n.tracer.Inject(ctx); traceparent != "" {
+				h.Set("Traceparent", traceparent)
+			}
+		}),
+	)
+	if !n.tracer.Recording() {
+		return client
+	}
+	return &tracedTarget{Client: client, tracer: n.tracer}
+}
+
+// tracedTarget makes a span of each call.
+type tracedTarget struct {
+	*cphttp.Client
+	tracer *cptrace.Tracer
+}
+
+// Search implements clementineport.Target.
+func (t *tracedTarget) Search(ctx context.Context, c *clementineport.Call) (*clementineport.Reply, error) {
+	ctx, end := t.tracer.Start(ctx, "target",
+		attribute.String("target", string(c.Target)), attribute.Int("shard", int(c.Shard)))
+	reply, err := t.Client.Search(ctx, c)
+	end(err)
+	return reply, err
+}
+
+func (n *Node) dialPeer(vm clementineport.VM) clementineport.Peer {
+	return cpconnect.New(append(
+		n.peerOptions(),
+		cpconnect.WithAddress(vm.Peer),
+		cpconnect.WithRevision(n.revision, func(r clementineport.Revision, _ clementineport.VMID) { n.control.Seen(r, vm.ID) }),
+	)...)
+}
+
+func (n *Node) peerOptions() []cpconnect.Option {
+	return []cpconnect.Option{
+		cpconnect.WithSelf(n.self.ID),
+		cpconnect.WithToken(n.token),
+		cpconnect.WithClock(n.clock),
+		cpconnect.WithTracer(n.tracer),
+		cpconnect.WithCodec(cpestate.EncodeConfig, cpestate.DecodeConfig),
+		cpconnect.WithMaxMessageSize(int(n.settings.Limits.PeerBodyBytes)),
+	}
+}
+
+func (n *Node) revision() clementineport.Revision { return n.control.View().Revision }
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -133,15 +133,20 @@
 	return stream.Err()
 }
 
-// Exchange implements clementineport.Peer.
-func (c *client) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
-	ctx, sent := watchSent(ctx)
-	req := connect.NewRequest(&cpwire.ExchangeRequest{
+// DigestMessage returns a digest as it is sent.
+func DigestMessage(d *clementineport.Digest) *cpwire.ExchangeRequest {
+	return &cpwire.ExchangeRequest{
 		From:       memberToWire(&d.From),
 		Revision:   uint64(d.Revision),
 		FreshNanos: int64(d.Fresh),
 		Members:    membersToWire(d.Members),
-	})
+	}
+}
+
+// Exchange implements clementineport.Peer.
+func (c *client) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
+	ctx, sent := watchSent(ctx)
+	req := connect.NewRequest(DigestMessage(d))
 	c.opts.Token.Set(req.Header())
 	resp, err := c.remote.Exchange(ctx, req)
 	if err != nil {
--- /dev/null
+++ b/cprelay/unlimited.go
@@ -0,0 +1,18 @@
+package cprelay
+
+import (
+	"context"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Unlimited is a Limiter that lets every call start at once.
+type Unlimited struct{}
+
+// Acquire implements clementineport.Limiter.
+func (Unlimited) Acquire(context.Context, *clementineport.Call) (func(*clementineport.CallResult), error) {
+	return func(*clementineport.CallResult) {}, nil
+}
+
+// Load implements clementineport.Limiter.
+func (Unlimited) Load(clementineport.TargetID) int { return 0 }
--- a/ports.go
+++ b/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -73,6 +74,30 @@
 	MemberLeaving
 )
 
+var memberStateNames = [...]string{"alive", "suspect", "dead", "leaving"}
+
+// String returns the state as operators see it.
+func (s MemberState) String() string {
+	if int(s) >= len(memberStateNames) {
+		return "unknown"
+	}
+	return memberStateNames[s]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s MemberState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *MemberState) UnmarshalText(text []byte) error {
+	for i, name := range memberStateNames {
+		if name == string(text) {
+			*s = MemberState(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown member state %q", text)
+}
+
 // Member is one VM in a node's view of the membership.
 type Member struct {
 	VM
