Send peer messages uncompressed and serve profiles to operators

Cause: a profile of an entry VM showed 9% of its CPU time in gzip of small relay messages. The only large peer message, the configuration, is compressed already.

--- a/cpcli/entry.go
+++ b/cpcli/entry.go
@@ -26,7 +26,7 @@
 		LongHelp: "Runs until a graceful shutdown ends. The first SIGTERM begins it, the second skips the wait\n" +
 			"until callers' address lists have run out, the third ends the process at once.",
 		FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
+		Exec: func(_ context.Context, args []string) error {
 			if *settings == "" || len(args) > 0 {
 				return usagef("usage: clementineport entry --settings FILE")
 			}
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -121,6 +122,8 @@
 	))
 	mux.Handle("GET "+cpoperator.StatusPath, cpsecret.Require(n.token, http.HandlerFunc(n.status)))
 	mux.Handle("GET /v1/explain/{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
+	mux.Handle("GET /debug/pprof/", cpsecret.Require(n.token, http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET /debug/pprof/profile", cpsecret.Require(n.token, http.HandlerFunc(pprof.Profile)))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
 	return mux
 }
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -77,7 +77,8 @@
 	}
 	hc := &http.Client{Transport: o.Transport}
 	remote := cpwireconnect.NewPeerServiceClient(hc, "http://"+o.Address,
-		connect.WithReadMaxBytes(o.MaxMessageSize), connect.WithSendMaxBytes(o.MaxMessageSize))
+		connect.WithReadMaxBytes(o.MaxMessageSize), connect.WithSendMaxBytes(o.MaxMessageSize),
+		connect.WithAcceptCompression("gzip", nil, nil))
 	return &client{opts: o, http: hc, remote: remote}
 }
 
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -23,7 +23,8 @@
 func NewHandler(next cppeer.Handler, opts ...Option) http.Handler {
 	h := &handler{opts: newOptions(opts), next: next}
 	path, service := cpwireconnect.NewPeerServiceHandler(h,
-		connect.WithReadMaxBytes(h.opts.MaxMessageSize), connect.WithSendMaxBytes(h.opts.MaxMessageSize))
+		connect.WithReadMaxBytes(h.opts.MaxMessageSize), connect.WithSendMaxBytes(h.opts.MaxMessageSize),
+		connect.WithCompression("gzip", nil, nil))
 	mux := http.NewServeMux()
 	mux.Handle(path, cpsecret.Require(h.opts.Token, service))
 	return mux
