Test the target port and the choice of targets

Silent connections fail one call with the rule and six without it. A target that has never said, or not for long, what it holds is asked by one call at a time, or nothing would ever be sent to it.

--- a/cplimit/options.go
+++ b/cplimit/options.go
@@ -21,6 +21,9 @@
 	SharedTime time.Duration
 	// CancelGrace is how long canceled calls may block a warm target before one more call is tried.
 	CancelGrace time.Duration
+	// ConfirmAge is the time without an answer after which one call at a time is allowed until the
+	// next answer, since the target may have restarted meanwhile.
+	ConfirmAge time.Duration
 	// DrainRecheck is the time after which one call to a draining target is tried.
 	DrainRecheck time.Duration
 	// ServiceTime is the service time assumed before one was measured.
@@ -62,6 +65,7 @@
 		HandoverShare: 0.5,
 		SharedTime:    time.Second,
 		CancelGrace:   50 * time.Millisecond,
+		ConfirmAge:    100 * time.Millisecond,
 		DrainRecheck:  30 * time.Second,
 		ServiceTime:   10 * time.Millisecond,
 		MinRetryAfter: 10 * time.Millisecond,
--- a/cplimit/target.go
+++ b/cplimit/target.go
@@ -53,6 +53,8 @@
 	shared           int
 	sharedUntil      time.Time
 	service          Average
+	// answered is when the target last answered.
+	answered time.Time
 
 	running   []running
 	lingering []linger
@@ -179,6 +181,9 @@
 	}
 	call, inUse := t.running[i], t.InUse()
 	t.running = slices.Delete(t.running, i, i+1)
+	if res.Signals.Start != "" {
+		t.answered = now
+	}
 	t.observeTime(res)
 	t.confirm(call, res)
 	start := t.ramp.start
@@ -206,6 +211,9 @@
 // Limit returns the number of calls at a time that are allowed now.
 func (t *Target) Limit(now time.Time) int {
 	n := t.ramp.allowance
+	if !t.opts.Ramp.Off && now.Sub(t.answered) > t.opts.ConfirmAge {
+		return 1
+	}
 	if now.Before(t.handover) {
 		n = min(n, t.handoverPart())
 	}
--- a/cppick/cppick.go
+++ b/cppick/cppick.go
@@ -103,9 +103,10 @@
 	entries []entry
 }
 
-// Pick implements clementineport.TargetView. It takes the better of two random candidates; targets that
-// are known to hold the snapshot come before those that have not said. A target whose ejection has
-// run out gets a single trial call first, and a slow one is taken when there is no other.
+// Pick implements clementineport.TargetView. It takes the better of two random candidates. Targets that
+// are known to hold the snapshot come before those that have not said and are being asked already. A
+// target whose ejection has run out gets a single trial call first; a slow one is taken when there is
+// no other.
 func (v *View) Pick(r *clementineport.PickRequest) (clementineport.TargetIndex, bool) {
 	now := r.Now.UnixNano()
 	s := sampler{rng: v.picker.rng.next()}
@@ -115,7 +116,7 @@
 		if !w.usable(now) || slices.Contains(r.Tried, t) {
 			continue
 		}
-		possession := w.holds(r.Snapshot)
+		possession := w.rank(now, r.Snapshot, &v.picker.opts)
 		if possession == clementineport.PossessionNo {
 			continue
 		}
@@ -180,11 +181,10 @@
 	o := &v.picker.opts
 	ea, eb := &v.entries[a], &v.entries[b]
 	x, y := ea.row.score(now, o), eb.row.score(now, o)
-	if x > y {
-		a, b, x, y, ea, eb = b, a, y, x, eb, ea
-	}
-	near := float64(y-x) <= o.HomeMargin*float64(x)
-	if near && ea.domain != home && eb.domain == home {
+	least, most := min(x, y), max(x, y)
+	near := float64(most-least) <= o.HomeMargin*float64(least)
+	atHome, otherAtHome := ea.domain == home, eb.domain == home
+	if (near && otherAtHome && !atHome) || (!near && y < x) {
 		return b, true
 	}
 	return a, true
--- a/cppick/observe.go
+++ b/cppick/observe.go
@@ -26,10 +26,10 @@
 		clementineport.FaultOversized, clementineport.FaultInternal:
 		w.failed(now, o, rng)
 	case clementineport.FaultTimeout:
-		w.censored(r.Elapsed, o)
+		w.censored(now, r.Elapsed, o)
 		w.failed(now, o, rng)
 	case clementineport.FaultCanceled:
-		w.censored(r.Elapsed, o)
+		w.censored(now, r.Elapsed, o)
 	case clementineport.FaultShed, clementineport.FaultCold:
 		w.refused(now, r.Err)
 	case clementineport.FaultDraining:
@@ -43,7 +43,7 @@
 		w.tried(now, elapsed, o, rng)
 		return
 	}
-	w.sample(elapsed, o)
+	w.sample(now, elapsed, o)
 	if int(w.samples.Load()) >= o.ColdCalls && w.isSlow(w.median.load(), o) {
 		w.eject(now, true, o, rng)
 	}
@@ -71,9 +71,9 @@
 }
 
 // censored takes in a call that was given up after elapsed: it would have taken longer.
-func (w *row) censored(elapsed time.Duration, o *Options) {
+func (w *row) censored(now time.Time, elapsed time.Duration, o *Options) {
 	if elapsed > w.typical() {
-		w.sample(elapsed, o)
+		w.sample(now, elapsed, o)
 	}
 }
 
--- a/cppick/options.go
+++ b/cppick/options.go
@@ -33,9 +33,14 @@
 	DrainRecheck time.Duration
 	// ColdCalls is the number of answers before which a target counts as cold.
 	ColdCalls int
+	// GroupInterval is the least time between two answers of one target that count in its group.
+	GroupInterval time.Duration
+	// HeldAge is the time after which a target that did not hold a snapshot may be asked for it again.
+	HeldAge time.Duration
 	// LoadAge is how long a reported load counts.
 	LoadAge time.Duration
-	// HomeMargin is the relative difference in load below which the home failure domain decides.
+	// HomeMargin is the relative difference in score below which the home failure domain decides, and
+	// then chance.
 	HomeMargin float64
 }
 
@@ -59,6 +64,8 @@
 		SlowBackoff:   2 * time.Second,
 		DrainRecheck:  30 * time.Second,
 		ColdCalls:     8,
+		GroupInterval: 20 * time.Millisecond,
+		HeldAge:       5 * time.Second,
 		LoadAge:       200 * time.Millisecond,
 		HomeMargin:    0.25,
 	}
--- a/cppick/row.go
+++ b/cppick/row.go
@@ -26,6 +26,7 @@
 	load    atomic.Int32
 	loadAt  atomic.Int64
 	shed    atomic.Int64
+	groupAt atomic.Int64
 	samples atomic.Int32
 	fails   atomic.Int32
 	median  quantile
@@ -41,6 +42,8 @@
 	drain atomic.Int64
 	start atomic.Pointer[clementineport.StartID]
 	held  atomic.Pointer[[]clementineport.Snapshot]
+	// heldAt is when the target last said what it holds.
+	heldAt atomic.Int64
 }
 
 func newRow(id clementineport.TargetID, g *group) *row {
@@ -108,6 +111,22 @@
 	}
 }
 
+// rank orders candidates by what is known of their possession. A target that has not said for long, or
+// never, may be asked by one call at a time, so that a target nobody asks is not left out for good.
+func (w *row) rank(now int64, s clementineport.Snapshot, o *Options) clementineport.Possession {
+	known := w.holds(s)
+	switch {
+	case known == clementineport.PossessionYes:
+		return known
+	case known == clementineport.PossessionNo && now-w.heldAt.Load() < int64(o.HeldAge):
+		return known
+	case w.own.Load() == 0:
+		return clementineport.PossessionYes
+	default:
+		return known
+	}
+}
+
 func (w *row) signal(now time.Time, s *clementineport.Signals, o *Options) {
 	if s.Start == "" {
 		return
@@ -115,6 +134,7 @@
 	if old := w.start.Load(); old == nil || *old != s.Start {
 		w.restarted(s.Start)
 	}
+	w.heldAt.Store(now.UnixNano())
 	if old := w.held.Load(); old == nil || !slices.Equal(*old, s.Held) {
 		held := slices.Clone(s.Held)
 		w.held.Store(&held)
@@ -137,13 +157,23 @@
 	w.cold.Store(true)
 }
 
-func (w *row) sample(x time.Duration, o *Options) {
+// sample takes in a time. One target counts in the group at most once per interval, so that a target
+// with many calls does not decide what is typical. A target that is slow as a whole does not count in
+// the high quantile of its group, which times hedges.
+func (w *row) sample(now time.Time, x time.Duration, o *Options) {
 	g := w.group.Load()
 	w.samples.Add(1)
 	w.median.observe(x, g.median.load(), 0.5)
 	w.high.observe(x, g.high.load(), o.HedgeQuantile)
+	at := now.UnixNano()
+	if at-w.groupAt.Load() < int64(o.GroupInterval) {
+		return
+	}
+	w.groupAt.Store(at)
 	g.median.observe(x, 0, 0.5)
-	g.high.observe(x, 0, o.HedgeQuantile)
+	if w.median.load() <= 2*g.median.load() {
+		g.high.observe(x, 0, o.HedgeQuantile)
+	}
 }
 
 // isSlow reports whether a time is out of line with the group.
--- /dev/null
+++ b/cptarget/cphttp/cphttp_test.go
@@ -0,0 +1,262 @@
+package cphttp_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsearcher"
+	"github.com/clementineport/clementineport/cptarget/cphttp"
+)
+
+func newCall(id string, left time.Duration) *clementineport.Call {
+	return &clementineport.Call{
+		Request: clementineport.RequestID(id), Index: "invoices", Shard: 7, Text: "quay", Limit: 3,
+		Snapshot: clementineport.Snapshot{Version: 1, Layout: 1}, Deadline: time.Now().Add(left),
+	}
+}
+
+func startSearcher(t testing.TB, opts ...cpsearcher.Option) *cpsearcher.Searcher {
+	t.Helper()
+	s := cpsearcher.New("127.0.0.1:0", opts...)
+	assert.NilError(t, s.Listen())
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// forwarder passes bytes on until it is cut; the connections that are open then swallow everything
+// and stay open towards the target.
+type forwarder struct {
+	net.Listener
+	to string
+
+	mu    sync.Mutex
+	cut   *atomic.Bool
+	conns int
+	open  int
+	peak  int
+}
+
+func startForwarder(t *testing.T, to string) *forwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &forwarder{Listener: l, to: to, cut: &atomic.Bool{}}
+	t.Cleanup(func() { l.Close() })
+	go f.run()
+	return f
+}
+
+func (f *forwarder) run() {
+	for {
+		near, err := f.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", f.to)
+		if err != nil {
+			near.Close()
+			continue
+		}
+		f.mu.Lock()
+		f.conns, f.open = f.conns+1, f.open+1
+		f.peak = max(f.peak, f.open)
+		cut := f.cut
+		f.mu.Unlock()
+		go f.pipe(near, far, cut)
+		go f.pipe(far, near, cut)
+	}
+}
+
+// pipe leaves the far end open when the connection was cut.
+func (f *forwarder) pipe(from, to net.Conn, cut *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if cut.Load() {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		if n > 0 {
+			_, _ = to.Write(buf[:n])
+		}
+		if err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if to.Close() == nil {
+				f.open--
+			}
+			return
+		}
+	}
+}
+
+// cutAll makes the open connections silent; later ones work.
+func (f *forwarder) cutAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut.Store(true)
+	f.cut = &atomic.Bool{}
+}
+
+func (f *forwarder) counts() (conns, peak int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns, f.peak
+}
+
+// searchAtOnce runs n calls at the same time, so that n connections are open afterwards.
+func searchAtOnce(t *testing.T, c *cphttp.Client, n int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			_, err := c.Search(t.Context(), newCall(fmt.Sprint("w", i), 10*time.Second))
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+}
+
+// TestSilentConnections cuts all connections to a target at once. With the rule only the call that finds
+// out fails, and what counts as open at the target stays within the share. Without it every
+// connection costs a call its whole deadline.
+func TestSilentConnections(t *testing.T) {
+	const open, share = 6, 12
+	rule := cphttp.DefaultSilence()
+	rule.AloneFloor, rule.Factor, rule.Interval = 400*time.Millisecond, 5, 20*time.Millisecond
+	for _, c := range []struct {
+		name   string
+		off    bool
+		failed int
+	}{{"rule", false, 1}, {"no rule", true, open}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSearcher(t, cpsearcher.Slots(open, 0), cpsearcher.ServiceTime(30*time.Millisecond))
+			f := startForwarder(t, s.Address())
+			rule.Off = c.off
+			client := cphttp.New(cphttp.Address(f.Addr().String()), cphttp.Connections(share),
+				cphttp.DetectSilence(rule))
+			defer client.Close()
+			searchAtOnce(t, client, open)
+			before, _ := f.counts()
+			assert.Equal(t, before, open)
+			f.cutAll()
+			failed := 0
+			for i := range 2 * open {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, err := client.Search(ctx, newCall(fmt.Sprint("r", i), 10*time.Second))
+				cancel()
+				if err != nil {
+					failed++
+					assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultTimeout)
+				}
+			}
+			assert.Equal(t, failed, c.failed)
+			_, peak := f.counts()
+			assert.Assert(t, peak <= share, "peak %d", peak)
+		})
+	}
+}
+
+// TestShare opens more calls at once than the share allows, silent connections included.
+func TestShare(t *testing.T) {
+	const share = 4
+	s := startSearcher(t, cpsearcher.Slots(20, 0), cpsearcher.Connections(share, 0),
+		cpsearcher.ServiceTime(50*time.Millisecond))
+	client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(share))
+	defer client.Close()
+	for _, size := range []int{share, share - 2} {
+		client.Resize(size)
+		var ok, shed atomic.Int32
+		var wg sync.WaitGroup
+		for i := range 3 * share {
+			wg.Go(func() {
+				switch _, err := client.Search(t.Context(), newCall(fmt.Sprint(i), 5*time.Second)); {
+				case err == nil:
+					ok.Add(1)
+				case clementineport.FaultOf(err) == clementineport.FaultShed:
+					shed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, ok.Load()+shed.Load(), int32(3*share))
+		assert.Assert(t, ok.Load() >= 1 && shed.Load() > 0)
+		n, _ := client.Open()
+		assert.Assert(t, n <= size, "%d connections of %d", n, size)
+	}
+	assert.Equal(t, s.Stats().ConnectionsOver, 0)
+}
+
+// TestGivenUpWhileDialing cancels a call before its connection is ready: the call is proven unsent and
+// is not sent later.
+func TestGivenUpWhileDialing(t *testing.T) {
+	s := startSearcher(t)
+	dialing, release := make(chan struct{}, 2), make(chan struct{})
+	client := cphttp.New(cphttp.Address(s.Address()), func(o *cphttp.Options) {
+		dial := o.Dial
+		o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialing <- struct{}{}
+			<-release
+			return dial(context.WithoutCancel(ctx), network, address)
+		}
+	})
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-dialing; cancel() }()
+	_, err := client.Search(ctx, newCall("r1", 5*time.Second))
+	assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultUnsent)
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.NotRun)
+	close(release)
+	_, err = client.Search(t.Context(), newCall("r2", 5*time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Stats().Calls, 1)
+}
+
+// BenchmarkCancel measures one call that follows a canceled call, which closes its connection.
+func BenchmarkCancel(b *testing.B) {
+	for _, cost := range []time.Duration{0, time.Millisecond, 6 * time.Millisecond} {
+		for _, canceled := range []bool{false, true} {
+			b.Run(fmt.Sprintf("ConnectionCost=%v/Canceled=%v", cost, canceled), func(b *testing.B) {
+				s := startSearcher(b, cpsearcher.ServiceTime(2*time.Millisecond), cpsearcher.Connections(45, cost))
+				client := cphttp.New(cphttp.Address(s.Address()))
+				defer client.Close()
+				var total time.Duration
+				for i := range b.N {
+					if canceled {
+						ctx, cancel := context.WithTimeout(b.Context(), time.Millisecond/2)
+						_, _ = client.Search(ctx, newCall(fmt.Sprint("c", i), time.Second))
+						cancel()
+					}
+					start := time.Now()
+					if _, err := client.Search(b.Context(), newCall(fmt.Sprint("r", i), time.Second)); err != nil {
+						b.Fatal(err)
+					}
+					total += time.Since(start)
+				}
+				b.ReportMetric(float64(total.Microseconds())/float64(b.N), "us/call")
+			})
+		}
+	}
+}
+
+// BenchmarkSearch measures one call over a warm connection, the stand-in included.
+func BenchmarkSearch(b *testing.B) {
+	s := startSearcher(b, cpsearcher.ServiceTime(0), cpsearcher.Slots(64, 64), cpsearcher.Connections(64, 0))
+	client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(64))
+	defer client.Close()
+	b.ReportAllocs()
+	for i := range b.N {
+		if _, err := client.Search(b.Context(), newCall(fmt.Sprint("r", i), time.Second)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
