--- a/cpentry/baseline.go
+++ b/cpentry/baseline.go
@@ -51,7 +51,7 @@
 	if b == nil || b.view.Load() == nil {
 		return nil, clementineport.Fail(clementineport.FaultInvalid, "Policy: %q is not allowed here", q.Policy)
 	}
-	choice, err := e.choose(ctx, q, view, service, &router{view: view, peers: e.opts.Peers})
+	choice, err := e.choose(ctx, q, view, service, &router{control: e.opts.Control, peers: e.opts.Peers})
 	if err != nil {
 		return nil, err
 	}
--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -129,7 +129,7 @@
 func (e *Entry) gather(
 	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
-	router := &router{view: view, peers: e.opts.Peers}
+	router := &router{control: e.opts.Control, peers: e.opts.Peers}
 	choice, err := e.choose(ctx, q, view, service, router)
 	if err != nil {
 		return nil, err
--- a/cpentry/router.go
+++ b/cpentry/router.go
@@ -10,33 +10,34 @@
 	"github.com/clementineport/clementineport/cprelay"
 )
 
-// router finds the VM that owns a target in one view.
+// router finds the VM that owns a target in the newest view, so that a query in progress follows a move.
 type router struct {
-	view  *cpcontrol.View
-	peers *Peers
+	control Control
+	peers   *Peers
 }
 
 // Route implements cprelay.Router.
 func (r *router) Route(t clementineport.TargetID, deputy bool) (cprelay.Route, bool) {
-	i, ok := r.view.Table.ByID[t]
+	view := r.control.View()
+	i, ok := view.Table.ByID[t]
 	if !ok {
 		return cprelay.Route{}, false
 	}
-	member := r.view.Owner(i)
+	member := view.Owner(i)
 	if deputy {
-		member = r.view.Deputy(i)
+		member = view.Deputy(i)
 	}
 	if member == nil {
 		return cprelay.Route{}, false
 	}
-	if member.ID == r.view.Self {
+	if member.ID == view.Self {
 		return cprelay.Route{VM: member.ID, Self: true}, true
 	}
 	return cprelay.Route{VM: member.ID, Peer: r.peers.Get(member.VM)}, true
 }
 
 // Revision implements cprelay.Router.
-func (r *router) Revision() clementineport.Revision { return r.view.Revision }
+func (r *router) Revision() clementineport.Revision { return r.control.View().Revision }
 
 // Peers keeps one connection to each other VM.
 type Peers struct {
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -101,29 +103,49 @@
 	return owner, false, ok
 }
 
-// sendGroup sends calls through one VM; calls that provably did not run go through the deputy once.
+// sendGroup sends calls through one VM; calls that provably did not run there go through another one once.
 func (s *Sender) sendGroup(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) {
-	left := s.attempt(ctx, router, g, deliver)
-	if left.err == nil || len(left.calls) == 0 {
-		return
-	}
-	if !g.deputy && left.err.Verdict() == clementineport.NotRun && ctx.Err() == nil {
-		for _, second := range s.deputies(router, left.calls) {
-			again := s.attempt(ctx, router, second, deliver)
-			failAll(again.calls, again.err, deliver)
+	var moved sync.WaitGroup
+	defer moved.Wait()
+	left := s.attempt(ctx, router, g, func(r clementineport.CallResult) {
+		if g.deputy || clementineport.FaultOf(r.Err) != clementineport.FaultNotOwner {
+			deliver(r)
+			return
 		}
+		moved.Go(func() { s.resend(ctx, router, g.route.VM, g.find(r.Attempt), deliver) })
+	})
+	if !g.deputy && len(left.calls) > 0 && left.err.Verdict() == clementineport.NotRun && ctx.Err() == nil {
+		s.resend(ctx, router, g.route.VM, left.calls, deliver)
 		return
 	}
 	failAll(left.calls, left.err, deliver)
 }
 
-// deputies groups calls by the deputies of their targets.
-func (s *Sender) deputies(router Router, calls []clementineport.Call) []*group {
+// resend sends calls that provably did not run at one VM through another.
+func (s *Sender) resend(ctx context.Context, router Router, tried clementineport.VMID, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+	for _, second := range s.deputies(router, tried, calls) {
+		left := s.attempt(ctx, router, second, deliver)
+		failAll(left.calls, left.err, deliver)
+	}
+}
+
+// find returns the call of an attempt.
+func (g *group) find(a clementineport.AttemptID) []clementineport.Call {
+	i := slices.IndexFunc(g.calls, func(c clementineport.Call) bool { return c.Attempt == a })
+	return g.calls[i : i+1]
+}
+
+// deputies groups calls by the VM to try after one that did not run them: the deputy of the target, or its
+// owner if ownership has moved meanwhile.
+func (s *Sender) deputies(router Router, tried clementineport.VMID, calls []clementineport.Call) []*group {
 	var groups []*group
 	byVM := make(map[clementineport.VMID]*group)
 	for i := range calls {
-		route, ok := router.Route(calls[i].Target, true)
-		if !ok {
+		route, ok := router.Route(calls[i].Target, false)
+		if !ok || route.VM == tried {
+			route, ok = router.Route(calls[i].Target, true)
+		}
+		if !ok || route.VM == tried {
 			route = Route{}
 		}
 		g := byVM[route.VM]
