--- a/cprelay/pending.go
+++ b/cprelay/pending.go
@@ -11,21 +11,28 @@
 type pending struct {
 	mu    sync.Mutex
 	calls []clementineport.Call
+	// taken holds every attempt of the relay, and whether it has a result.
 	taken map[clementineport.AttemptID]bool
+	open  int
 }
 
 func newPending(calls []clementineport.Call) *pending {
-	return &pending{calls: calls, taken: make(map[clementineport.AttemptID]bool, len(calls))}
+	p := &pending{calls: calls, taken: make(map[clementineport.AttemptID]bool, len(calls)), open: len(calls)}
+	for i := range calls {
+		p.taken[calls[i].Attempt] = false
+	}
+	return p
 }
 
-// take reports whether this is the first result of an attempt.
+// take reports whether this is the first result of an attempt of the relay.
 func (p *pending) take(a clementineport.AttemptID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.taken[a] {
+	if taken, ok := p.taken[a]; taken || !ok {
 		return false
 	}
 	p.taken[a] = true
+	p.open--
 	return true
 }
 
@@ -33,7 +40,7 @@
 func (p *pending) left() []clementineport.Call {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.taken) == len(p.calls) {
+	if p.open == 0 {
 		return nil
 	}
 	var calls []clementineport.Call
