--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -14,8 +14,8 @@
 	defaultPingAfter      = time.Second
 	defaultPingTimeout    = time.Second
 	defaultMaxMessageSize = 8 << 20
-	defaultHeartbeat      = 40 * time.Millisecond
-	defaultSilentAfter    = 160 * time.Millisecond
+	defaultHeartbeat      = 50 * time.Millisecond
+	defaultSilentAfter    = 250 * time.Millisecond
 )
 
 // Options are the settings of a peer client or handler.
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -108,7 +108,7 @@
 	var moved sync.WaitGroup
 	defer moved.Wait()
 	left := s.attempt(ctx, router, g, func(r clementineport.CallResult) {
-		if g.deputy || clementineport.FaultOf(r.Err) != clementineport.FaultNotOwner {
+		if g.deputy || !refusedByVM(r.Err) {
 			deliver(r)
 			return
 		}
@@ -121,6 +121,12 @@
 	failAll(left.calls, left.err, deliver)
 }
 
+// refusedByVM reports whether a VM refused a call that another VM may make.
+func refusedByVM(err error) bool {
+	fault := clementineport.FaultOf(err)
+	return fault == clementineport.FaultNotOwner || fault == clementineport.FaultStale
+}
+
 // resend sends calls that provably did not run at one VM through another.
 func (s *Sender) resend(ctx context.Context, router Router, tried clementineport.VMID, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
 	for _, second := range s.deputies(router, tried, calls) {
