--- a/cplimit/advance.go
+++ b/cplimit/advance.go
@@ -45,19 +45,23 @@
 	})
 }
 
-// free reports whether one more call may start. When canceled calls alone block a warm target, one
-// call more is allowed after a while: its answer shows whether they have stopped.
+// free reports whether one more call may start. When canceled calls alone block a target, one call
+// more is allowed after a while: its answer shows whether they have stopped.
 func (t *Target) free(now time.Time) bool {
 	if t.InUse() < t.Limit(now) {
 		return true
 	}
-	return t.ramp.warm() && len(t.running) == 0 && !now.Before(t.probeAt())
+	return len(t.running) == 0 && !now.Before(t.probeAt())
 }
 
 func (t *Target) probeAt() time.Time {
+	grace := t.opts.CancelGrace
+	if !t.ramp.warm() && t.ramp.saved == 0 {
+		grace = t.opts.ColdCancelGrace
+	}
 	at := time.Time{}
 	for _, l := range t.lingering {
-		if since := l.since.Add(t.opts.CancelGrace); since.After(at) {
+		if since := l.since.Add(grace); since.After(at) {
 			at = since
 		}
 	}
--- a/cplimit/options.go
+++ b/cplimit/options.go
@@ -19,8 +19,10 @@
 	HandoverShare float64
 	// SharedTime is how long calls of another owner, seen at the target, lower the limit.
 	SharedTime time.Duration
-	// CancelGrace is how long canceled calls may block a warm target before one more call is tried.
-	CancelGrace time.Duration
+	// CancelGrace is how long canceled calls may block a target before one more call is tried, and
+	// ColdCancelGrace the same for a cold target.
+	CancelGrace     time.Duration
+	ColdCancelGrace time.Duration
 	// ConfirmAge is the time without an answer after which one call at a time is allowed until the
 	// next answer, since the target may have restarted meanwhile.
 	ConfirmAge time.Duration
@@ -61,14 +63,15 @@
 		Ramp: RampOptions{
 			Step: 8, BlindFactor: 4, GoodFactor: 1.5, JumpFactor: 4, Window: 8, Burst: 3,
 		},
-		Handover:      2 * time.Second,
-		HandoverShare: 0.5,
-		SharedTime:    time.Second,
-		CancelGrace:   50 * time.Millisecond,
-		ConfirmAge:    100 * time.Millisecond,
-		DrainRecheck:  30 * time.Second,
-		ServiceTime:   10 * time.Millisecond,
-		MinRetryAfter: 10 * time.Millisecond,
+		Handover:        2 * time.Second,
+		HandoverShare:   0.5,
+		SharedTime:      time.Second,
+		CancelGrace:     50 * time.Millisecond,
+		ColdCancelGrace: 500 * time.Millisecond,
+		ConfirmAge:      100 * time.Millisecond,
+		DrainRecheck:    30 * time.Second,
+		ServiceTime:     10 * time.Millisecond,
+		MinRetryAfter:   10 * time.Millisecond,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- /dev/null
+++ b/cplimit/target_test.go
@@ -0,0 +1,231 @@
+package cplimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cplimit"
+)
+
+var start = time.Date(2026, 2, 1, 8, 0, 0, 0, time.UTC)
+
+func answer(elapsed time.Duration) *clementineport.CallResult {
+	return &clementineport.CallResult{
+		Reply: &clementineport.Reply{}, Signals: clementineport.Signals{Start: "a"}, Elapsed: elapsed,
+	}
+}
+
+func failure(f clementineport.Fault, elapsed time.Duration) *clementineport.CallResult {
+	return &clementineport.CallResult{Err: clementineport.Fail(f, "test"), Elapsed: elapsed}
+}
+
+// warm returns the state of a target that has shown that it bears all its slots.
+func warm(t testing.TB, o *cplimit.Options, g *clementineport.Group) (*cplimit.Target, time.Time) {
+	t.Helper()
+	target := cplimit.NewTarget(o, 1, g, &cplimit.Average{}, start)
+	now := start.Add(o.Handover)
+	ticket := cplimit.Ticket(1 << 40)
+	for range 1000 {
+		var running []cplimit.Ticket
+		for range target.Limit(now) {
+			ticket++
+			target.Offer(now, cplimit.Waiter{Ticket: ticket, Deadline: now.Add(time.Second)})
+			running = append(running, ticket)
+		}
+		now = now.Add(10 * time.Millisecond)
+		for _, id := range running {
+			target.Done(now, id, answer(10*time.Millisecond))
+		}
+	}
+	assert.Equal(t, target.Limit(now), g.Slots)
+	assert.Equal(t, target.InUse(), 0)
+	return target, now
+}
+
+// TestTargetKeepsItsBounds draws random calls, results and closures: the calls in use stay within the
+// limit plus the one probe, the queue within its size, and every call is answered exactly once.
+func TestTargetKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := cplimit.NewOptions()
+		g := &clementineport.Group{Slots: rapid.IntRange(1, 6).Draw(t, "slots"), Queue: rapid.IntRange(0, 4).Draw(t, "queue")}
+		target := cplimit.NewTarget(&o, 1, g, &cplimit.Average{}, start)
+		now, last := start, cplimit.Ticket(0)
+		waiting, running := map[cplimit.Ticket]cplimit.Waiter{}, map[cplimit.Ticket]bool{}
+		take := func(grants []cplimit.Grant) {
+			for _, gr := range grants {
+				w, ok := waiting[gr.Ticket]
+				assert.Assert(t, ok, "a second answer to %d", gr.Ticket)
+				delete(waiting, gr.Ticket)
+				if gr.Err != nil {
+					assert.Equal(t, clementineport.VerdictOf(gr.Err), clementineport.NotRun)
+					continue
+				}
+				running[gr.Ticket] = true
+				assert.Assert(t, w.Deadline.After(now), "started after its deadline")
+				for _, other := range waiting {
+					assert.Assert(t, other.Class >= w.Class, "a lower class waits")
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				assert.Assert(t, target.InUse() <= g.Slots+1)
+				assert.Assert(t, target.Queued() <= g.Queue)
+				assert.Equal(t, target.Queued(), len(waiting))
+			},
+			"offer": func(t *rapid.T) {
+				last++
+				w := cplimit.Waiter{
+					Ticket: last, Class: clementineport.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+					Deadline: now.Add(time.Duration(rapid.IntRange(-5, 200).Draw(t, "left")) * time.Millisecond),
+				}
+				waiting[last] = w
+				before := target.Limit(now)
+				take(target.Offer(now, w))
+				assert.Assert(t, !running[last] || target.InUse() <= before+1)
+			},
+			"done": func(t *rapid.T) {
+				for id := range running {
+					delete(running, id)
+					f := rapid.SampledFrom([]clementineport.Fault{
+						clementineport.FaultUnknown, clementineport.FaultShed, clementineport.FaultCold,
+						clementineport.FaultReset, clementineport.FaultCanceled, clementineport.FaultTimeout,
+					}).Draw(t, "fault")
+					res := failure(f, 10*time.Millisecond)
+					if f == clementineport.FaultUnknown {
+						res = answer(10 * time.Millisecond)
+					}
+					take(target.Done(now, id, res))
+					return
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "wait")) * time.Millisecond)
+				take(target.Tick(now))
+			},
+			"close": func(*rapid.T) {
+				take(target.Close(now, clementineport.FaultTakenOut))
+				assert.Equal(t, target.Queued(), 0)
+			},
+			"open": func(*rapid.T) { target.Open(now) },
+		})
+	})
+}
+
+// TestRefusals shows why a call is refused at once by a target whose slots are used.
+func TestRefusals(t *testing.T) {
+	o := cplimit.NewOptions()
+	g := &clementineport.Group{Slots: 2, Queue: 2}
+	target, now := warm(t, &o, g)
+	offer := func(id cplimit.Ticket, class clementineport.Class, left time.Duration) []cplimit.Grant {
+		return target.Offer(now, cplimit.Waiter{Ticket: id, Class: class, Deadline: now.Add(left)})
+	}
+	for id := range cplimit.Ticket(2) {
+		assert.NilError(t, offer(id, 0, time.Second)[0].Err)
+	}
+	refused := offer(3, 0, 3*time.Millisecond)
+	assert.Equal(t, clementineport.FaultOf(refused[0].Err), clementineport.FaultShed, "would start too late")
+	assert.Equal(t, len(offer(4, clementineport.ClassBatch, time.Second)), 0)
+	assert.Equal(t, len(offer(5, clementineport.ClassBatch, 500*time.Millisecond)), 0)
+	displaced := offer(6, clementineport.ClassInteractive, time.Second)
+	assert.Equal(t, displaced[0].Ticket, cplimit.Ticket(4), "the last in order makes room")
+	e := displaced[0].Err.(*clementineport.Error)
+	assert.Equal(t, e.Fault, clementineport.FaultShed)
+	assert.Assert(t, e.RetryAfter > 0)
+	now = now.Add(600 * time.Millisecond)
+	late := target.Tick(now)
+	assert.Equal(t, late[0].Ticket, cplimit.Ticket(5))
+	assert.Equal(t, clementineport.FaultOf(late[0].Err), clementineport.FaultDeadline)
+	out := target.Close(now, clementineport.FaultTakenOut)
+	assert.Equal(t, out[0].Ticket, cplimit.Ticket(6))
+	assert.Equal(t, clementineport.FaultOf(out[0].Err), clementineport.FaultTakenOut)
+}
+
+// TestCanceledCallsHoldTheirSlot shows that a canceled call counts until an answer to a later call shows
+// that it has stopped, or its deadline passes.
+func TestCanceledCallsHoldTheirSlot(t *testing.T) {
+	o := cplimit.NewOptions()
+	target, now := warm(t, &o, &clementineport.Group{Slots: 2, Queue: 2})
+	offer := func(id cplimit.Ticket) bool {
+		return len(target.Offer(now, cplimit.Waiter{Ticket: id, Deadline: now.Add(time.Second)})) == 1
+	}
+	assert.Assert(t, offer(1) && offer(2))
+	target.Done(now, 1, failure(clementineport.FaultCanceled, time.Millisecond))
+	now = now.Add(time.Millisecond)
+	assert.Assert(t, !offer(3), "the canceled call may still run")
+	assert.Equal(t, len(target.Done(now, 2, answer(10*time.Millisecond))), 1, "3 starts in the place of 2")
+	assert.Assert(t, !offer(4), "the answer to 2 proves nothing, since 2 was sent earlier")
+	now = now.Add(10 * time.Millisecond)
+	assert.Equal(t, len(target.Done(now, 3, answer(10*time.Millisecond))), 1)
+	assert.Equal(t, target.InUse(), 1, "the answer to 3 shows that 1 has stopped")
+
+	assert.Assert(t, offer(5))
+	for _, id := range []cplimit.Ticket{4, 5} {
+		target.Done(now, id, failure(clementineport.FaultCanceled, time.Millisecond))
+	}
+	assert.Assert(t, !offer(6))
+	now = now.Add(o.CancelGrace)
+	assert.Equal(t, len(target.Tick(now)), 1, "one call finds out")
+	assert.Assert(t, !offer(7))
+}
+
+// TestSignsOfColdness shows what lowers the allowance of a warm target, and that nothing does when the
+// ramp is off.
+func TestSignsOfColdness(t *testing.T) {
+	restarted, cold, jump := answer(10*time.Millisecond), answer(10*time.Millisecond), answer(90*time.Millisecond)
+	restarted.Signals.Start = "b"
+	cold.Signals.Cold = true
+	for _, c := range []struct {
+		name   string
+		result *clementineport.CallResult
+		times  int
+		want   int
+	}{
+		{"restarted", restarted, 1, 1},
+		{"says cold", cold, 1, 1},
+		{"refuses as cold", failure(clementineport.FaultCold, 0), 1, 1},
+		{"sheds once", failure(clementineport.FaultShed, 0), 1, 3},
+		{"sheds in a burst", failure(clementineport.FaultShed, 0), 3, 1},
+		{"connection fails", failure(clementineport.FaultReset, 0), 1, 1},
+		{"straggler", jump, 1, 6},
+		{"latency jump", jump, 8, 3},
+	} {
+		for _, off := range []bool{false, true} {
+			o := cplimit.NewOptions()
+			o.Ramp.Off = off
+			target, now := warm(t, &o, &clementineport.Group{Slots: 6, Queue: 4})
+			for i := range c.times {
+				id := cplimit.Ticket(i + 1)
+				target.Offer(now, cplimit.Waiter{Ticket: id, Deadline: now.Add(50 * time.Millisecond)})
+				now = now.Add(50 * time.Millisecond)
+				target.Done(now, id, c.result)
+			}
+			want := c.want
+			if off {
+				want = 6
+			}
+			assert.Equal(t, target.Limit(now), want, "%s, ramp off: %v", c.name, off)
+		}
+	}
+}
+
+// TestConfirmation shows that a target which has not answered for a while gets one call at a time until
+// it does, and that a failed connection is forgotten when the same process answers.
+func TestConfirmation(t *testing.T) {
+	o := cplimit.NewOptions()
+	target, now := warm(t, &o, &clementineport.Group{Slots: 6, Queue: 4})
+	now = now.Add(time.Minute)
+	assert.Equal(t, target.Limit(now), 1)
+	for id, res := range []*clementineport.CallResult{
+		failure(clementineport.FaultRefused, 0), answer(10 * time.Millisecond),
+	} {
+		target.Offer(now, cplimit.Waiter{Ticket: cplimit.Ticket(id), Deadline: now.Add(time.Second)})
+		assert.Equal(t, target.Limit(now), 1)
+		target.Done(now, cplimit.Ticket(id), res)
+	}
+	assert.Equal(t, target.Limit(now), 6)
+}
--- a/cpsearcher/cpsearcher.go
+++ b/cpsearcher/cpsearcher.go
@@ -33,6 +33,9 @@
 	life   context.Context
 	end    context.CancelFunc
 	server *http.Server
+	// restarting and stopped keep a restart from happening twice or after Close.
+	restarting bool
+	stopped    bool
 }
 
 // New returns a searcher that does not listen yet.
@@ -51,12 +54,16 @@
 
 // Listen opens the listener and serves in the background until Close.
 func (s *Searcher) Listen() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listen()
+}
+
+func (s *Searcher) listen() error {
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.address = l.Addr().String()
 	s.life, s.end = context.WithCancel(context.Background())
 	s.slots = make(chan struct{}, s.opts.Slots)
@@ -70,6 +77,13 @@
 
 // Close stops listening and breaks every connection.
 func (s *Searcher) Close() error {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	return s.shut()
+}
+
+func (s *Searcher) shut() error {
 	s.mu.Lock()
 	srv, end := s.server, s.end
 	s.mu.Unlock()
@@ -79,16 +93,34 @@
 
 // Restart breaks every connection, refuses new ones for a while and starts again.
 func (s *Searcher) Restart(cold bool, pause time.Duration) {
-	_ = s.Close()
+	s.mu.Lock()
+	skip := s.restarting || s.stopped
+	s.restarting = true
+	s.mu.Unlock()
+	if skip {
+		return
+	}
+	_ = s.shut()
 	s.mu.Lock()
 	s.model.restart(cold)
 	s.mu.Unlock()
 	<-s.opts.Clock.After(pause)
-	for s.Listen() != nil {
+	for !s.reopen() {
 		<-s.opts.Clock.After(10 * time.Millisecond)
 	}
 }
 
+// reopen reports false if the address is still in use.
+func (s *Searcher) reopen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped && s.listen() != nil {
+		return false
+	}
+	s.restarting = false
+	return true
+}
+
 // health says that all is well, whatever the state.
 func health(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, struct{ Status string }{"ok"})
--- a/cptarget/contract_test.go
+++ b/cptarget/contract_test.go
@@ -53,76 +53,122 @@
 
 func rows() []row {
 	return []row{
-		{name: "refused", script: cptarget.Step{Fault: clementineport.FaultRefused}, raw: nil,
-			want: []clementineport.Fault{clementineport.FaultRefused}},
-		{name: "reset before read", script: cptarget.Step{Fault: clementineport.FaultReset}, raw: reset,
-			want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent}},
-		{name: "reset after read", script: cptarget.Step{Fault: clementineport.FaultReset},
+		{
+			name: "refused", script: cptarget.Step{Fault: clementineport.FaultRefused}, raw: nil,
+			want: []clementineport.Fault{clementineport.FaultRefused},
+		},
+		{
+			name: "reset before read", script: cptarget.Step{Fault: clementineport.FaultReset}, raw: reset,
+			want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent},
+		},
+		{
+			name: "reset after read", script: cptarget.Step{Fault: clementineport.FaultReset},
 			raw:  func(c net.Conn) { readRequest(c); reset(c) },
-			want: []clementineport.Fault{clementineport.FaultReset}},
-		{name: "cut body", script: cptarget.Step{Fault: clementineport.FaultCut},
+			want: []clementineport.Fault{clementineport.FaultReset},
+		},
+		{
+			name: "cut body", script: cptarget.Step{Fault: clementineport.FaultCut},
 			raw: func(c net.Conn) {
 				readRequest(c)
 				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"Request\":")
 				c.Close()
 			},
-			want: []clementineport.Fault{clementineport.FaultCut}},
-		{name: "hang", script: cptarget.Step{Hang: true}, left: short, raw: hang,
-			want: []clementineport.Fault{clementineport.FaultTimeout}},
-		{name: "canceled", script: cptarget.Step{Hang: true}, cancel: true, raw: hang,
-			want: []clementineport.Fault{clementineport.FaultCanceled}},
-		{name: "late", script: cptarget.Step{Delay: 2 * short}, left: short,
+			want: []clementineport.Fault{clementineport.FaultCut},
+		},
+		{
+			name: "hang", script: cptarget.Step{Hang: true}, left: short, raw: hang,
+			want: []clementineport.Fault{clementineport.FaultTimeout},
+		},
+		{
+			name: "canceled", script: cptarget.Step{Hang: true}, cancel: true, raw: hang,
+			want: []clementineport.Fault{clementineport.FaultCanceled},
+		},
+		{
+			name: "late", script: cptarget.Step{Delay: 2 * short}, left: short,
 			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { time.Sleep(2 * short); answer(w, call) },
-			want:  []clementineport.Fault{clementineport.FaultTimeout}},
-		{name: "slow", script: cptarget.Step{Delay: short},
-			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { time.Sleep(short); answer(w, call) }},
-		{name: "no time left", left: -time.Second, serve: answer,
-			want: []clementineport.Fault{clementineport.FaultDeadline}},
-		{name: "snapshot not held", script: cptarget.Step{Fault: clementineport.FaultSnapshot},
+			want:  []clementineport.Fault{clementineport.FaultTimeout},
+		},
+		{
+			name: "slow", script: cptarget.Step{Delay: short},
+			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { time.Sleep(short); answer(w, call) },
+		},
+		{
+			name: "no time left", left: -time.Second, serve: answer,
+			want: []clementineport.Fault{clementineport.FaultDeadline},
+		},
+		{
+			name: "snapshot not held", script: cptarget.Step{Fault: clementineport.FaultSnapshot},
 			serve: refuse(clementineport.FaultSnapshot, http.StatusConflict), signals: true,
-			want: []clementineport.Fault{clementineport.FaultSnapshot}},
-		{name: "other snapshot", script: cptarget.Step{Fault: clementineport.FaultMismatched},
+			want: []clementineport.Fault{clementineport.FaultSnapshot},
+		},
+		{
+			name: "other snapshot", script: cptarget.Step{Fault: clementineport.FaultMismatched},
 			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { call.Snapshot.Version++; answer(w, call) },
-			want:  []clementineport.Fault{clementineport.FaultMismatched}},
-		{name: "other request", script: cptarget.Step{Fault: clementineport.FaultMismatched},
+			want:  []clementineport.Fault{clementineport.FaultMismatched},
+		},
+		{
+			name: "other request", script: cptarget.Step{Fault: clementineport.FaultMismatched},
 			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { call.Request = "r2"; answer(w, call) },
-			want:  []clementineport.Fault{clementineport.FaultMismatched}},
-		{name: "other shard", script: cptarget.Step{Fault: clementineport.FaultMismatched},
+			want:  []clementineport.Fault{clementineport.FaultMismatched},
+		},
+		{
+			name: "other shard", script: cptarget.Step{Fault: clementineport.FaultMismatched},
 			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) { call.Shard++; answer(w, call) },
-			want:  []clementineport.Fault{clementineport.FaultMismatched}},
-		{name: "refusal of another request", script: cptarget.Step{Fault: clementineport.FaultMismatched},
+			want:  []clementineport.Fault{clementineport.FaultMismatched},
+		},
+		{
+			name: "refusal of another request", script: cptarget.Step{Fault: clementineport.FaultMismatched},
 			serve: func(w http.ResponseWriter, call *cphttp.SearchRequest) {
 				call.Request = "r2"
 				refuse(clementineport.FaultShed, http.StatusServiceUnavailable)(w, call)
 			},
-			want: []clementineport.Fault{clementineport.FaultMismatched}},
-		{name: "malformed body", script: cptarget.Step{Fault: clementineport.FaultMalformed},
+			want: []clementineport.Fault{clementineport.FaultMismatched},
+		},
+		{
+			name: "malformed body", script: cptarget.Step{Fault: clementineport.FaultMalformed},
 			serve: func(w http.ResponseWriter, _ *cphttp.SearchRequest) { fmt.Fprint(w, "<html>") },
-			want:  []clementineport.Fault{clementineport.FaultMalformed}},
-		{name: "malformed header", script: cptarget.Step{Fault: clementineport.FaultMalformed},
+			want:  []clementineport.Fault{clementineport.FaultMalformed},
+		},
+		{
+			name: "malformed header", script: cptarget.Step{Fault: clementineport.FaultMalformed},
 			raw:  func(c net.Conn) { readRequest(c); fmt.Fprint(c, "what?\r\n\r\n"); c.Close() },
-			want: []clementineport.Fault{clementineport.FaultMalformed}},
-		{name: "oversized", script: cptarget.Step{Fault: clementineport.FaultOversized},
+			want: []clementineport.Fault{clementineport.FaultMalformed},
+		},
+		{
+			name: "oversized", script: cptarget.Step{Fault: clementineport.FaultOversized},
 			serve: func(w http.ResponseWriter, _ *cphttp.SearchRequest) { fmt.Fprint(w, strings.Repeat("x", 70<<10)) },
-			want:  []clementineport.Fault{clementineport.FaultOversized}},
-		{name: "oversized header", script: cptarget.Step{Fault: clementineport.FaultOversized},
+			want:  []clementineport.Fault{clementineport.FaultOversized},
+		},
+		{
+			name: "oversized header", script: cptarget.Step{Fault: clementineport.FaultOversized},
 			serve: func(w http.ResponseWriter, _ *cphttp.SearchRequest) { w.Header().Set("X", strings.Repeat("x", 70<<10)) },
-			want:  []clementineport.Fault{clementineport.FaultOversized}},
-		{name: "internal", script: cptarget.Step{Fault: clementineport.FaultInternal},
+			want:  []clementineport.Fault{clementineport.FaultOversized},
+		},
+		{
+			name: "internal", script: cptarget.Step{Fault: clementineport.FaultInternal},
 			serve: func(w http.ResponseWriter, _ *cphttp.SearchRequest) { w.WriteHeader(http.StatusInternalServerError) },
-			want:  []clementineport.Fault{clementineport.FaultInternal}},
-		{name: "refusal that proves nothing", script: cptarget.Step{Fault: clementineport.FaultInternal},
+			want:  []clementineport.Fault{clementineport.FaultInternal},
+		},
+		{
+			name: "refusal that proves nothing", script: cptarget.Step{Fault: clementineport.FaultInternal},
 			serve: refuse(clementineport.FaultRefused, http.StatusServiceUnavailable),
-			want:  []clementineport.Fault{clementineport.FaultInternal}},
-		{name: "draining", script: cptarget.Step{Fault: clementineport.FaultDraining}, signals: true,
+			want:  []clementineport.Fault{clementineport.FaultInternal},
+		},
+		{
+			name: "draining", script: cptarget.Step{Fault: clementineport.FaultDraining}, signals: true,
 			serve: refuse(clementineport.FaultDraining, http.StatusServiceUnavailable),
-			want:  []clementineport.Fault{clementineport.FaultDraining}},
-		{name: "shed", script: cptarget.Step{Fault: clementineport.FaultShed, RetryAfter: time.Second}, signals: true,
+			want:  []clementineport.Fault{clementineport.FaultDraining},
+		},
+		{
+			name: "shed", script: cptarget.Step{Fault: clementineport.FaultShed, RetryAfter: time.Second}, signals: true,
 			serve: refuse(clementineport.FaultShed, http.StatusServiceUnavailable),
-			want:  []clementineport.Fault{clementineport.FaultShed}},
-		{name: "cold", script: cptarget.Step{Fault: clementineport.FaultCold}, signals: true,
+			want:  []clementineport.Fault{clementineport.FaultShed},
+		},
+		{
+			name: "cold", script: cptarget.Step{Fault: clementineport.FaultCold}, signals: true,
 			serve: refuse(clementineport.FaultCold, http.StatusServiceUnavailable),
-			want:  []clementineport.Fault{clementineport.FaultCold}},
+			want:  []clementineport.Fault{clementineport.FaultCold},
+		},
 	}
 }
 
