--- /dev/null
+++ b/cppeer/cpconnect/options.go
@@ -0,0 +1,81 @@
+package cpconnect
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsecret"
+)
+
+// Limits of the connections between VMs.
+const (
+	defaultDialTimeout    = time.Second
+	defaultPingAfter      = time.Second
+	defaultPingTimeout    = time.Second
+	defaultMaxMessageSize = 8 << 20
+	defaultHeartbeat      = 50 * time.Millisecond
+	defaultSilentAfter    = 250 * time.Millisecond
+)
+
+// Options are the settings of a peer client or handler.
+type Options struct {
+	Address        string
+	Token          cpsecret.Token
+	Clock          clementineport.Clock
+	Transport      http.RoundTripper
+	MaxMessageSize int
+	// Heartbeat is how often a VM says that it is still working on a Relay.
+	Heartbeat time.Duration
+	// SilentAfter is how long a Relay may bring nothing before it is given up.
+	SilentAfter time.Duration
+	// Self is the id of this VM.
+	Self clementineport.VMID
+	// Revision returns the revision in force, which every call and answer carries.
+	Revision func() clementineport.Revision
+	// Seen is told the revision that a call or answer of another VM carries; from is empty in an answer.
+	Seen func(r clementineport.Revision, from clementineport.VMID)
+	// DecodeConfig and EncodeConfig translate the configuration to and from its stored form.
+	DecodeConfig func([]byte) (*clementineport.Config, error)
+	EncodeConfig func(*clementineport.Config) ([]byte, error)
+	Tracer       Tracer
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithAddress sets the peer address to call.
+func WithAddress(a string) Option { return func(o *Options) { o.Address = a } }
+
+// WithToken sets the token that VMs show each other.
+func WithToken(t cpsecret.Token) Option { return func(o *Options) { o.Token = t } }
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithTransport sets the HTTP transport of a client.
+func WithTransport(t http.RoundTripper) Option { return func(o *Options) { o.Transport = t } }
+
+// WithSelf sets the id of this VM.
+func WithSelf(vm clementineport.VMID) Option { return func(o *Options) { o.Self = vm } }
+
+// WithRevision sets the revision that this VM sends, and what is told of the revisions of others.
+func WithRevision(revision func() clementineport.Revision, seen func(clementineport.Revision, clementineport.VMID)) Option {
+	return func(o *Options) { o.Revision, o.Seen = revision, seen }
+}
+
+// WithCodec sets how a configuration is encoded.
+func WithCodec(encode func(*clementineport.Config) ([]byte, error), decode func([]byte) (*clementineport.Config, error)) Option {
+	return func(o *Options) { o.EncodeConfig, o.DecodeConfig = encode, decode }
+}
+
+// WithTracer sets how trace contexts cross processes.
+func WithTracer(t Tracer) Option { return func(o *Options) { o.Tracer = t } }
+
+// WithMaxMessageSize bounds a message in bytes.
+func WithMaxMessageSize(n int) Option { return func(o *Options) { o.MaxMessageSize = n } }
+
+// WithSilence sets how often a receiver reports that it is working, and when the sender gives up on it.
+func WithSilence(heartbeat, silentAfter time.Duration) Option {
+	return func(o *Options) { o.Heartbeat, o.SilentAfter = heartbeat, silentAfter }
+}
--- a/verdict.go
+++ b/verdict.go
@@ -89,6 +89,10 @@
 	FaultConflict
 	// FaultUnauthorized means that the token was missing or wrong.
 	FaultUnauthorized
+	// FaultCoverage means that the request ran and its answer is below the least coverage of the service.
+	FaultCoverage
+	// FaultNotFound means that the service asked for does not exist.
+	FaultNotFound
 	numFaults
 )
 
@@ -122,6 +126,8 @@
 	FaultUnavailable:  {"unavailable", NotRun},
 	FaultConflict:     {"conflict", NotRun},
 	FaultUnauthorized: {"unauthorized", NotRun},
+	FaultNotFound:     {"not-found", NotRun},
+	FaultCoverage:     {"coverage", MayHaveRun},
 }
 
 // Faults returns every fault.
@@ -168,7 +174,9 @@
 	Fault      Fault
 	Reason     string
 	RetryAfter time.Duration
-	Err        error
+	// Entry is the address of another entry VM, when the refusing one is leaving.
+	Entry string
+	Err   error
 }
 
 // Fail returns an Error for a fault.
