Test admission in virtual time and make its limit hold under noise

The first version learned a lower latency without load from noisy windows and a higher one from its own queues, which let the limit run away or stick. A run of cuts now ends at half of the limit where it began, and only a latency that has not fallen by then is learned as the latency without load.

--- /dev/null
+++ b/cpadmit/cpadmit_test.go
@@ -0,0 +1,210 @@
+package cpadmit_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
+)
+
+const (
+	simWarm   = 3 * time.Second
+	simLength = 9 * time.Second
+)
+
+var simSeeds = []uint64{1, 2}
+
+// modes are admission as it is and the baseline that admits everything; the promises must fail in the latter.
+var modes = []struct {
+	name string
+	off  bool
+	opts []cpadmit.Option
+}{
+	{"Admission=on", false, nil},
+	{"Admission=off", true, []cpadmit.Option{cpadmit.WithoutLimit()}},
+}
+
+func offered(seed uint64, load float64, opts ...cpadmit.Option) *sim {
+	return newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(load)}})
+}
+
+func flooded(seed uint64, batch float64, opts ...cpadmit.Option) *sim {
+	return newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(0.4), certificates(batch)}})
+}
+
+func TestPromisesUnderOverload(t *testing.T) {
+	promises := []struct {
+		name string
+		kept func(seed uint64, opts ...cpadmit.Option) bool
+	}{
+		{"goodput at 10x is at least 90% of that at 1x and of the capacity", func(seed uint64, opts ...cpadmit.Option) bool {
+			once := offered(seed, 1, opts...).goodput("booking-desk", simWarm, simLength)
+			tenfold := offered(seed, 10, opts...).goodput("booking-desk", simWarm, simLength)
+			return tenfold >= 0.9*once && tenfold >= 0.9
+		}},
+		{"a flood of batch does not move the p99 of interactive by more than a fifth", func(seed uint64, opts ...cpadmit.Option) bool {
+			alone, beside := flooded(seed, 0, opts...), flooded(seed, 10, opts...)
+			return float64(beside.p99("booking-desk")) <= 1.2*float64(alone.p99("booking-desk")) &&
+				beside.goodput("booking-desk", simWarm, simLength) >= 0.95*0.4
+		}},
+		{"full service within 5 s after a flood", func(seed uint64, opts ...cpadmit.Option) bool {
+			s := newSim(seed, opts...).run(
+				phase{simWarm, 1, []flow{desk(0.7)}},
+				phase{simLength, 1, []flow{desk(10)}},
+				phase{simLength, 1, []flow{desk(0.7)}},
+			)
+			end := simWarm + simLength
+			return s.goodput("booking-desk", end+5*time.Second, end+simLength) >= 0.95*0.7
+		}},
+		{"a flood of one service leaves another one of its class its share", func(seed uint64, opts ...cpadmit.Option) bool {
+			other := flow{"trainer-portal", clementineport.ClassInteractive, 0.3}
+			s := newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(10), other}})
+			return s.goodput("trainer-portal", simWarm, simLength) >= 0.95*0.3
+		}},
+	}
+	for _, p := range promises {
+		for _, m := range modes {
+			t.Run(p.name+"/"+m.name, func(t *testing.T) {
+				for _, seed := range simSeeds {
+					assert.Equal(t, p.kept(seed, m.opts...), !m.off, "seed %d", seed)
+				}
+			})
+		}
+	}
+}
+
+func TestSlowBackEndsAreNotTakenForLoad(t *testing.T) {
+	const load = 0.22 // of the capacity; two thirds of the capacity of the slow back ends
+	for _, seed := range simSeeds {
+		s := newSim(seed).run(
+			phase{simLength, 1, []flow{desk(load)}},
+			phase{2 * simLength, 3, []flow{desk(load)}},
+		)
+		assert.Assert(t, s.goodput("booking-desk", simLength+5*time.Second, 3*simLength) >= 0.95*load)
+	}
+}
+
+func TestRefusalsAreQuickAndSpread(t *testing.T) {
+	var last time.Duration
+	for _, load := range []float64{2, 5, 10} {
+		s := offered(1, load)
+		assert.Assert(t, s.longest <= time.Duration(cpadmit.DefaultWaitShare*float64(simDeadline)))
+		assert.Assert(t, float64(s.held) <= 0.05*float64(s.refusals), "%d of %d refusals were held", s.held, s.refusals)
+		slices.Sort(s.returns)
+		low, middle, high := s.returns[len(s.returns)/10], s.returns[len(s.returns)/2], s.returns[len(s.returns)*9/10]
+		assert.Assert(t, middle > last, "time to come back must grow with the load")
+		assert.Assert(t, float64(high) >= 1.5*float64(low), "returns must be spread")
+		assert.Assert(t, high <= cpadmit.DefaultMaxRetryAfter)
+		last = middle
+	}
+}
+
+func TestAdmitter(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := cpadmit.New(cpadmit.WithClock(clock), cpadmit.WithLimits(1, 1, 1))
+	service := &clementineport.Service{Name: "booking-desk"}
+	type admission struct {
+		done func(*clementineport.Answer)
+		err  error
+	}
+	admit := func(ctx context.Context) <-chan admission {
+		result := make(chan admission, 1)
+		go func() {
+			q := &clementineport.Query{Service: service.Name, Deadline: clock.Now().Add(simDeadline)}
+			done, err := a.Admit(ctx, service, q)
+			result <- admission{done, err}
+		}()
+		return result
+	}
+	refused := func(r admission) {
+		assert.Equal(t, clementineport.FaultOf(r.err), clementineport.FaultShed)
+		assert.Equal(t, clementineport.VerdictOf(r.err), clementineport.NotRun)
+		assert.Assert(t, r.err.(*clementineport.Error).RetryAfter > 0)
+	}
+	ctx := t.Context()
+	first := <-admit(ctx)
+	assert.NilError(t, first.err)
+
+	granted := admit(ctx)
+	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+	first.done(&clementineport.Answer{})
+	first.done(nil) // a second call changes nothing
+	second := <-granted
+	assert.NilError(t, second.err)
+	assert.Equal(t, a.InProgress(), 1)
+
+	expired := admit(ctx)
+	assert.NilError(t, clock.BlockUntilContext(ctx, 2))
+	clock.Advance(simDeadline / 4)
+	refused(<-expired)
+
+	canceled, cancel := context.WithCancel(ctx)
+	gone := admit(canceled)
+	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+	cancel()
+	refused(<-gone)
+	second.done(nil)
+	assert.Equal(t, a.InProgress(), 0)
+}
+
+// BenchmarkOverload reports the goodput and latency of the model at several offered loads.
+func BenchmarkOverload(b *testing.B) {
+	for _, load := range []float64{0.8, 1, 2, 5, 10} {
+		for _, m := range modes {
+			b.Run(fmt.Sprintf("Offered=%gx/%s", load, m.name), func(b *testing.B) {
+				var s *sim
+				for b.Loop() {
+					s = offered(1, load, m.opts...)
+				}
+				b.ReportMetric(float64(s.held)/max(float64(s.refusals), 1), "held/refusal")
+				report(b, s)
+			})
+		}
+	}
+}
+
+// BenchmarkFlood reports the latency of interactive queries beside a flood of batch queries.
+func BenchmarkFlood(b *testing.B) {
+	for _, batch := range []float64{0, 0.5, 1, 5, 10} {
+		for _, m := range modes {
+			b.Run(fmt.Sprintf("Batch=%gx/%s", batch, m.name), func(b *testing.B) {
+				var s *sim
+				for b.Loop() {
+					s = flooded(1, batch, m.opts...)
+				}
+				b.ReportMetric(s.goodput("certificate-sync", simWarm, simLength), "batch/capacity")
+				report(b, s)
+			})
+		}
+	}
+}
+
+func report(b *testing.B, s *sim) {
+	b.ReportMetric(s.goodput("booking-desk", simWarm, simLength), "desk/capacity")
+	b.ReportMetric(float64(s.p99("booking-desk").Milliseconds()), "p99-ms")
+	b.ReportMetric(float64(s.gate.Limit()), "limit")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkAdmit measures one admission without contention.
+func BenchmarkAdmit(b *testing.B) {
+	a := cpadmit.New(cpadmit.WithLimits(1000, 1000, 1000))
+	service := &clementineport.Service{Name: "booking-desk"}
+	q := &clementineport.Query{Service: service.Name, Deadline: time.Now().Add(time.Hour)}
+	answer := new(clementineport.Answer)
+	b.ReportAllocs()
+	for b.Loop() {
+		done, err := a.Admit(b.Context(), service, q)
+		if err != nil {
+			b.Fatal(err)
+		}
+		done(answer)
+	}
+}
--- a/cpadmit/limit.go
+++ b/cpadmit/limit.go
@@ -11,7 +11,8 @@
 const (
 	minWindow     = 100 * time.Millisecond
 	maxWindow     = time.Second
-	windowSamples = 20
+	windowSamples = 40
+	baseSamples   = 100 // to learn the latency without load from
 )
 
 // Steps of the limit and of the averages.
@@ -20,12 +21,9 @@
 	shedShare     = 0.05 // share of shed answers that counts as overload
 	shedCut       = 0.8
 	ratioWeight   = 0.3
-	fallWeight    = 0.3  // of a lower latency without load
-	riseWeight    = 0.05 // of a higher one
-	resetCut      = 0.5  // share of the limit after which cuts must have shown an effect
-	resetLatency  = 0.8  // share of the latency that a cut must have reached
-	quietShare    = 0.5  // share of the limit below which latency counts as latency without load
-	floorRise     = 0.3
+	baseWeight    = 0.3 // of a measured latency without load
+	quietShare    = 0.5 // share of the limit below which latency counts as latency without load
+	floorShare    = 0.5 // of the limit at which a run of cuts began
 	initialWeight = 1.0
 )
 
@@ -34,6 +32,9 @@
 	base  float64 // seconds without load; 0 is unknown
 	sum   float64 // seconds in this window
 	count int
+	// longSum and longCount add up windows until they are enough to learn from.
+	longSum   float64
+	longCount int
 }
 
 // limit is the adaptive limit on queries in progress. It follows the latency: while queries take longer
@@ -49,12 +50,11 @@
 	peak     int
 	limited  bool
 	refused  int
+	top      float64 // limit before the present run of cuts
 	ratio    float64 // smoothed latency over latency without load
 	latency  float64 // smoothed mean latency in seconds
 	refusals float64 // smoothed refusals a second
 	rate     float64 // smoothed completions a second
-	cutFrom  float64 // limit before the present run of cuts
-	cutRatio float64 // ratio before the present run of cuts
 }
 
 func newLimit(o *Options) *limit {
@@ -93,16 +93,16 @@
 	if length < minWindow || (l.samples < windowSamples && length < maxWindow) {
 		return
 	}
-	l.measure(length)
-	l.adjust()
+	quiet := !l.limited && float64(l.peak) < quietShare*l.value
+	l.measure(length, quiet)
+	l.adjust(quiet)
 	l.started = now
 	l.samples, l.shed, l.peak, l.refused, l.limited = 0, 0, 0, 0, false
 }
 
 // measure updates the averages from the window.
-func (l *limit) measure(length time.Duration) {
-	quiet := !l.limited && float64(l.peak) < quietShare*l.value
-	floor := l.value <= float64(l.opts.MinLimit)
+func (l *limit) measure(length time.Duration, quiet bool) {
+	floor := l.value <= l.floor()
 	var sum, base float64
 	var count int
 	for _, s := range l.services {
@@ -124,52 +124,52 @@
 	l.rate += ratioWeight * (float64(l.samples)/length.Seconds() - l.rate)
 }
 
-// learn follows the latency without load: down at once, up only when this VM is not the cause.
+// learn follows the latency without load: down whenever it is lower over enough queries, up only when this VM
+// is not the cause of a higher one.
 func (s *service) learn(mean float64, quiet, floor bool) {
+	s.longSum += mean * float64(s.count)
+	s.longCount += s.count
 	switch {
 	case s.base == 0:
 		s.base = mean
-	case mean < s.base:
-		s.base += fallWeight * (mean - s.base)
-	case floor:
-		s.base += floorRise * (mean - s.base)
-	case quiet:
-		s.base += riseWeight * (mean - s.base)
+	case floor && mean > s.base:
+		s.base = mean
+		s.longSum, s.longCount = 0, 0
+	case s.longCount >= baseSamples:
+		long := s.longSum / float64(s.longCount)
+		if long < s.base || quiet {
+			s.base += baseWeight * (long - s.base)
+		}
+		s.longSum, s.longCount = 0, 0
 	}
 }
 
 // adjust moves the limit by one step.
-func (l *limit) adjust() {
+func (l *limit) adjust(quiet bool) {
 	switch {
 	case float64(l.shed) > shedShare*float64(l.samples):
-		l.cut(shedCut)
+		l.value *= shedCut
+	case quiet:
 	case l.ratio > l.opts.Tolerance:
-		l.cut(max(l.opts.Tolerance/l.ratio, maxCut))
-	default:
-		l.cutFrom = 0
-		if l.limited {
-			l.value += max(math.Sqrt(l.value)/2, 1)
-		}
+		l.cut()
+	case l.limited:
+		l.top = 0
+		room := (l.opts.Tolerance - l.ratio) / (l.opts.Tolerance - 1)
+		l.value += min(room, 1) * max(math.Sqrt(l.value)/2, 1)
 	}
 	l.value = min(max(l.value, float64(l.opts.MinLimit)), float64(l.opts.MaxLimit))
 }
 
-// cut lowers the limit. When a run of cuts has halved the limit and the latency has not followed, the load
-// of this VM is not the cause: the present latency becomes the latency without load.
-func (l *limit) cut(factor float64) {
-	if l.cutFrom == 0 {
-		l.cutFrom, l.cutRatio = l.value, l.ratio
-	}
-	l.value *= factor
-	if l.shed > 0 || l.value > resetCut*l.cutFrom {
-		return
+// cut lowers the limit, but in one run of cuts not below a share of where it began: a latency that does not
+// fall with the limit is learned as the latency without load. As the share times the tolerance is below one,
+// the limit falls from run to run as long as queries do queue.
+func (l *limit) cut() {
+	if l.top == 0 {
+		l.top = l.value
 	}
-	if l.ratio > resetLatency*l.cutRatio {
-		for _, s := range l.services {
-			s.base *= l.ratio
-		}
-		l.value = l.cutFrom
-		l.ratio = 1
-	}
-	l.cutFrom = 0
+	l.value = max(l.value*max(l.opts.Tolerance/l.ratio, maxCut), l.floor())
+	l.ratio = l.opts.Tolerance
 }
+
+// floor returns the limit that the present run of cuts ends at.
+func (l *limit) floor() float64 { return max(l.top*floorShare, float64(l.opts.MinLimit)) }
--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -11,10 +11,10 @@
 
 // Defaults of admission.
 const (
-	DefaultMinLimit      = 8    // queries
+	DefaultMinLimit      = 4    // queries
 	DefaultInitialLimit  = 32   // queries
 	DefaultMaxLimit      = 8192 // queries
-	DefaultTolerance     = 1.3  // latency over no-load latency
+	DefaultTolerance     = 1.2  // latency over no-load latency
 	DefaultWaitShare     = 0.25 // of the time left
 	DefaultMinRetryAfter = 100 * time.Millisecond
 	DefaultMaxRetryAfter = 4 * time.Second
@@ -93,7 +93,7 @@
 		Clock:         clockwork.NewRealClock(),
 	}
 	o.ClassShare = [...]float64{
-		clementineport.ClassInteractive: 1, clementineport.ClassStandard: 0.9, clementineport.ClassBatch: 0.8,
+		clementineport.ClassInteractive: 1, clementineport.ClassStandard: 0.85, clementineport.ClassBatch: 0.7,
 	}
 	o.LeastShare = [...]float64{
 		clementineport.ClassInteractive: 0, clementineport.ClassStandard: 0.1, clementineport.ClassBatch: 0.05,
--- /dev/null
+++ b/cpadmit/sim_test.go
@@ -0,0 +1,226 @@
+package cpadmit_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
+)
+
+// The model: back ends with a fixed number of slots and one queue, log-normal service times, callers that give up
+// at the deadline and come back after the time that a refusal names, or after a backoff when they gave up.
+const (
+	simSlots    = 20
+	simService  = 40 * time.Millisecond
+	simSigma    = 0.5
+	simDeadline = 250 * time.Millisecond
+	simTries    = 10
+	simBackoff  = 100 * time.Millisecond
+	simCapacity = float64(simSlots) / 0.040 // queries a second
+)
+
+// flow is the arrivals of one service, as a share of the capacity.
+type flow struct {
+	service clementineport.ServiceID
+	class   clementineport.Class
+	share   float64
+}
+
+// phase is a stretch of the run with fixed flows; slow multiplies the service times.
+type phase struct {
+	length time.Duration
+	slow   float64
+	flows  []flow
+}
+
+func desk(share float64) flow {
+	return flow{"booking-desk", clementineport.ClassInteractive, share}
+}
+
+func certificates(share float64) flow {
+	return flow{"certificate-sync", clementineport.ClassBatch, share}
+}
+
+type simQuery struct {
+	cpadmit.Arrival
+	ticket cpadmit.Ticket
+	first  time.Time
+	tries  int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// sim runs the model in virtual time.
+type sim struct {
+	now      time.Time
+	rand     *rand.Rand
+	gate     *cpadmit.Gate
+	events   events
+	busy     int
+	backlog  []*simQuery
+	waiting  map[cpadmit.Ticket]*simQuery
+	slow     float64
+	good     map[clementineport.ServiceID][]time.Time
+	latency  map[clementineport.ServiceID][]time.Duration
+	longest  time.Duration // from an arrival to its refusal
+	held     int           // refusals that were not at once
+	returns  []time.Duration
+	refusals int
+}
+
+var simStart = time.Unix(0, 0)
+
+func newSim(seed uint64, opts ...cpadmit.Option) *sim {
+	return &sim{
+		now:     simStart,
+		rand:    rand.New(rand.NewPCG(seed, 1)),
+		gate:    cpadmit.NewGate(cpadmit.NewOptions(append(opts, cpadmit.WithSeed(seed))...)),
+		waiting: make(map[cpadmit.Ticket]*simQuery),
+		good:    make(map[clementineport.ServiceID][]time.Time),
+		latency: make(map[clementineport.ServiceID][]time.Duration),
+	}
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	heap.Push(&s.events, event{s.now.Add(d), do})
+}
+
+func (s *sim) run(phases ...phase) *sim {
+	var begin time.Duration
+	for _, p := range phases {
+		s.after(begin, func() { s.slow = max(p.slow, 1) })
+		for _, f := range p.flows {
+			s.arrivals(f, begin, p.length)
+		}
+		begin += p.length
+	}
+	end := simStart.Add(begin)
+	for len(s.events) > 0 && s.events[0].at.Before(end) {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s
+}
+
+func (s *sim) arrivals(f flow, begin, length time.Duration) {
+	for at := begin; f.share > 0; {
+		at += time.Duration(s.rand.ExpFloat64() / (f.share * simCapacity) * float64(time.Second))
+		if at >= begin+length {
+			return
+		}
+		q := &simQuery{Arrival: cpadmit.Arrival{Service: f.service, Class: f.class}}
+		s.after(at, func() { s.offer(q) })
+	}
+}
+
+func (s *sim) offer(q *simQuery) {
+	q.first = s.now
+	q.Deadline = s.now.Add(simDeadline)
+	d := s.gate.Offer(s.now, q.Arrival)
+	q.ticket = d.Ticket
+	switch d.Kind {
+	case cpadmit.KindAdmitted:
+		s.call(q)
+	case cpadmit.KindQueued:
+		s.waiting[d.Ticket] = q
+		s.after(d.Until.Sub(s.now), func() { s.expire(q, d.Ticket) })
+	default:
+		s.refuse(q, d)
+	}
+}
+
+func (s *sim) expire(q *simQuery, t cpadmit.Ticket) {
+	if s.waiting[t] == nil {
+		return
+	}
+	delete(s.waiting, t)
+	s.refuse(q, s.gate.Withdraw(t, q.Arrival))
+}
+
+func (s *sim) refuse(q *simQuery, d cpadmit.Decision) {
+	s.refusals++
+	if held := s.now.Sub(q.first); held > 0 {
+		s.held++
+		s.longest = max(s.longest, held)
+	}
+	s.returns = append(s.returns, d.RetryAfter)
+	s.comeBack(q, d.RetryAfter)
+}
+
+func (s *sim) comeBack(q *simQuery, after time.Duration) {
+	if q.tries++; q.tries < simTries {
+		s.after(after, func() { s.offer(q) })
+	}
+}
+
+func (s *sim) call(q *simQuery) {
+	s.backlog = append(s.backlog, q)
+	s.serve()
+}
+
+func (s *sim) serve() {
+	for s.busy < simSlots && len(s.backlog) > 0 {
+		q := s.backlog[0]
+		s.backlog = s.backlog[1:]
+		s.busy++
+		mean := math.Log(simService.Seconds()) - simSigma*simSigma/2
+		length := s.slow * math.Exp(mean + simSigma*s.rand.NormFloat64())
+		s.after(time.Duration(length*float64(time.Second)), func() { s.finish(q) })
+	}
+}
+
+func (s *sim) finish(q *simQuery) {
+	s.busy--
+	if s.now.After(q.Deadline) {
+		s.comeBack(q, simBackoff)
+	} else {
+		s.good[q.Service] = append(s.good[q.Service], s.now)
+		s.latency[q.Service] = append(s.latency[q.Service], s.now.Sub(q.first))
+	}
+	for _, t := range s.gate.Done(s.now, q.ticket, cpadmit.OutcomeAnswered) {
+		started := s.waiting[t]
+		delete(s.waiting, t)
+		s.backlog = append(s.backlog, started)
+	}
+	s.serve()
+}
+
+// goodput returns the answers in time, as a share of the capacity, from one time of the run to another.
+func (s *sim) goodput(id clementineport.ServiceID, from, to time.Duration) float64 {
+	n := 0
+	for _, at := range s.good[id] {
+		if since := at.Sub(simStart); since >= from && since < to {
+			n++
+		}
+	}
+	return float64(n) / (to - from).Seconds() / simCapacity
+}
+
+// p99 returns the 99th percentile of the latency of a service's answers.
+func (s *sim) p99(id clementineport.ServiceID) time.Duration {
+	sorted := slices.Sorted(slices.Values(s.latency[id]))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)*99/100]
+}
