Test the caller package and the budgets

A property over random outcomes holds that a non-idempotent request gets a new id only after every send was proven not to have run, and that a final verdict of not-run is true; it fails with BlindResend. A query that comes with an id is treated as sent before.

--- /dev/null
+++ b/cpbudget/cpbudget_test.go
@@ -0,0 +1,120 @@
+package cpbudget_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbudget"
+)
+
+// record counts the calls of a window that ends at the last step.
+type record struct{ ordinary, extra int }
+
+// withinShare reports whether no window of the history grants more than the share of its ordinary calls
+// plus the burst.
+func withinShare(history []record, share float64, burst int) bool {
+	for first := range history {
+		var window record
+		for _, step := range history[first:] {
+			window.ordinary += step.ordinary
+			window.extra += step.extra
+			if float64(window.extra) > share*float64(window.ordinary)+float64(burst)+1e-6 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// spend runs random steps of ordinary and extra calls against a budget.
+func spend(t *rapid.T, b clementineport.Budget) []record {
+	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) record {
+		return record{rapid.IntRange(0, 300).Draw(t, "ordinary"), rapid.IntRange(0, 30).Draw(t, "asked")}
+	}), 1, 40).Draw(t, "steps")
+	for i := range steps {
+		b.Earn(steps[i].ordinary)
+		asked := steps[i].extra
+		steps[i].extra = 0
+		for range asked {
+			if b.Spend() {
+				steps[i].extra++
+			}
+		}
+	}
+	return steps
+}
+
+func TestExtraCallsStayWithinTheShareOfAnyWindow(t *testing.T) {
+	broken := false
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
+		burst := rapid.IntRange(0, 40).Draw(t, "burst")
+		b := cpbudget.New(cpbudget.WithShare(share), cpbudget.WithBurst(burst), cpbudget.WithStart(burst))
+		assert.Assert(t, withinShare(spend(t, b), share, burst))
+		broken = broken || !withinShare(spend(t, cpbudget.Off), share, burst)
+	})
+	assert.Assert(t, broken, "the property must fail without a budget")
+}
+
+func TestRetriesAreChargedToHedges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hedges, retries := cpbudget.NewPair()
+		calls := rapid.IntRange(0, 2000).Draw(t, "calls")
+		hedges.Earn(calls)
+		retries.Earn(calls)
+		extra := 0
+		for range rapid.IntRange(0, 40).Draw(t, "retries") {
+			if retries.Spend() {
+				extra++
+			}
+		}
+		retried := extra
+		for hedges.Spend() {
+			extra++
+		}
+		credit := min(cpbudget.DefaultHedgeShare*float64(calls), cpbudget.DefaultHedgeBurst)
+		assert.Assert(t, float64(extra) <= max(credit, float64(retried)))
+	})
+}
+
+func TestNoneGrantsNothing(t *testing.T) {
+	cpbudget.None.Earn(1000)
+	assert.Assert(t, !cpbudget.None.Spend())
+}
+
+func TestConcurrentSpendingGrantsEachCallOnce(t *testing.T) {
+	b := cpbudget.New(cpbudget.WithShare(0.1), cpbudget.WithBurst(1000))
+	var granted atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				b.Earn(1)
+				if b.Spend() {
+					granted.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for b.Spend() {
+		granted.Add(1)
+	}
+	assert.Equal(t, granted.Load(), int64(800))
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := cpbudget.New()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Earn(3)
+			budget.Spend()
+		}
+	})
+}
--- a/cpcaller/resend.go
+++ b/cpcaller/resend.go
@@ -103,6 +103,7 @@
 	}
 	if q.Request != "" && !q.Idempotent {
 		r.unproven = 1
+		r.open = clementineport.Fail(clementineport.FaultDuplicate, "an earlier send may have run")
 	}
 	return r
 }
@@ -249,9 +250,7 @@
 		}
 	case r.inFlight > 0:
 		err = clementineport.Fail(clementineport.FaultTimeout, "no answer within the deadline")
-	case err == nil && r.sends == 0 && r.unproven > 0:
-		err = clementineport.Fail(clementineport.FaultDuplicate, "not resent; an earlier send may have run")
-	case err == nil && r.sends == 0:
+	case err == nil:
 		err = clementineport.Fail(clementineport.FaultUnavailable, "no entry could be asked")
 	}
 	r.final = true
--- /dev/null
+++ b/cpcaller/resend_test.go
@@ -0,0 +1,111 @@
+package cpcaller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcaller"
+)
+
+// send is one send of the modelled request, as far as its sender can know.
+type send struct {
+	id      clementineport.RequestID
+	pending bool
+	proven  bool
+}
+
+// drive runs a request against random outcomes and reports whether every new id of a non-idempotent request
+// was taken after all earlier sends were proven not to have run, and whether the final verdict was true.
+func drive(t *rapid.T, rules cpcaller.Rules) (idsSafe, verdictTrue bool) {
+	now := time.Unix(0, 0)
+	entries := make([]cpcaller.Entry, rapid.IntRange(1, 4).Draw(t, "entries"))
+	for i := range entries {
+		entries[i] = cpcaller.Entry{Address: fmt.Sprint("e", i), Ticket: fmt.Sprint("t", i)}
+	}
+	q := &clementineport.Query{Idempotent: rapid.Bool().Draw(t, "idempotent"), Deadline: now.Add(time.Second)}
+	ids := 0
+	newID := func(ticket string) clementineport.RequestID {
+		ids++
+		return clementineport.RequestID(fmt.Sprint(ticket, "-", ids))
+	}
+	r := cpcaller.NewRequest(rules, q, now, newID, func() float64 { return 0.5 })
+	var sends []send
+	idsSafe = true
+	for {
+		a := r.Next(now, entries)
+		switch a.Kind {
+		case cpcaller.ActionFinish:
+			proven := true
+			for _, s := range sends {
+				proven = proven && s.proven
+			}
+			assert.Assert(t, len(sends) <= rules.MaxSends)
+			return idsSafe, proven || a.Err.Verdict() == clementineport.MayHaveRun
+		case cpcaller.ActionSend:
+			for _, s := range sends {
+				idsSafe = idsSafe && (q.Idempotent || s.id == a.Request || s.proven)
+			}
+			sends = append(sends, send{id: a.Request, pending: true})
+			continue
+		}
+		assert.Assert(t, a.Until.After(now), "a wait must end later")
+		open := -1
+		for i := range sends {
+			if sends[i].pending && (open < 0 || rapid.Bool().Draw(t, "later")) {
+				open = i
+			}
+		}
+		if open < 0 || rapid.Bool().Draw(t, "silent") {
+			now = a.Until
+			continue
+		}
+		fault := rapid.SampledFrom(clementineport.Faults()).Draw(t, "fault")
+		sends[open].pending, sends[open].proven = false, fault.Verdict() == clementineport.NotRun
+		r.Failed(now, clementineport.Fail(fault, "drawn"))
+	}
+}
+
+func TestNewIDsOnlyAfterProvenNotRun(t *testing.T) {
+	broken := false
+	rapid.Check(t, func(t *rapid.T) {
+		safe, honest := drive(t, cpcaller.DefaultRules())
+		assert.Assert(t, safe, "a request was given a new id after a send that may have run")
+		assert.Assert(t, honest, "a request was reported as not run after a send that may have run")
+		blind := cpcaller.DefaultRules()
+		blind.BlindResend = true
+		safe, _ = drive(t, blind)
+		broken = broken || !safe
+	})
+	assert.Assert(t, broken, "the property must fail when every resend takes a new id")
+}
+
+func TestListSpreadsRequests(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := cpcaller.NewList(2 * time.Second)
+	usable, refresh := l.State(now)
+	assert.Assert(t, !usable && refresh, "an empty list must be fetched")
+	l.Set(now, []cpcaller.Entry{{Address: "a1", Domain: "a"}, {Address: "b1", Domain: "b"}, {Address: "a2", Domain: "a"}}, 20*time.Second, 0.5)
+	first := make(map[string]int)
+	for range 300 {
+		order := l.Order(now, "a")
+		first[order[0].Address]++
+		if order[0].Address == "a1" {
+			assert.Equal(t, order[1].Address, "a2", "a resend must stay in the failure domain of the caller")
+		}
+	}
+	assert.DeepEqual(t, first, map[string]int{"a1": 100, "b1": 100, "a2": 100})
+
+	l.Suspect(now, "b1")
+	for range 10 {
+		assert.Equal(t, l.Order(now, "a")[2].Address, "b1", "a suspect entry must come last")
+	}
+	usable, refresh = l.State(now)
+	assert.Assert(t, usable && refresh, "a suspect entry must cause a new list to be fetched")
+	usable, _ = l.State(now.Add(20 * time.Second))
+	assert.Assert(t, !usable, "a list must not be used after its life")
+}
--- a/cpcli/load.go
+++ b/cpcli/load.go
@@ -65,13 +65,13 @@
 		ShortUsage: "clementineport plot FILE [--out FILE.svg]",
 		ShortHelp:  "Draw the time line of a JSON report of load as SVG.",
 		FlagSet:    fs,
-		Exec:       func(_ context.Context, args []string) error { return plotReport(args, *out, stdout) },
+		Exec:       func(_ context.Context, args []string) error { return plotReport(fs, args, out, stdout) },
 	}
 }
 
 func (f *loadFlags) exec(ctx context.Context, args []string, stdout io.Writer) error {
 	if len(args) > 0 {
-		return flag.ErrHelp
+		return usagef("unexpected argument %q", args[0])
 	}
 	f.opts.Entries = splitList(f.entries)
 	f.opts.Policies = splitList(f.policies)
@@ -80,6 +80,9 @@
 		return err
 	}
 	f.opts.Services = services
+	if err := f.opts.Validate(); err != nil {
+		return usagef("%v", err)
+	}
 	report, err := cpload.Run(ctx, cpload.WithOptions(f.opts))
 	if err != nil {
 		return err
@@ -125,11 +128,15 @@
 	}
 }
 
-func plotReport(args []string, out string, stdout io.Writer) error {
-	if len(args) != 1 {
-		return flag.ErrHelp
+func plotReport(fs *flag.FlagSet, args []string, out *string, stdout io.Writer) error {
+	files, err := parseMixed(fs, args)
+	if err != nil {
+		return err
+	}
+	if len(files) != 1 {
+		return usagef("one report is needed")
 	}
-	data, err := os.ReadFile(args[0])
+	data, err := os.ReadFile(files[0])
 	if err != nil {
 		return errs.Wrap(err)
 	}
@@ -137,10 +144,10 @@
 	if err := json.Unmarshal(data, report); err != nil {
 		return errs.Wrap(err)
 	}
-	if out == "" {
+	if *out == "" {
 		return cpreport.WriteSVG(stdout, report)
 	}
-	file, err := os.Create(out)
+	file, err := os.Create(*out)
 	if err != nil {
 		return errs.Wrap(err)
 	}
@@ -155,7 +162,7 @@
 		if found {
 			parsed, err := strconv.ParseFloat(weightText, 64)
 			if err != nil || parsed <= 0 {
-				return nil, clementineport.Fail(clementineport.FaultInvalid, "weight of service %q must be above 0", part)
+				return nil, usagef("weight of service %q must be above 0", part)
 			}
 			weight = parsed
 		}
