--- a/cpadmit/sim_test.go
+++ b/cpadmit/sim_test.go
@@ -184,7 +184,7 @@
 		s.backlog = s.backlog[1:]
 		s.busy++
 		mean := math.Log(simService.Seconds()) - simSigma*simSigma/2
-		length := s.slow * math.Exp(mean + simSigma*s.rand.NormFloat64())
+		length := s.slow * math.Exp(mean+simSigma*s.rand.NormFloat64())
 		s.after(time.Duration(length*float64(time.Second)), func() { s.finish(q) })
 	}
 }
