--- /dev/null
+++ b/cpfleet/fleet_test.go
@@ -0,0 +1,483 @@
+package cpfleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpsearcher"
+)
+
+const (
+	// promisedSeconds is the bound of "after a few seconds".
+	promised = 3 * time.Second
+	// patience bounds every wait for a state that must come.
+	patience = 60 * time.Second
+	pollWait = 50 * time.Millisecond
+	token    = "fleet-test-token-0123456789"
+	// fleetsAtOnce bounds the fleets that run at the same time.
+	fleetsAtOnce = 3
+	domains      = "abc"
+	shards       = 3
+	slots        = 6
+	connections  = 24
+	logTail      = 6000
+)
+
+var (
+	binaries string
+	fleets   = make(chan struct{}, fleetsAtOnce)
+)
+
+// TestMain builds the programs that the tests run.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cpfleet")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	code := 1
+	if err = build(dir); err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func build(dir string, flags ...string) error {
+	out, err := exec.Command("go", append(append([]string{"build"}, flags...), "-o", dir+"/", "../cmd/...")...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w: %s", err, out)
+	}
+	return nil
+}
+
+// process is a program that a test has started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	err  error
+}
+
+func (f *fleet) start(name, program string, args ...string) *process {
+	f.t.Helper()
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	assert.NilError(f.t, err)
+	p := &process{name: name, cmd: exec.Command(filepath.Join(f.binaries, program), args...), log: log.Name(), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	assert.NilError(f.t, p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f.t.Cleanup(func() {
+		p.kill()
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", p.name, tail(p.log))
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func tail(path string) string {
+	data, _ := os.ReadFile(path)
+	return string(data[max(0, len(data)-logTail):])
+}
+
+// entry is an entry VM.
+type entry struct {
+	*process
+	vm clementineport.VM
+}
+
+// fleet is a store, targets and entry VMs on loopback.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	binaries string
+	options  fleetOptions
+	ports    []int
+	storeAt  string
+	adminAt  string
+	first    int // port of the first target
+	store    *process
+	targets  *process
+	entries  []*entry
+	revision clementineport.Revision
+}
+
+type fleetOptions struct {
+	binaries    string
+	layouts     []int // shards of each layout
+	targetFlags []string
+	peers       bool // settings name the peers of the entries that run
+	// through returns the address to advertise for an address.
+	through func(address string) string
+}
+
+// newFleet starts a store, nine targets and an entry VM in each of three failure domains, and submits an estate.
+func newFleet(t *testing.T, o fleetOptions) *fleet {
+	t.Helper()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	if o.layouts == nil {
+		o.layouts = []int{shards}
+	}
+	if o.through == nil {
+		o.through = func(address string) string { return address }
+	}
+	f := &fleet{t: t, dir: t.TempDir(), binaries: binaries, options: o}
+	if o.binaries != "" {
+		f.binaries = o.binaries
+	}
+	assert.NilError(t, os.WriteFile(f.file("token"), []byte(token), 0o600))
+	f.ports = freePorts(t, 40)
+	f.first = f.ports[0]
+	f.ports = f.ports[len(domains)*shards:]
+	f.storeAt, f.adminAt = f.address(), f.address()
+	f.store = f.start("store", "clementineport-standin", "store", "--listen", f.storeAt, "--lag", "500ms")
+	f.targets = f.start("targets", "clementineport-standin", append([]string{
+		"target", "--listen", fmt.Sprintf("127.0.0.1:%d", f.first), "--count", fmt.Sprint(len(domains) * shards),
+		"--admin", f.adminAt, "--slots", fmt.Sprint(slots), "--queue", fmt.Sprint(slots),
+		"--connections", fmt.Sprint(connections), "--service-time", "5ms",
+	}, o.targetFlags...)...)
+	eventually(t, "the stand-ins serve", func() error {
+		return errors.Join(f.call(http.MethodGet, f.storeAt, "/v1/vms", nil, nil), f.call(http.MethodGet, f.adminAt, "/admin/stats", nil, nil))
+	})
+	for i := range domains {
+		f.startEntry("vm-"+domains[i:i+1], domains[i:i+1])
+	}
+	f.submit(f.estate(o.layouts))
+	for _, e := range f.entries {
+		f.ready(e)
+	}
+	f.settled()
+	return f
+}
+
+// settled waits until every entry VM knows all others as alive and the newest revision in force.
+func (f *fleet) settled() {
+	f.t.Helper()
+	eventually(f.t, "the entry VMs know each other", func() error {
+		for _, e := range f.entries {
+			out, fault, code := f.commandAt([]*entry{e}, "status")
+			var s cpcontrol.Status
+			if code != 0 || json.Unmarshal([]byte(out), &s) != nil || s.Revision < f.revision {
+				return fmt.Errorf("%s: %s %s", e.name, out, fault)
+			}
+			alive := 0
+			for i := range s.Rows {
+				if s.Rows[i].State == clementineport.MemberAlive && s.Rows[i].Confirmed {
+					alive++
+				}
+			}
+			if alive != len(f.entries) {
+				return fmt.Errorf("%s knows %d VMs", e.name, alive)
+			}
+		}
+		return nil
+	})
+}
+
+func (f *fleet) file(name string) string { return filepath.Join(f.dir, name) }
+
+func (f *fleet) address() string {
+	port := f.ports[0]
+	f.ports = f.ports[1:]
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+var portMutex sync.Mutex
+
+// nextPort is below the range from which the system takes ports of its own accord.
+var nextPort = 20000 + os.Getpid()%100*100
+
+// freePorts returns consecutive ports on which nothing listens.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	portMutex.Lock()
+	defer portMutex.Unlock()
+	for range 1000 {
+		if nextPort+n > 32000 {
+			nextPort = 20000
+		}
+		first, ports := nextPort, []int(nil)
+		for port := first; port < first+n; port++ {
+			nextPort++
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				break
+			}
+			_ = ln.Close()
+			ports = append(ports, port)
+		}
+		if len(ports) == n {
+			return ports
+		}
+	}
+	t.Fatal("no free ports")
+	return nil
+}
+
+// startEntry registers a VM in the platform's list and starts its process.
+func (f *fleet) startEntry(name, domain string) *entry {
+	f.t.Helper()
+	caller, peer, operator := f.address(), f.address(), f.address()
+	vm := clementineport.VM{
+		ID: clementineport.VMID(name), Domain: clementineport.FailureDomain(domain),
+		Caller: caller, Peer: f.options.through(peer), Operator: operator,
+	}
+	f.register(vm)
+	var peers []string
+	for _, e := range f.entries {
+		if f.options.peers {
+			peers = append(peers, e.vm.Peer)
+		}
+	}
+	settings := fmt.Sprintf(`VM: %s
+Domain: %s
+Region: local
+Listen: {Caller: %q, Peer: %q, Operator: %q}
+Advertise: {Peer: %q}
+Store: [%q]
+Directory: %q
+Peers: [%s]
+TokenFile: %s
+AllowPolicy: true
+Shutdown: {AdviceLife: 1s, Whole: 30s}
+`, name, domain, caller, peer, operator, vm.Peer, f.storeAt, f.storeAt, strings.Join(peers, ", "), f.file("token"))
+	assert.NilError(f.t, os.WriteFile(f.file(name+".yaml"), []byte(settings), 0o600))
+	e := &entry{f.start(name, "clementineport", "entry", "--settings", f.file(name+".yaml")), vm}
+	f.entries = append(f.entries, e)
+	return e
+}
+
+func (f *fleet) register(vm clementineport.VM) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodPost, f.storeAt, "/admin/vms", vm, nil))
+}
+
+func (f *fleet) unregister(e *entry) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodDelete, f.storeAt, "/admin/vms/"+string(e.vm.ID), nil, nil))
+}
+
+func (f *fleet) ready(e *entry) {
+	f.t.Helper()
+	eventually(f.t, e.name+" is ready", func() error { return f.call(http.MethodGet, e.vm.Caller, "/readyz", nil, nil) })
+}
+
+func (f *fleet) callers() []string {
+	var all []string
+	for _, e := range f.entries {
+		all = append(all, e.vm.Caller)
+	}
+	return all
+}
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+// call makes one HTTP call with JSON bodies.
+func (f *fleet) call(method, address, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	w, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	data, err = io.ReadAll(w.Body)
+	switch {
+	case err != nil:
+		return err
+	case w.StatusCode/100 != 2:
+		return fmt.Errorf("%s %s: %s: %s", method, path, w.Status, data)
+	case reply == nil:
+		return nil
+	}
+	return json.Unmarshal(data, reply)
+}
+
+// command runs the operators' command line and returns its output, its error output and its exit code.
+func (f *fleet) command(args ...string) (string, string, int) {
+	f.t.Helper()
+	return f.commandAt(f.entries, args...)
+}
+
+// commandAt is command with the entry VMs to ask.
+func (f *fleet) commandAt(entries []*entry, args ...string) (string, string, int) {
+	f.t.Helper()
+	var operators []string
+	for _, e := range entries {
+		operators = append(operators, e.vm.Operator)
+	}
+	args = append(args, "--operator", strings.Join(operators, ","), "--token-file", f.file("token"), "--json")
+	var stdout, stderr bytes.Buffer
+	cmd := exec.Command(filepath.Join(f.binaries, "clementineport"), args...)
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
+		f.t.Fatal(err)
+	}
+	return stdout.String(), stderr.String(), cmd.ProcessState.ExitCode()
+}
+
+// must runs a command that has to succeed.
+func (f *fleet) must(reply any, args ...string) {
+	f.t.Helper()
+	stdout, stderr, code := f.command(args...)
+	assert.Equal(f.t, code, 0, "%v: %s %s", args, stdout, stderr)
+	if reply != nil {
+		assert.NilError(f.t, json.Unmarshal([]byte(stdout), reply))
+	}
+}
+
+// submit submits a text and waits until it is in force.
+func (f *fleet) submit(text string) {
+	f.t.Helper()
+	var reply struct{ Revision clementineport.Revision }
+	f.must(&reply, "submit", f.textFile(text), "--based-on", fmt.Sprint(f.revision), "--wait", patience.String())
+	f.revision = reply.Revision
+}
+
+func (f *fleet) textFile(text string) string {
+	file, err := os.CreateTemp(f.dir, "estate")
+	assert.NilError(f.t, err)
+	_, err = file.WriteString(text)
+	assert.NilError(f.t, errors.Join(err, file.Close()))
+	return file.Name()
+}
+
+// move takes a failure domain out or brings it back, and returns when the change was made.
+func (f *fleet) move(action, domain string) time.Time {
+	f.t.Helper()
+	f.must(nil, action, "domain", domain)
+	cfg := f.config()
+	f.revision = cfg.Revision
+	return cfg.Changes[len(cfg.Changes)-1].At
+}
+
+func (f *fleet) config() (cfg clementineport.Config) {
+	f.t.Helper()
+	var reply struct {
+		Revision clementineport.Revision
+		Out      clementineport.Out
+		Changes  []clementineport.Change
+	}
+	f.must(&reply, "show")
+	return clementineport.Config{Revision: reply.Revision, Out: reply.Out, Changes: reply.Changes}
+}
+
+func (f *fleet) status() (s cpcontrol.Status) {
+	f.t.Helper()
+	f.must(&s, "status")
+	return s
+}
+
+// estate returns a text in which target n is in failure domain n/shards and holds a part of each layout.
+func (f *fleet) estate(layouts []int) string {
+	var b strings.Builder
+	b.WriteString("Region: local\nDomains: [a, b, c]\nServices:\n")
+	b.WriteString("  - {Name: lookup, DependsOn: [lookup], Index: lookup, Deadline: 10s, Class: interactive, LeastCoverage: 1, BelowLeast: mark, Prefer: coverage}\n")
+	b.WriteString("Indexes:\n  - Name: lookup\n    Layouts:\n")
+	for i, n := range layouts {
+		if n > 0 {
+			fmt.Fprintf(&b, "      - {Layout: %d, Shards: %d}\n", i+1, n)
+		}
+	}
+	fmt.Fprintf(&b, "Groups:\n  - {Name: lookup, Index: lookup, Slots: %d, Queue: %d, Connections: %d, ConnectionCost: 1ms}\nTargets:\n", slots, slots, connections)
+	for n := range len(domains) * shards {
+		address := f.options.through(fmt.Sprintf("127.0.0.1:%d", f.first+n))
+		fmt.Fprintf(&b, "  - {ID: lookup-%d, Group: lookup, Address: %q, Domain: %c, Holds: [", n, address, domains[n/shards])
+		var holds []string
+		for i, count := range layouts {
+			var held []string
+			for shard := n % shards; shard < count; shard += shards {
+				held = append(held, fmt.Sprint(shard))
+			}
+			if count > 0 {
+				holds = append(holds, fmt.Sprintf("{Layout: %d, Shards: [%s]}", i+1, strings.Join(held, ", ")))
+			}
+		}
+		b.WriteString(strings.Join(holds, ", ") + "]}\n")
+	}
+	return b.String()
+}
+
+// domainTargets returns the positions of the targets of a failure domain.
+func domainTargets(domain string) []int {
+	first := strings.Index(domains, domain) * shards
+	return []int{first, first + 1, first + 2}
+}
+
+func (f *fleet) admin(c cpsearcher.Command) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodPost, f.adminAt, "/admin", c, nil))
+}
+
+func (f *fleet) stats() []cpsearcher.Stats {
+	f.t.Helper()
+	var reply struct{ Targets []cpsearcher.Stats }
+	assert.NilError(f.t, f.call(http.MethodGet, f.adminAt, "/admin/stats", nil, &reply))
+	return reply.Targets
+}
+
+// storeFault makes calls to the store fail; directory applies it to the list of VMs.
+func (f *fleet) storeFault(mode string, calls int, writes, directory bool) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodPost, f.storeAt, "/admin/faults", struct {
+		Mode              string
+		Calls             int
+		Writes, Directory bool
+	}{mode, calls, writes, directory}, nil))
+}
+
+func (f *fleet) storeWell() {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodDelete, f.storeAt, "/admin/faults", nil, nil))
+}
+
+// eventually polls until check succeeds.
+func eventually(t *testing.T, what string, check func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pollWait) {
+		if err = check(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %s: %v", what, patience, err)
+}
--- /dev/null
+++ b/cpfleet/load_test.go
@@ -0,0 +1,296 @@
+package cpfleet_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcaller"
+	"github.com/clementineport/clementineport/cpload"
+	"github.com/clementineport/clementineport/cpsearcher"
+	"github.com/clementineport/clementineport/cptarget"
+)
+
+const (
+	queryInterval = 10 * time.Millisecond
+	queryDeadline = 9 * time.Second
+	hitLimit      = 5
+	callers       = 4
+	// onceEvery is how many queries there are for each non-idempotent one.
+	onceEvery   = 5
+	shownFaults = 5
+	// slow is the time above which a query is explained in the log.
+	slow = time.Second
+)
+
+// outcome is what became of one query.
+type outcome struct {
+	query  clementineport.Query
+	began  time.Time
+	took   time.Duration
+	answer *clementineport.Answer
+	err    error
+}
+
+// load sends queries at a steady rate through the caller package until it is finished.
+type load struct {
+	f       *fleet
+	policy  string
+	callers []cpcaller.Caller
+	stop    chan struct{}
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+func (f *fleet) load(policy string, opts ...cpcaller.Option) *load {
+	l := &load{f: f, policy: policy, stop: make(chan struct{}), ended: make(chan struct{})}
+	for range callers {
+		l.callers = append(l.callers, cpcaller.New(append([]cpcaller.Option{cpcaller.WithSeeds(f.callers()...)}, opts...)...))
+	}
+	go l.run()
+	f.t.Cleanup(func() { l.finish() })
+	return l
+}
+
+func (l *load) run() {
+	defer close(l.ended)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(queryInterval)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-tick.C:
+			wg.Go(func() { l.query(n) })
+		}
+	}
+}
+
+func (l *load) query(n int) {
+	q := clementineport.Query{
+		Service: "lookup", Text: fmt.Sprintf("text-%d", n), Limit: hitLimit, Idempotent: n%onceEvery != 0, Policy: l.policy,
+	}
+	if q.Idempotent {
+		q.Request = clementineport.RequestID(q.Text)
+	}
+	began := time.Now()
+	q.Deadline = began.Add(queryDeadline)
+	answer, err := l.callers[n%callers].Query(context.Background(), &q)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, outcome{q, began, time.Since(began), answer, err})
+}
+
+// finish stops the load, waits for the last answers and returns all outcomes.
+func (l *load) finish() []outcome {
+	l.mu.Lock()
+	select {
+	case <-l.stop:
+	default:
+		close(l.stop)
+	}
+	l.mu.Unlock()
+	<-l.ended
+	return l.outcomes
+}
+
+// answered waits until n more queries have been answered whole.
+func (l *load) answered(n int) {
+	l.f.t.Helper()
+	whole := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		count := 0
+		for i := range l.outcomes {
+			if l.outcomes[i].answer != nil && l.outcomes[i].answer.Complete {
+				count++
+			}
+		}
+		return count
+	}
+	start := whole()
+	eventually(l.f.t, fmt.Sprintf("%d more whole answers", n), func() error {
+		if got := whole() - start; got < n {
+			return fmt.Errorf("%d answers", got)
+		}
+		return nil
+	})
+}
+
+// report fails the test with the first faults that a check found.
+func report(t *testing.T, what string, faults []error) {
+	t.Helper()
+	if len(faults) > 0 {
+		t.Errorf("%s: %d faults, such as:\n%v", what, len(faults), errors.Join(faults[:min(len(faults), shownFaults)]...))
+	}
+}
+
+// checkTruth checks every answer: it states each shard once, and its hits are exactly those of the shards
+// that it covers, for its own text, in one snapshot.
+func checkTruth(outcomes []outcome) []error {
+	var faults []error
+	for i := range outcomes {
+		if o := &outcomes[i]; o.answer != nil {
+			if err := cmp.Or(cpload.CheckAnswer(&o.query, o.answer), checkHits(o)); err != nil {
+				faults = append(faults, fmt.Errorf("%s: %w", o.query.Text, err))
+			}
+		}
+	}
+	return faults
+}
+
+func checkHits(o *outcome) error {
+	var want []clementineport.Hit
+	for _, shard := range o.answer.Covered {
+		want = append(want, cptarget.Hits("lookup", shard, o.answer.Snapshot, o.query.Text, hitLimit)...)
+	}
+	slices.SortFunc(want, func(a, b clementineport.Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Record, b.Record))
+	})
+	want = want[:min(len(want), hitLimit)]
+	if !slices.Equal(want, o.answer.Hits) {
+		return fmt.Errorf("hits are %v, not %v", o.answer.Hits, want)
+	}
+	return nil
+}
+
+// checkWhole checks that queries were answered whole; nonIdempotent includes the non-idempotent ones.
+func checkWhole(outcomes []outcome, nonIdempotent bool) []error {
+	var faults []error
+	for i := range outcomes {
+		o := &outcomes[i]
+		switch {
+		case !o.query.Idempotent && !nonIdempotent:
+		case o.err != nil:
+			faults = append(faults, fmt.Errorf("%s at %s (idempotent %t): %w", o.query.Text, o.began.Format(time.StampMilli), o.query.Idempotent, o.err))
+		case !o.answer.Complete:
+			faults = append(faults, fmt.Errorf("%s at %s (idempotent %t): missing %+v", o.query.Text, o.began.Format(time.StampMilli), o.query.Idempotent, o.answer.Missing))
+		}
+	}
+	return faults
+}
+
+// checkOnce checks the stand-ins' record of non-idempotent calls: no shard was searched twice for one query,
+// no query that was refused as not run was run, and every covered shard was.
+func checkOnce(outcomes []outcome, runs []cpsearcher.Run) []error {
+	type key struct {
+		text  string
+		shard clementineport.ShardID
+	}
+	var faults []error
+	ran, any := make(map[key]int), make(map[string]bool)
+	for _, r := range runs {
+		k := key{r.Text, r.Shard}
+		any[r.Text] = true
+		if ran[k]++; ran[k] == 2 {
+			faults = append(faults, fmt.Errorf("%s ran twice at shard %d", r.Text, r.Shard))
+		}
+	}
+	for i := range outcomes {
+		o := &outcomes[i]
+		switch {
+		case o.query.Idempotent:
+		case clementineport.VerdictOf(o.err) == clementineport.NotRun && any[o.query.Text]:
+			faults = append(faults, fmt.Errorf("%s ran, but the verdict is not run: %w", o.query.Text, o.err))
+		case o.answer != nil:
+			for _, shard := range o.answer.Covered {
+				if ran[key{o.query.Text, shard}] == 0 {
+					faults = append(faults, fmt.Errorf("%s did not run at shard %d", o.query.Text, shard))
+				}
+			}
+		}
+	}
+	return faults
+}
+
+func (f *fleet) runs() []cpsearcher.Run {
+	f.t.Helper()
+	var reply struct{ Runs []cpsearcher.Run }
+	assert.NilError(f.t, f.call(http.MethodGet, f.adminAt, "/admin/runs", nil, &reply))
+	return reply.Runs
+}
+
+// checkTargets checks that no cold target fell over and no target had more connections than its limit.
+func (f *fleet) checkTargets() []error {
+	var faults []error
+	for n, s := range f.stats() {
+		if s.FallOvers > 0 || s.ConnectionsOver > 0 {
+			faults = append(faults, fmt.Errorf("target %d fell over %d times, had %d connections above its limit", n, s.FallOvers, s.ConnectionsOver))
+		}
+	}
+	return faults
+}
+
+// checkQuiet checks that the targets of a failure domain got no call later than promised after a time.
+func (f *fleet) checkQuiet(domain string, accepted time.Time) []error {
+	var faults []error
+	all := f.stats()
+	for _, n := range domainTargets(domain) {
+		if late := all[n].LastCall.Sub(accepted); late > promised {
+			faults = append(faults, fmt.Errorf("target %d got a call %s after acceptance", n, late))
+		}
+	}
+	return faults
+}
+
+// checkAlways makes the checks that hold whatever fails; whole says whether every query must be whole too.
+func (l *load) checkAlways(whole, nonIdempotentWhole bool) {
+	t := l.f.t
+	t.Helper()
+	outcomes := l.finish()
+	failed := 0
+	for i := range outcomes {
+		if outcomes[i].err != nil {
+			failed++
+		}
+	}
+	took := make([]time.Duration, 0, len(outcomes))
+	for i := range outcomes {
+		took = append(took, outcomes[i].took)
+	}
+	slices.Sort(took)
+	t.Logf("%d queries, %d failed; median %s, p99 %s, longest %s", len(outcomes), failed,
+		took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
+	assert.Assert(t, failed < len(outcomes), "no query was answered")
+	report(t, "truth", checkTruth(outcomes))
+	report(t, "at most once", checkOnce(outcomes, l.f.runs()))
+	report(t, "targets", l.f.checkTargets())
+	if whole {
+		faults := checkWhole(outcomes, nonIdempotentWhole)
+		report(t, "whole answers", faults)
+		if len(faults) > 0 {
+			l.explain(func(o *outcome) bool { return o.err != nil || !o.answer.Complete })
+		}
+	}
+	if took[len(took)-1] > slow {
+		l.explain(func(o *outcome) bool { return o.took > slow })
+	}
+}
+
+// explain logs how the entry VMs ran the last idempotent query of a kind.
+func (l *load) explain(kind func(*outcome) bool) {
+	l.f.t.Helper()
+	for i := range slices.Backward(l.outcomes) {
+		if o := &l.outcomes[i]; o.query.Idempotent && kind(o) {
+			for _, e := range l.f.entries {
+				if out, _, code := l.f.commandAt([]*entry{e}, "explain", o.query.Text); code == 0 {
+					l.f.t.Logf("%s took %s, at %s: %s", o.query.Text, o.took, e.name, out)
+				}
+			}
+			return
+		}
+	}
+}
--- a/cpsearcher/admin.go
+++ b/cpsearcher/admin.go
@@ -64,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.model.stats
-	st.ran = nil
+	st.ran, st.runs = nil, nil
 	st.Repeated = slices.Clone(st.Repeated)
 	st.Address, st.Start = s.address, s.model.start
 	st.Cold, st.Level = s.model.cold(), s.model.level
@@ -76,11 +76,12 @@
 type Fleet []*Searcher
 
 // Admin returns the handler of the admin port: POST /admin takes a Command, GET /admin/stats returns
-// the counters of each target.
+// the counters of each target, GET /admin/runs the non-idempotent calls that have started to run.
 func (f Fleet) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /admin", f.command)
 	mux.HandleFunc("GET /admin/stats", f.stats)
+	mux.HandleFunc("GET /admin/runs", f.runs)
 	return mux
 }
 
--- a/cpsearcher/cpsearcher.go
+++ b/cpsearcher/cpsearcher.go
@@ -164,7 +164,7 @@
 		s.model.running++
 	}
 	if !req.Idempotent {
-		s.model.stats.observeRun(req.Request, req.Shard)
+		s.model.stats.observeRun(Run{req.Request, req.Shard, req.Text})
 	}
 	return s.model.serviceTime()
 }
--- a/cpsearcher/model.go
+++ b/cpsearcher/model.go
@@ -70,6 +70,7 @@
 // admit accepts a call or says why it is refused.
 func (m *model) admit(now time.Time, s clementineport.Snapshot) error {
 	m.stats.Calls++
+	m.stats.LastCall = now
 	if !m.drained.IsZero() {
 		m.stats.observeDrain(now.Sub(m.drained))
 		return clementineport.Fail(clementineport.FaultDraining, "draining")
--- a/cpsearcher/stats.go
+++ b/cpsearcher/stats.go
@@ -9,9 +9,11 @@
 
 // Stats counts what one target has seen since the last reset.
 type Stats struct {
-	Address         string
-	Start           clementineport.StartID
-	Calls           int
+	Address string
+	Start   clementineport.StartID
+	Calls   int
+	// LastCall is when the last call came.
+	LastCall        time.Time
 	Completed       int
 	Cancelled       int
 	Expired         int
@@ -36,7 +38,8 @@
 	Level    int
 	InFlight int
 
-	ran map[string]int
+	ran  map[string]int
+	runs []Run
 }
 
 func (s *Stats) reset() {
@@ -49,8 +52,9 @@
 }
 
 // observeRun counts a non-idempotent call when it starts to run.
-func (s *Stats) observeRun(request clementineport.RequestID, shard clementineport.ShardID) {
-	key := fmt.Sprintf("%s/%d", request, shard)
+func (s *Stats) observeRun(run Run) {
+	s.runs = append(s.runs, run)
+	key := fmt.Sprintf("%s/%d", run.Request, run.Shard)
 	s.ran[key]++
 	s.NonIdempotent++
 	if s.ran[key] == 2 {
