--- a/cpfleet/load_test.go
+++ b/cpfleet/load_test.go
@@ -191,10 +191,10 @@
 		shard clementineport.ShardID
 	}
 	var faults []error
-	ran, any := make(map[key]int), make(map[string]bool)
+	ran, total := make(map[key]int), make(map[string]bool)
 	for _, r := range runs {
 		k := key{r.Text, r.Shard}
-		any[r.Text] = true
+		total[r.Text] = true
 		if ran[k]++; ran[k] == 2 {
 			faults = append(faults, fmt.Errorf("%s ran twice at shard %d", r.Text, r.Shard))
 		}
@@ -203,7 +203,7 @@
 		o := &outcomes[i]
 		switch {
 		case o.query.Idempotent:
-		case clementineport.VerdictOf(o.err) == clementineport.NotRun && any[o.query.Text]:
+		case clementineport.VerdictOf(o.err) == clementineport.NotRun && total[o.query.Text]:
 			faults = append(faults, fmt.Errorf("%s ran, but the verdict is not run: %w", o.query.Text, o.err))
 		case o.answer != nil:
 			for _, shard := range o.answer.Covered {
