--- /dev/null
+++ b/cplimit/collision_test.go
@@ -0,0 +1,274 @@
+package cplimit_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cplimit"
+	"github.com/clementineport/clementineport/cppick"
+)
+
+// Settings of the model of entry VMs that share targets.
+const (
+	entryVMs       = 8
+	targetQueue    = 4
+	oneWay         = 500 * time.Microsecond
+	toOwnTarget    = 50 * time.Microsecond
+	stragglerShare = 0.01
+	slowness       = 10
+	meanService    = 10900 * time.Microsecond
+	maxTries       = 3
+	domains        = 3
+	modelTime      = 10 * time.Second
+)
+
+// collision is one run of the model: how entry VMs choose targets, and the size of the group.
+type collision struct {
+	way                      string
+	slots, targets, replicas int
+	load                     float64
+
+	rng      *rand.Rand
+	schedule schedule
+	servers  []*server
+	// known is the load of each target as each VM was last told, and own what it has in progress.
+	known, own  [entryVMs][]int
+	views       [entryVMs]clementineport.TargetView
+	now         time.Time
+	calls       int
+	sheds       [2]int // by the owner, by the target
+	took, waits []time.Duration
+}
+
+type job struct {
+	vm, shard, at int
+	began         time.Time
+	tried         []int
+	ticket        cplimit.Ticket
+}
+
+// server is a target, with the limits of its owner.
+type server struct {
+	running int
+	queue   []func(now time.Time)
+	limits  *cplimit.Target
+	jobs    map[cplimit.Ticket]*job
+}
+
+func (c *collision) run() {
+	c.rng = rand.New(rand.NewPCG(1, 2))
+	o := cplimit.NewOptions()
+	o.Ramp.Off, o.Handover = true, 0
+	for i := range c.targets {
+		g := &clementineport.Group{Slots: c.slots, Queue: targetQueue}
+		limits := cplimit.NewTarget(&o, uint64(i), g, &cplimit.Average{}, start)
+		c.servers = append(c.servers, &server{limits: limits, jobs: map[cplimit.Ticket]*job{}})
+	}
+	for vm := range c.known {
+		c.known[vm], c.own[vm] = make([]int, c.targets), make([]int, c.targets)
+		c.views[vm] = cppick.New(cppick.Seed(uint64(vm))).View(c.table())
+	}
+	c.arrive(start)
+	c.schedule.runUntil(start.Add(modelTime))
+	slices.Sort(c.took)
+	slices.Sort(c.waits)
+}
+
+func (c *collision) table() *clementineport.Table {
+	t := &clementineport.Table{ByID: map[clementineport.TargetID]clementineport.TargetIndex{}}
+	for i := range c.targets {
+		id := clementineport.TargetID(fmt.Sprint(i))
+		t.ByID[id] = clementineport.TargetIndex(i)
+		t.Targets = append(t.Targets, clementineport.TargetRow{TargetSpec: clementineport.TargetSpec{
+			ID: id, Domain: clementineport.FailureDomain(fmt.Sprint(i % domains)),
+		}})
+	}
+	return t
+}
+
+// arrive starts one call and plans the next.
+func (c *collision) arrive(now time.Time) {
+	c.calls++
+	j := &job{vm: c.rng.IntN(entryVMs), shard: c.rng.IntN(c.targets / c.replicas), began: now, ticket: cplimit.Ticket(c.calls)}
+	c.send(now, j)
+	rate := c.load * float64(c.slots*c.targets) / float64(meanService)
+	c.schedule.add(now.Add(time.Duration(c.rng.ExpFloat64()/rate)), c.arrive)
+}
+
+func (c *collision) send(now time.Time, j *job) {
+	c.now = now
+	j.at = c.choose(j)
+	j.tried = append(j.tried, j.at)
+	c.own[j.vm][j.at]++
+	c.views[j.vm].Sent(clementineport.TargetIndex(j.at))
+	if c.way == "owner" || c.way == "owner-two" {
+		c.schedule.add(now.Add(oneWay), func(now time.Time) { c.offer(now, j) })
+		return
+	}
+	c.schedule.add(now.Add(oneWay), func(sent time.Time) {
+		c.work(sent, j, func(now time.Time, shed bool) {
+			s := c.servers[j.at]
+			c.reply(sent, now, j, shed, s.running+len(s.queue))
+		})
+	})
+}
+
+// choose returns a replica of the job's shard that was not tried.
+func (c *collision) choose(j *job) int {
+	var left []int
+	for r := range c.replicas {
+		if t := j.shard*c.replicas + r; !slices.Contains(j.tried, t) {
+			left = append(left, t)
+		}
+	}
+	load := func(t int) int { return max(c.known[j.vm][t], c.own[j.vm][t]) }
+	switch c.way {
+	case "owner":
+		return c.pick(j, left)
+	case "random":
+		return left[c.rng.IntN(len(left))]
+	case "order":
+		rank := func(t int) uint64 { return rand.New(rand.NewPCG(uint64(t), uint64(j.vm))).Uint64() }
+		slices.SortFunc(left, func(a, b int) int {
+			share := func(t int) int { return c.own[j.vm][t] / max(c.slots/entryVMs, 1) }
+			if share(a) != share(b) {
+				return share(a) - share(b)
+			}
+			if rank(a) < rank(b) {
+				return -1
+			}
+			return 1
+		})
+		return left[0]
+	}
+	a, b := left[c.rng.IntN(len(left))], left[c.rng.IntN(len(left))]
+	if load(b) < load(a) {
+		return b
+	}
+	return a
+}
+
+// pick asks package cppick.
+func (c *collision) pick(j *job, left []int) int {
+	r := &clementineport.PickRequest{Now: c.now, Home: clementineport.FailureDomain(fmt.Sprint(j.vm % domains))}
+	for _, t := range left {
+		r.Replicas = append(r.Replicas, clementineport.TargetIndex(t))
+	}
+	if t, ok := c.views[j.vm].Pick(r); ok {
+		return int(t)
+	}
+	return left[0]
+}
+
+// offer asks the owner of a target to start a job.
+func (c *collision) offer(now time.Time, j *job) {
+	s := c.servers[j.at]
+	s.jobs[j.ticket] = j
+	c.grant(now, s, s.limits.Offer(now, cplimit.Waiter{Ticket: j.ticket, Deadline: now.Add(time.Second)}))
+}
+
+func (c *collision) grant(now time.Time, s *server, grants []cplimit.Grant) {
+	for _, g := range slices.Clone(grants) {
+		j := s.jobs[g.Ticket]
+		delete(s.jobs, g.Ticket)
+		if g.Err != nil {
+			c.sheds[0]++
+			c.reply(now, now, j, true, s.limits.InUse()+s.limits.Queued())
+			continue
+		}
+		c.schedule.add(now.Add(toOwnTarget), func(sent time.Time) {
+			c.work(sent, j, func(now time.Time, _ bool) {
+				now = now.Add(toOwnTarget)
+				c.grant(now, s, s.limits.Done(now, j.ticket, answer(now.Sub(sent))))
+				c.reply(sent, now, j, false, s.limits.InUse()+s.limits.Queued())
+			})
+		})
+	}
+}
+
+// work runs a job at its target, which queues a few and sheds the rest.
+func (c *collision) work(now time.Time, j *job, done func(now time.Time, shed bool)) {
+	s := c.servers[j.at]
+	arrived := now
+	begin := func(now time.Time) {
+		s.running++
+		c.waits = append(c.waits, now.Sub(arrived))
+		d := (0.5 + c.rng.Float64()) * float64(serviceTime)
+		if c.rng.Float64() < stragglerShare {
+			d *= slowness
+		}
+		c.schedule.add(now.Add(time.Duration(d)), func(now time.Time) {
+			s.running--
+			if len(s.queue) > 0 {
+				next := s.queue[0]
+				s.queue = s.queue[1:]
+				next(now)
+			}
+			done(now, false)
+		})
+	}
+	switch {
+	case s.running < c.slots:
+		begin(now)
+	case len(s.queue) < targetQueue:
+		s.queue = append(s.queue, begin)
+	default:
+		c.sheds[1]++
+		done(now, true)
+	}
+}
+
+// reply tells the VM the load of the target; a job that was shed goes to another replica.
+func (c *collision) reply(sent, now time.Time, j *job, shed bool, load int) {
+	at := j.at
+	c.schedule.add(now.Add(oneWay), func(now time.Time) {
+		c.own[j.vm][at]--
+		c.known[j.vm][at] = load
+		res := answer(now.Sub(sent))
+		if shed {
+			res = failure(clementineport.FaultShed, 0)
+		}
+		res.Load = load
+		c.views[j.vm].Observe(clementineport.TargetIndex(at), now, res)
+		switch {
+		case !shed:
+			c.took = append(c.took, now.Sub(j.began))
+		case len(j.tried) < maxTries:
+			c.send(now, j)
+		}
+	})
+}
+
+func percentile(sorted []time.Duration, p float64) float64 {
+	return float64(sorted[int(math.Ceil(p*float64(len(sorted))))-1]) / float64(time.Millisecond)
+}
+
+// BenchmarkCollision compares ways of choosing targets by eight entry VMs, in virtual time.
+func BenchmarkCollision(b *testing.B) {
+	for _, size := range [][3]int{{6, 30, 10}, {4, 30, 10}, {3, 35, 5}, {2, 35, 5}} {
+		for _, load := range []int{50, 80, 95} {
+			for _, way := range []string{"owner", "owner-two", "alone", "order", "random"} {
+				name := fmt.Sprintf("Slots=%d/Targets=%d/Load=%d/Way=%s", size[0], size[1], load, way)
+				b.Run(name, func(b *testing.B) {
+					c := &collision{way: way, slots: size[0], targets: size[1], replicas: size[2], load: float64(load) / 100}
+					c.run()
+					for range b.N {
+						continue
+					}
+					waiting, _ := slices.BinarySearch(c.waits, 1)
+					b.ReportMetric(100*float64(len(c.waits)-waiting)/float64(len(c.waits)), "%queued-at-target")
+					b.ReportMetric(100*float64(c.sheds[1])/float64(c.calls), "%shed-by-target")
+					b.ReportMetric(100*float64(c.sheds[0])/float64(c.calls), "%shed-by-owner")
+					b.ReportMetric(percentile(c.took, 0.5), "p50-ms")
+					b.ReportMetric(percentile(c.took, 0.99), "p99-ms")
+					b.ReportMetric(0, "ns/op")
+				})
+			}
+		}
+	}
+}
--- a/cplimit/target_test.go
+++ b/cplimit/target_test.go
@@ -15,7 +15,8 @@
 
 func answer(elapsed time.Duration) *clementineport.CallResult {
 	return &clementineport.CallResult{
-		Reply: &clementineport.Reply{}, Signals: clementineport.Signals{Start: "a"}, Elapsed: elapsed,
+		Reply: &clementineport.Reply{}, Elapsed: elapsed,
+		Signals: clementineport.Signals{Start: "a", Held: []clementineport.Snapshot{{}}},
 	}
 }
 
--- a/cppick/cppick.go
+++ b/cppick/cppick.go
@@ -4,10 +4,13 @@
 package cppick
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -63,7 +66,7 @@
 	}
 	w := p.rows[t.ID]
 	if w == nil {
-		w = newRow(t.ID, g)
+		w = newRow(xxhash.Sum64String(fmt.Sprint(p.opts.Seed, "/", t.ID)), g)
 		p.rows[t.ID] = w
 	}
 	if w.group.Load() != g {
@@ -103,13 +106,14 @@
 	entries []entry
 }
 
-// Pick implements clementineport.TargetView. It takes the better of two random candidates. Targets that
-// are known to hold the snapshot come before those that have not said and are being asked already. A
-// target whose ejection has run out gets a single trial call first; a slow one is taken when there is
-// no other.
+// Pick implements clementineport.TargetView. The target with the fewest calls of this VM in progress
+// comes first, then one in the home failure domain, then the one with the lower reported load; the rest
+// is decided by an order that differs from VM to VM. Targets that are known to hold the snapshot come
+// before those that have not said and are being asked already. A target whose ejection has run out
+// gets a single trial call first; a slow one is taken when there is no other.
 func (v *View) Pick(r *clementineport.PickRequest) (clementineport.TargetIndex, bool) {
 	now := r.Now.UnixNano()
-	s := sampler{rng: v.picker.rng.next()}
+	var best candidate
 	last := clementineport.NoTarget
 	for _, t := range r.Replicas {
 		w := v.entries[t].row
@@ -129,65 +133,43 @@
 			}
 			continue
 		}
-		s.add(t, possession)
+		c := candidate{t, possession, w.cost(now), &v.entries[t]}
+		if best.entry == nil || c.before(&best, now, r.Home) {
+			best = c
+		}
 	}
-	if s.n == 0 {
+	if best.entry == nil {
 		return last, last != clementineport.NoTarget
 	}
-	return v.better(&s, now, r.Home)
-}
-
-// sampler keeps two random candidates of the best rank seen.
-type sampler struct {
-	rng  uint64
-	rank clementineport.Possession
-	n    uint64
-	a, b clementineport.TargetIndex
+	return best.target, true
 }
 
-func (s *sampler) add(t clementineport.TargetIndex, rank clementineport.Possession) {
-	if rank < s.rank {
-		return
-	}
-	if rank > s.rank {
-		s.rank, s.n = rank, 0
-	}
-	s.n++
-	switch s.n {
-	case 1:
-		s.a = t
-		return
-	case 2:
-		s.b = t
-		return
-	}
-	s.rng = s.rng*6364136223846793005 + 1442695040888963407
-	switch (s.rng >> 32) % s.n {
-	case 0:
-		s.a = t
-	case 1:
-		s.b = t
-	}
+// candidate is a target that may be picked.
+type candidate struct {
+	target     clementineport.TargetIndex
+	possession clementineport.Possession
+	cost       int64
+	entry      *entry
 }
 
-func (v *View) better(s *sampler, now int64, home clementineport.FailureDomain) (clementineport.TargetIndex, bool) {
-	if s.n == 1 {
-		return s.a, true
+func (c *candidate) before(other *candidate, now int64, home clementineport.FailureDomain) bool {
+	switch {
+	case c.possession != other.possession:
+		return c.possession == clementineport.PossessionYes
+	case c.cost != other.cost:
+		return c.cost < other.cost
+	}
+	if c.entry.domain != other.entry.domain {
+		atHome, otherAtHome := c.entry.domain == home, other.entry.domain == home
+		if atHome != otherAtHome {
+			return atHome
+		}
 	}
-	a, b := s.a, s.b
-	if s.rng>>63 == 0 {
-		a, b = b, a
+	x, y := c.entry.row.freshLoad(now), other.entry.row.freshLoad(now)
+	if x != y {
+		return x < y
 	}
-	o := &v.picker.opts
-	ea, eb := &v.entries[a], &v.entries[b]
-	x, y := ea.row.score(now, o), eb.row.score(now, o)
-	least, most := min(x, y), max(x, y)
-	near := float64(most-least) <= o.HomeMargin*float64(least)
-	atHome, otherAtHome := ea.domain == home, eb.domain == home
-	if (near && otherAtHome && !atHome) || (!near && y < x) {
-		return b, true
-	}
-	return a, true
+	return c.entry.row.order < other.entry.row.order
 }
 
 // Usable implements clementineport.TargetView.
@@ -234,7 +216,6 @@
 func (v *View) Observe(t clementineport.TargetIndex, now time.Time, r *clementineport.CallResult) {
 	w := v.entries[t].row
 	w.own.Add(-1)
-	w.load.Store(int32(r.Load))
-	w.loadAt.Store(now.UnixNano())
+	w.report(now, r.Load, &v.picker.opts)
 	w.observe(now, r, &v.picker.opts, &v.picker.rng)
 }
--- a/cppick/cppick_test.go
+++ b/cppick/cppick_test.go
@@ -132,14 +132,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			v := cppick.New(cppick.Eject(c.after, 0.5)).View(newTable(1, 4))
 			now, calls := start, 0
-			v.Sent(0)
-			v.Observe(0, now, good(10*time.Millisecond))
+			bad, _ := v.Pick(request(now, all(4)...))
 			for range 1000 {
 				now = now.Add(time.Millisecond)
 				got, ok := v.Pick(request(now, all(4)...))
 				assert.Assert(t, ok)
 				v.Sent(got)
-				if got == 0 {
+				if got == bad {
 					calls++
 					v.Observe(got, now, failed(clementineport.FaultRefused, 0))
 				} else {
@@ -252,9 +251,8 @@
 		for range 50 {
 			got, ok := v.Pick(request(now, all(3)...))
 			assert.Assert(t, ok)
-			if n[got]++; got != 0 {
-				v.Sent(got)
-			}
+			n[got]++
+			v.Sent(got)
 		}
 		return n
 	}
--- a/cppick/observe.go
+++ b/cppick/observe.go
@@ -39,6 +39,9 @@
 
 func (w *row) answered(now time.Time, elapsed time.Duration, o *Options, rng *random) {
 	w.fails.Store(0)
+	if w.coldCalls.Load() > 0 {
+		w.coldCalls.Add(-1)
+	}
 	if w.until.Load() != 0 {
 		w.tried(now, elapsed, o, rng)
 		return
--- a/cppick/options.go
+++ b/cppick/options.go
@@ -31,17 +31,15 @@
 	SlowBackoff time.Duration
 	// DrainRecheck is the time after which a draining target gets a trial call.
 	DrainRecheck time.Duration
-	// ColdCalls is the number of answers before which a target counts as cold.
+	// ColdCalls is the number of answers before a restarted target stops counting as cold, and before
+	// what was measured of a target is relied on.
 	ColdCalls int
 	// GroupInterval is the least time between two answers of one target that count in its group.
 	GroupInterval time.Duration
 	// HeldAge is the time after which a target that did not hold a snapshot may be asked for it again.
 	HeldAge time.Duration
-	// LoadAge is how long a reported load counts.
-	LoadAge time.Duration
-	// HomeMargin is the relative difference in score below which the home failure domain decides, and
-	// then chance.
-	HomeMargin float64
+	// LoadAge is how long a reported load counts, in typical times of an answer.
+	LoadAge float64
 }
 
 // Option changes Options.
@@ -66,8 +64,7 @@
 		ColdCalls:     8,
 		GroupInterval: 20 * time.Millisecond,
 		HeldAge:       5 * time.Second,
-		LoadAge:       200 * time.Millisecond,
-		HomeMargin:    0.25,
+		LoadAge:       2,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/cppick/row.go
+++ b/cppick/row.go
@@ -18,19 +18,25 @@
 
 // row is what is known of one target; all revisions share it.
 type row struct {
-	id      clementineport.TargetID
-	group   atomic.Pointer[group]
-	out     atomic.Bool
-	cold    atomic.Bool
-	own     atomic.Int32
-	load    atomic.Int32
-	loadAt  atomic.Int64
-	shed    atomic.Int64
-	groupAt atomic.Int64
-	samples atomic.Int32
-	fails   atomic.Int32
-	median  quantile
-	high    quantile
+	// order breaks ties; it differs from VM to VM.
+	order uint64
+	group atomic.Pointer[group]
+	out   atomic.Bool
+	cold  atomic.Bool
+	// slowness is the latency as a multiple of the group's; zero if it is not known.
+	slowness atomic.Int64
+	// coldCalls is the number of answers after which a restarted target no longer counts as cold.
+	coldCalls atomic.Int32
+	own       atomic.Int32
+	load      atomic.Int32
+	// freshUntil is when the reported load is too old.
+	freshUntil atomic.Int64
+	shed       atomic.Int64
+	groupAt    atomic.Int64
+	samples    atomic.Int32
+	fails      atomic.Int32
+	median     quantile
+	high       quantile
 	// until is when an ejected target may get a trial call; zero means that it is not ejected.
 	until   atomic.Int64
 	backoff atomic.Int64
@@ -46,10 +52,9 @@
 	heldAt atomic.Int64
 }
 
-func newRow(id clementineport.TargetID, g *group) *row {
-	w := &row{id: id}
+func newRow(order uint64, g *group) *row {
+	w := &row{order: order}
 	w.group.Store(g)
-	w.cold.Store(true)
 	return w
 }
 
@@ -75,23 +80,43 @@
 // onTrial reports whether the target takes trial calls only.
 func (w *row) onTrial() bool { return w.until.Load() != 0 || w.drain.Load() != 0 }
 
-// score rises with the load and the latency; the target with the lower score is better.
-func (w *row) score(now int64, o *Options) int64 {
-	load := int64(w.own.Load())
-	if now-w.loadAt.Load() < int64(o.LoadAge) {
-		load = max(load, int64(w.load.Load()))
-	}
-	latency := int64(w.typical())
-	score := (load + 1) * max(latency, 1)
-	if now < w.shed.Load() || (load > 0 && w.cold.Load()) {
-		score *= penalty
+// cost rises with the calls that this VM has in progress and with the latency; the lower is better.
+func (w *row) cost(now int64) int64 {
+	own := int64(w.own.Load())
+	cost := (own + 1) * max(w.slowness.Load(), 1)
+	if now < w.shed.Load() || (own > 0 && w.cold.Load()) {
+		cost *= penalty
 	}
-	return score
+	return cost
 }
 
-// penalty multiplies the score of a target that sheds or is cold and busy.
+// penalty multiplies the cost of a target that sheds or is cold and busy.
 const penalty = 8
 
+// updateSlowness stores the latency as a whole multiple of what is typical in the group, so that small
+// differences do not draw all VMs to one target.
+func (w *row) updateSlowness() {
+	own, all := int64(w.median.load()), int64(w.group.Load().median.load())
+	if all > 0 {
+		w.slowness.Store(max((own+all/2)/all, 1))
+	}
+}
+
+// report takes in the load that the owner reported.
+func (w *row) report(now time.Time, load int, o *Options) {
+	w.load.Store(int32(load))
+	age := o.LoadAge * float64(w.group.Load().median.load())
+	w.freshUntil.Store(now.UnixNano() + int64(age))
+}
+
+// freshLoad is the load that the owner reported, while that is recent enough to mean anything.
+func (w *row) freshLoad(now int64) int32 {
+	if now > w.freshUntil.Load() {
+		return 0
+	}
+	return w.load.Load()
+}
+
 func (w *row) typical() time.Duration {
 	if d := w.median.load(); d > 0 {
 		return d
@@ -132,7 +157,7 @@
 		return
 	}
 	if old := w.start.Load(); old == nil || *old != s.Start {
-		w.restarted(s.Start)
+		w.restarted(s.Start, o.ColdCalls)
 	}
 	w.heldAt.Store(now.UnixNano())
 	if old := w.held.Load(); old == nil || !slices.Equal(*old, s.Held) {
@@ -145,16 +170,18 @@
 	default:
 		w.drain.Store(0)
 	}
-	w.cold.Store(s.Cold || int(w.samples.Load()) < o.ColdCalls)
+	w.cold.Store(s.Cold || w.coldCalls.Load() > 0)
 }
 
 // restarted forgets what was measured of an earlier process.
-func (w *row) restarted(start clementineport.StartID) {
-	w.start.Store(&start)
+func (w *row) restarted(start clementineport.StartID, coldCalls int) {
+	if w.start.Swap(&start) != nil {
+		w.coldCalls.Store(int32(coldCalls))
+	}
 	w.samples.Store(0)
 	w.median.reset()
 	w.high.reset()
-	w.cold.Store(true)
+	w.updateSlowness()
 }
 
 // sample takes in a time. One target counts in the group at most once per interval, so that a target
@@ -165,6 +192,7 @@
 	w.samples.Add(1)
 	w.median.observe(x, g.median.load(), 0.5)
 	w.high.observe(x, g.high.load(), o.HedgeQuantile)
+	w.updateSlowness()
 	at := now.UnixNano()
 	if at-w.groupAt.Load() < int64(o.GroupInterval) {
 		return
@@ -218,4 +246,5 @@
 	w.slow.Store(false)
 	w.trial.Store(false)
 	w.median.reset()
+	w.updateSlowness()
 }
