Count closed connections as open until the target has noticed

A whole test run on a busy machine showed two connections above the limit at the stand-in after a Resize: the target still counted the closed ones. They now linger for 100 ms in the count, and a dial waits for up to 200 ms.

--- a/cptarget/cphttp/conn.go
+++ b/cptarget/cphttp/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,8 +19,11 @@
 
 // pool bounds the connections to one target and counts those that went silent as open for a while.
 type pool struct {
-	clock  clementineport.Clock
-	linger time.Duration
+	clock clementineport.Clock
+	// closing and linger are how long a closed connection counts as open at the target, for ordinary
+	// and for silent connections.
+	closing time.Duration
+	linger  time.Duration
 
 	mu        sync.Mutex
 	share     int
@@ -42,22 +46,44 @@
 	return nil
 }
 
+// wait reserves a connection, if need be after others have expired.
+func (p *pool) wait(ctx context.Context) error {
+	end := p.clock.Now().Add(2 * p.closing)
+	for {
+		err := p.reserve()
+		if err == nil || p.clock.Now().After(end) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.clock.After(p.closing / 16):
+		}
+	}
+}
+
 func (p *pool) expire() {
 	now := p.clock.Now()
-	n := 0
-	for n < len(p.lingering) && !p.lingering[n].After(now) {
-		n++
-	}
-	p.lingering = p.lingering[n:]
+	p.lingering = slices.DeleteFunc(p.lingering, func(at time.Time) bool { return !at.After(now) })
 }
 
+// release counts a closed connection as open until the target is sure to have noticed.
 func (p *pool) release(silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	d := p.closing
 	if silent || p.suspect {
-		p.lingering = append(p.lingering, p.clock.Now().Add(p.linger))
+		d = p.linger
 	}
+	p.lingering = append(p.lingering, p.clock.Now().Add(d))
+}
+
+// cancel gives back a reservation that was not used.
+func (p *pool) cancel() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
 // hold counts one more closed connection as open for a while.
@@ -170,14 +196,14 @@
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if err := c.pool.reserve(); err != nil {
+	if err := c.pool.wait(ctx); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
 	raw, err := c.opts.Dial(ctx, network, address)
 	if err != nil {
-		c.pool.release(false)
+		c.pool.cancel()
 		return nil, err
 	}
 	return &conn{Conn: raw, pool: c.pool}, nil
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -45,7 +45,7 @@
 	c := &Client{
 		opts:    o,
 		url:     "http://" + o.Address,
-		pool:    &pool{clock: o.Clock, linger: o.Linger, share: o.Connections},
+		pool:    &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
 		waiting: map[*exchange]struct{}{},
 	}
 	c.transport = &http.Transport{
@@ -74,6 +74,7 @@
 func (c *Client) Open() (n, peak int) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.pool.expire()
 	return c.pool.open + len(c.pool.lingering), c.pool.peak
 }
 
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -22,6 +22,8 @@
 	MaxResponseBytes int64
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// CloseTime is how long a closed connection counts as open at the target.
+	CloseTime time.Duration
 	// Linger is how long a connection that went silent counts as open at the target.
 	Linger time.Duration
 	// Silence decides which connections are silent.
@@ -42,6 +44,7 @@
 		Connections:      8,
 		MaxResponseBytes: 4 << 20,
 		DialTimeout:      time.Second,
+		CloseTime:        100 * time.Millisecond,
 		Linger:           15 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
