--- a/cpgather/decision_test.go
+++ b/cpgather/decision_test.go
@@ -127,6 +127,11 @@
 				assert.Assert(t, g.calls[10].Target != g.calls[0].Target)
 				g.reply(11)
 				assert.Assert(t, !g.open[1], "the straggler is not cancelled")
+				row := g.m.Trace().Rows()[10]
+				assert.Equal(t, row, cpgather.TraceRow{
+					Attempt: 11, Shard: 0, Target: "t10", Try: "hedge", Sent: 12500 * time.Microsecond,
+					Took: 500 * time.Microsecond, Ending: "merged",
+				})
 			} else {
 				g.reply(1)
 			}
@@ -189,6 +194,22 @@
 	assert.Equal(t, clementineport.VerdictOf(g.m.Err()), clementineport.NotRun)
 }
 
+// The kept choice is out of date: all targets have moved on before anything is sent.
+func TestStaleChoiceIsReplacedBeforeSending(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(4, 8, cpgathertest.Old)
+	plan.Query.Idempotent = false
+	for i := range v.Snapshots {
+		v.Snapshots[i] = []clementineport.Snapshot{cpgathertest.Split}
+	}
+	g := newModel(plan, v)
+	for a := range g.calls {
+		g.reply(a + 1)
+	}
+	answer := g.m.Answer()
+	assert.Assert(t, answer.Complete && answer.Snapshot == cpgathertest.Split)
+	assert.Equal(t, answer.Stats, clementineport.GatherStats{Calls: 8})
+}
+
 // A version goes away while a query runs: shard 1 has no holder left, and the new version covers all.
 func TestLostSnapshot(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/cponce/cponce_test.go
+++ b/cponce/cponce_test.go
@@ -99,7 +99,7 @@
 func play(t *rapid.T, opts ...cponce.Option) string {
 	f := &fleet{
 		now: now, names: make([]clementineport.StartID, 3),
-		opts:    append(opts, cponce.Generations(time.Minute, 3), cponce.Limits(rapid.IntRange(1, 8).Draw(t, "ids"), 700)),
+		opts:    append(opts, cponce.Generations(time.Minute, 3), cponce.Limits(rapid.IntRange(1, 8).Draw(t, "ids"), 400)),
 		procs:   map[clementineport.StartID]*cponce.Registry{},
 		running: map[clementineport.RequestID]clementineport.StartID{},
 		runs:    map[clementineport.RequestID]int{},
@@ -118,7 +118,7 @@
 		case kind < 7:
 			f.send(f.names[vm], rapid.SampledFrom(ids).Draw(t, "id"))
 		case kind < 8:
-			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "s")) * time.Second)
+			f.now = f.now.Add(time.Duration(rapid.IntRange(-60, 90).Draw(t, "s")) * time.Second)
 		case kind < 9:
 			id := rapid.SampledFrom(ids).Draw(t, "id")
 			if _, ok := f.running[id]; ok {
