Don't hold failures between VMs against targets

A call that failed on the way to its owner was observed as a failure of its target, so that the targets of a killed VM were ejected together. It is now observed as neutral; the test fails with the observation as it was.

--- a/cpgather/cpgathertest/cpgathertest.go
+++ b/cpgather/cpgathertest/cpgathertest.go
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	sent     []int
 	sends    int
-	observed int
+	observed []clementineport.CallResult
 }
 
 // Pick implements clementineport.TargetView.
@@ -83,17 +83,17 @@
 }
 
 // Observe implements clementineport.TargetView.
-func (v *View) Observe(clementineport.TargetIndex, time.Time, *clementineport.CallResult) {
+func (v *View) Observe(_ clementineport.TargetIndex, _ time.Time, r *clementineport.CallResult) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.observed++
+	v.observed = append(v.observed, *r)
 }
 
-// Counts returns how many calls were sent and how many results observed.
-func (v *View) Counts() (sent, observed int) {
+// Calls returns how many calls were sent, and the results that were observed.
+func (v *View) Calls() (sent int, observed []clementineport.CallResult) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.sends, v.observed
+	return v.sends, slices.Clone(v.observed)
 }
 
 // Forget forgets the calls that were sent.
--- a/cpscatter/cpscatter_test.go
+++ b/cpscatter/cpscatter_test.go
@@ -78,9 +78,9 @@
 	}
 	time.Sleep(3 * time.Second)
 	synctest.Wait()
-	sent, observed := v.Counts()
+	sent, observed := v.Calls()
 	assert.Equal(t, sent, answer.Stats.Calls)
-	assert.Equal(t, observed, sent)
+	assert.Equal(t, len(observed), sent)
 }
 
 func TestResultsNeverReachAnotherRequest(t *testing.T) {
@@ -116,6 +116,30 @@
 	wg.Wait()
 }
 
+func TestRouteFailuresAreNotHeldAgainstTargets(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	plan, v := newPlan(3, clock.Now())
+	answer, err := cpscatter.Run(t.Context(), clock, cpgather.New(plan), cpscatter.SendFunc(
+		func(_ context.Context, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+			for i := range calls {
+				r := cpgathertest.ReplyTo(&calls[i])
+				if calls[i].Attempt <= 3 {
+					r = cpgathertest.FailureOf(&calls[i], clementineport.FaultRefused)
+					r.RouteFailed = true
+				}
+				deliver(r)
+			}
+		},
+	))
+	assert.Assert(t, err == nil && answer.Complete)
+	assert.Equal(t, answer.Stats.Retries, 3)
+	_, observed := v.Calls()
+	for i := range 3 {
+		assert.Equal(t, clementineport.FaultOf(observed[i].Err), clementineport.FaultCanceled)
+		assert.Equal(t, observed[i].Elapsed, time.Duration(0))
+	}
+}
+
 func TestEndWithoutResults(t *testing.T) {
 	for fault, send := range map[clementineport.Fault]func(context.Context, context.CancelFunc){
 		clementineport.FaultCoverage: func(context.Context, context.CancelFunc) {},
--- a/cpscatter/mailbox.go
+++ b/cpscatter/mailbox.go
@@ -10,7 +10,10 @@
 	"github.com/clementineport/clementineport/cpgather"
 )
 
-var errUndelivered = clementineport.Fail(clementineport.FaultUnknown, "the call ended without a result")
+var (
+	errUndelivered = clementineport.Fail(clementineport.FaultUnknown, "the call ended without a result")
+	errRoute       = clementineport.Fail(clementineport.FaultCanceled, "the call failed between VMs")
+)
 
 // mailbox passes results from senders to the goroutine of the query. Senders never wait for it, and
 // results that come after it is closed are observed and dropped.
@@ -61,12 +64,7 @@
 // deliver observes the first result of each call and hands all results to the query.
 func (b *mailbox) deliver(r clementineport.CallResult) {
 	if c, ok := b.claim(r.Attempt, r.Target); ok {
-		now := b.clock.Now()
-		if r.Elapsed == 0 && clementineport.FaultOf(r.Err) == clementineport.FaultCanceled {
-			// A target whose calls are always overtaken by hedges must be seen to be slow.
-			r.Elapsed = now.Sub(b.began) - c.sent
-		}
-		b.view.Observe(c.target, now, &r)
+		b.observe(c, r)
 	}
 	b.mu.Lock()
 	if !b.closed {
@@ -79,6 +77,28 @@
 	}
 }
 
+// observe tells the target view about a result. A failure between VMs says nothing about the target. A
+// cancelled call gets the time since it was sent, so that a target whose calls are always overtaken by hedges
+// is seen to be slow.
+func (b *mailbox) observe(c expected, r clementineport.CallResult) {
+	now := b.clock.Now()
+	cancelled := clementineport.FaultOf(r.Err) == clementineport.FaultCanceled
+	if r.RouteFailed {
+		r.Err = errRoute
+		cancelled = b.isClosed()
+	}
+	if cancelled && r.Elapsed == 0 {
+		r.Elapsed = now.Sub(b.began) - c.sent
+	}
+	b.view.Observe(c.target, now, &r)
+}
+
+func (b *mailbox) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
 // claim reports whether a result is the first of its call.
 func (b *mailbox) claim(id clementineport.AttemptID, target clementineport.TargetID) (expected, bool) {
 	b.mu.Lock()
