--- /dev/null
+++ b/cpgather/hedge.go
@@ -0,0 +1,60 @@
+package cpgather
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// hedge sends second calls beside the stragglers that hold the query up.
+func (m *Machine) hedge() {
+	m.hedgeAt = never
+	if !m.mayHedge() {
+		return
+	}
+	off := m.overloaded || m.opts.HedgeOff != nil && m.opts.HedgeOff()
+	for i := range m.shards {
+		sh := &m.shards[i]
+		if sh.final || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
+			continue
+		}
+		due := m.hedgeDue(&m.attempts[sh.last])
+		if due > m.at {
+			m.hedgeAt = min(m.hedgeAt, due)
+			continue
+		}
+		off = off || !m.sendHedge(clementineport.ShardID(i))
+		if off {
+			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Recheck)
+		}
+	}
+}
+
+func (m *Machine) mayHedge() bool { return m.plan.Query.Idempotent && m.opts.HedgeBudget != nil }
+
+// hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
+// outstanding than while many are.
+func (m *Machine) hedgeDue(a *attempt) time.Duration {
+	factor := m.opts.ProjectedFactor
+	if m.outstanding <= m.few {
+		factor = m.opts.HedgeFactor
+	}
+	return a.sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.target)))
+}
+
+// sendHedge sends a hedge, or reports that the budget has none left.
+func (m *Machine) sendHedge(s clementineport.ShardID) bool {
+	sh := &m.shards[s]
+	t, ok := m.pickTarget(s)
+	if !ok || !m.plan.View.Usable(t, m.now) {
+		sh.hedges = uint8(m.opts.MaxHedges)
+		return true
+	}
+	if !m.opts.HedgeBudget.Spend() {
+		return false
+	}
+	sh.hedges++
+	m.stats.Hedges++
+	m.send(s, t, Hedge)
+	return true
+}
--- /dev/null
+++ b/cpsnapshot/cpsnapshot_test.go
@@ -0,0 +1,171 @@
+package cpsnapshot_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpgather/cpgathertest"
+	"github.com/clementineport/clementineport/cpsnapshot"
+)
+
+// change moves every target from one snapshot to the next over 15 minutes, the replicas of a shard a third of
+// that apart; each target holds both for a minute. It returns the choice at every five seconds.
+func change(prefer clementineport.Preference, next clementineport.Snapshot, opts ...cpsnapshot.Option) []cpsnapshot.Choice {
+	const length, overlap, step = 15 * time.Minute, time.Minute, 5 * time.Second
+	plan, v := cpgathertest.NewPlan(35, 105)
+	service := plan.Service
+	service.Service.Prefer, service.Service.LeastCoverage = prefer, 0.9
+	chooser := cpsnapshot.New(opts...)
+	var choices []cpsnapshot.Choice
+	for at := time.Duration(0); at <= length+overlap; at += step {
+		for i := range v.Snapshots {
+			begin := length * time.Duration(i*37%len(v.Snapshots)) / time.Duration(len(v.Snapshots))
+			v.Snapshots[i] = v.Snapshots[i][:0]
+			if at < begin+overlap {
+				v.Snapshots[i] = append(v.Snapshots[i], cpgathertest.Old)
+			}
+			if at >= begin {
+				v.Snapshots[i] = append(v.Snapshots[i], next)
+			}
+		}
+		choice, _ := chooser.Choose(service, v, cpgathertest.Start)
+		choices = append(choices, choice)
+	}
+	return choices
+}
+
+func TestChangeOfVersionOrLayoutKeepsCoverage(t *testing.T) {
+	for name, next := range map[string]clementineport.Snapshot{"roll-out": cpgathertest.New, "repartition": cpgathertest.Split} {
+		for _, prefer := range []clementineport.Preference{clementineport.PreferCoverage, clementineport.PreferTail} {
+			t.Run(fmt.Sprintf("%s/%s", name, prefer), func(t *testing.T) {
+				choices := change(prefer, next)
+				least, switches := 1.0, 0
+				for i := range choices {
+					least = min(least, choices[i].Coverage())
+					if i > 0 && choices[i].Snapshot != choices[i-1].Snapshot {
+						switches++
+					}
+				}
+				assert.Equal(t, least, 1.0)
+				assert.Equal(t, switches, 1)
+				assert.Equal(t, choices[len(choices)-1].Snapshot, next)
+				plain := change(prefer, next, cpsnapshot.NewestOnly())
+				assert.Assert(t, slices.ContainsFunc(plain, func(c cpsnapshot.Choice) bool { return c.Coverage() < 0.1 }))
+			})
+		}
+	}
+}
+
+func TestChoiceCountsHolders(t *testing.T) {
+	all := []clementineport.Snapshot{cpgathertest.Old, cpgathertest.New, cpgathertest.Split}
+	rapid.Check(t, func(t *rapid.T) {
+		prefer := rapid.SampledFrom([]clementineport.Preference{"tail", "coverage"}).Draw(t, "prefer")
+		plan, v := cpgathertest.NewPlan(rapid.IntRange(1, 6).Draw(t, "shards"), rapid.IntRange(6, 18).Draw(t, "targets"))
+		service := plan.Service
+		service.Service.Prefer, service.Service.LeastCoverage = prefer, 0.9
+		for i := range v.Snapshots {
+			v.Out[i] = rapid.Float64Range(0, 1).Draw(t, "out") < 0.2
+			if rapid.Bool().Draw(t, "known") {
+				v.Snapshots[i] = rapid.SliceOfNDistinct(rapid.SampledFrom(all), 0, 3, rapid.ID).Draw(t, "held")
+			}
+		}
+		avoid := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 0, 2, rapid.ID).Draw(t, "avoid")
+		choice, ok := cpsnapshot.Choose(service, v, cpgathertest.Start, avoid...)
+		best := 0.0
+		for _, s := range all {
+			covered, probe := count(service, v, s)
+			if slices.Contains(avoid, s) {
+				continue
+			}
+			coverage := float64(covered) / float64(len(service.Layout(s.Layout).Replicas))
+			best = max(best, coverage)
+			if ok && s == choice.Snapshot {
+				assert.Equal(t, choice.Covered, covered)
+				assert.Equal(t, choice.Probe, probe)
+			}
+		}
+		assert.Equal(t, ok, best > 0)
+		assert.Assert(t, !slices.Contains(avoid, choice.Snapshot))
+		if prefer == clementineport.PreferCoverage || choice.Coverage() < 0.9 {
+			assert.Equal(t, choice.Coverage(), best)
+		}
+	})
+}
+
+// count returns the shards with a known usable holder, and whether another has a usable target that has not said.
+func count(service *clementineport.ServiceTable, v *cpgathertest.View, s clementineport.Snapshot) (covered int, probe bool) {
+	for _, replicas := range service.Layout(s.Layout).Replicas {
+		var seen [3]bool
+		for _, t := range replicas {
+			if !v.Out[t] {
+				seen[v.Holds(t, s)] = true
+			}
+		}
+		switch {
+		case seen[clementineport.PossessionYes]:
+			covered++
+		case seen[clementineport.PossessionUnknown]:
+			probe = true
+		}
+	}
+	return covered, probe
+}
+
+func TestNothingKnownAsksForProbe(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(10, 30)
+	service := plan.Service
+	choice, ok := cpsnapshot.Choose(service, v, cpgathertest.Start)
+	assert.Assert(t, !ok && choice.Probe)
+	targets := cpsnapshot.Ask(nil, service, v, cpgathertest.Start, 4)
+	assert.Equal(t, len(targets), 4)
+	v.Snapshots[targets[0]] = []clementineport.Snapshot{cpgathertest.Old}
+	choice, ok = cpsnapshot.Choose(service, v, cpgathertest.Start)
+	assert.Assert(t, ok && choice.Probe && choice.Covered == 1)
+}
+
+func TestCacheKeepsOnlyWholeChoices(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(2, 4)
+	service := plan.Service
+	cache := cpsnapshot.NewCache(cpsnapshot.New(), time.Second)
+	covered := func(at time.Duration) int {
+		choice, _ := cache.Choose(service, v, cpgathertest.Start.Add(at))
+		return choice.Covered
+	}
+	v.Snapshots[0] = []clementineport.Snapshot{cpgathertest.Old}
+	assert.Equal(t, covered(0), 1)
+	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.Old}
+	assert.Equal(t, covered(0), 2, "an incomplete choice was kept")
+	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.New}
+	assert.Equal(t, covered(500*time.Millisecond), 2)
+	assert.Equal(t, covered(time.Second), 1, "a choice was kept too long")
+	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.Old}
+	assert.Equal(t, covered(time.Second), 2)
+	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.New}
+	cache.Invalidate(service)
+	assert.Equal(t, covered(time.Second), 1)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ shards, targets int }{{3, 30}, {35, 105}, {1100, 3900}} {
+		plan, v := cpgathertest.NewPlan(size.shards, size.targets, cpgathertest.Old, cpgathertest.New)
+		service := plan.Service
+		service.Layouts = service.Layouts[:1]
+		cache := cpsnapshot.NewCache(cpsnapshot.New(), time.Second)
+		for name, choose := range map[string]func(
+			*clementineport.ServiceTable, clementineport.TargetView, time.Time, ...clementineport.Snapshot,
+		) (cpsnapshot.Choice, bool){"Cache=off": cpsnapshot.Choose, "Cache=on": cache.Choose} {
+			b.Run(fmt.Sprintf("Branches=%d/Targets=%d/%s", size.shards, size.targets, name), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					choose(service, v, cpgathertest.Start)
+				}
+			})
+		}
+	}
+}
