--- a/cpcontrol/events.go
+++ b/cpcontrol/events.go
@@ -72,12 +72,12 @@
 	if e.cfg != nil {
 		r = e.cfg.Revision
 	}
-	before := c.spread.Restored()
+	before := c.spread.Lowered()
 	verdict := c.spread.Stored(now, e.action, e.version, r)
 	c.put(ctx, now, verdict, e.cfg, e.table)
-	if restored := c.spread.Restored(); restored != before {
+	if c.spread.Lowered() != before {
 		c.dirty = true
-		c.logRestored(restored)
+		c.logLowered()
 	}
 }
 
@@ -187,6 +187,7 @@
 		Contact:  c.freshness.Age(),
 		Watcher:  c.spread.Watcher(),
 		Restored: c.spread.Restored(),
+		Lowered:  c.spread.Lowered(),
 		Health:   c.member.Health(),
 	}
 	for _, m := range c.member.Members() {
--- a/cpcontrol/metrics.go
+++ b/cpcontrol/metrics.go
@@ -96,15 +96,15 @@
 	c.options.Log.Info("configuration in force", zap.Uint64("Revision", uint64(cfg.Revision)))
 }
 
-// logRestored logs that the store has begun or ceased to answer with a lower revision.
-func (c *Control) logRestored(r clementineport.Revision) {
-	if r == 0 {
+// logLowered logs that the store has begun or ceased to answer with a lower revision.
+func (c *Control) logLowered() {
+	if !c.spread.Lowered() {
 		c.options.Log.Info("store holds the revision in force again")
 		return
 	}
 	c.counters.lowered.Inc()
 	c.options.Log.Warn("store holds a lower revision than the one in force; it is refused",
-		zap.Uint64("Stored", uint64(r)), zap.Uint64("Revision", uint64(c.spread.Revision())))
+		zap.Uint64("Stored", uint64(c.spread.Restored())), zap.Uint64("Revision", uint64(c.spread.Revision())))
 }
 
 func (c *Control) rejected(err error) {
--- a/cpcontrol/view.go
+++ b/cpcontrol/view.go
@@ -81,8 +81,10 @@
 	// Fresh is the time since the revision was last known to be the newest accepted.
 	Fresh time.Duration
 	// Contact is the time since the store or a peer last answered.
-	Contact  time.Duration
-	Watcher  bool
+	Contact time.Duration
+	Watcher bool
+	// Lowered is true while the store holds Restored, a lower revision than the one in force; zero is none.
+	Lowered  bool
 	Restored clementineport.Revision
 	Health   int
 	Rows     []Row
--- a/cpmember/cpmember_test.go
+++ b/cpmember/cpmember_test.go
@@ -225,12 +225,16 @@
 	}
 }
 
+// BenchmarkTraffic counts control traffic in a minute in which one VM is replaced.
 func BenchmarkTraffic(b *testing.B) {
 	for _, size := range []int{8, 32, 128, 770} {
 		b.Run(fmt.Sprintf("VMs=%d", size), func(b *testing.B) {
 			for i := range b.N {
 				f := newFleet(size, uint64(i+1))
+				f.run(2 * time.Minute)
 				f.bytes, f.total = 0, 0
+				f.nodes[3].killed = true
+				f.join(3, "second-start-id.")
 				f.run(time.Minute)
 				perNode := 1 / (time.Minute.Seconds() * float64(size))
 				// A byte that is sent is also received, by another node.
--- a/cpspread/cpspread.go
+++ b/cpspread/cpspread.go
@@ -89,6 +89,7 @@
 	fresh    time.Time
 	alone    bool
 	restored clementineport.Revision
+	lowered  bool
 	missed   int
 }
 
@@ -119,6 +120,9 @@
 // after the revision in force was known, or zero.
 func (s *Spread) Restored() clementineport.Revision { return s.restored }
 
+// Lowered reports whether the store holds a lower revision than the one in force, or none.
+func (s *Spread) Lowered() bool { return s.lowered }
+
 // Missed returns how many revisions a safety read found that a running watch had not reported.
 func (s *Spread) Missed() int { return s.missed }
 
@@ -241,19 +245,17 @@
 func (s *Spread) Stored(now time.Time, a Action, version uint64, r clementineport.Revision) Verdict {
 	s.Contacted(a.Began)
 	before := s.revision
-	s.version = max(s.version, version)
-	if r < before {
-		s.version = version
-	}
+	unchanged := s.version == version
+	s.version = version
 	verdict := s.Accept(now, r)
 	switch {
 	case verdict != VerdictLower:
-		s.restored = 0
+		s.restored, s.lowered = 0, false
 		s.fresh = later(s.fresh, a.Began)
 	case a.Began.After(s.since):
-		s.restored = r
+		s.restored, s.lowered = r, true
 	}
-	s.finish(now, a)
+	s.finish(now, a, unchanged)
 	if a.Kind == KindRead && verdict == VerdictNewer && s.watching && before > 0 {
 		s.missed++
 		s.watching, s.nextWatch = false, now
@@ -261,12 +263,15 @@
 	return verdict
 }
 
-// finish schedules the next call of the kind after an answer.
-func (s *Spread) finish(now time.Time, a Action) {
+// finish schedules the next call of the kind after an answer. A watch that returns early with
+// nothing new counts as failed, so that a broken one does not flood the store.
+func (s *Spread) finish(now time.Time, a Action, unchanged bool) {
 	switch {
 	case a.Kind == KindRead:
 		s.reading, s.readWait = false, 0
 		s.nextRead = now.Add(s.readPeriod())
+	case a.Round == s.round && unchanged && now.Sub(a.Began) < a.Wait/2:
+		s.Failed(now, a)
 	case a.Round == s.round:
 		s.watching, s.watchWait = false, 0
 		s.nextWatch = now.Add(s.jitter(s.options.LeastBackoff / 10))
--- /dev/null
+++ b/cpspread/cpspread_test.go
@@ -0,0 +1,199 @@
+package cpspread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpspread"
+)
+
+// TestRevisionOnlyRises offers configurations from the store and from peers in any order.
+func TestRevisionOnlyRises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		s := cpspread.New("a")
+		highest := clementineport.Revision(0)
+		for range rapid.IntRange(1, 40).Draw(t, "calls") {
+			began := now.Add(time.Millisecond)
+			now = now.Add(time.Second)
+			r := clementineport.Revision(rapid.IntRange(0, 9).Draw(t, "revision"))
+			a := cpspread.Action{Kind: cpspread.KindRead, Peer: "b", Began: began}
+			var v cpspread.Verdict
+			switch rapid.IntRange(0, 3).Draw(t, "source") {
+			case 0:
+				v = s.Stored(now, a, uint64(rapid.IntRange(1, 9).Draw(t, "version")), r)
+				assert.Equal(t, s.Lowered(), r < highest)
+			case 1:
+				v = s.Fetched(now, a, max(r, 1))
+				r = max(r, 1)
+			case 2:
+				v = s.Accept(now, r)
+			default:
+				s.Seen(now, "b", r)
+			}
+			assert.Assert(t, v != cpspread.VerdictNewer || r > highest)
+			if v == cpspread.VerdictNewer {
+				highest = r
+			}
+			assert.Equal(t, s.Revision(), highest)
+		}
+	})
+}
+
+// storeCalls returns the store calls of one VM in a minute and those of the fleet for one change.
+func storeCalls(size int, opts ...cpspread.Option) (perMinute, perChange float64, last time.Duration) {
+	f := newFleet(size, 3, opts...)
+	f.revision = 1
+	f.run(2*time.Minute, never)
+	f.calls = 0
+	f.run(5*time.Minute, never)
+	quiet := f.calls
+	f.calls = 0
+	for r := range clementineport.Revision(5) {
+		f.revision = r + 2
+		last = max(last, f.run(time.Minute, f.reached(r+2)))
+		f.run(time.Minute-last, never)
+	}
+	return float64(quiet) / 5 / float64(size), (float64(f.calls) - float64(quiet)) / 5, last
+}
+
+func TestStoreCallsGrowSlowerThanTheFleet(t *testing.T) {
+	small, smallChange, _ := storeCalls(8)
+	large, largeChange, last := storeCalls(128)
+	assert.Assert(t, large*128 < 4*small*8, "%.1f calls a minute and VM with 128, %.1f with 8", large, small)
+	assert.Assert(t, largeChange < 3*max(smallChange, 8), "%.1f calls a change with 128, %.1f with 8", largeChange, smallChange)
+	assert.Assert(t, last < 2*time.Second, "in force everywhere after %v", last)
+	all, _, _ := storeCalls(128, cpspread.WithWatchers(128))
+	assert.Assert(t, all*128 > 4*small*8, "the choice of watchers makes no difference")
+}
+
+func TestSilentWatchIsNoticed(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		opts := []cpspread.Option{}
+		if !reads {
+			opts = append(opts, cpspread.WithReadPeriod(0))
+		}
+		f := newFleet(8, 5, opts...)
+		f.revision = 1
+		f.run(time.Minute, f.reached(1))
+		f.deaf = 1
+		f.revision = 2
+		took := f.run(45*time.Second, f.reached(2))
+		assert.Equal(t, f.reached(2)(), reads, "after %v", took)
+	}
+}
+
+func TestCallsAfterAnOutageAreSpreadOut(t *testing.T) {
+	peak := func(opts ...cpspread.Option) int {
+		f := newFleet(128, 7, opts...)
+		f.revision = 1
+		f.run(2*time.Minute, never)
+		f.down = true
+		f.run(10*time.Minute, never)
+		before := len(f.perStep)
+		f.down = false
+		f.run(30*time.Second, never)
+		return f.peak(before)
+	}
+	assert.Assert(t, peak() <= 16, "%d calls in the busiest second", peak())
+	together := peak(cpspread.WithBackoff(10*time.Millisecond, 20*time.Millisecond), cpspread.WithReadPeriod(time.Second), cpspread.WithWatchers(128))
+	assert.Assert(t, together > 64, "the backoff makes no difference: %d", together)
+}
+
+func TestPushSpeedsUpTheSpread(t *testing.T) {
+	last := func(fanOut int) time.Duration {
+		f := newFleet(128, 9, cpspread.WithFanOut(fanOut))
+		f.revision = 1
+		f.run(time.Minute, f.reached(1))
+		f.run(5*time.Second, never)
+		f.revision = 2
+		f.run(time.Second, func() bool { return f.nodes[f.ids[0]].Revision() == 2 })
+		f.down = true
+		return f.run(time.Minute, f.reached(2))
+	}
+	assert.Assert(t, last(4) < time.Second, "with pushes: %v", last(4))
+	assert.Assert(t, last(0) > time.Second, "without pushes: %v", last(0))
+}
+
+func TestFreshVMWithoutStore(t *testing.T) {
+	f := newFleet(8, 11)
+	f.revision = 1
+	f.run(time.Minute, f.reached(1))
+	f.down = true
+	f.nodes[f.ids[3]] = cpspread.New(f.ids[3])
+	took := f.run(time.Minute, f.reached(1))
+	assert.Assert(t, took < 3*time.Second, "%v", took)
+}
+
+func TestMaySend(t *testing.T) {
+	const staleAfter = 3 * time.Second
+	tests := []struct {
+		name  string
+		do    func(c *clockwork.FakeClock, f *cpspread.Freshness)
+		fault clementineport.Fault
+	}{
+		{"never any contact", func(*clockwork.FakeClock, *cpspread.Freshness) {}, clementineport.FaultStale},
+		{"contact just now", func(c *clockwork.FakeClock, f *cpspread.Freshness) { f.Contacted(c.Now()) }, 0},
+		{"contact 3 s ago", func(c *clockwork.FakeClock, f *cpspread.Freshness) {
+			f.Contacted(c.Now())
+			c.Advance(staleAfter)
+		}, 0},
+		{"paused for 30 s", func(c *clockwork.FakeClock, f *cpspread.Freshness) {
+			f.Contacted(c.Now())
+			c.Advance(30 * time.Second)
+		}, clementineport.FaultStale},
+		{"paused, and an answer from before is read now", func(c *clockwork.FakeClock, f *cpspread.Freshness) {
+			began := c.Now()
+			c.Advance(30 * time.Second)
+			f.Contacted(began)
+		}, clementineport.FaultStale},
+		{"a late answer does not undo a newer one", func(c *clockwork.FakeClock, f *cpspread.Freshness) {
+			began := c.Now()
+			c.Advance(30 * time.Second)
+			f.Contacted(c.Now())
+			f.Contacted(began)
+		}, 0},
+		{"the only VM", func(_ *clockwork.FakeClock, f *cpspread.Freshness) { f.SetAlone(true) }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := clockwork.NewFakeClock()
+			f := cpspread.NewFreshness(c, staleAfter)
+			tt.do(c, f)
+			assert.Equal(t, clementineport.FaultOf(f.MaySend()) == clementineport.FaultStale, tt.fault == clementineport.FaultStale)
+		})
+	}
+}
+
+func BenchmarkMaySend(b *testing.B) {
+	f := cpspread.NewFreshness(clockwork.NewRealClock(), time.Hour)
+	f.Contacted(time.Now())
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if f.MaySend() != nil {
+				b.Error("stale")
+			}
+		}
+	})
+}
+
+func BenchmarkStoreCalls(b *testing.B) {
+	for _, size := range []int{8, 32, 128, 770} {
+		b.Run(fmt.Sprintf("VMs=%d", size), func(b *testing.B) {
+			for range b.N {
+				perMinute, perChange, last := storeCalls(size)
+				b.ReportMetric(perMinute, "calls/min/node")
+				b.ReportMetric(perMinute*float64(size)/60, "calls/s")
+				b.ReportMetric(perChange, "calls/change")
+				b.ReportMetric(last.Seconds(), "s-last")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cpspread/fleet_test.go
@@ -0,0 +1,155 @@
+package cpspread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpspread"
+)
+
+// step is the resolution of the virtual time; every call takes one step each way.
+const step = 10 * time.Millisecond
+
+// fleet runs the machines of several VMs in virtual time over a fake store.
+type fleet struct {
+	now   time.Time
+	rand  *rand.Rand
+	ids   []clementineport.VMID
+	nodes map[clementineport.VMID]*cpspread.Spread
+	due   map[time.Time][]func()
+
+	revision clementineport.Revision // in the store
+	down     bool                    // the store does not answer
+	deaf     clementineport.Revision // what watches return at their end, if set
+	calls    int                     // of the store
+	perStep  []int
+}
+
+func newFleet(n int, seed uint64, opts ...cpspread.Option) *fleet {
+	f := &fleet{
+		now:   time.Unix(1_700_000_000, 0),
+		rand:  rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[clementineport.VMID]*cpspread.Spread{},
+		due:   map[time.Time][]func(){},
+	}
+	var members []clementineport.Member
+	for i := range n {
+		id := clementineport.VMID(fmt.Sprintf("vm%03d", i))
+		f.ids = append(f.ids, id)
+		f.nodes[id] = cpspread.New(id, append([]cpspread.Option{cpspread.WithSeed(seed)}, opts...)...)
+		members = append(members, clementineport.Member{
+			VM: clementineport.VM{ID: id, Domain: clementineport.FailureDomain(fmt.Sprint("zone", i%4))},
+		})
+	}
+	for _, id := range f.ids {
+		f.nodes[id].SetMembers(members, n)
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, fn func()) {
+	at := f.now.Add(d.Round(step))
+	f.due[at] = append(f.due[at], fn)
+}
+
+// run advances the virtual time until done, or for d.
+func (f *fleet) run(d time.Duration, done func() bool) time.Duration {
+	from := f.now
+	for f.now.Sub(from) < d && !done() {
+		f.now = f.now.Add(step)
+		calls := f.calls
+		for _, fn := range f.due[f.now] {
+			fn()
+		}
+		delete(f.due, f.now)
+		for i, id := range f.ids {
+			if (f.now.UnixNano()/int64(step)+int64(i))%int64(time.Second/step) == 0 {
+				f.exchange(id, f.ids[f.rand.IntN(len(f.ids))])
+			}
+			for _, a := range f.nodes[id].Tick(f.now) {
+				f.carryOut(id, a)
+			}
+		}
+		f.perStep = append(f.perStep, f.calls-calls)
+	}
+	return f.now.Sub(from)
+}
+
+// peak returns the most store calls in one second since the given number of steps.
+func (f *fleet) peak(from int) int {
+	highest, sum := 0, 0
+	second := int(time.Second / step)
+	for i, n := range f.perStep[from:] {
+		sum += n
+		if i >= second {
+			sum -= f.perStep[from+i-second]
+		}
+		highest = max(highest, sum)
+	}
+	return highest
+}
+
+// exchange is a regular exchange of two VMs, or one that an action asks for.
+func (f *fleet) exchange(from, to clementineport.VMID) {
+	began := f.now
+	f.after(step, func() { f.nodes[to].Seen(f.now, from, f.nodes[from].Revision()) })
+	f.after(2*step, func() {
+		f.nodes[from].Contacted(began)
+		f.nodes[from].Seen(f.now, to, f.nodes[to].Revision())
+	})
+}
+
+func (f *fleet) carryOut(id clementineport.VMID, a cpspread.Action) {
+	n := f.nodes[id]
+	switch a.Kind {
+	case cpspread.KindRead:
+		f.calls++
+		f.after(2*step, func() { f.answer(n, a, f.revision) })
+	case cpspread.KindWatch:
+		f.calls++
+		f.watch(n, a, f.now.Add(a.Wait))
+	case cpspread.KindFetch:
+		f.after(2*step, func() { n.Fetched(f.now, a, f.nodes[a.Peer].Revision()) })
+	default:
+		f.exchange(id, a.Peer)
+	}
+}
+
+// answer gives the store's answer, or the failure of the call once its time has run out.
+func (f *fleet) answer(n *cpspread.Spread, a cpspread.Action, r clementineport.Revision) {
+	if f.down {
+		f.after(a.Timeout, func() { n.Failed(f.now, a) })
+		return
+	}
+	n.Stored(f.now, a, uint64(r), r)
+}
+
+func (f *fleet) watch(n *cpspread.Spread, a cpspread.Action, end time.Time) {
+	f.after(step, func() {
+		seen := f.revision
+		if f.deaf > 0 {
+			seen = f.deaf
+		}
+		if f.down || uint64(seen) != a.Seen || !f.now.Before(end) {
+			f.answer(n, a, seen)
+			return
+		}
+		f.watch(n, a, end)
+	})
+}
+
+// reached returns a condition that is true when all VMs have the revision.
+func (f *fleet) reached(r clementineport.Revision) func() bool {
+	return func() bool {
+		for _, n := range f.nodes {
+			if n.Revision() < r {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func never() bool { return false }
