Wait for full targets for the time they ask for, within a quarter of the deadline

Cause: when calls that waited on a frozen VM moved to other targets at once, the limits of these shed them for some milliseconds; a query with seconds left gave up after three refusals within 21 ms. Ruled out: too few slots (6 targets of 6 slots at 300 calls/s), a longer queue at the owner (it would only move the bound). The bound on retries after refusals is now the time: a wait doubles, is at least what the target asks for, and ends with a quarter of the deadline. A retry to another target without a wait still needs the budget.

--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -86,6 +86,8 @@
 	triedFrom int32
 	// retryAt is when the shard is asked again; it is zero when no retry is due.
 	retryAt time.Duration
+	// retryAfter is the time that the last refusal asked to wait.
+	retryAfter time.Duration
 }
 
 // Call returns the call that a Send action asks for.
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -59,11 +59,13 @@
 	least int
 
 	// Times since start.
-	closeAt  time.Duration
-	cutAt    time.Duration
-	hedgeAt  time.Duration
-	retryAt  time.Duration
-	replanAt time.Duration
+	closeAt time.Duration
+	cutAt   time.Duration
+	hedgeAt time.Duration
+	retryAt time.Duration
+	// shedUntil is when the query stops to wait for full targets.
+	shedUntil time.Duration
+	replanAt  time.Duration
 
 	stats      clementineport.GatherStats
 	dropped    int
@@ -108,6 +110,7 @@
 	}
 	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
 	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
+	m.shedUntil = time.Duration(float64(deadline) * m.opts.ShedShare)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
 	m.plannedWhole()
 	if m.done() {
--- a/cpgather/options.go
+++ b/cpgather/options.go
@@ -17,6 +17,7 @@
 	defaultMaxRestarts     = 1
 	defaultTailCut         = 0.5
 	defaultReserve         = 20 * time.Millisecond
+	defaultShedShare       = 0.25
 	defaultBackoff         = 5 * time.Millisecond
 	defaultRecheck         = 10 * time.Millisecond
 	defaultReplan          = 20 * time.Millisecond
@@ -66,7 +67,8 @@
 	HedgeFactor float64
 	// ProjectedFactor is the same for a call that is hedged whatever the others do.
 	ProjectedFactor float64
-	// MaxHedges and MaxRetries bound the calls for one shard, MaxRestarts the restarts of the query.
+	// MaxHedges and MaxRetries bound the calls for one shard, but for retries after a full target refused
+	// it; MaxRestarts bounds the restarts of the query.
 	MaxHedges   int
 	MaxRetries  int
 	MaxRestarts int
@@ -74,6 +76,8 @@
 	TailCut float64
 	// Reserve is the time before the deadline at which the answer is closed.
 	Reserve time.Duration
+	// ShedShare is the share of the deadline for which full targets are asked again.
+	ShedShare float64
 	// Backoff is the delay before the first retry when every target has been tried.
 	Backoff time.Duration
 	// Recheck is the delay after a hedge that the budget or the load did not allow.
@@ -118,6 +122,7 @@
 		MaxRestarts:     defaultMaxRestarts,
 		TailCut:         defaultTailCut,
 		Reserve:         defaultReserve,
+		ShedShare:       defaultShedShare,
 		Backoff:         defaultBackoff,
 		Recheck:         defaultRecheck,
 		Replan:          defaultReplan,
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"math"
 
 	"github.com/clementineport/clementineport"
 )
 
+// maxBackoffShift bounds how often the delay between retries doubles.
+const maxBackoffShift = 6
+
 var (
 	errNoReply    = clementineport.Fail(clementineport.FaultUnknown, "a result without reply or error")
 	errMismatched = clementineport.Fail(clementineport.FaultMismatched, "the reply has another shard or snapshot")
@@ -25,6 +29,7 @@
 	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
+		sh.retryAfter = e.RetryAfter
 	}
 	if sh.final || sh.open > 0 {
 		return
@@ -38,7 +43,10 @@
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
 func (m *Machine) mayRetry(sh *shard) bool {
-	if int(sh.retries) >= m.opts.MaxRetries || m.at >= m.closeAt || m.hopeless() {
+	if m.at >= m.closeAt || m.hopeless() {
+		return false
+	}
+	if !shed(sh.fault) && int(sh.retries) >= m.opts.MaxRetries {
 		return false
 	}
 	switch sh.fault {
@@ -51,16 +59,21 @@
 
 // retry sends a call to another target, or waits when all have been tried and one may be asked again.
 func (m *Machine) retry(s clementineport.ShardID) {
-	if t, ok := m.pickTarget(s); ok {
+	sh := &m.shards[s]
+	t, ok := m.pickTarget(s)
+	switch {
+	case ok && m.spendRetry(sh.fault):
 		m.sendRetry(s, t)
 		return
+	case ok && !shed(sh.fault), !m.held(s):
+		m.giveUp(s)
+		return
 	}
-	sh := &m.shards[s]
-	if !m.held(s) {
+	backoff := max(m.opts.Backoff<<min(sh.retries, maxBackoffShift), sh.retryAfter)
+	if shed(sh.fault) && m.at+backoff > m.shedUntil {
 		m.giveUp(s)
 		return
 	}
-	backoff := m.opts.Backoff << sh.retries
 	sh.retryAt = m.at + backoff
 	sh.triedFrom = int32(len(m.attempts))
 	m.retryAt = min(m.retryAt, sh.retryAt)
@@ -68,11 +81,11 @@
 
 func (m *Machine) sendRetry(s clementineport.ShardID, t clementineport.TargetIndex) {
 	sh := &m.shards[s]
-	if !m.plan.View.Usable(t, m.now) || !m.spendRetry(sh.fault) {
+	if !m.plan.View.Usable(t, m.now) {
 		m.giveUp(s)
 		return
 	}
-	sh.retries++
+	sh.retries = min(sh.retries+1, math.MaxUint8-1)
 	m.stats.Retries++
 	m.send(s, t, Retry)
 }
@@ -90,6 +103,9 @@
 	return fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
 }
 
+// shed reports whether a fault is the refusal of a full target.
+func shed(fault clementineport.Fault) bool { return fault == clementineport.FaultShed }
+
 // retryWaiting asks the shards again whose time has come.
 func (m *Machine) retryWaiting() {
 	m.retryAt = never
@@ -106,8 +122,11 @@
 	}
 }
 
+// retryNow sends the retry of a shard that has waited. After the refusal of a full target the wait has paid
+// for it.
 func (m *Machine) retryNow(s clementineport.ShardID) {
-	if t, ok := m.pickTarget(s); ok {
+	fault := m.shards[s].fault
+	if t, ok := m.pickTarget(s); ok && (shed(fault) || m.spendRetry(fault)) {
 		m.sendRetry(s, t)
 		return
 	}
