--- a/cpsearcher/cpsearcher.go
+++ b/cpsearcher/cpsearcher.go
@@ -70,7 +70,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+cphttp.PathSearch, s.search)
 	mux.HandleFunc("GET "+cphttp.PathHealth, health)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, Protocols: &http.Protocols{}}
+	s.server.Protocols.SetHTTP1(true)
+	s.server.Protocols.SetUnencryptedHTTP2(true)
 	go func(srv *http.Server) { _ = srv.Serve(&listener{Listener: l, searcher: s}) }(s.server)
 	return nil
 }
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -49,10 +49,12 @@
 }
 
 // unsent reports whether no byte of the request was written, and forbids writing it from then on.
+// Calls that share a connection cannot be told apart by its bytes, so there only a call without a
+// connection is proven unsent.
 func (e *exchange) unsent() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn == nil || e.conn.seal(e.mark)
+	return e.conn == nil || (!e.client.opts.HTTP2 && e.conn.seal(e.mark))
 }
 
 func (e *exchange) unsentFault(ctx context.Context, err error) clementineport.Fault {
--- a/cptarget/cphttp/conn.go
+++ b/cptarget/cphttp/conn.go
@@ -196,9 +196,23 @@
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case cn := <-c.spare:
+		return cn, nil
+	default:
+	}
 	if err := c.pool.wait(ctx); err != nil {
 		return nil, err
 	}
+	cn, err := c.open(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return cn, nil
+}
+
+// open opens a connection that has been reserved.
+func (c *Client) open(ctx context.Context, network, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
 	raw, err := c.opts.Dial(ctx, network, address)
@@ -208,3 +222,25 @@
 	}
 	return &conn{Conn: raw, pool: c.pool}, nil
 }
+
+// refill opens one connection ahead of need, in place of one that a canceled call has closed.
+func (c *Client) refill() {
+	if c.opts.SpareTime <= 0 || !c.refilling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.refilling.Store(false)
+		if c.pool.reserve() != nil {
+			return
+		}
+		cn, err := c.open(context.Background(), "tcp", c.opts.Address)
+		if err != nil {
+			return
+		}
+		select {
+		case c.spare <- cn:
+		case <-c.opts.Clock.After(c.opts.SpareTime):
+			_ = cn.Close()
+		}
+	}()
+}
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -33,6 +33,9 @@
 	typical atomic.Int64
 	// streak counts the calls in a row that ended without a byte of answer.
 	streak atomic.Int32
+	// spare hands over a connection that was opened ahead of need.
+	spare     chan *conn
+	refilling atomic.Bool
 
 	mu       sync.Mutex
 	waiting  map[*exchange]struct{}
@@ -46,6 +49,7 @@
 		opts:    o,
 		url:     "http://" + o.Address,
 		pool:    &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
+		spare:   make(chan *conn),
 		waiting: map[*exchange]struct{}{},
 	}
 	c.transport = &http.Transport{
@@ -56,6 +60,10 @@
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
 	}
+	if o.HTTP2 {
+		c.transport.Protocols = &http.Protocols{}
+		c.transport.Protocols.SetUnencryptedHTTP2(true)
+	}
 	return c
 }
 
@@ -106,6 +114,9 @@
 	status, data, err := e.roundTrip(r)
 	c.end(e, err)
 	if err != nil {
+		if ctx.Err() != nil && e.conn != nil && !c.opts.HTTP2 {
+			c.refill()
+		}
 		return nil, e.fail(ctx, err)
 	}
 	if status == http.StatusOK {
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -26,6 +26,11 @@
 	CloseTime time.Duration
 	// Linger is how long a connection that went silent counts as open at the target.
 	Linger time.Duration
+	// SpareTime is how long a connection that was opened in place of a canceled one waits to be used;
+	// zero opens none.
+	SpareTime time.Duration
+	// HTTP2 uses unencrypted HTTP/2, where calls share connections and a canceled call closes none.
+	HTTP2 bool
 	// Silence decides which connections are silent.
 	Silence Silence
 	// Dial opens a connection.
@@ -46,6 +51,7 @@
 		DialTimeout:      time.Second,
 		CloseTime:        100 * time.Millisecond,
 		Linger:           15 * time.Second,
+		SpareTime:        2 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
 		Header:           func(context.Context, http.Header) {},
@@ -74,6 +80,12 @@
 // Linger sets how long a connection that went silent counts as open at the target.
 func Linger(d time.Duration) Option { return func(o *Options) { o.Linger = d } }
 
+// SpareTime sets how long a connection opened ahead of need waits to be used; zero opens none.
+func SpareTime(d time.Duration) Option { return func(o *Options) { o.SpareTime = d } }
+
+// HTTP2 uses unencrypted HTTP/2, which the target must accept without an upgrade.
+func HTTP2(on bool) Option { return func(o *Options) { o.HTTP2 = on } }
+
 // DetectSilence sets the rule for silent connections.
 func DetectSilence(s Silence) Option { return func(o *Options) { o.Silence = s } }
 
