--- a/cptarget/cphttp/conn.go
+++ b/cptarget/cphttp/conn.go
@@ -90,6 +90,8 @@
 type conn struct {
 	net.Conn
 	pool *pool
+	// maySend is asked just before each write, since the process may have been paused.
+	maySend func() error
 	// received counts the bytes read.
 	received atomic.Int64
 	// last is the time of the last byte read in nanoseconds since the epoch.
@@ -114,6 +116,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	if err := c.maySend(); err != nil {
+		return 0, err
+	}
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -180,5 +185,5 @@
 		c.pool.release(false)
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: c.pool}, nil
+	return &conn{Conn: raw, pool: c.pool, maySend: c.opts.MaySend}, nil
 }
--- a/cptarget/cphttp/cphttp_test.go
+++ b/cptarget/cphttp/cphttp_test.go
@@ -222,6 +222,28 @@
 }
 
 // BenchmarkCancel measures one call that follows a canceled call, which closes its connection.
+// A process that was paused asks again whether it may send when it goes on, on new and on kept connections.
+func TestNothingIsWrittenThatMayNotBeSent(t *testing.T) {
+	s := startSearcher(t)
+	var stale atomic.Bool
+	c := cphttp.New(cphttp.Address(s.Address()), cphttp.MaySend(func() error {
+		if stale.Load() {
+			return clementineport.Fail(clementineport.FaultStale, "paused")
+		}
+		return nil
+	}))
+	defer c.Close()
+	for i, may := range []bool{false, true, false} {
+		stale.Store(!may)
+		_, err := c.Search(t.Context(), newCall(fmt.Sprint(i), time.Second))
+		assert.Equal(t, err == nil, may, "%v", err)
+		if !may {
+			assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultStale)
+		}
+	}
+	assert.Equal(t, s.Stats().Calls, 1)
+}
+
 func BenchmarkCancel(b *testing.B) {
 	for _, cost := range []time.Duration{0, time.Millisecond, 6 * time.Millisecond} {
 		for _, canceled := range []bool{false, true} {
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -28,6 +28,8 @@
 	Silence Silence
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaySend is asked just before bytes are written; its error fails the call.
+	MaySend func() error
 	// Header adds headers to a call, such as those of a trace.
 	Header func(ctx context.Context, h http.Header)
 }
@@ -45,6 +47,7 @@
 		Linger:           15 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
+		MaySend:          func() error { return nil },
 		Header:           func(context.Context, http.Header) {},
 	}
 	for _, opt := range opts {
@@ -74,6 +77,9 @@
 // DetectSilence sets the rule for silent connections.
 func DetectSilence(s Silence) Option { return func(o *Options) { o.Silence = s } }
 
+// MaySend sets what is asked just before bytes are written.
+func MaySend(f func() error) Option { return func(o *Options) { o.MaySend = f } }
+
 // Header adds headers to each call, such as those of a trace.
 func Header(f func(ctx context.Context, h http.Header)) Option {
 	return func(o *Options) { o.Header = f }
