--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -12,10 +12,11 @@
 )
 
 func (n *Node) newControl() {
+	self := clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}
 	n.control = cpcontrol.New(
-		cpcontrol.WithSelf(clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}),
+		cpcontrol.WithSelf(self),
 		cpcontrol.WithStore(n.store),
-		cpcontrol.WithDirectory(n.list),
+		cpcontrol.WithDirectory(n.newDirectory(self)),
 		cpcontrol.WithDial(n.dialPeer),
 		cpcontrol.WithPicker(cppick.New(cppick.Seed(n.seed))),
 		cpcontrol.WithClock(n.clock),
