--- a/cpgather/decision_test.go
+++ b/cpgather/decision_test.go
@@ -149,6 +149,38 @@
 	assert.Equal(t, len(g.calls), 20)
 }
 
+func TestNoHedgeAfterOverload(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(10, 20, cpgathertest.Old)
+	plan.Service.Service.LeastCoverage = 0.5
+	g := newModel(plan, v, cpgather.Budgets(&cpgathertest.Budget{Share: 1}, nil))
+	g.reply(2, 3, 4, 5, 6, 7, 8, 9)
+	g.fail(10, clementineport.FaultShed)
+	g.run(100 * time.Millisecond)
+	assert.Equal(t, len(g.calls), 10)
+}
+
+func TestNonIdempotentQueryWaitsForItsOutcome(t *testing.T) {
+	for _, least := range []float64{0.3, 1} {
+		plan, v := cpgathertest.NewPlan(3, 6, cpgathertest.Old)
+		plan.Query.Idempotent = false
+		plan.Service.Service.LeastCoverage, plan.Service.Service.Prefer = least, clementineport.PreferTail
+		g := newModel(plan, v)
+		g.fail(1, clementineport.FaultReset)
+		if least == 1 {
+			g.fail(2, clementineport.FaultDraining)
+			assert.Equal(t, len(g.calls), 3, "retried although the answer will be refused")
+		} else {
+			g.reply(2)
+		}
+		g.run(600 * time.Millisecond)
+		assert.Assert(t, !g.m.Finished())
+		g.reply(3)
+		assert.Assert(t, g.m.Finished())
+		assert.Equal(t, g.m.Answer().Verdict, clementineport.MayHaveRun)
+		assert.Equal(t, g.m.Err() != nil, least == 1)
+	}
+}
+
 func TestClosing(t *testing.T) {
 	for name, c := range map[string]struct {
 		prefer  clementineport.Preference
--- a/cpsnapshot/cpsnapshot_test.go
+++ b/cpsnapshot/cpsnapshot_test.go
@@ -146,7 +146,10 @@
 	assert.Equal(t, covered(time.Second), 1, "a choice was kept too long")
 	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.Old}
 	assert.Equal(t, covered(time.Second), 2)
+	revised := *service
 	v.Snapshots[1] = []clementineport.Snapshot{cpgathertest.New}
+	choice, _ := cache.Choose(&revised, v, cpgathertest.Start.Add(time.Second))
+	assert.Equal(t, choice.Covered, 1, "a choice of another revision was used")
 	cache.Invalidate(service)
 	assert.Equal(t, covered(time.Second), 1)
 }
