Limit queries by the queueing that answers report, not by their latency

With several VMs at one set of targets a VM that halves its limit sees no lower latency, because the others fill the gap, so it took the queueing of all for the latency without load: on a trial with three VMs the limits drifted to 32, 7 and 4 and queries took 330 ms in place of 75 ms. GatherStats now says how long calls were outside their targets (one line in cpgather), which needs no memory of the latency without load.

--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -1,4 +1,4 @@
-// Package cpadmit decides which queries a VM starts: it limits the queries in progress by their latency,
+// Package cpadmit decides which queries a VM starts: it limits the queries in progress by the queueing that they meet,
 // orders waiting ones by class and deadline, and refuses at once what cannot be done in time.
 // It knows nothing of targets and makes no calls.
 package cpadmit
@@ -118,15 +118,14 @@
 	}
 }
 
-// outcomeOf reads from an answer whether targets refused a part of the query because of load.
+// outcomeOf reads from an answer how long it queued and whether targets refused a part because of load.
 func outcomeOf(answer *clementineport.Answer) Outcome {
 	if answer == nil {
-		return OutcomeFailed
+		return Outcome{Failed: true}
 	}
+	o := Outcome{Queued: answer.Stats.Queued}
 	for _, m := range answer.Missing {
-		if m.Fault == clementineport.FaultShed {
-			return OutcomeShed
-		}
+		o.Shed = o.Shed || m.Fault == clementineport.FaultShed
 	}
-	return OutcomeAnswered
+	return o
 }
--- a/cpadmit/cpadmit_test.go
+++ b/cpadmit/cpadmit_test.go
@@ -32,11 +32,11 @@
 }
 
 func offered(seed uint64, load float64, opts ...cpadmit.Option) *sim {
-	return newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(load)}})
+	return newSim(seed, 1, opts...).run(phase{simLength, 1, []flow{desk(load)}})
 }
 
 func flooded(seed uint64, batch float64, opts ...cpadmit.Option) *sim {
-	return newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(0.4), certificates(batch)}})
+	return newSim(seed, 1, opts...).run(phase{simLength, 1, []flow{desk(0.4), certificates(batch)}})
 }
 
 func TestPromisesUnderOverload(t *testing.T) {
@@ -55,7 +55,7 @@
 				beside.goodput("booking-desk", simWarm, simLength) >= 0.95*0.4
 		}},
 		{"full service within 5 s after a flood", func(seed uint64, opts ...cpadmit.Option) bool {
-			s := newSim(seed, opts...).run(
+			s := newSim(seed, 1, opts...).run(
 				phase{simWarm, 1, []flow{desk(0.7)}},
 				phase{simLength, 1, []flow{desk(10)}},
 				phase{simLength, 1, []flow{desk(0.7)}},
@@ -65,7 +65,7 @@
 		}},
 		{"a flood of one service leaves another one of its class its share", func(seed uint64, opts ...cpadmit.Option) bool {
 			other := flow{"trainer-portal", clementineport.ClassInteractive, 0.3}
-			s := newSim(seed, opts...).run(phase{simLength, 1, []flow{desk(10), other}})
+			s := newSim(seed, 1, opts...).run(phase{simLength, 1, []flow{desk(10), other}})
 			return s.goodput("trainer-portal", simWarm, simLength) >= 0.95*0.3
 		}},
 	}
@@ -80,10 +80,23 @@
 	}
 }
 
+func TestVMsShareTheBackEnds(t *testing.T) {
+	const vms = 5
+	for _, seed := range simSeeds {
+		s := newSim(seed, vms).run(phase{2 * simLength, 1, []flow{desk(10)}})
+		assert.Assert(t, s.goodput("booking-desk", simWarm, 2*simLength) >= 0.9)
+		least, most := s.gates[0].Limit(), s.gates[0].Limit()
+		for _, g := range s.gates {
+			least, most = min(least, g.Limit()), max(most, g.Limit())
+		}
+		assert.Assert(t, most <= 3*least, "limits from %d to %d", least, most)
+	}
+}
+
 func TestSlowBackEndsAreNotTakenForLoad(t *testing.T) {
 	const load = 0.22 // of the capacity; two thirds of the capacity of the slow back ends
 	for _, seed := range simSeeds {
-		s := newSim(seed).run(
+		s := newSim(seed, 1).run(
 			phase{simLength, 1, []flow{desk(load)}},
 			phase{2 * simLength, 3, []flow{desk(load)}},
 		)
@@ -189,7 +202,7 @@
 func report(b *testing.B, s *sim) {
 	b.ReportMetric(s.goodput("booking-desk", simWarm, simLength), "desk/capacity")
 	b.ReportMetric(float64(s.p99("booking-desk").Milliseconds()), "p99-ms")
-	b.ReportMetric(float64(s.gate.Limit()), "limit")
+	b.ReportMetric(float64(s.gates[0].Limit()), "limit")
 	b.ReportMetric(0, "ns/op")
 }
 
--- a/cpadmit/gate.go
+++ b/cpadmit/gate.go
@@ -18,16 +18,14 @@
 }
 
 // Outcome says how a query ended.
-type Outcome uint8
-
-const (
-	// OutcomeAnswered means that the query was answered.
-	OutcomeAnswered Outcome = iota
-	// OutcomeShed means that targets refused a part of the query because of load.
-	OutcomeShed
-	// OutcomeFailed means that the query failed or was given up.
-	OutcomeFailed
-)
+type Outcome struct {
+	// Shed is true when targets refused a part of the query because of load.
+	Shed bool
+	// Failed is true when the query failed or was given up.
+	Failed bool
+	// Queued is the part of its time that the query waited for others.
+	Queued time.Duration
+}
 
 // Kind says what became of an arrival.
 type Kind uint8
@@ -197,13 +195,9 @@
 	return time.Duration(float64(ahead) * g.limit.latency / g.limit.value * float64(time.Second))
 }
 
-// needs returns how long a query of the service takes without load.
+// needs returns how long a query of the service takes without queueing.
 func (g *Gate) needs(id clementineport.ServiceID) time.Duration {
-	s := g.limit.services[id]
-	if s == nil {
-		return 0
-	}
-	return time.Duration(s.base * float64(time.Second))
+	return time.Duration(g.limit.needs[id] * float64(time.Second))
 }
 
 // refuse returns a refusal; the time to come back grows with the refusals for each query that is served,
--- a/cpadmit/limit.go
+++ b/cpadmit/limit.go
@@ -12,75 +12,57 @@
 	minWindow     = 100 * time.Millisecond
 	maxWindow     = time.Second
 	windowSamples = 40
-	baseSamples   = 100 // to learn the latency without load from
 )
 
 // Steps of the limit and of the averages.
 const (
-	maxCut        = 0.7  // least factor of one cut
-	shedShare     = 0.05 // share of shed answers that counts as overload
-	shedCut       = 0.8
-	ratioWeight   = 0.3
-	baseWeight    = 0.3 // of a measured latency without load
-	quietShare    = 0.5 // share of the limit below which latency counts as latency without load
-	floorShare    = 0.5 // of the limit at which a run of cuts began
-	initialWeight = 1.0
+	maxCut     = 0.7  // least factor of one cut
+	shedShare  = 0.05 // share of shed answers that counts as overload
+	shedCut    = 0.8
+	quietShare = 0.5 // of the limit, below which the queries in progress are few
+	weight     = 0.3 // of a window in the averages
 )
 
-// service is what is known of the latency of one service.
-type service struct {
-	base  float64 // seconds without load; 0 is unknown
-	sum   float64 // seconds in this window
-	count int
-	// longSum and longCount add up windows until they are enough to learn from.
-	longSum   float64
-	longCount int
-}
-
-// limit is the adaptive limit on queries in progress. It follows the latency: while queries take longer
-// than without load, work queues behind this VM and the limit falls.
+// limit is the adaptive limit on queries in progress. It follows the time that calls spend outside their
+// targets: while that exceeds the allowed queueing, the limit falls. Slow targets alone do not lower it.
 type limit struct {
-	opts     *Options
-	value    float64
-	services map[clementineport.ServiceID]*service
+	opts  *Options
+	value float64
+	needs map[clementineport.ServiceID]float64 // smoothed seconds of a query without queueing
 
 	started  time.Time
 	samples  int
+	answered int
 	shed     int
-	peak     int
-	limited  bool
 	refused  int
-	top      float64 // limit before the present run of cuts
-	ratio    float64 // smoothed latency over latency without load
-	latency  float64 // smoothed mean latency in seconds
+	peak     int // queries in progress
+	limited  bool
+	elapsed  float64 // seconds of the answers of this window
+	queued   float64 // seconds of them that were queueing
+
+	latency  float64 // smoothed seconds of an answer
+	delay    float64 // smoothed seconds of queueing of an answer
 	refusals float64 // smoothed refusals a second
 	rate     float64 // smoothed completions a second
 }
 
 func newLimit(o *Options) *limit {
-	return &limit{
-		opts:     o,
-		value:    float64(o.InitialLimit),
-		services: make(map[clementineport.ServiceID]*service),
-		ratio:    initialWeight,
-	}
+	return &limit{opts: o, value: float64(o.InitialLimit), needs: make(map[clementineport.ServiceID]float64)}
 }
 
 // sample records the end of a query.
 func (l *limit) sample(now time.Time, id clementineport.ServiceID, elapsed time.Duration, o Outcome) {
-	s := l.services[id]
-	if s == nil {
-		s = new(service)
-		l.services[id] = s
-	}
-	if o == OutcomeShed {
+	l.samples++
+	switch {
+	case o.Shed:
 		l.shed++
+	case !o.Failed:
+		queued := min(max(o.Queued, 0), elapsed)
+		l.answered++
+		l.elapsed += elapsed.Seconds()
+		l.queued += queued.Seconds()
+		l.needs[id] = smooth(l.needs[id], (elapsed - queued).Seconds(), weight/windowSamples)
 	}
-	if o == OutcomeAnswered || (o == OutcomeFailed && elapsed.Seconds() > s.base) {
-		s.sum += elapsed.Seconds()
-		s.count++
-	}
-	l.samples++
 	l.tick(now)
 }
 
@@ -93,83 +75,40 @@
 	if length < minWindow || (l.samples < windowSamples && length < maxWindow) {
 		return
 	}
-	quiet := !l.limited && float64(l.peak) < quietShare*l.value
-	l.measure(length, quiet)
-	l.adjust(quiet)
-	l.started = now
-	l.samples, l.shed, l.peak, l.refused, l.limited = 0, 0, 0, 0, false
-}
-
-// measure updates the averages from the window.
-func (l *limit) measure(length time.Duration, quiet bool) {
-	floor := l.value <= l.floor()
-	var sum, base float64
-	var count int
-	for _, s := range l.services {
-		if s.count == 0 {
-			continue
-		}
-		mean := s.sum / float64(s.count)
-		s.learn(mean, quiet, floor)
-		sum += s.sum
-		base += s.base * float64(s.count)
-		count += s.count
-		s.sum, s.count = 0, 0
+	if l.answered > 0 {
+		l.latency = smooth(l.latency, l.elapsed/float64(l.answered), weight)
+		l.delay += weight * (l.queued/float64(l.answered) - l.delay)
 	}
-	if base > 0 {
-		l.ratio += ratioWeight * (sum/base - l.ratio)
-		l.latency += ratioWeight * (sum/float64(count) - l.latency)
-	}
-	l.refusals += ratioWeight * (float64(l.refused)/length.Seconds() - l.refusals)
-	l.rate += ratioWeight * (float64(l.samples)/length.Seconds() - l.rate)
+	l.refusals += weight * (float64(l.refused)/length.Seconds() - l.refusals)
+	l.rate += weight * (float64(l.samples)/length.Seconds() - l.rate)
+	l.adjust()
+	l.started, l.limited = now, false
+	l.samples, l.answered, l.shed, l.refused, l.peak = 0, 0, 0, 0, 0
+	l.elapsed, l.queued = 0, 0
 }
 
-// learn follows the latency without load: down whenever it is lower over enough queries, up only when this VM
-// is not the cause of a higher one.
-func (s *service) learn(mean float64, quiet, floor bool) {
-	s.longSum += mean * float64(s.count)
-	s.longCount += s.count
-	switch {
-	case s.base == 0:
-		s.base = mean
-	case floor && mean > s.base:
-		s.base = mean
-		s.longSum, s.longCount = 0, 0
-	case s.longCount >= baseSamples:
-		long := s.longSum / float64(s.longCount)
-		if long < s.base || quiet {
-			s.base += baseWeight * (long - s.base)
-		}
-		s.longSum, s.longCount = 0, 0
-	}
-}
-
-// adjust moves the limit by one step.
-func (l *limit) adjust(quiet bool) {
+// adjust moves the limit by one step. After a cut, the averages assume that it had its effect.
+func (l *limit) adjust() {
+	service := l.latency - l.delay
+	allowed := max(l.opts.QueueShare*service, l.opts.MinQueue.Seconds())
 	switch {
 	case float64(l.shed) > shedShare*float64(l.samples):
 		l.value *= shedCut
-	case quiet:
-	case l.ratio > l.opts.Tolerance:
-		l.cut()
+	case l.delay > allowed && !l.limited && float64(l.peak) < quietShare*l.value:
+		// The limit is not what lets the queries queue.
+	case l.delay > allowed:
+		l.value *= max((service+allowed)/l.latency, maxCut)
+		l.delay, l.latency = allowed, service+allowed
 	case l.limited:
-		l.top = 0
-		room := (l.opts.Tolerance - l.ratio) / (l.opts.Tolerance - 1)
-		l.value += min(room, 1) * max(math.Sqrt(l.value)/2, 1)
+		l.value += (1 - l.delay/allowed) * max(math.Sqrt(l.value)/2, 1)
 	}
 	l.value = min(max(l.value, float64(l.opts.MinLimit)), float64(l.opts.MaxLimit))
 }
 
-// cut lowers the limit, but in one run of cuts not below a share of where it began: a latency that does not
-// fall with the limit is learned as the latency without load. As the share times the tolerance is below one,
-// the limit falls from run to run as long as queries do queue.
-func (l *limit) cut() {
-	if l.top == 0 {
-		l.top = l.value
+// smooth moves an average towards a value; the first value becomes the average.
+func smooth(average, value, weight float64) float64 {
+	if average == 0 {
+		return value
 	}
-	l.value = max(l.value*max(l.opts.Tolerance/l.ratio, maxCut), l.floor())
-	l.ratio = l.opts.Tolerance
+	return average + weight*(value-average)
 }
-
-// floor returns the limit that the present run of cuts ends at.
-func (l *limit) floor() float64 { return max(l.top*floorShare, float64(l.opts.MinLimit)) }
--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -14,7 +14,8 @@
 	DefaultMinLimit      = 4    // queries
 	DefaultInitialLimit  = 32   // queries
 	DefaultMaxLimit      = 8192 // queries
-	DefaultTolerance     = 1.2  // latency over no-load latency
+	DefaultQueueShare    = 0.1  // of the latency without queueing
+	DefaultMinQueue      = 5 * time.Millisecond
 	DefaultWaitShare     = 0.25 // of the time left
 	DefaultMinRetryAfter = 100 * time.Millisecond
 	DefaultMaxRetryAfter = 4 * time.Second
@@ -26,8 +27,10 @@
 	MinLimit     int
 	InitialLimit int
 	MaxLimit     int
-	// Tolerance is the latency, as a multiple of the latency without load, above which the limit falls.
-	Tolerance float64
+	// QueueShare is the queueing, as a share of the latency without it, above which the limit falls;
+	// MinQueue is the least queueing that is allowed.
+	QueueShare float64
+	MinQueue   time.Duration
 	// WaitShare is the share of its time left that a query may wait for its start.
 	WaitShare float64
 	// ClassShare is the share of the limit that each class may use.
@@ -55,9 +58,10 @@
 	return func(o *Options) { o.MinLimit, o.InitialLimit, o.MaxLimit = least, initial, most }
 }
 
-// WithTolerance sets the latency, as a multiple of the latency without load, above which the limit falls.
-func WithTolerance(t float64) Option {
-	return func(o *Options) { o.Tolerance = t }
+// WithQueueing sets the queueing above which the limit falls, as a share of the latency without it, and the
+// least queueing that is allowed.
+func WithQueueing(share float64, least time.Duration) Option {
+	return func(o *Options) { o.QueueShare, o.MinQueue = share, least }
 }
 
 // WithoutLimit admits every query at once.
@@ -86,7 +90,8 @@
 		MinLimit:      DefaultMinLimit,
 		InitialLimit:  DefaultInitialLimit,
 		MaxLimit:      DefaultMaxLimit,
-		Tolerance:     DefaultTolerance,
+		QueueShare:    DefaultQueueShare,
+		MinQueue:      DefaultMinQueue,
 		WaitShare:     DefaultWaitShare,
 		MinRetryAfter: DefaultMinRetryAfter,
 		MaxRetryAfter: DefaultMaxRetryAfter,
--- a/cpadmit/sim_test.go
+++ b/cpadmit/sim_test.go
@@ -48,10 +48,19 @@
 type simQuery struct {
 	cpadmit.Arrival
 	ticket cpadmit.Ticket
+	gate   int
+	called time.Time
+	queued time.Duration
 	first  time.Time
 	tries  int
 }
 
+// waiter names a waiting query of one VM.
+type waiter struct {
+	gate   int
+	ticket cpadmit.Ticket
+}
+
 type event struct {
 	at time.Time
 	do func()
@@ -73,11 +82,11 @@
 type sim struct {
 	now      time.Time
 	rand     *rand.Rand
-	gate     *cpadmit.Gate
+	gates    []*cpadmit.Gate
 	events   events
 	busy     int
 	backlog  []*simQuery
-	waiting  map[cpadmit.Ticket]*simQuery
+	waiting  map[waiter]*simQuery
 	slow     float64
 	good     map[clementineport.ServiceID][]time.Time
 	latency  map[clementineport.ServiceID][]time.Duration
@@ -89,15 +98,20 @@
 
 var simStart = time.Unix(0, 0)
 
-func newSim(seed uint64, opts ...cpadmit.Option) *sim {
-	return &sim{
+// newSim returns a model of some VMs that share the back ends.
+func newSim(seed uint64, vms int, opts ...cpadmit.Option) *sim {
+	s := &sim{
 		now:     simStart,
 		rand:    rand.New(rand.NewPCG(seed, 1)),
-		gate:    cpadmit.NewGate(cpadmit.NewOptions(append(opts, cpadmit.WithSeed(seed))...)),
-		waiting: make(map[cpadmit.Ticket]*simQuery),
+		waiting: make(map[waiter]*simQuery),
 		good:    make(map[clementineport.ServiceID][]time.Time),
 		latency: make(map[clementineport.ServiceID][]time.Duration),
 	}
+	for vm := range vms {
+		seeded := cpadmit.WithSeed(seed + uint64(vm))
+		s.gates = append(s.gates, cpadmit.NewGate(cpadmit.NewOptions(append(opts, seeded)...)))
+	}
+	return s
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -136,25 +150,27 @@
 func (s *sim) offer(q *simQuery) {
 	q.first = s.now
 	q.Deadline = s.now.Add(simDeadline)
-	d := s.gate.Offer(s.now, q.Arrival)
+	q.gate = s.rand.IntN(len(s.gates))
+	d := s.gates[q.gate].Offer(s.now, q.Arrival)
 	q.ticket = d.Ticket
 	switch d.Kind {
 	case cpadmit.KindAdmitted:
 		s.call(q)
 	case cpadmit.KindQueued:
-		s.waiting[d.Ticket] = q
-		s.after(d.Until.Sub(s.now), func() { s.expire(q, d.Ticket) })
+		w := waiter{q.gate, d.Ticket}
+		s.waiting[w] = q
+		s.after(d.Until.Sub(s.now), func() { s.expire(q, w) })
 	default:
 		s.refuse(q, d)
 	}
 }
 
-func (s *sim) expire(q *simQuery, t cpadmit.Ticket) {
-	if s.waiting[t] == nil {
+func (s *sim) expire(q *simQuery, w waiter) {
+	if s.waiting[w] == nil {
 		return
 	}
-	delete(s.waiting, t)
-	s.refuse(q, s.gate.Withdraw(t, q.Arrival))
+	delete(s.waiting, w)
+	s.refuse(q, s.gates[w.gate].Withdraw(w.ticket, q.Arrival))
 }
 
 func (s *sim) refuse(q *simQuery, d cpadmit.Decision) {
@@ -174,6 +190,7 @@
 }
 
 func (s *sim) call(q *simQuery) {
+	q.called = s.now
 	s.backlog = append(s.backlog, q)
 	s.serve()
 }
@@ -183,6 +200,7 @@
 		q := s.backlog[0]
 		s.backlog = s.backlog[1:]
 		s.busy++
+		q.queued = s.now.Sub(q.called)
 		mean := math.Log(simService.Seconds()) - simSigma*simSigma/2
 		length := s.slow * math.Exp(mean+simSigma*s.rand.NormFloat64())
 		s.after(time.Duration(length*float64(time.Second)), func() { s.finish(q) })
@@ -197,10 +215,11 @@
 		s.good[q.Service] = append(s.good[q.Service], s.now)
 		s.latency[q.Service] = append(s.latency[q.Service], s.now.Sub(q.first))
 	}
-	for _, t := range s.gate.Done(s.now, q.ticket, cpadmit.OutcomeAnswered) {
-		started := s.waiting[t]
-		delete(s.waiting, t)
-		s.backlog = append(s.backlog, started)
+	for _, t := range s.gates[q.gate].Done(s.now, q.ticket, cpadmit.Outcome{Queued: q.queued}) {
+		w := waiter{q.gate, t}
+		started := s.waiting[w]
+		delete(s.waiting, w)
+		s.call(started)
 	}
 	s.serve()
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -194,6 +194,9 @@
 		err = m.check(a, r.Reply)
 	}
 	if err == nil {
+		if r.Elapsed > 0 {
+			m.stats.Queued = max(m.stats.Queued, a.took-r.Elapsed)
+		}
 		m.merge(a, r.Reply)
 		return
 	}
--- a/query.go
+++ b/query.go
@@ -90,6 +90,8 @@
 	Retries  int
 	Restarts int
 	Late     int
+	// Queued is the longest time that a covered shard's call spent outside its target.
+	Queued time.Duration `json:"-"`
 }
 
 // Call is one search of one shard at one target.
