Test submissions and the store port; never create a revision over an absent key

A model test with ten operators, lost and late requests, lost replies, resends and restores found that a store emptied twice lets two writes through at version 0, so that one revision was accepted twice. A session now fills an absent key with what is in force first.

--- a/cpcli/operator.go
+++ b/cpcli/operator.go
@@ -17,7 +17,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpestate"
-	"github.com/clementineport/clementineport/cpoperator"
+	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cpsubmit"
 	"github.com/clementineport/clementineport/cpyaml"
 )
@@ -46,7 +46,7 @@
 // operatorClient calls the operators' listeners of entries.
 type operatorClient struct {
 	addresses []string
-	token     string
+	token     cpsecret.Token
 	http      *http.Client
 }
 
@@ -59,7 +59,7 @@
 		return nil, errs.Wrap(err)
 	}
 	c := &operatorClient{
-		token: strings.TrimSpace(string(token)),
+		token: cpsecret.New(string(token)),
 		http:  &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{}},
 	}
 	for _, a := range strings.Split(f.addresses, ",") {
@@ -106,7 +106,7 @@
 	if err != nil {
 		return usagef("%v", err)
 	}
-	cpoperator.SetToken(req, c.token)
+	c.token.Set(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		fault := clementineport.FaultTimeout
--- a/cpoperator/options.go
+++ b/cpoperator/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cpsubmit"
 )
 
@@ -14,7 +15,7 @@
 	Current func() *clementineport.Config
 	// Accepted is told of each accepted change, so that it can be put in force at once.
 	Accepted func(*cpsubmit.Result)
-	Token    string
+	Token    cpsecret.Token
 	// Timeout bounds one change.
 	Timeout time.Duration
 }
@@ -36,7 +37,7 @@
 }
 
 // WithToken sets the operators' token.
-func WithToken(token string) Option { return func(o *Options) { o.Token = token } }
+func WithToken(token cpsecret.Token) Option { return func(o *Options) { o.Token = token } }
 
 // WithTimeout bounds one change.
 func WithTimeout(timeout time.Duration) Option { return func(o *Options) { o.Timeout = timeout } }
--- a/cpsecret/cpsecret.go
+++ b/cpsecret/cpsecret.go
@@ -5,6 +5,8 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -22,8 +24,17 @@
 // String hides the value.
 func (t Token) String() string { return "[hidden]" }
 
-// GoString hides the value.
-func (t Token) GoString() string { return t.String() }
+// Format implements fmt.Formatter and hides the value for every verb.
+func (t Token) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, t.String()) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *Token) UnmarshalText(text []byte) error {
+	*t = New(string(text))
+	return nil
+}
+
+// Len returns the number of bytes of the value.
+func (t Token) Len() int { return len(t.value) }
 
 // Set adds the token to the headers of a request.
 func (t Token) Set(h http.Header) { h.Set("Authorization", bearer+t.value) }
--- a/cpsettings/check.go
+++ b/cpsettings/check.go
@@ -71,10 +71,10 @@
 
 func (s *Settings) checkToken(faults *cpyaml.Faults) {
 	switch {
-	case (s.Token == "") == (s.TokenFile == ""):
+	case (s.Token.Len() == 0) == (s.TokenFile == ""):
 		s.At.Report(faults, "Token", "one of Token and TokenFile", "both or neither are set")
-	case s.TokenFile == "" && len(s.Token) < MinTokenBytes:
-		s.At.Report(faults, "Token", "at least 16 bytes", "has %d bytes", len(s.Token))
+	case s.TokenFile == "" && s.Token.Len() < MinTokenBytes:
+		s.At.Report(faults, "Token", "at least 16 bytes", "has %d bytes", s.Token.Len())
 	}
 }
 
--- a/cpsettings/cpsettings.go
+++ b/cpsettings/cpsettings.go
@@ -3,14 +3,13 @@
 package cpsettings
 
 import (
-	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cpyaml"
 )
 
@@ -64,27 +63,6 @@
 	Endpoint string
 }
 
-// Token is a secret; it is hidden wherever it is printed.
-type Token string
-
-// String hides the token.
-func (Token) String() string { return "(hidden)" }
-
-// Format implements fmt.Formatter and hides the token for every verb.
-func (t Token) Format(f fmt.State, _ rune) { _, _ = f.Write([]byte(t.String())) }
-
-// MarshalText hides the token.
-func (Token) MarshalText() ([]byte, error) { return []byte("(hidden)"), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (t *Token) UnmarshalText(text []byte) error {
-	*t = Token(text)
-	return nil
-}
-
-// Reveal returns the secret itself.
-func (t Token) Reveal() string { return string(t) }
-
 // Settings are the settings of one process.
 type Settings struct {
 	VM        clementineport.VMID
@@ -98,7 +76,7 @@
 	Directory string
 	// Peers are addresses of other VMs to ask first.
 	Peers       []string
-	Token       Token
+	Token       cpsecret.Token
 	TokenFile   string
 	Limits      Limits
 	Shutdown    Shutdown
@@ -139,9 +117,9 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		s.Token = Token(strings.TrimSpace(string(secret)))
+		s.Token = cpsecret.New(string(secret))
 	}
-	if len(s.Token) < MinTokenBytes {
+	if s.Token.Len() < MinTokenBytes {
 		return nil, Error.New("the token of %s has less than %d bytes", s.TokenFile, MinTokenBytes)
 	}
 	return s, nil
--- a/cpstore/items.go
+++ b/cpstore/items.go
@@ -54,12 +54,15 @@
 	if err := s.Count(OpWatch); err != nil {
 		return clementineport.Item{}, err
 	}
-	expired := s.opts.Clock.After(wait)
+	var expired <-chan time.Time
 	for {
 		item, changed := s.read(key)
 		if item.Version != seen {
 			return item, nil
 		}
+		if expired == nil {
+			expired = s.opts.Clock.After(wait)
+		}
 		select {
 		case <-changed:
 		case <-expired:
--- a/cpstore/script.go
+++ b/cpstore/script.go
@@ -84,6 +84,8 @@
 	Mode Mode
 	// Delay is the time that ModeSlow adds.
 	Delay time.Duration
+	// After is how many calls are let through first.
+	After int
 	// Calls is how many calls fail; zero means all until Clear.
 	Calls int
 	// Writes restricts the failure to compare-and-swaps and leases.
@@ -119,6 +121,10 @@
 		if f.Writes && op != OpSwap && op != OpLease {
 			continue
 		}
+		if f.After > 0 {
+			s.failures[i].After--
+			continue
+		}
 		if f.Calls == 1 {
 			s.failures = append(s.failures[:i:i], s.failures[i+1:]...)
 		} else if f.Calls > 1 {
--- a/cpsubmit/options.go
+++ b/cpsubmit/options.go
@@ -27,10 +27,26 @@
 	Diff func(from, to []byte) string
 	// HasDomain reports whether a text has a failure domain.
 	HasDomain func(text []byte, domain clementineport.FailureDomain) bool
+	Rules
+}
+
+// Rules are what a session keeps to; tests switch them off one by one.
+type Rules struct {
 	// ReadBack settles a lost reply by reading the key again.
 	ReadBack bool
 	// Floor keeps revisions above the one in force.
 	Floor bool
+	// Recognize finds a submission that was accepted earlier.
+	Recognize bool
+	// CheckBase refuses a text that was edited from an older revision.
+	CheckBase bool
+	// Anchor writes a new revision over a present value only: the version of an absent key can come back.
+	Anchor bool
+}
+
+// AllRules returns the rules that hold by default.
+func AllRules() Rules {
+	return Rules{ReadBack: true, Floor: true, Recognize: true, CheckBase: true, Anchor: true}
 }
 
 // Option changes Options.
@@ -60,11 +76,8 @@
 	return func(o *Options) { o.Check, o.Diff, o.HasDomain = check, diff, has }
 }
 
-// WithReadBack says whether a lost reply is settled by reading the key again.
-func WithReadBack(on bool) Option { return func(o *Options) { o.ReadBack = on } }
-
-// WithFloor says whether revisions are kept above the one in force.
-func WithFloor(on bool) Option { return func(o *Options) { o.Floor = on } }
+// WithRules replaces the rules.
+func WithRules(rules Rules) Option { return func(o *Options) { o.Rules = rules } }
 
 func newOptions(opts []Option) Options {
 	o := Options{
@@ -76,8 +89,7 @@
 		Check:     checkEstate,
 		Diff:      cpestate.Diff,
 		HasDomain: hasDomain,
-		ReadBack:  true,
-		Floor:     true,
+		Rules:     AllRules(),
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/cpsubmit/session.go
+++ b/cpsubmit/session.go
@@ -26,8 +26,10 @@
 	Pause    bool
 	Expected uint64
 	Config   *clementineport.Config
-	Result   Result
-	Err      error
+	// Anchor is true when Config is not a new revision, but fills an absent key.
+	Anchor bool
+	Result Result
+	Err    error
 }
 
 // Session decides, step by step, what becomes of one change. It is not safe for concurrent use.
@@ -40,7 +42,9 @@
 	// expected is the version at which the last write was made.
 	expected uint64
 	writing  *clementineport.Config
-	restored bool
+	// anchoring is true while the last write fills an absent key.
+	anchoring bool
+	restored  bool
 }
 
 // NewTextSession returns a session for an edited text, which has been checked.
@@ -61,7 +65,7 @@
 // Read takes what the store holds and the newest configuration in force; each may be nil.
 func (s *Session) Read(stored, inForce *clementineport.Config, version uint64, now time.Time) Step {
 	current := s.newest(stored, inForce)
-	if i := slices.IndexFunc(current.Changes, s.isMine); i >= 0 {
+	if i := slices.IndexFunc(current.Changes, s.isMine); i >= 0 && s.opts.Recognize {
 		s.failures = 0
 		return s.done(Result{Revision: current.Changes[i].Revision, Config: current, Repeated: true})
 	}
@@ -69,13 +73,16 @@
 		return fail(clementineport.Fail(clementineport.FaultDuplicate,
 			"the history does not reach back to revision %d, so an earlier try may have been accepted", based))
 	}
-	if s.req.exact() && s.req.basedOn() != current.Revision {
+	if s.req.exact() && s.opts.CheckBase && s.req.basedOn() != current.Revision {
 		return s.conflict(current, version)
 	}
 	text, out, summary, err := s.req.apply(current)
 	if err != nil {
 		return s.refuse(err, version)
 	}
+	if s.anchoring = version == 0 && s.opts.Anchor; s.anchoring {
+		return Step{Kind: StepWrite, Config: current, Anchor: true}
+	}
 	change := clementineport.Change{
 		Revision: current.Revision + 1, Submission: s.req.id(), Author: s.req.author(), At: now, Summary: summary,
 	}
@@ -132,13 +139,15 @@
 // Wrote takes the outcome of the last write.
 func (s *Session) Wrote(err error) Step {
 	switch {
+	case s.anchoring && err == nil:
+		return Step{Kind: StepRead}
 	case err == nil:
 		return s.done(Result{Revision: s.writing.Revision, Config: s.writing})
 	case clementineport.FaultOf(err) == clementineport.FaultConflict:
 		return Step{Kind: StepRead}
 	case clementineport.FaultOf(err) == clementineport.FaultInvalid:
 		return fail(err)
-	case clementineport.VerdictOf(err) == clementineport.MayHaveRun:
+	case clementineport.VerdictOf(err) == clementineport.MayHaveRun && !s.anchoring:
 		s.uncertain = true
 		if !s.opts.ReadBack {
 			return fail(unknown(err))
