--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -7,21 +7,21 @@
 )
 
 // settle restarts or closes the query when that is due.
-func (m *Machine) settle(now time.Time) {
-	if m.finished || m.restart(now) && !m.done(now) {
+func (m *Machine) settle() {
+	if m.finished || m.restart() && !m.done() {
 		return
 	}
 	if m.hedgeAt == 0 {
-		m.hedge(now)
+		m.hedge()
 	}
-	if m.done(now) {
-		m.finish(now)
+	if m.done() {
+		m.finish()
 	}
 }
 
 // done reports whether the answer is to be closed.
-func (m *Machine) done(now time.Time) bool {
-	return m.outstanding == 0 || m.hopeless() && m.idle() || now.Sub(m.start) >= m.closing()
+func (m *Machine) done() bool {
+	return m.outstanding == 0 || m.hopeless() && m.idle() || m.at >= m.closing()
 }
 
 // hopeless reports whether the service refuses every answer that can still be reached.
@@ -51,9 +51,9 @@
 	return m.closeAt
 }
 
-func (m *Machine) finish(now time.Time) {
+func (m *Machine) finish() {
 	m.finished = true
-	m.closed = now.Sub(m.start)
+	m.closed = m.at
 	for i := range m.shards {
 		if sh := &m.shards[i]; !sh.final {
 			sh.state, sh.fault = m.lateState(sh)
@@ -66,6 +66,9 @@
 	if sh.open == 0 {
 		return missingState(sh.fault), sh.fault
 	}
+	if m.at < m.closing() {
+		return clementineport.ShardLate, clementineport.FaultCanceled
+	}
 	return clementineport.ShardLate, clementineport.FaultTimeout
 }
 
@@ -163,7 +166,7 @@
 		return m.aborted
 	}
 	for i := range m.shards {
-		if m.shards[i].state == clementineport.ShardLate {
+		if m.shards[i].fault == clementineport.FaultTimeout {
 			return clementineport.FaultTimeout
 		}
 	}
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
-	"time"
+	"math"
 
 	"github.com/clementineport/clementineport"
 )
 
+// maxBackoffShift bounds how often the delay between retries doubles.
+const maxBackoffShift = 6
+
 var (
 	errNoReply    = clementineport.Fail(clementineport.FaultUnknown, "a result without reply or error")
 	errMismatched = clementineport.Fail(clementineport.FaultMismatched, "the reply has another shard or snapshot")
@@ -14,7 +17,7 @@
 )
 
 // failed ends an attempt and retries its shard or gives it up.
-func (m *Machine) failed(now time.Time, a *attempt, err error) {
+func (m *Machine) failed(a *attempt, err error) {
 	sh := &m.shards[a.shard]
 	if a.end == open {
 		sh.open--
@@ -22,98 +25,118 @@
 	a.end = failed
 	a.fault = clementineport.FaultOf(err)
 	sh.fault = a.fault
+	m.overloaded = m.overloaded || overload(a.fault)
 	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
+		sh.retryAfter = e.RetryAfter
 	}
 	if sh.final || sh.open > 0 {
 		return
 	}
-	if m.mayRetry(now, sh) {
-		m.retry(now, a.shard)
+	if m.mayRetry(sh) {
+		m.retry(a.shard)
 		return
 	}
-	m.giveUp(now, a.shard)
+	m.giveUp(a.shard)
 }
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
-func (m *Machine) mayRetry(now time.Time, sh *shard) bool {
-	if int(sh.retries) >= m.opts.MaxRetries || now.Sub(m.start) >= m.closeAt || m.hopeless() {
+func (m *Machine) mayRetry(sh *shard) bool {
+	if m.at >= m.closeAt || m.hopeless() {
+		return false
+	}
+	if !shed(sh.fault) && int(sh.retries) >= m.opts.MaxRetries {
 		return false
 	}
 	switch sh.fault {
-	case clementineport.FaultInvalid, clementineport.FaultUnauthorized, clementineport.FaultStale:
+	case clementineport.FaultInvalid, clementineport.FaultNotFound, clementineport.FaultUnauthorized,
+		clementineport.FaultStale:
 		return false
 	}
 	return m.plan.Query.Idempotent || !sh.mayHaveRun || m.opts.off(CheckVerdict)
 }
 
 // retry sends a call to another target, or waits when all have been tried and one may be asked again.
-func (m *Machine) retry(now time.Time, s clementineport.ShardID) {
-	if t, ok := m.pickTarget(now, s); ok {
-		m.sendRetry(now, s, t)
+func (m *Machine) retry(s clementineport.ShardID) {
+	sh := &m.shards[s]
+	t, ok := m.pickTarget(s)
+	switch {
+	case ok && m.spendRetry(sh.fault):
+		m.sendRetry(s, t)
+		return
+	case ok && !shed(sh.fault), !m.held(s):
+		m.giveUp(s)
 		return
 	}
-	sh := &m.shards[s]
-	if !m.held(now, s) {
-		m.giveUp(now, s)
+	backoff := max(m.opts.Backoff<<min(sh.retries, maxBackoffShift), sh.retryAfter)
+	if shed(sh.fault) && m.at+backoff > m.shedUntil {
+		m.giveUp(s)
 		return
 	}
-	backoff := m.opts.Backoff << sh.retries
-	sh.retryAt = now.Sub(m.start) + backoff
+	sh.retryAt = m.at + backoff
 	sh.triedFrom = int32(len(m.attempts))
 	m.retryAt = min(m.retryAt, sh.retryAt)
 }
 
-func (m *Machine) sendRetry(now time.Time, s clementineport.ShardID, t clementineport.TargetIndex) {
+func (m *Machine) sendRetry(s clementineport.ShardID, t clementineport.TargetIndex) {
 	sh := &m.shards[s]
-	if !m.plan.View.Usable(t, now) || !m.spendRetry(sh.fault) {
-		m.giveUp(now, s)
+	if !m.plan.View.Usable(t, m.now) {
+		m.giveUp(s)
 		return
 	}
-	sh.retries++
+	sh.retries = min(sh.retries+1, math.MaxUint8-1)
 	m.stats.Retries++
-	m.send(now, s, t, Retry)
+	m.send(s, t, Retry)
 }
 
 // spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
 func (m *Machine) spendRetry(fault clementineport.Fault) bool {
-	overload := fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
-	if fault.Verdict() == clementineport.NotRun && !overload {
+	if fault.Verdict() == clementineport.NotRun && !overload(fault) {
 		return true
 	}
 	return m.opts.RetryBudget != nil && m.opts.RetryBudget.Spend()
 }
 
+// overload reports whether a fault shows that targets have more work than they can do.
+func overload(fault clementineport.Fault) bool {
+	return fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
+}
+
+// shed reports whether a fault is the refusal of a full target.
+func shed(fault clementineport.Fault) bool { return fault == clementineport.FaultShed }
+
 // retryWaiting asks the shards again whose time has come.
-func (m *Machine) retryWaiting(now time.Time) {
-	at := now.Sub(m.start)
+func (m *Machine) retryWaiting() {
 	m.retryAt = never
 	for i := range m.shards {
 		sh := &m.shards[i]
 		switch {
 		case sh.retryAt == 0:
-		case sh.retryAt > at:
+		case sh.retryAt > m.at:
 			m.retryAt = min(m.retryAt, sh.retryAt)
 		default:
 			sh.retryAt = 0
-			m.retryNow(now, clementineport.ShardID(i))
+			m.retryNow(clementineport.ShardID(i))
 		}
 	}
 }
 
-func (m *Machine) retryNow(now time.Time, s clementineport.ShardID) {
-	if t, ok := m.pickTarget(now, s); ok {
-		m.sendRetry(now, s, t)
+// retryNow sends the retry of a shard that has waited. After the refusal of a full target the wait has paid
+// for it.
+func (m *Machine) retryNow(s clementineport.ShardID) {
+	fault := m.shards[s].fault
+	if t, ok := m.pickTarget(s); ok && (shed(fault) || m.spendRetry(fault)) {
+		m.sendRetry(s, t)
 		return
 	}
-	m.giveUp(now, s)
+	m.giveUp(s)
 }
 
 // held reports whether a usable target may hold the shard in the pinned snapshot.
-func (m *Machine) held(now time.Time, s clementineport.ShardID) bool {
-	for _, t := range m.plan.Choice.Layout.Replicas[s] {
-		if m.plan.View.Usable(t, now) && !m.refusedSnapshot(s, t) &&
+func (m *Machine) held(s clementineport.ShardID) bool {
+	for _, t := range m.layout.Replicas[s] {
+		if m.plan.View.Usable(t, m.now) && !m.refusedSnapshot(s, t) &&
 			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
 			return true
 		}
@@ -131,10 +154,10 @@
 }
 
 // giveUp settles a shard as missing.
-func (m *Machine) giveUp(now time.Time, s clementineport.ShardID) {
+func (m *Machine) giveUp(s clementineport.ShardID) {
 	sh := &m.shards[s]
 	sh.state = missingState(sh.fault)
-	if !m.held(now, s) {
+	if !m.held(s) {
 		m.lost++
 	}
 	m.conclude(sh)
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -39,7 +39,8 @@
 		Heartbeat:      defaultHeartbeat,
 		SilentAfter:    defaultSilentAfter,
 		Tracer:         noTracer{},
-		Seen:           func(clementineport.Revision) {},
+		Revision:       func() clementineport.Revision { return 0 },
+		Seen:           func(clementineport.Revision, clementineport.VMID) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -76,7 +77,8 @@
 	}
 	hc := &http.Client{Transport: o.Transport}
 	remote := cpwireconnect.NewPeerServiceClient(hc, "http://"+o.Address,
-		connect.WithReadMaxBytes(o.MaxMessageSize), connect.WithSendMaxBytes(o.MaxMessageSize))
+		connect.WithReadMaxBytes(o.MaxMessageSize), connect.WithSendMaxBytes(o.MaxMessageSize),
+		connect.WithAcceptCompression("gzip", nil, nil))
 	return &client{opts: o, http: hc, remote: remote}
 }
 
@@ -103,7 +105,7 @@
 	ctx, sent := watchSent(ctx)
 	err := c.relay(ctx, r, func(m *cpwire.RelayResponse) {
 		silence.Reset(c.opts.SilentAfter)
-		c.opts.Seen(clementineport.Revision(m.GetRevision()))
+		c.opts.Seen(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
 			deliver(resultFromWire(result))
 		}
@@ -132,15 +134,20 @@
 	return stream.Err()
 }
 
-// Exchange implements clementineport.Peer.
-func (c *client) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
-	ctx, sent := watchSent(ctx)
-	req := connect.NewRequest(&cpwire.ExchangeRequest{
+// DigestMessage returns a digest as it is sent.
+func DigestMessage(d *clementineport.Digest) *cpwire.ExchangeRequest {
+	return &cpwire.ExchangeRequest{
 		From:       memberToWire(&d.From),
 		Revision:   uint64(d.Revision),
 		FreshNanos: int64(d.Fresh),
 		Members:    membersToWire(d.Members),
-	})
+	}
+}
+
+// Exchange implements clementineport.Peer.
+func (c *client) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
+	ctx, sent := watchSent(ctx)
+	req := connect.NewRequest(DigestMessage(d))
 	c.opts.Token.Set(req.Header())
 	resp, err := c.remote.Exchange(ctx, req)
 	if err != nil {
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/clementineport/clementineport"
 )
@@ -100,29 +103,55 @@
 	return owner, false, ok
 }
 
-// sendGroup sends calls through one VM; calls that provably did not run go through the deputy once.
+// sendGroup sends calls through one VM; calls that provably did not run there go through another one once.
 func (s *Sender) sendGroup(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) {
-	left := s.attempt(ctx, router, g, deliver)
-	if left.err == nil || len(left.calls) == 0 {
-		return
-	}
-	if !g.deputy && left.err.Verdict() == clementineport.NotRun && ctx.Err() == nil {
-		for _, second := range s.deputies(router, left.calls) {
-			again := s.attempt(ctx, router, second, deliver)
-			failAll(again.calls, again.err, deliver)
+	var moved sync.WaitGroup
+	defer moved.Wait()
+	left := s.attempt(ctx, router, g, func(r clementineport.CallResult) {
+		if g.deputy || !refusedByVM(r.Err) {
+			deliver(r)
+			return
 		}
+		moved.Go(func() { s.resend(ctx, router, g.route.VM, g.find(r.Attempt), deliver) })
+	})
+	if !g.deputy && len(left.calls) > 0 && left.err.Verdict() == clementineport.NotRun && ctx.Err() == nil {
+		s.resend(ctx, router, g.route.VM, left.calls, deliver)
 		return
 	}
 	failAll(left.calls, left.err, deliver)
 }
 
-// deputies groups calls by the deputies of their targets.
-func (s *Sender) deputies(router Router, calls []clementineport.Call) []*group {
+// refusedByVM reports whether a VM refused a call that another VM may make.
+func refusedByVM(err error) bool {
+	fault := clementineport.FaultOf(err)
+	return fault == clementineport.FaultNotOwner || fault == clementineport.FaultStale
+}
+
+// resend sends calls that provably did not run at one VM through another.
+func (s *Sender) resend(ctx context.Context, router Router, tried clementineport.VMID, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
+	for _, second := range s.deputies(router, tried, calls) {
+		left := s.attempt(ctx, router, second, deliver)
+		failAll(left.calls, left.err, deliver)
+	}
+}
+
+// find returns the call of an attempt.
+func (g *group) find(a clementineport.AttemptID) []clementineport.Call {
+	i := slices.IndexFunc(g.calls, func(c clementineport.Call) bool { return c.Attempt == a })
+	return g.calls[i : i+1]
+}
+
+// deputies groups calls by the VM to try after one that did not run them: the deputy of the target, or its
+// owner if ownership has moved meanwhile.
+func (s *Sender) deputies(router Router, tried clementineport.VMID, calls []clementineport.Call) []*group {
 	var groups []*group
 	byVM := make(map[clementineport.VMID]*group)
 	for i := range calls {
-		route, ok := router.Route(calls[i].Target, true)
-		if !ok {
+		route, ok := router.Route(calls[i].Target, false)
+		if !ok || route.VM == tried {
+			route, ok = router.Route(calls[i].Target, true)
+		}
+		if !ok || route.VM == tried {
 			route = Route{}
 		}
 		g := byVM[route.VM]
@@ -154,6 +183,7 @@
 	}
 	pending := newPending(g.calls)
 	s.opts.Metrics.sent(len(g.calls), g.route.Self)
+	began := s.opts.Clock.Now()
 	err := relayer.Relay(ctx, &clementineport.RelayRequest{
 		From:     s.opts.Self,
 		Revision: router.Revision(),
@@ -171,20 +201,22 @@
 		left.err = asError(err)
 	}
 	if !g.route.Self {
-		s.observe(ctx, g.route.VM, err)
+		s.observe(ctx, g.route.VM, began, err)
 	}
 	return left
 }
 
 // observe records whether a VM answered; a relay that was cancelled says nothing about it.
-func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, err error) {
+func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, began time.Time, err error) {
 	switch {
 	case err == nil:
 		s.routes.answered(vm)
+		s.opts.OnAnswered(vm, began)
 	case ctx.Err() != nil:
 	default:
 		s.opts.Metrics.RouteFailures.Inc()
 		s.routes.failed(vm, s.opts.Clock.Now())
+		s.opts.OnFailed(vm)
 	}
 }
 
