--- a/cpcli/cpcli.go
+++ b/cpcli/cpcli.go
@@ -42,6 +42,9 @@
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		err = usagef("%v", err)
+	}
 	if err == nil {
 		err = root.Run(ctx)
 	}
--- a/cpnode/cpnode.go
+++ b/cpnode/cpnode.go
@@ -66,7 +66,7 @@
 		clock:    clockwork.NewRealClock(),
 		seed:     uint64(time.Now().UnixNano()),
 		start:    clementineport.StartID(strings.ToLower(rand.Text()[:startIDBytes])),
-		token:    cpsecret.New(s.Token.Reveal()),
+		token:    s.Token,
 		metrics:  metrics.NewSet(),
 	}
 	n.self = clementineport.VM{
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -118,7 +118,7 @@
 		cpoperator.WithSubmitter(submitter),
 		cpoperator.WithCurrent(func() *clementineport.Config { return n.control.View().Config }),
 		cpoperator.WithAccepted(n.accepted),
-		cpoperator.WithToken(n.settings.Token.Reveal()),
+		cpoperator.WithToken(n.token),
 	))
 	mux.Handle("GET "+cpoperator.StatusPath, cpsecret.Require(n.token, http.HandlerFunc(n.status)))
 	mux.Handle("GET /v1/explain/{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
