--- a/cpadvice/cpadvice.go
+++ b/cpadvice/cpadvice.go
@@ -147,6 +147,9 @@
 	start := float64(h>>11) / (1 << 53)
 	phase := time.Duration(h % uint64(max(a.options.Life, 1)))
 	epoch := now.Add(phase).UnixNano() / int64(max(a.options.Life, 1))
+	if !a.options.Rotate {
+		epoch = 0
+	}
 	_, u := math.Modf(start + float64(epoch%(1<<24))*goldenRatio)
 	return u
 }
--- /dev/null
+++ b/cpadvice/cpadvice_test.go
@@ -0,0 +1,172 @@
+package cpadvice_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadvice"
+)
+
+const life = 5 * time.Second
+
+func member(id string, domain clementineport.FailureDomain) clementineport.Member {
+	return clementineport.Member{
+		VM:     clementineport.VM{ID: clementineport.VMID(id), Domain: domain, Caller: id + ":80"},
+		Ticket: "ticket-" + id,
+	}
+}
+
+// TestAdvise checks what every list keeps to, whatever the members.
+func TestAdvise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []clementineport.Member
+		domains := []clementineport.FailureDomain{"a", "b", "c"}
+		for i := range rapid.IntRange(1, 12).Draw(t, "VMs") {
+			m := member(fmt.Sprint("vm", i), rapid.SampledFrom(domains).Draw(t, "domain"))
+			m.State = clementineport.MemberState(rapid.IntRange(0, 3).Draw(t, "state"))
+			members = append(members, m)
+		}
+		out := &clementineport.Out{}
+		if rapid.Bool().Draw(t, "out") {
+			out.Domains = append(out.Domains, "b")
+			out.VMs = append(out.VMs, "vm1")
+		}
+		a := cpadvice.New("vm0", members, out, cpadvice.WithLife(life), cpadvice.WithEntries(4))
+		c := cpadvice.Caller{Address: rapid.String().Draw(t, "caller"), Domain: rapid.SampledFrom(domains).Draw(t, "caller's domain")}
+		now := time.Unix(rapid.Int64Range(0, 1<<33).Draw(t, "now"), 0)
+		advice := a.Advise(c, now)
+		assert.Assert(t, len(advice.Entries) >= 1 && len(advice.Entries) <= 4)
+		assert.Equal(t, advice.Life, life)
+		assert.DeepEqual(t, advice, a.Advise(c, now))
+		usable := map[clementineport.VMID]bool{}
+		for _, m := range members {
+			isOut := len(out.VMs) > 0 && (m.Domain == "b" || m.ID == "vm1")
+			usable[m.ID] = m.State == clementineport.MemberAlive && !isOut
+		}
+		seen := map[clementineport.VMID]bool{}
+		for _, e := range advice.Entries {
+			alone := len(advice.Entries) == 1 && e.VM == "vm0"
+			assert.Assert(t, usable[e.VM] || alone, "%s must not be listed", e.VM)
+			assert.Assert(t, !seen[e.VM], "%s is listed twice", e.VM)
+			assert.Equal(t, e.Ticket, "ticket-"+string(e.VM))
+			seen[e.VM] = true
+		}
+	})
+}
+
+// imbalance lets 1,000 callers of unequal weight use the first entry of their lists for ten minutes, while every VM
+// is replaced in turn, and returns how far the load of a VM was from even, at most.
+func imbalance(opts ...cpadvice.Option) float64 {
+	type slot struct {
+		member       clementineport.Member
+		load, even   float64
+		advisedSince time.Time
+	}
+	start := time.Unix(1_700_000_000, 0)
+	var slots []*slot
+	for i, d := range []clementineport.FailureDomain{"a", "a", "b", "b", "b", "c", "c", "c"} {
+		slots = append(slots, &slot{member: member(fmt.Sprint("vm", i), d), advisedSince: start})
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	weights, assigned, expires := make([]float64, 1000), make([]clementineport.VMID, 1000), make([]time.Time, 1000)
+	for i := range weights {
+		weights[i] = math.Min(1/math.Sqrt(1-r.Float64()), 20)
+	}
+	opts = append([]cpadvice.Option{cpadvice.WithLife(life)}, opts...)
+	var adviser *cpadvice.Adviser
+	for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+		now := start.Add(at)
+		second := int(at / time.Second)
+		if phase := second % 75; phase == 30 || phase == 40 || adviser == nil {
+			// A VM leaves, and ten seconds later another one takes its place.
+			s := slots[second/75%len(slots)]
+			s.member.State = clementineport.MemberAlive
+			if phase == 30 {
+				s.member.State = clementineport.MemberLeaving
+			}
+			if phase == 40 {
+				s.member = member(string(s.member.ID)+"x", s.member.Domain)
+				s.advisedSince = now
+			}
+			var members []clementineport.Member
+			for _, s := range slots {
+				members = append(members, s.member)
+			}
+			adviser = cpadvice.New("vm0", members, &clementineport.Out{}, opts...)
+		}
+		loads, total, alive := map[clementineport.VMID]float64{}, 0.0, 0.0
+		for i, w := range weights {
+			if !now.Before(expires[i]) {
+				c := cpadvice.Caller{Address: fmt.Sprintf("10.0.%d.%d", i/250, i%250), Domain: []clementineport.FailureDomain{"a", "b", "c"}[i%3]}
+				advice := adviser.Advise(c, now)
+				assigned[i], expires[i] = advice.Entries[0].VM, now.Add(advice.Life)
+			}
+			loads[assigned[i]] += w
+			total += w
+		}
+		for _, s := range slots {
+			if s.member.State == clementineport.MemberAlive {
+				alive++
+			}
+		}
+		for _, s := range slots {
+			if s.member.State == clementineport.MemberAlive && now.Sub(s.advisedSince) >= life {
+				s.load += loads[s.member.ID]
+				s.even += total / alive
+			}
+		}
+	}
+	worst := 0.0
+	for _, s := range slots {
+		worst = math.Max(worst, math.Abs(s.load/s.even-1))
+	}
+	return worst
+}
+
+func TestLoadIsEvenThroughARollingReplacement(t *testing.T) {
+	assert.Assert(t, imbalance() < 0.1, "off by %.3f", imbalance())
+	fixed := imbalance(cpadvice.WithRotate(false))
+	assert.Assert(t, fixed > 0.1, "rotation makes no difference: %.3f", fixed)
+	demand := map[clementineport.FailureDomain]float64{"a": 0.25, "b": 0.375, "c": 0.375}
+	home := imbalance(cpadvice.WithDemand(demand))
+	assert.Assert(t, home > 0.1, "leaving the own domain makes no difference: %.3f", home)
+}
+
+func TestOwnDomainFirst(t *testing.T) {
+	var members []clementineport.Member
+	for i := range 12 {
+		members = append(members, member(fmt.Sprint("vm", i), clementineport.FailureDomain("abc"[i%3:i%3+1])))
+	}
+	a := cpadvice.New("vm0", members, &clementineport.Out{}, cpadvice.WithEntries(4))
+	for i := range 100 {
+		advice := a.Advise(cpadvice.Caller{Address: fmt.Sprint(i), Domain: "b"}, time.Unix(0, 0))
+		assert.Equal(t, len(advice.Entries), 4)
+		for _, e := range advice.Entries[:3] {
+			assert.Equal(t, e.Domain, clementineport.FailureDomain("b"))
+		}
+		assert.Assert(t, advice.Entries[3].Domain != "b", "a list must outlive the loss of one domain")
+	}
+}
+
+func BenchmarkAdvise(b *testing.B) {
+	for _, size := range []int{8, 770} {
+		b.Run(fmt.Sprintf("VMs=%d", size), func(b *testing.B) {
+			var members []clementineport.Member
+			for i := range size {
+				members = append(members, member(fmt.Sprint("vm", i), clementineport.FailureDomain("abcd"[i%4:i%4+1])))
+			}
+			a := cpadvice.New("vm0", members, &clementineport.Out{})
+			b.ReportAllocs()
+			for i := range b.N {
+				a.Advise(cpadvice.Caller{Address: "10.0.0.1:9", Domain: "a"}, time.Unix(int64(i), 0))
+			}
+		})
+	}
+}
--- a/cpadvice/options.go
+++ b/cpadvice/options.go
@@ -12,6 +12,8 @@
 	Entries int
 	// Life is how long a caller keeps an advice.
 	Life time.Duration
+	// Rotate gives a caller another first entry in each life.
+	Rotate bool
 	// Demand is the share of the load that comes from callers of each failure domain;
 	// without it, every domain is taken to have the same.
 	Demand map[clementineport.FailureDomain]float64
@@ -22,7 +24,7 @@
 
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
-	options := Options{Entries: 4, Life: 10 * time.Second}
+	options := Options{Entries: 4, Life: 10 * time.Second, Rotate: true}
 	for _, o := range opts {
 		o(&options)
 	}
@@ -39,6 +41,11 @@
 	return func(o *Options) { o.Life = life }
 }
 
+// WithRotate sets whether a caller gets another first entry in each life.
+func WithRotate(rotate bool) Option {
+	return func(o *Options) { o.Rotate = rotate }
+}
+
 // WithDemand sets the share of the load that comes from callers of each failure domain.
 func WithDemand(demand map[clementineport.FailureDomain]float64) Option {
 	return func(o *Options) { o.Demand = demand }
--- a/cpdrain/cpdrain.go
+++ b/cpdrain/cpdrain.go
@@ -37,6 +37,7 @@
 	left     time.Time
 	signaled time.Time
 	takenOut bool
+	abort    bool
 	cut      int
 }
 
@@ -82,7 +83,7 @@
 	case 2:
 		d.state = max(d.state, StateRefusing)
 	default:
-		d.state = StateEnded
+		d.abort = true
 	}
 }
 
@@ -115,7 +116,7 @@
 	if d.state != StateRefusing || d.signals == 0 {
 		return d.state
 	}
-	if inFlight == 0 || now.Sub(d.signaled) >= d.options.Longest {
+	if inFlight == 0 || d.abort || now.Sub(d.signaled) >= d.options.Longest {
 		d.state = StateEnded
 		d.cut = inFlight
 	}
--- /dev/null
+++ b/cpdrain/cpdrain_test.go
@@ -0,0 +1,133 @@
+package cpdrain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdrain"
+)
+
+const (
+	life    = 10 * time.Second
+	notice  = 2 * time.Second
+	longest = 30 * time.Second
+)
+
+func newDrain() *cpdrain.Drain {
+	return cpdrain.New(cpdrain.WithAdviceLife(life), cpdrain.WithNotice(notice), cpdrain.WithLongest(longest))
+}
+
+// TestDrain checks when a VM leaves advice, refuses and ends.
+func TestDrain(t *testing.T) {
+	type times struct{ Leaving, Refusing, Ended time.Duration }
+	const not = -1 * time.Second
+	tests := []struct {
+		name     string
+		signals  []time.Duration
+		out      []time.Duration // taken out, brought back, ...
+		busy     time.Duration   // how long requests are in flight
+		want     times
+		fault    clementineport.Fault // of the refusals
+		finalCut int
+	}{
+		{"idle", []time.Duration{0}, nil, 0, times{0, 12 * time.Second, 12 * time.Second}, clementineport.FaultDraining, 0},
+		{"busy", []time.Duration{0}, nil, 20 * time.Second, times{0, 12 * time.Second, 20 * time.Second}, clementineport.FaultDraining, 0},
+		{"never idle", []time.Duration{0}, nil, time.Hour, times{0, 12 * time.Second, longest}, clementineport.FaultDraining, 1},
+		{
+			"second signal",
+			[]time.Duration{0, time.Second},
+			nil, 5 * time.Second,
+			times{0, time.Second, 5 * time.Second},
+			clementineport.FaultDraining, 0,
+		},
+		{
+			"third signal",
+			[]time.Duration{0, time.Second, 2 * time.Second},
+			nil, time.Hour,
+			times{0, time.Second, 2 * time.Second},
+			clementineport.FaultDraining, 1,
+		},
+		{"taken out", nil, []time.Duration{0}, 0, times{0, 12 * time.Second, not}, clementineport.FaultTakenOut, 0},
+		{"taken out and back", nil, []time.Duration{0, 5 * time.Second}, 0, times{0, not, not}, 0, 0},
+		{
+			"taken out, then a signal",
+			[]time.Duration{20 * time.Second},
+			[]time.Duration{0},
+			time.Hour,
+			times{0, 12 * time.Second, 50 * time.Second},
+			clementineport.FaultTakenOut, 1,
+		},
+		{
+			"brought back during a shutdown",
+			[]time.Duration{2 * time.Second},
+			[]time.Duration{0, 3 * time.Second},
+			0,
+			times{0, 12 * time.Second, 12 * time.Second},
+			clementineport.FaultDraining, 0,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDrain()
+			start := time.Unix(1_700_000_000, 0)
+			first := map[cpdrain.State]time.Duration{}
+			out := false
+			for at := time.Duration(0); at <= time.Minute; at += 500 * time.Millisecond {
+				for _, o := range tt.out {
+					if o == at {
+						out = !out
+						d.TakenOut(start.Add(at), out)
+					}
+				}
+				for _, s := range tt.signals {
+					if s == at {
+						d.Signal(start.Add(at))
+					}
+				}
+				inFlight := 0
+				if at < tt.busy {
+					inFlight = 1
+				}
+				s := d.Tick(start.Add(at), inFlight)
+				if _, seen := first[s]; !seen {
+					first[s] = at
+					if s == cpdrain.StateRefusing {
+						assert.Equal(t, clementineport.FaultOf(d.Admit()), tt.fault)
+						assert.Equal(t, clementineport.VerdictOf(d.Admit()), clementineport.NotRun)
+					}
+				}
+				assert.Equal(t, d.Advised(), s == cpdrain.StateServing)
+				assert.Equal(t, d.Admit() == nil, s < cpdrain.StateRefusing)
+			}
+			for s, want := range map[cpdrain.State]time.Duration{
+				cpdrain.StateLeaving: tt.want.Leaving, cpdrain.StateRefusing: tt.want.Refusing, cpdrain.StateEnded: tt.want.Ended,
+			} {
+				at, seen := first[s]
+				if s == cpdrain.StateRefusing && tt.want.Refusing == tt.want.Ended {
+					continue // both in one step
+				}
+				assert.Equal(t, seen, want != not, "%v", s)
+				assert.Assert(t, !seen || at == want, "%v at %v", s, at)
+			}
+			assert.Equal(t, d.Cut(), tt.finalCut)
+		})
+	}
+}
+
+func ExampleDrain() {
+	d := cpdrain.New(cpdrain.WithAdviceLife(5*time.Second), cpdrain.WithNotice(time.Second))
+	now := time.Unix(0, 0)
+	d.Signal(now)
+	fmt.Println(d.Tick(now, 1), d.Admit())
+	now = now.Add(6 * time.Second)
+	fmt.Println(d.Tick(now, 1), d.Admit())
+	fmt.Println(d.Tick(now, 0))
+	// Output:
+	// leaving <nil>
+	// refusing draining: this VM is shutting down
+	// ended
+}
--- a/cpowner/cpowner.go
+++ b/cpowner/cpowner.go
@@ -13,6 +13,9 @@
 	"github.com/clementineport/clementineport"
 )
 
+// rebuildSlack is the number of departed VMs that are always remembered.
+const rebuildSlack = 16
+
 // NoMember is the index of no member.
 const NoMember int32 = -1
 
@@ -82,8 +85,9 @@
 func (a *Assigner) Assign(table *clementineport.Table, members []clementineport.Member) Assignment {
 	joined, left := a.update(table, members)
 	changed := float64(len(joined) + len(left))
+	crowded := len(a.vms) > 2*len(members)+rebuildSlack
 	switch {
-	case a.table != table || changed > a.options.RebuildShare*float64(len(a.vms)):
+	case a.table != table || crowded || changed > a.options.RebuildShare*float64(len(a.vms)):
 		a.rebuild(table, members)
 	case changed > 0:
 		a.change(joined, left)
@@ -173,16 +177,13 @@
 	for t := range a.best {
 		d := a.table.Targets[t].Domain
 		p := &a.best[t]
-		if len(before[d]) == 0 || len(a.domains[d]) == 0 || gone[p.owner] || gone[p.deputy] {
+		if len(before[d]) < 2 || len(a.domains[d]) < 2 || gone[p.owner] || gone[p.deputy] {
 			a.choose(t)
 			continue
 		}
 		for _, at := range joined {
 			if a.vms[at].domain == d {
 				p.offer(at, score(a.hashes[t], a.vms[at].hash))
-			} else if p.deputy == NoMember {
-				a.choose(t)
-				break
 			}
 		}
 	}
--- a/cpspread/cpspread.go
+++ b/cpspread/cpspread.go
@@ -73,6 +73,8 @@
 	fetching clementineport.VMID
 	wanted   map[clementineport.VMID]clementineport.Revision
 	pending  []Action
+	pushes   int // rounds of pushes that are still due
+	nextPush time.Time
 
 	watching  bool
 	round     uint64
@@ -150,6 +152,7 @@
 
 // Tick returns the calls to make now.
 func (s *Spread) Tick(now time.Time) []Action {
+	s.push(now)
 	actions := s.pending
 	s.pending = nil
 	if s.nextRead.IsZero() {
@@ -237,10 +240,21 @@
 			delete(s.wanted, id)
 		}
 	}
-	s.pending = append(s.pending, s.ask(KindTell, s.options.FanOut, now)...)
+	s.pushes, s.nextPush = s.options.Pushes, now
+	s.push(now)
 	return VerdictNewer
 }
 
+// push tells some peers of a new revision, several times at short intervals.
+func (s *Spread) push(now time.Time) {
+	if s.pushes == 0 || now.Before(s.nextPush) {
+		return
+	}
+	s.pushes--
+	s.nextPush = now.Add(s.options.PushPeriod)
+	s.pending = append(s.pending, s.ask(KindTell, s.options.FanOut, now)...)
+}
+
 // Stored takes the store's answer to a read or watch that this VM began.
 func (s *Spread) Stored(now time.Time, a Action, version uint64, r clementineport.Revision) Verdict {
 	s.Contacted(a.Began)
--- a/cpspread/options.go
+++ b/cpspread/options.go
@@ -23,6 +23,9 @@
 	MostBackoff  time.Duration
 	// FanOut is the number of peers that are told at once of a new revision.
 	FanOut int
+	// Pushes is the number of rounds in which peers are told, and PushPeriod the time between them.
+	Pushes     int
+	PushPeriod time.Duration
 	// StaleAfter is how long this VM sends new work without having heard from store or peer.
 	StaleAfter time.Duration
 	// RenewAfter is the time since the last contact from which extra contacts are made.
@@ -46,6 +49,8 @@
 		LeastBackoff: 500 * time.Millisecond,
 		MostBackoff:  20 * time.Second,
 		FanOut:       4,
+		Pushes:       2,
+		PushPeriod:   300 * time.Millisecond,
 		StaleAfter:   3 * time.Second,
 		RenewAfter:   1500 * time.Millisecond,
 		RenewPeriod:  300 * time.Millisecond,
