--- a/cpentry/router.go
+++ b/cpentry/router.go
@@ -30,10 +30,16 @@
 	if member == nil {
 		return cprelay.Route{}, false
 	}
-	if member.ID == view.Self {
-		return cprelay.Route{VM: member.ID, Self: true}, true
+	return cprelay.Route{VM: member.ID, Self: member.ID == view.Self}, true
+}
+
+// Peer implements cprelay.Router.
+func (r *router) Peer(vm clementineport.VMID) clementineport.Peer {
+	member := r.control.View().Member(vm)
+	if member == nil {
+		return nil
 	}
-	return cprelay.Route{VM: member.ID, Peer: r.peers.Get(member.VM)}, true
+	return r.peers.Get(member.VM)
 }
 
 // Revision implements cprelay.Router.
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -11,17 +11,18 @@
 	"github.com/clementineport/clementineport"
 )
 
-// Route is the way to a target: through this VM or through a peer.
+// Route is the way to a target: through this VM or through another.
 type Route struct {
 	VM   clementineport.VMID
 	Self bool
-	Peer clementineport.Peer
 }
 
 // Router knows the routes of one view.
 type Router interface {
 	// Route returns the owner of a target, or its deputy.
 	Route(t clementineport.TargetID, deputy bool) (Route, bool)
+	// Peer returns the connection to a VM that Route has named, or nil.
+	Peer(vm clementineport.VMID) clementineport.Peer
 	// Revision returns the revision in force.
 	Revision() clementineport.Revision
 }
@@ -62,47 +63,6 @@
 	}
 }
 
-type group struct {
-	route  Route
-	deputy bool
-	calls  []clementineport.Call
-}
-
-// group sorts calls by the VM to send them through; calls without a route fail at once.
-func (s *Sender) group(router Router, calls []clementineport.Call, deliver func(clementineport.CallResult)) []*group {
-	var groups []*group
-	byVM := make(map[clementineport.VMID]*group)
-	for i := range calls {
-		route, deputy, ok := s.route(router, calls[i].Target)
-		if !ok {
-			deliver(failed(&calls[i], clementineport.Fail(clementineport.FaultUnavailable, "no VM for target %s", calls[i].Target)))
-			continue
-		}
-		g := byVM[route.VM]
-		if g == nil {
-			g = &group{route: route, deputy: deputy}
-			byVM[route.VM] = g
-			groups = append(groups, g)
-		}
-		g.calls = append(g.calls, calls[i])
-	}
-	return groups
-}
-
-// route returns the owner, or the deputy while the owner does not answer.
-func (s *Sender) route(router Router, t clementineport.TargetID) (route Route, deputy, ok bool) {
-	now := s.opts.Clock.Now()
-	owner, ok := router.Route(t, false)
-	if ok && (owner.Self || s.routes.usable(owner.VM, now)) {
-		return owner, false, true
-	}
-	second, found := router.Route(t, true)
-	if found && (second.Self || s.routes.usable(second.VM, now)) {
-		return second, true, true
-	}
-	return owner, false, ok
-}
-
 // sendGroup sends calls through one VM; calls that provably did not run there go through another one once.
 func (s *Sender) sendGroup(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) {
 	var moved sync.WaitGroup
@@ -129,7 +89,7 @@
 
 // resend sends calls that provably did not run at one VM through another.
 func (s *Sender) resend(ctx context.Context, router Router, tried clementineport.VMID, calls []clementineport.Call, deliver func(clementineport.CallResult)) {
-	for _, second := range s.deputies(router, tried, calls) {
+	for _, second := range deputies(router, tried, calls) {
 		left := s.attempt(ctx, router, second, deliver)
 		failAll(left.calls, left.err, deliver)
 	}
@@ -141,30 +101,6 @@
 	return g.calls[i : i+1]
 }
 
-// deputies groups calls by the VM to try after one that did not run them: the deputy of the target, or its
-// owner if ownership has moved meanwhile.
-func (s *Sender) deputies(router Router, tried clementineport.VMID, calls []clementineport.Call) []*group {
-	var groups []*group
-	byVM := make(map[clementineport.VMID]*group)
-	for i := range calls {
-		route, ok := router.Route(calls[i].Target, false)
-		if !ok || route.VM == tried {
-			route, ok = router.Route(calls[i].Target, true)
-		}
-		if !ok || route.VM == tried {
-			route = Route{}
-		}
-		g := byVM[route.VM]
-		if g == nil {
-			g = &group{route: route, deputy: true}
-			byVM[route.VM] = g
-			groups = append(groups, g)
-		}
-		g.calls = append(g.calls, calls[i])
-	}
-	return groups
-}
-
 // remainder is what a Relay left without a result.
 type remainder struct {
 	calls []clementineport.Call
@@ -172,13 +108,8 @@
 }
 
 func (s *Sender) attempt(ctx context.Context, router Router, g *group, deliver func(clementineport.CallResult)) remainder {
-	var relayer Relayer
-	switch {
-	case g.route.Self:
-		relayer = s.opts.Local
-	case g.route.Peer != nil:
-		relayer = g.route.Peer
-	default:
+	relayer := s.relayer(router, g.route)
+	if relayer == nil {
 		return remainder{g.calls, clementineport.Fail(clementineport.FaultUnavailable, "no other VM for the target")}
 	}
 	pending := newPending(g.calls)
@@ -193,7 +124,7 @@
 			deliver(r)
 		}
 	})
-	left := remainder{calls: pending.left()}
+	left := remainder{calls: pending.remaining()}
 	if err == nil && len(left.calls) > 0 {
 		err = clementineport.Fail(clementineport.FaultCut, "the VM ended the relay without a result")
 	}
@@ -206,6 +137,17 @@
 	return left
 }
 
+// relayer returns what makes the calls of a route, or nil.
+func (s *Sender) relayer(router Router, r Route) Relayer {
+	if r.Self {
+		return s.opts.Local
+	}
+	if peer := router.Peer(r.VM); peer != nil {
+		return peer
+	}
+	return nil
+}
+
 // observe records whether a VM answered; a relay that was cancelled says nothing about it.
 func (s *Sender) observe(ctx context.Context, vm clementineport.VMID, began time.Time, err error) {
 	switch {
--- a/cprelay/health.go
+++ b/cprelay/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -9,9 +10,11 @@
 
 // health remembers which VMs failed a relay; a failed one is tried again after a while.
 type health struct {
-	mu         sync.RWMutex
 	retryAfter time.Duration
-	notBefore  map[clementineport.VMID]time.Time
+	// failures is the size of notBefore, so that a healthy fleet takes no lock.
+	failures  atomic.Int32
+	mu        sync.RWMutex
+	notBefore map[clementineport.VMID]time.Time
 }
 
 func newHealth(retryAfter time.Duration) *health {
@@ -19,6 +22,9 @@
 }
 
 func (h *health) usable(vm clementineport.VMID, now time.Time) bool {
+	if h.failures.Load() == 0 {
+		return true
+	}
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	return !now.Before(h.notBefore[vm])
@@ -28,16 +34,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.notBefore[vm] = now.Add(h.retryAfter)
+	h.failures.Store(int32(len(h.notBefore)))
 }
 
 func (h *health) answered(vm clementineport.VMID) {
-	h.mu.RLock()
-	_, known := h.notBefore[vm]
-	h.mu.RUnlock()
-	if !known {
+	if h.failures.Load() == 0 {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.notBefore, vm)
+	h.failures.Store(int32(len(h.notBefore)))
 }
--- a/cprelay/owner.go
+++ b/cprelay/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/clementineport/clementineport"
 )
@@ -28,6 +29,11 @@
 
 // Relay implements Relayer.
 func (o *Owner) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
+	if len(r.Calls) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, latest(r.Calls))
+	defer cancel()
 	var wg sync.WaitGroup
 	for i := range r.Calls[1:] {
 		c := &r.Calls[i+1]
@@ -38,6 +44,17 @@
 	return nil
 }
 
+// latest returns the latest deadline of some calls; those of one query have the same.
+func latest(calls []clementineport.Call) time.Time {
+	deadline := calls[0].Deadline
+	for i := range calls {
+		if calls[i].Deadline.After(deadline) {
+			deadline = calls[i].Deadline
+		}
+	}
+	return deadline
+}
+
 func (o *Owner) call(ctx context.Context, c *clementineport.Call) clementineport.CallResult {
 	t, err := o.targets.Target(c.Target)
 	if err != nil {
@@ -60,8 +77,6 @@
 	if err := o.maySend(); err != nil {
 		return failed(c, asError(err))
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
 	start := o.clock.Now()
 	reply, err := t.Search(ctx, c)
 	r := clementineport.CallResult{
--- a/cprelay/pool.go
+++ b/cprelay/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/clementineport/clementineport"
 )
@@ -16,9 +17,10 @@
 
 // Pool keeps the connections to the targets that this VM may call.
 type Pool struct {
-	dial    Dial
-	mu      sync.RWMutex
-	targets map[clementineport.TargetID]pooled
+	dial Dial
+	// mu is held by changes; a change replaces the whole map, so that calls read it without a lock.
+	mu      sync.Mutex
+	targets atomic.Pointer[map[clementineport.TargetID]pooled]
 }
 
 type pooled struct {
@@ -29,14 +31,14 @@
 
 // NewPool returns a Pool that may call no target yet.
 func NewPool(dial Dial) *Pool {
-	return &Pool{dial: dial, targets: make(map[clementineport.TargetID]pooled)}
+	p := &Pool{dial: dial}
+	p.targets.Store(&map[clementineport.TargetID]pooled{})
+	return p
 }
 
 // Target implements Targets.
 func (p *Pool) Target(id clementineport.TargetID) (clementineport.Target, error) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	known, ok := p.targets[id]
+	known, ok := (*p.targets.Load())[id]
 	if !ok {
 		return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM does not serve target %s", id)
 	}
@@ -47,46 +49,46 @@
 func (p *Pool) Update(table *clementineport.Table, share func(clementineport.TargetIndex) int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old := *p.targets.Load()
+	next := make(map[clementineport.TargetID]pooled, len(old))
 	for i := range table.Targets {
-		p.update(&table.Targets[i], share(clementineport.TargetIndex(i)))
-	}
-	for id := range p.targets {
-		if _, ok := table.ByID[id]; !ok {
-			p.remove(id)
+		row := &table.Targets[i]
+		if n := share(clementineport.TargetIndex(i)); n > 0 {
+			next[row.ID] = p.keep(old, row, n)
 		}
 	}
+	p.targets.Store(&next)
+	closeAll(old, next)
 }
 
-func (p *Pool) update(row *clementineport.TargetRow, connections int) {
-	known, ok := p.targets[row.ID]
-	if ok && (connections == 0 || known.address != row.Address) {
-		p.remove(row.ID)
-		ok = false
+// keep returns the connection to a target with its share, dialed anew when the address has changed.
+func (p *Pool) keep(old map[clementineport.TargetID]pooled, row *clementineport.TargetRow, connections int) pooled {
+	known, ok := old[row.ID]
+	if !ok || known.address != row.Address {
+		return pooled{row.Address, connections, p.dial(row, connections)}
 	}
-	switch {
-	case connections == 0:
-	case !ok:
-		p.targets[row.ID] = pooled{row.Address, connections, p.dial(row, connections)}
-	case known.connections != connections:
+	if known.connections != connections {
 		if r, can := known.target.(resizer); can {
 			r.Resize(connections)
 		}
 		known.connections = connections
-		p.targets[row.ID] = known
 	}
+	return known
 }
 
-// remove closes idle connections; calls in progress end by themselves.
-func (p *Pool) remove(id clementineport.TargetID) {
-	_ = p.targets[id].target.Close()
-	delete(p.targets, id)
+// closeAll closes the idle connections of the targets that next does not have; calls in progress end by themselves.
+func closeAll(old, next map[clementineport.TargetID]pooled) {
+	for id, known := range old {
+		if next[id].target != known.target {
+			_ = known.target.Close()
+		}
+	}
 }
 
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.targets {
-		p.remove(id)
-	}
+	old := *p.targets.Swap(&map[clementineport.TargetID]pooled{})
+	closeAll(old, nil)
 }
