--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,12 @@
 	$(GO) tool gofumpt -w .
 
 generate:
-	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go \
+		github.com/mailru/easyjson/easyjson
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=module=github.com/clementineport/clementineport \
 		--connect-go_out=. --connect-go_opt=module=github.com/clementineport/clementineport,package_suffix=connect cpwire/peer.proto
-	$(GO) tool gofumpt -w cpwire
+	cd cptarget/cphttp && $(CURDIR)/bin/tools/easyjson -all -no_std_marshalers -output_filename wire_easyjson.go wire.go
+	$(GO) tool gofumpt -w cpwire cptarget
 
 run: build
 	@./scripts/run.sh
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -72,7 +73,7 @@
 
 func decodeReply(call *clementineport.Call, data []byte) (*clementineport.Reply, error) {
 	var body SearchResponse
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
 	}
 	if body.Request != call.Request || body.Shard != call.Shard || body.Snapshot != call.Snapshot {
@@ -91,7 +92,7 @@
 
 func decodeRefusal(call *clementineport.Call, status int, data []byte) (*clementineport.Reply, error) {
 	var body Refusal
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, clementineport.Fail(faultOfStatus(status), "status %d without a refusal", status)
 	}
 	if body.Request != call.Request || body.Shard != call.Shard {
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -89,11 +91,11 @@
 	if left <= 0 {
 		return nil, clementineport.Fail(clementineport.FaultDeadline, "no time left")
 	}
-	body, err := json.Marshal(newSearchRequest(call, left))
+	body, err := easyjson.Marshal(newSearchRequest(call, left))
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := limit(ctx, left)
 	defer cancel()
 	e := &exchange{client: c}
 	r, err := e.request(ctx, c.url+PathSearch, body)
@@ -113,6 +115,14 @@
 	return decodeRefusal(call, status, data)
 }
 
+// limit returns a context that ends when no time is left; the one of the caller serves if it ends by then.
+func limit(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= left {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, left)
+}
+
 // Status implements clementineport.Target.
 func (c *Client) Status(ctx context.Context) (clementineport.Signals, error) {
 	var s clementineport.Signals
