--- /dev/null
+++ b/cpfleet/domain_test.go
@@ -0,0 +1,172 @@
+package cpfleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsearcher"
+)
+
+// coldFlags make the stand-in targets start cold and fall over when they get too much work then.
+var coldFlags = []string{"--cold-step", "20", "--cold-factor", "4", "--fall-over", "2s"}
+
+// warm waits until the targets have served enough calls to be warm.
+func (f *fleet) warm(targets []int) {
+	f.t.Helper()
+	eventually(f.t, "targets are warm", func() error {
+		all := f.stats()
+		for _, n := range targets {
+			if all[n].Cold {
+				return fmt.Errorf("target %d bears %d calls", n, all[n].Level)
+			}
+		}
+		return nil
+	})
+}
+
+// coldRestart restarts targets cold and waits until they have begun a new life.
+func (f *fleet) coldRestart(targets []int) {
+	f.t.Helper()
+	before := f.stats()
+	f.admin(cpsearcher.Command{Targets: targets, ColdRestart: true})
+	eventually(f.t, "targets have restarted", func() error {
+		all := f.stats()
+		for _, n := range targets {
+			if all[n].Start == before[n].Start {
+				return fmt.Errorf("target %d has not restarted", n)
+			}
+		}
+		return nil
+	})
+}
+
+func allTargets() []int { return []int{0, 1, 2, 3, 4, 5, 6, 7, 8} }
+
+// settleTime is how long a test goes on looking after the promised time.
+const settleTime = 2 * time.Second
+
+// TestFailureDomainMove proves that a failure domain that is taken out gets no new work after the promised
+// time, that no query fails for it, and that its return does not push its cold targets over.
+func TestFailureDomainMove(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	l := f.load("")
+	f.warm(allTargets())
+	accepted := f.move("take-out", "b")
+	time.Sleep(time.Until(accepted.Add(promised + settleTime)))
+	report(t, "quiet", f.checkQuiet("b", accepted))
+	f.coldRestart(domainTargets("b"))
+	f.move("bring-back", "b")
+	f.warm(domainTargets("b"))
+	l.checkAlways(true, true)
+}
+
+// TestColdTargets proves that targets that restart cold without warning do not fall over: one, a third of
+// them, and a whole failure domain.
+func TestColdTargets(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	l := f.load("")
+	f.warm(allTargets())
+	for _, targets := range [][]int{{4}, {0, 4, 8}, domainTargets("c")} {
+		f.coldRestart(targets)
+		f.warm(targets)
+		report(t, fmt.Sprintf("targets %v", targets), f.checkTargets())
+	}
+	outcomes := l.finish()
+	t.Logf("not whole: %d idempotent, %d in all, of %d", len(checkWhole(outcomes, false)), len(checkWhole(outcomes, true)), len(outcomes))
+	l.checkAlways(false, false)
+}
+
+// TestColdBaseline shows that the check for fall-overs fails under the baseline policy.
+func TestColdBaseline(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	f.load("baseline")
+	eventually(t, "a target falls over", func() error {
+		if len(f.checkTargets()) == 0 {
+			return fmt.Errorf("none has")
+		}
+		return nil
+	})
+}
+
+// TestDrainingTarget proves that a target that says it is draining gets no new work after the promised time
+// and that no query fails for it.
+func TestDrainingTarget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	l := f.load("")
+	l.answered(100)
+	drain := true
+	f.admin(cpsearcher.Command{Targets: []int{0, 4}, Drain: &drain})
+	time.Sleep(promised + settleTime)
+	for _, n := range []int{0, 4} {
+		if s := f.stats()[n]; s.LastCallAfterDrainMilliseconds > promised.Milliseconds() {
+			t.Errorf("target %d got a call %d ms after the start of its drain", n, s.LastCallAfterDrainMilliseconds)
+		}
+	}
+	l.checkAlways(true, true)
+}
+
+// hold makes targets answer from these snapshots only, one target after the other.
+func (f *fleet) hold(l *load, targets []int, held ...clementineport.Snapshot) {
+	f.t.Helper()
+	for _, n := range targets {
+		f.admin(cpsearcher.Command{Targets: []int{n}, Held: held})
+		l.answered(30)
+	}
+}
+
+// snapshots counts the answers of each snapshot.
+func snapshots(outcomes []outcome) map[clementineport.Snapshot]int {
+	seen := make(map[clementineport.Snapshot]int)
+	for i := range outcomes {
+		if outcomes[i].answer != nil {
+			seen[outcomes[i].answer.Snapshot]++
+		}
+	}
+	return seen
+}
+
+// TestVersionRollout proves that each answer is of one version while versions come and go, and that a
+// roll-out with an overlap costs no answer.
+func TestVersionRollout(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	v1, v2, v3 := clementineport.Snapshot{Version: 1, Layout: 1}, clementineport.Snapshot{Version: 2, Layout: 1}, clementineport.Snapshot{Version: 3, Layout: 1}
+	l := f.load("")
+	l.answered(50)
+	f.hold(l, allTargets(), v1, v2)
+	f.hold(l, allTargets(), v2)
+	l.checkAlways(true, true)
+	if seen := snapshots(l.outcomes); seen[v1] == 0 || seen[v2] == 0 {
+		t.Errorf("answers by snapshot: %v", seen)
+	}
+	swapped := f.load("")
+	f.hold(swapped, allTargets(), v3)
+	swapped.checkAlways(true, false)
+	if seen := snapshots(swapped.outcomes); seen[v2] == 0 || seen[v3] == 0 {
+		t.Errorf("answers by snapshot: %v", seen)
+	}
+}
+
+// TestRepartition proves that each answer is of one partition layout while the index is split anew.
+func TestRepartition(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	l1, l2 := clementineport.Snapshot{Version: 1, Layout: 1}, clementineport.Snapshot{Version: 1, Layout: 2}
+	l := f.load("")
+	l.answered(50)
+	f.submit(f.estate([]int{shards, shards + 1}))
+	f.hold(l, allTargets(), l1, l2)
+	f.hold(l, allTargets(), l2)
+	f.submit(f.estate([]int{0, shards + 1}))
+	l.answered(100)
+	l.checkAlways(true, true)
+	if seen := snapshots(l.outcomes); seen[l1] == 0 || seen[l2] == 0 {
+		t.Errorf("answers by snapshot: %v", seen)
+	}
+}
--- a/cpfleet/fleet_test.go
+++ b/cpfleet/fleet_test.go
@@ -175,6 +175,9 @@
 	for i := range domains {
 		f.startEntry("vm-"+domains[i:i+1], domains[i:i+1])
 	}
+	for _, e := range f.entries {
+		eventually(t, e.name+" serves operators", func() error { return f.call(http.MethodGet, e.vm.Operator, "/metrics", nil, nil) })
+	}
 	f.submit(f.estate(o.layouts))
 	for _, e := range f.entries {
 		f.ready(e)
