Look at a straggler again when there was no other target for its hedge

Cause: a shard whose other targets were all unusable at the moment its hedge was due was never hedged again, so a call that hung kept its query until the deadline. The new test fails without the change (1 call instead of 2) and passes with it.

--- a/cpgather/decision_test.go
+++ b/cpgather/decision_test.go
@@ -300,3 +300,15 @@
 	g.reply(2)
 	assert.Assert(t, g.m.Finished() && g.m.Answer().Complete)
 }
+
+func TestStragglerWithoutAnotherTargetIsLookedAtAgain(t *testing.T) {
+	plan, v := cpgathertest.NewPlan(1, 2, cpgathertest.Old)
+	g := newModel(plan, v, cpgather.Budgets(&cpgathertest.Budget{Share: 1}, nil))
+	assert.Equal(t, g.calls[0].Target, plan.Targets[0].ID)
+	v.Out[1] = true
+	g.run(40 * time.Millisecond)
+	assert.Equal(t, len(g.calls), 1)
+	v.Out[1] = false
+	g.run(60 * time.Millisecond)
+	assert.Equal(t, len(g.calls), 2)
+}
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -23,8 +23,9 @@
 			m.hedgeAt = min(m.hedgeAt, due)
 			continue
 		}
+		hedges := sh.hedges
 		off = off || !m.sendHedge(clementineport.ShardID(i))
-		if off {
+		if sh.hedges == hedges {
 			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Recheck)
 		}
 	}
@@ -42,12 +43,11 @@
 	return a.sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.target)))
 }
 
-// sendHedge sends a hedge, or reports that the budget has none left.
+// sendHedge sends a hedge if there is a target for it, or reports that the budget has none left.
 func (m *Machine) sendHedge(s clementineport.ShardID) bool {
 	sh := &m.shards[s]
 	t, ok := m.pickTarget(s)
 	if !ok || !m.plan.View.Usable(t, m.now) {
-		sh.hedges = uint8(m.opts.MaxHedges)
 		return true
 	}
 	if !m.opts.HedgeBudget.Spend() {
