--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -63,6 +64,8 @@
 		return clementineport.FaultDeadline
 	case ctx.Err() != nil:
 		return clementineport.FaultUnsent
+	case clementineport.FaultOf(err) == clementineport.FaultStale:
+		return clementineport.FaultStale
 	case errors.Is(err, errShare):
 		return clementineport.FaultShed
 	case e.conn == nil:
@@ -74,7 +77,7 @@
 
 func decodeReply(call *clementineport.Call, data []byte) (*clementineport.Reply, error) {
 	var body SearchResponse
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
 	}
 	if body.Request != call.Request || body.Shard != call.Shard || body.Snapshot != call.Snapshot {
@@ -93,7 +96,7 @@
 
 func decodeRefusal(call *clementineport.Call, status int, data []byte) (*clementineport.Reply, error) {
 	var body Refusal
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, clementineport.Fail(faultOfStatus(status), "status %d without a refusal", status)
 	}
 	if body.Request != call.Request || body.Shard != call.Shard {
