--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -35,6 +35,9 @@
 	typical atomic.Int64
 	// streak counts the calls in a row that ended without a byte of answer.
 	streak atomic.Int32
+	// spare hands over a connection that was opened ahead of need.
+	spare     chan *conn
+	refilling atomic.Bool
 
 	mu       sync.Mutex
 	waiting  map[*exchange]struct{}
@@ -48,6 +51,7 @@
 		opts:    o,
 		url:     "http://" + o.Address,
 		pool:    &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
+		spare:   make(chan *conn),
 		waiting: map[*exchange]struct{}{},
 	}
 	c.transport = &http.Transport{
@@ -58,6 +62,10 @@
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
 	}
+	if o.HTTP2 {
+		c.transport.Protocols = &http.Protocols{}
+		c.transport.Protocols.SetUnencryptedHTTP2(true)
+	}
 	return c
 }
 
@@ -108,6 +116,9 @@
 	status, data, err := e.roundTrip(r)
 	c.end(e, err)
 	if err != nil {
+		if ctx.Err() != nil && e.conn != nil && !c.opts.HTTP2 {
+			c.refill()
+		}
 		return nil, e.fail(ctx, err)
 	}
 	if status == http.StatusOK {
