Pack the hits of a relayed reply into few fields

Lengths that do not fit the text make the result malformed. Text from a target that is no valid UTF-8 no longer fails the whole relay.

--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -107,7 +107,7 @@
 		silence.Reset(c.opts.SilentAfter)
 		c.opts.Seen(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
-			deliver(resultFromWire(result))
+			deliver(resultFromWire(result, r.Calls[0].Request))
 		}
 	})
 	switch {
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -42,7 +42,7 @@
 		failed <- h.next.Relay(ctx, r, func(result clementineport.CallResult) { results <- result })
 		close(results)
 	}()
-	if err := h.sendResults(stream, results); err != nil {
+	if err := h.sendResults(stream, results, clementineport.RequestID(m.GetRequest())); err != nil {
 		return err
 	}
 	if err := <-failed; err != nil {
@@ -53,7 +53,9 @@
 
 // sendResults sends each result at once, together with others that are ready, and an empty message when
 // there was none for a while, so that the caller can tell a slow target from a silent VM.
-func (h *handler) sendResults(stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult) error {
+func (h *handler) sendResults(
+	stream *connect.ServerStream[cpwire.RelayResponse], results <-chan clementineport.CallResult, asked clementineport.RequestID,
+) error {
 	ticker := time.NewTicker(h.opts.Heartbeat)
 	defer ticker.Stop()
 	for {
@@ -63,10 +65,10 @@
 			if !ok {
 				return nil
 			}
-			m.Results = append(m.Results, resultToWire(&first))
+			m.Results = append(m.Results, resultToWire(&first, asked))
 			for more := len(results); more > 0; more-- {
 				r := <-results
-				m.Results = append(m.Results, resultToWire(&r))
+				m.Results = append(m.Results, resultToWire(&r, asked))
 			}
 		case <-ticker.C:
 		}
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
@@ -27,6 +28,8 @@
 	ran  atomic.Int64
 	act  func(ctx context.Context)
 	hits int
+	// reply replaces the reply to each call.
+	reply *clementineport.Reply
 }
 
 func (n *node) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
@@ -35,6 +38,10 @@
 		if n.act != nil {
 			n.act(ctx)
 		}
+		if n.reply != nil {
+			deliver(clementineport.CallResult{Attempt: c.Attempt, Shard: c.Shard, Target: c.Target, Reply: n.reply, Signals: n.reply.Signals})
+			continue
+		}
 		deliver(clementineport.CallResult{
 			Attempt: c.Attempt,
 			Shard:   c.Shard,
@@ -182,6 +189,27 @@
 	}
 }
 
+// A relay passes on what a target said, also when it answered another call; the root decides about it.
+func TestPeerPassesRepliesOn(t *testing.T) {
+	for _, reply := range []*clementineport.Reply{
+		{Request: "q1", Shard: 2, Snapshot: clementineport.Snapshot{Version: 3, Layout: 1}},
+		{Request: "other", Shard: 9, Snapshot: clementineport.Snapshot{Version: 8, Layout: 7}},
+		{Request: "", Hits: []clementineport.Hit{{Record: "r\xff1", Score: 2, Fields: "f"}, {Record: "", Score: -1}, {Record: "é", Fields: "ü"}}},
+		{Request: "q1", Shard: 2, Signals: clementineport.Signals{
+			Start: "s", InFlight: 3, Draining: true, Cold: true, Held: []clementineport.Snapshot{{Version: 1}, {Layout: 2}},
+		}},
+	} {
+		for name, peer := range implementations(t, &node{reply: reply}) {
+			var results []clementineport.CallResult
+			err := peer.Relay(t.Context(), relayRequest(), func(r clementineport.CallResult) { results = append(results, r) })
+			assert.NilError(t, err, name)
+			assert.Equal(t, len(results), 2)
+			assert.DeepEqual(t, results[0].Reply, reply, cmpopts.EquateEmpty())
+			assert.NilError(t, peer.Close())
+		}
+	}
+}
+
 func TestPeerFaults(t *testing.T) {
 	hang := func(ctx context.Context) { <-ctx.Done() }
 	cut := &node{}
