--- a/cpadmit/limit.go
+++ b/cpadmit/limit.go
@@ -11,76 +11,58 @@
 const (
 	minWindow     = 100 * time.Millisecond
 	maxWindow     = time.Second
-	windowSamples = 20
+	windowSamples = 40
 )
 
 // Steps of the limit and of the averages.
 const (
-	maxCut        = 0.7  // least factor of one cut
-	shedShare     = 0.05 // share of shed answers that counts as overload
-	shedCut       = 0.8
-	ratioWeight   = 0.3
-	fallWeight    = 0.3  // of a lower latency without load
-	riseWeight    = 0.05 // of a higher one
-	resetCut      = 0.5  // share of the limit after which cuts must have shown an effect
-	resetLatency  = 0.8  // share of the latency that a cut must have reached
-	quietShare    = 0.5  // share of the limit below which latency counts as latency without load
-	floorRise     = 0.3
-	initialWeight = 1.0
+	maxCut     = 0.7  // least factor of one cut
+	shedShare  = 0.05 // share of shed answers that counts as overload
+	shedCut    = 0.8
+	quietShare = 0.5 // of the limit, below which the queries in progress are few
+	weight     = 0.3 // of a window in the averages
 )
 
-// service is what is known of the latency of one service.
-type service struct {
-	base  float64 // seconds without load; 0 is unknown
-	sum   float64 // seconds in this window
-	count int
-}
-
-// limit is the adaptive limit on queries in progress. It follows the latency: while queries take longer
-// than without load, work queues behind this VM and the limit falls.
+// limit is the adaptive limit on queries in progress. It follows the time that calls spend outside their
+// targets: while that exceeds the allowed queueing, the limit falls. Slow targets alone do not lower it.
 type limit struct {
-	opts     *Options
-	value    float64
-	services map[clementineport.ServiceID]*service
+	opts  *Options
+	value float64
+	needs map[clementineport.ServiceID]float64 // smoothed seconds of a query without queueing
 
 	started  time.Time
 	samples  int
+	answered int
 	shed     int
-	peak     int
-	limited  bool
 	refused  int
-	ratio    float64 // smoothed latency over latency without load
-	latency  float64 // smoothed mean latency in seconds
+	peak     int // queries in progress
+	limited  bool
+	elapsed  float64 // seconds of the answers of this window
+	queued   float64 // seconds of them that were queueing
+
+	latency  float64 // smoothed seconds of an answer
+	delay    float64 // smoothed seconds of queueing of an answer
 	refusals float64 // smoothed refusals a second
 	rate     float64 // smoothed completions a second
-	cutFrom  float64 // limit before the present run of cuts
-	cutRatio float64 // ratio before the present run of cuts
 }
 
 func newLimit(o *Options) *limit {
-	return &limit{
-		opts:     o,
-		value:    float64(o.InitialLimit),
-		services: make(map[clementineport.ServiceID]*service),
-		ratio:    initialWeight,
-	}
+	return &limit{opts: o, value: float64(o.InitialLimit), needs: make(map[clementineport.ServiceID]float64)}
 }
 
 // sample records the end of a query.
 func (l *limit) sample(now time.Time, id clementineport.ServiceID, elapsed time.Duration, o Outcome) {
-	s := l.services[id]
-	if s == nil {
-		s = new(service)
-		l.services[id] = s
-	}
-	if o == OutcomeShed {
+	l.samples++
+	switch {
+	case o.Shed:
 		l.shed++
+	case !o.Failed:
+		queued := min(max(o.Queued, 0), elapsed)
+		l.answered++
+		l.elapsed += elapsed.Seconds()
+		l.queued += queued.Seconds()
+		l.needs[id] = smooth(l.needs[id], (elapsed - queued).Seconds(), weight/windowSamples)
 	}
-	if o == OutcomeAnswered || (o == OutcomeFailed && elapsed.Seconds() > s.base) {
-		s.sum += elapsed.Seconds()
-		s.count++
-	}
-	l.samples++
 	l.tick(now)
 }
 
@@ -93,83 +75,40 @@
 	if length < minWindow || (l.samples < windowSamples && length < maxWindow) {
 		return
 	}
-	l.measure(length)
-	l.adjust()
-	l.started = now
-	l.samples, l.shed, l.peak, l.refused, l.limited = 0, 0, 0, 0, false
-}
-
-// measure updates the averages from the window.
-func (l *limit) measure(length time.Duration) {
-	quiet := !l.limited && float64(l.peak) < quietShare*l.value
-	floor := l.value <= float64(l.opts.MinLimit)
-	var sum, base float64
-	var count int
-	for _, s := range l.services {
-		if s.count == 0 {
-			continue
-		}
-		mean := s.sum / float64(s.count)
-		s.learn(mean, quiet, floor)
-		sum += s.sum
-		base += s.base * float64(s.count)
-		count += s.count
-		s.sum, s.count = 0, 0
-	}
-	if base > 0 {
-		l.ratio += ratioWeight * (sum/base - l.ratio)
-		l.latency += ratioWeight * (sum/float64(count) - l.latency)
-	}
-	l.refusals += ratioWeight * (float64(l.refused)/length.Seconds() - l.refusals)
-	l.rate += ratioWeight * (float64(l.samples)/length.Seconds() - l.rate)
-}
-
-// learn follows the latency without load: down at once, up only when this VM is not the cause.
-func (s *service) learn(mean float64, quiet, floor bool) {
-	switch {
-	case s.base == 0:
-		s.base = mean
-	case mean < s.base:
-		s.base += fallWeight * (mean - s.base)
-	case floor:
-		s.base += floorRise * (mean - s.base)
-	case quiet:
-		s.base += riseWeight * (mean - s.base)
+	if l.answered > 0 {
+		l.latency = smooth(l.latency, l.elapsed/float64(l.answered), weight)
+		l.delay += weight * (l.queued/float64(l.answered) - l.delay)
 	}
+	l.refusals += weight * (float64(l.refused)/length.Seconds() - l.refusals)
+	l.rate += weight * (float64(l.samples)/length.Seconds() - l.rate)
+	l.adjust()
+	l.started, l.limited = now, false
+	l.samples, l.answered, l.shed, l.refused, l.peak = 0, 0, 0, 0, 0
+	l.elapsed, l.queued = 0, 0
 }
 
-// adjust moves the limit by one step.
+// adjust moves the limit by one step. After a cut, the averages assume that it had its effect.
 func (l *limit) adjust() {
+	service := l.latency - l.delay
+	allowed := max(l.opts.QueueShare*service, l.opts.MinQueue.Seconds())
 	switch {
 	case float64(l.shed) > shedShare*float64(l.samples):
-		l.cut(shedCut)
-	case l.ratio > l.opts.Tolerance:
-		l.cut(max(l.opts.Tolerance/l.ratio, maxCut))
-	default:
-		l.cutFrom = 0
-		if l.limited {
-			l.value += max(math.Sqrt(l.value)/2, 1)
-		}
+		l.value *= shedCut
+	case l.delay > allowed && !l.limited && float64(l.peak) < quietShare*l.value:
+		// The limit is not what lets the queries queue.
+	case l.delay > allowed:
+		l.value *= max((service+allowed)/l.latency, maxCut)
+		l.delay, l.latency = allowed, service+allowed
+	case l.limited:
+		l.value += (1 - l.delay/allowed) * max(math.Sqrt(l.value)/2, 1)
 	}
 	l.value = min(max(l.value, float64(l.opts.MinLimit)), float64(l.opts.MaxLimit))
 }
 
-// cut lowers the limit. When a run of cuts has halved the limit and the latency has not followed, the load
-// of this VM is not the cause: the present latency becomes the latency without load.
-func (l *limit) cut(factor float64) {
-	if l.cutFrom == 0 {
-		l.cutFrom, l.cutRatio = l.value, l.ratio
-	}
-	l.value *= factor
-	if l.shed > 0 || l.value > resetCut*l.cutFrom {
-		return
-	}
-	if l.ratio > resetLatency*l.cutRatio {
-		for _, s := range l.services {
-			s.base *= l.ratio
-		}
-		l.value = l.cutFrom
-		l.ratio = 1
+// smooth moves an average towards a value; the first value becomes the average.
+func smooth(average, value, weight float64) float64 {
+	if average == 0 {
+		return value
 	}
-	l.cutFrom = 0
+	return average + weight*(value-average)
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -57,15 +57,15 @@
 	few int
 	// least is the number of covered shards that the service asks for.
 	least int
-	// slowest is the longest time after which a first call counts as a straggler.
-	slowest time.Duration
 
 	// Times since start.
-	closeAt  time.Duration
-	cutAt    time.Duration
-	hedgeAt  time.Duration
-	retryAt  time.Duration
-	replanAt time.Duration
+	closeAt time.Duration
+	cutAt   time.Duration
+	hedgeAt time.Duration
+	retryAt time.Duration
+	// shedUntil is when the query stops to wait for full targets.
+	shedUntil time.Duration
+	replanAt  time.Duration
 
 	stats      clementineport.GatherStats
 	dropped    int
@@ -88,14 +88,15 @@
 	*m = Machine{
 		plan: plan, opts: opts,
 		shards: m.shards[:0], attempts: m.attempts[:0], actions: m.actions[:0], tried: m.tried[:0],
-		hits: merger{limit: plan.Query.Limit},
+		hits: merger{limit: plan.Query.Limit, hits: m.hits.hits},
 	}
 	return m
 }
 
 // Release hands the buffers of a finished machine to later queries; the machine must not be used afterwards.
 func (m *Machine) Release() {
-	m.plan, m.opts, m.hits = Plan{}, Options{}, merger{}
+	m.hits.reset()
+	m.plan, m.opts, m.layout, m.pick = Plan{}, Options{}, nil, clementineport.PickRequest{}
 	machines.Put(m)
 }
 
@@ -109,6 +110,7 @@
 	}
 	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
 	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
+	m.shedUntil = time.Duration(float64(deadline) * m.opts.ShedShare)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
 	m.plannedWhole()
 	if m.done() {
@@ -185,6 +187,7 @@
 	}
 	a := &m.attempts[i]
 	if a.end != open && (!m.opts.off(CheckAttempt) || int(a.shard) >= len(m.shards)) {
+		a.late = r.Reply != nil
 		m.late(r)
 		return
 	}
@@ -194,6 +197,9 @@
 		err = m.check(a, r.Reply)
 	}
 	if err == nil {
+		if r.Elapsed > 0 {
+			m.stats.Queued = max(m.stats.Queued, a.took-r.Elapsed)
+		}
 		m.merge(a, r.Reply)
 		return
 	}
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -23,8 +23,9 @@
 			m.hedgeAt = min(m.hedgeAt, due)
 			continue
 		}
+		hedges := sh.hedges
 		off = off || !m.sendHedge(clementineport.ShardID(i))
-		if off {
+		if sh.hedges == hedges {
 			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Recheck)
 		}
 	}
@@ -35,18 +36,18 @@
 // hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
 // outstanding than while many are.
 func (m *Machine) hedgeDue(a *attempt) time.Duration {
+	factor := m.opts.ProjectedFactor
 	if m.outstanding <= m.few {
-		return a.sent + time.Duration(m.opts.HedgeFactor*float64(a.after))
+		factor = m.opts.HedgeFactor
 	}
-	return a.sent + time.Duration(m.opts.ProjectedFactor*float64(a.after))
+	return a.sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.target)))
 }
 
-// sendHedge sends a hedge, or reports that the budget has none left.
+// sendHedge sends a hedge if there is a target for it, or reports that the budget has none left.
 func (m *Machine) sendHedge(s clementineport.ShardID) bool {
 	sh := &m.shards[s]
 	t, ok := m.pickTarget(s)
 	if !ok || !m.plan.View.Usable(t, m.now) {
-		sh.hedges = uint8(m.opts.MaxHedges)
 		return true
 	}
 	if !m.opts.HedgeBudget.Spend() {
--- a/cpscatter/mailbox.go
+++ b/cpscatter/mailbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +10,10 @@
 	"github.com/clementineport/clementineport/cpgather"
 )
 
-var errUndelivered = clementineport.Fail(clementineport.FaultUnknown, "the call ended without a result")
+var (
+	errUndelivered = clementineport.Fail(clementineport.FaultUnknown, "the call ended without a result")
+	errRoute       = clementineport.Fail(clementineport.FaultCanceled, "the call failed between VMs")
+)
 
 // mailbox passes results from senders to the goroutine of the query. Senders never wait for it, and
 // results that come after it is closed are observed and dropped.
@@ -18,6 +22,7 @@
 	view    clementineport.TargetView
 	targets []clementineport.TargetRow
 	notify  chan struct{}
+	began   time.Time
 
 	mu      sync.Mutex
 	calls   []expected
@@ -28,21 +33,23 @@
 // expected is a call that was sent; its index is its attempt less one.
 type expected struct {
 	target   clementineport.TargetIndex
-	sent     time.Time
 	observed bool
+	// sent is counted from the start of the mailbox.
+	sent time.Duration
 }
 
 func newMailbox(clock clementineport.Clock, m *cpgather.Machine) *mailbox {
 	return &mailbox{
-		clock: clock, view: m.View(), targets: m.Targets(), notify: make(chan struct{}, 1),
+		clock: clock, view: m.View(), targets: m.Targets(), notify: make(chan struct{}, 1), began: clock.Now(),
 	}
 }
 
 // expect notes the calls that are about to be sent.
 func (b *mailbox) expect(actions []cpgather.Action) {
-	now := b.clock.Now()
+	at := b.clock.Now().Sub(b.began)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.calls = slices.Grow(b.calls, len(actions))
 	for _, a := range actions {
 		if a.Kind != cpgather.Send {
 			continue
@@ -50,19 +57,14 @@
 		for len(b.calls) < int(a.Attempt) {
 			b.calls = append(b.calls, expected{observed: true})
 		}
-		b.calls[a.Attempt-1] = expected{target: a.Target, sent: now}
+		b.calls[a.Attempt-1] = expected{target: a.Target, sent: at}
 	}
 }
 
 // deliver observes the first result of each call and hands all results to the query.
 func (b *mailbox) deliver(r clementineport.CallResult) {
 	if c, ok := b.claim(r.Attempt, r.Target); ok {
-		now := b.clock.Now()
-		if r.Elapsed == 0 && clementineport.FaultOf(r.Err) == clementineport.FaultCanceled {
-			// A target whose calls are always overtaken by hedges must be seen to be slow.
-			r.Elapsed = now.Sub(c.sent)
-		}
-		b.view.Observe(c.target, now, &r)
+		b.observe(c, r)
 	}
 	b.mu.Lock()
 	if !b.closed {
@@ -75,6 +77,28 @@
 	}
 }
 
+// observe tells the target view about a result. A failure between VMs says nothing about the target. A
+// cancelled call gets the time since it was sent, so that a target whose calls are always overtaken by hedges
+// is seen to be slow.
+func (b *mailbox) observe(c expected, r clementineport.CallResult) {
+	now := b.clock.Now()
+	cancelled := clementineport.FaultOf(r.Err) == clementineport.FaultCanceled
+	if r.RouteFailed {
+		r.Err = errRoute
+		cancelled = b.isClosed()
+	}
+	if cancelled && r.Elapsed == 0 {
+		r.Elapsed = now.Sub(b.began) - c.sent
+	}
+	b.view.Observe(c.target, now, &r)
+}
+
+func (b *mailbox) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
 // claim reports whether a result is the first of its call.
 func (b *mailbox) claim(id clementineport.AttemptID, target clementineport.TargetID) (expected, bool) {
 	b.mu.Lock()
