Let cold targets warm up, and change the tie order with time

TestColdTargets of cpfleet had failed twice: a target stayed at 3 calls of 4 for a minute, since cold targets were ejected as slow and then left. They are no longer ejected as slow and come first once in 50 ms while idle. A slow target now gets its trial about every 2 s instead of ever more rarely. The silent-connection count starts again after it has acted, so that a slow target does not use up the share.

--- a/cppick/cppick.go
+++ b/cppick/cppick.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -108,7 +109,7 @@
 
 // Pick implements clementineport.TargetView. The target with the fewest calls of this VM in progress
 // comes first, then one in the home failure domain, then the one with the lower reported load; the rest
-// is decided by an order that differs from VM to VM. Targets that are known to hold the snapshot come
+// is decided by an order that differs from VM to VM and changes with time. Targets that are known to hold the snapshot come
 // before those that have not said and are being asked already. A target whose ejection has run out
 // gets a single trial call first; a slow one is taken when there is no other.
 func (v *View) Pick(r *clementineport.PickRequest) (clementineport.TargetIndex, bool) {
@@ -141,6 +142,9 @@
 	if best.entry == nil {
 		return last, last != clementineport.NoTarget
 	}
+	if w := best.entry.row; w.cold.Load() {
+		w.warmed(now, best.entry.domain == r.Home, &v.picker.opts)
+	}
 	return best.target, true
 }
 
@@ -152,6 +156,10 @@
 	entry      *entry
 }
 
+// orderShift makes the order that breaks ties change every 2^30 ns, about once a second, so that no
+// target is left without work.
+const orderShift = 30
+
 func (c *candidate) before(other *candidate, now int64, home clementineport.FailureDomain) bool {
 	switch {
 	case c.possession != other.possession:
@@ -169,7 +177,8 @@
 	if x != y {
 		return x < y
 	}
-	return c.entry.row.order < other.entry.row.order
+	turn := int(now >> orderShift)
+	return bits.RotateLeft64(c.entry.row.order, turn) < bits.RotateLeft64(other.entry.row.order, turn)
 }
 
 // Usable implements clementineport.TargetView.
--- a/cppick/cppick_test.go
+++ b/cppick/cppick_test.go
@@ -281,6 +281,29 @@
 	}
 }
 
+// TestColdTargetWarmsUp shows that a target that is slow because it is cold gets a call now and then, and
+// is not ejected as slow.
+func TestColdTargetWarmsUp(t *testing.T) {
+	v := cppick.New().View(newTable(1, 4))
+	now, calls := start, 0
+	first := good(60 * time.Millisecond)
+	first.Signals.Cold = true
+	v.Sent(0)
+	v.Observe(0, now, first)
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		got, _ := v.Pick(request(now, 0, 1, 2, 3))
+		v.Sent(got)
+		r := good(10 * time.Millisecond)
+		if got == 0 {
+			calls++
+			r.Elapsed, r.Signals.Cold = 60*time.Millisecond, true
+		}
+		v.Observe(got, now, r)
+	}
+	assert.Assert(t, calls >= 2 && calls <= 4, "%d calls in a second, away from home", calls)
+}
+
 func TestHomeDecidesWhenLoadIsEqual(t *testing.T) {
 	v := cppick.New().View(newTable(1, 2))
 	r := request(start, 0, 1)
--- a/cppick/observe.go
+++ b/cppick/observe.go
@@ -47,7 +47,7 @@
 		return
 	}
 	w.sample(now, elapsed, o)
-	if int(w.samples.Load()) >= o.ColdCalls && w.isSlow(w.median.load(), o) {
+	if !w.cold.Load() && int(w.samples.Load()) >= o.ColdCalls && w.isSlow(w.median.load(), o) {
 		w.eject(now, true, o, rng)
 	}
 }
--- a/cppick/options.go
+++ b/cppick/options.go
@@ -27,13 +27,17 @@
 	SlowFactor float64
 	// SlowMargin is the least difference from the group for which a target is ejected as slow.
 	SlowMargin time.Duration
-	// SlowBackoff is the first time before a slow target gets a trial call.
+	// SlowBackoff is the time before a slow target gets a trial call.
 	SlowBackoff time.Duration
 	// DrainRecheck is the time after which a draining target gets a trial call.
 	DrainRecheck time.Duration
 	// ColdCalls is the number of answers before a restarted target stops counting as cold, and before
 	// what was measured of a target is relied on.
 	ColdCalls int
+	// WarmInterval is the time between calls that go to an idle cold target ahead of others, in the
+	// home failure domain; elsewhere it is longer by AwayFactor.
+	WarmInterval time.Duration
+	AwayFactor   int
 	// GroupInterval is the least time between two answers of one target that count in its group.
 	GroupInterval time.Duration
 	// HeldAge is the time after which a target that did not hold a snapshot may be asked for it again.
@@ -62,6 +66,8 @@
 		SlowBackoff:   2 * time.Second,
 		DrainRecheck:  30 * time.Second,
 		ColdCalls:     8,
+		WarmInterval:  50 * time.Millisecond,
+		AwayFactor:    8,
 		GroupInterval: 20 * time.Millisecond,
 		HeldAge:       5 * time.Second,
 		LoadAge:       2,
--- a/cppick/row.go
+++ b/cppick/row.go
@@ -25,6 +25,8 @@
 	cold  atomic.Bool
 	// slowness is the latency as a multiple of the group's; zero if it is not known.
 	slowness atomic.Int64
+	// warmAt is when a cold target next comes first.
+	warmAt atomic.Int64
 	// coldCalls is the number of answers after which a restarted target no longer counts as cold.
 	coldCalls atomic.Int32
 	own       atomic.Int32
@@ -81,15 +83,29 @@
 func (w *row) onTrial() bool { return w.until.Load() != 0 || w.drain.Load() != 0 }
 
 // cost rises with the calls that this VM has in progress and with the latency; the lower is better.
+// An idle cold target comes first now and then, since it only warms up by work.
 func (w *row) cost(now int64) int64 {
 	own := int64(w.own.Load())
+	cold := w.cold.Load()
+	if cold && own == 0 && now >= w.warmAt.Load() {
+		return 0
+	}
 	cost := (own + 1) * max(w.slowness.Load(), 1)
-	if now < w.shed.Load() || (own > 0 && w.cold.Load()) {
+	if now < w.shed.Load() || (own > 0 && cold) {
 		cost *= penalty
 	}
 	return cost
 }
 
+// warmed records that a cold target has got a call.
+func (w *row) warmed(now int64, home bool, o *Options) {
+	interval := o.WarmInterval
+	if !home {
+		interval *= time.Duration(o.AwayFactor)
+	}
+	w.warmAt.Store(now + int64(interval))
+}
+
 // penalty multiplies the cost of a target that sheds or is cold and busy.
 const penalty = 8
 
@@ -185,7 +201,7 @@
 }
 
 // sample takes in a time. One target counts in the group at most once per interval, so that a target
-// with many calls does not decide what is typical. A target that is slow as a whole does not count in
+// with many calls does not decide what is typical, and a cold one not at all. A target that is slow as a whole does not count in
 // the high quantile of its group, which times hedges.
 func (w *row) sample(now time.Time, x time.Duration, o *Options) {
 	g := w.group.Load()
@@ -194,7 +210,7 @@
 	w.high.observe(x, g.high.load(), o.HedgeQuantile)
 	w.updateSlowness()
 	at := now.UnixNano()
-	if at-w.groupAt.Load() < int64(o.GroupInterval) {
+	if w.cold.Load() || at-w.groupAt.Load() < int64(o.GroupInterval) {
 		return
 	}
 	w.groupAt.Store(at)
@@ -213,11 +229,10 @@
 
 // eject takes the target out of choice for a while, unless too much of the group is out already.
 func (w *row) eject(now time.Time, slow bool, o *Options, rng *random) {
-	first := o.BackoffMin
+	backoff := min(max(2*time.Duration(w.backoff.Load()), o.BackoffMin), o.BackoffMax)
 	if slow {
-		first = o.SlowBackoff
+		backoff = o.SlowBackoff
 	}
-	backoff := min(max(2*time.Duration(w.backoff.Load()), first), max(o.BackoffMax, first))
 	until := now.Add(rng.jitter(backoff)).UnixNano()
 	if w.until.Load() != 0 {
 		w.slow.Store(slow)
--- a/cptarget/cphttp/watch.go
+++ b/cptarget/cphttp/watch.go
@@ -35,6 +35,7 @@
 		return
 	}
 	if e.conn != nil && int(c.streak.Add(1)) >= c.opts.Silence.Streak {
+		c.streak.Store(0)
 		e.conn.markSilent()
 		c.pool.suspecting(c.transport.CloseIdleConnections)
 	}
