--- a/cpadmit/gate.go
+++ b/cpadmit/gate.go
@@ -93,7 +93,7 @@
 	if g.opts.Unlimited || (g.queues[a.Class].length == 0 && g.free(a.Class)) {
 		return g.start(now, a)
 	}
-	g.limit.limited = true
+	g.limit.full(a.Class)
 	until := now.Add(time.Duration(g.opts.WaitShare * float64(a.Deadline.Sub(now))))
 	start := now.Add(g.wait(a))
 	if start.After(until) || start.Add(g.needs(a.Service)).After(a.Deadline) {
--- a/cpadmit/limit.go
+++ b/cpadmit/limit.go
@@ -37,8 +37,9 @@
 	refused  int
 	peak     int // queries in progress
 	limited  bool
-	elapsed  float64 // seconds of the answers of this window
-	queued   float64 // seconds of them that were queueing
+	class    clementineport.Class // lowest class that the limit kept waiting
+	elapsed  float64              // seconds of the answers of this window
+	queued   float64              // seconds of them that were queueing
 
 	latency  float64 // smoothed seconds of an answer
 	delay    float64 // smoothed seconds of queueing of an answer
@@ -50,6 +51,14 @@
 	return &limit{opts: o, value: float64(o.InitialLimit), needs: make(map[clementineport.ServiceID]float64)}
 }
 
+// full records that the limit keeps a query of a class waiting.
+func (l *limit) full(c clementineport.Class) {
+	if !l.limited || c < l.class {
+		l.class = c
+	}
+	l.limited = true
+}
+
 // sample records the end of a query.
 func (l *limit) sample(now time.Time, id clementineport.ServiceID, elapsed time.Duration, o Outcome) {
 	l.samples++
@@ -91,6 +100,9 @@
 func (l *limit) adjust() {
 	service := l.latency - l.delay
 	allowed := max(l.opts.QueueShare*service, l.opts.MinQueue.Seconds())
+	if l.limited {
+		allowed *= l.opts.ClassQueue[l.class]
+	}
 	switch {
 	case float64(l.shed) > shedShare*float64(l.samples):
 		l.value *= shedCut
--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -14,9 +14,9 @@
 	DefaultMinLimit      = 4    // queries
 	DefaultInitialLimit  = 32   // queries
 	DefaultMaxLimit      = 8192 // queries
-	DefaultQueueShare    = 0.1  // of the latency without queueing
-	DefaultMinQueue      = 5 * time.Millisecond
-	DefaultWaitShare     = 0.25 // of the time left
+	DefaultQueueShare    = 0.25 // of the latency without queueing
+	DefaultMinQueue      = 10 * time.Millisecond
+	DefaultWaitShare     = 0.1 // of the time left
 	DefaultMinRetryAfter = 100 * time.Millisecond
 	DefaultMaxRetryAfter = 4 * time.Second
 )
@@ -31,6 +31,8 @@
 	// MinQueue is the least queueing that is allowed.
 	QueueShare float64
 	MinQueue   time.Duration
+	// ClassQueue is the share of the allowed queueing that each class may fill up when no lower class waits.
+	ClassQueue [clementineport.NumClasses]float64
 	// WaitShare is the share of its time left that a query may wait for its start.
 	WaitShare float64
 	// ClassShare is the share of the limit that each class may use.
@@ -100,6 +102,9 @@
 	o.ClassShare = [...]float64{
 		clementineport.ClassInteractive: 1, clementineport.ClassStandard: 0.85, clementineport.ClassBatch: 0.7,
 	}
+	o.ClassQueue = [...]float64{
+		clementineport.ClassInteractive: 1, clementineport.ClassStandard: 0.75, clementineport.ClassBatch: 0.5,
+	}
 	o.LeastShare = [...]float64{
 		clementineport.ClassInteractive: 0, clementineport.ClassStandard: 0.1, clementineport.ClassBatch: 0.05,
 	}
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -195,7 +195,7 @@
 	}
 	if err == nil {
 		if r.Elapsed > 0 {
-			m.stats.Queued = max(m.stats.Queued, a.took-r.Elapsed)
+			m.stats.Queued = max(a.took-r.Elapsed, 0)
 		}
 		m.merge(a, r.Reply)
 		return
--- a/query.go
+++ b/query.go
@@ -90,7 +90,7 @@
 	Retries  int
 	Restarts int
 	Late     int
-	// Queued is the longest time that a covered shard's call spent outside its target.
+	// Queued is the time that the call of the shard covered last spent outside its target.
 	Queued time.Duration `json:"-"`
 }
 
