--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -49,10 +50,12 @@
 }
 
 // unsent reports whether no byte of the request was written, and forbids writing it from then on.
+// Calls that share a connection cannot be told apart by its bytes, so there only a call without a
+// connection is proven unsent.
 func (e *exchange) unsent() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn == nil || e.conn.seal(e.mark)
+	return e.conn == nil || (!e.client.opts.HTTP2 && e.conn.seal(e.mark))
 }
 
 func (e *exchange) unsentFault(ctx context.Context, err error) clementineport.Fault {
@@ -61,6 +64,8 @@
 		return clementineport.FaultDeadline
 	case ctx.Err() != nil:
 		return clementineport.FaultUnsent
+	case clementineport.FaultOf(err) == clementineport.FaultStale:
+		return clementineport.FaultStale
 	case errors.Is(err, errShare):
 		return clementineport.FaultShed
 	case e.conn == nil:
@@ -72,7 +77,7 @@
 
 func decodeReply(call *clementineport.Call, data []byte) (*clementineport.Reply, error) {
 	var body SearchResponse
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
 	}
 	if body.Request != call.Request || body.Shard != call.Shard || body.Snapshot != call.Snapshot {
@@ -91,7 +96,7 @@
 
 func decodeRefusal(call *clementineport.Call, status int, data []byte) (*clementineport.Reply, error) {
 	var body Refusal
-	if err := json.Unmarshal(data, &body); err != nil {
+	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, clementineport.Fail(faultOfStatus(status), "status %d without a refusal", status)
 	}
 	if body.Request != call.Request || body.Shard != call.Shard {
