Send to a second entry as soon as one is silent for its service

The caller package keeps the latency of each service and its deviation; a query without an answer for eight deviations above the mean goes to another entry too, within the budget of extra sends. Entries that stay silent are used last for longer each time.

--- a/cpcaller/cpcaller.go
+++ b/cpcaller/cpcaller.go
@@ -32,6 +32,7 @@
 	opts    Options
 	sender  *sender
 	list    *List
+	latency *Latency
 	fetches singleflight.Group
 }
 
@@ -45,6 +46,7 @@
 	}
 	c.sender = newSender(&c.opts)
 	c.list = NewList(c.opts.SuspectFor)
+	c.latency = NewLatency()
 	return c
 }
 
@@ -64,7 +66,9 @@
 	ctx, cancel := context.WithTimeout(ctx, query.Deadline.Sub(now))
 	defer cancel()
 	c.opts.Extra.Earn(1)
-	request := NewRequest(c.opts.Rules, &query, now, c.newID, c.opts.Rand)
+	rules := c.opts.Rules
+	rules.OverlapAfter = c.latency.Silence(q.Service)
+	request := NewRequest(rules, &query, now, c.newID, c.opts.Rand)
 	return c.run(ctx, request, &query)
 }
 
@@ -73,6 +77,7 @@
 	entry  Entry
 	answer *clementineport.Answer
 	err    *clementineport.Error
+	took   time.Duration
 }
 
 // run carries out the actions of a request until it has an answer or is given up.
@@ -105,6 +110,8 @@
 		select {
 		case res := <-results:
 			if res.answer != nil {
+				c.list.Trust(res.entry.Address)
+				c.latency.Observe(q.Service, res.took)
 				return res.answer, nil
 			}
 			now = c.opts.Clock.Now()
@@ -122,10 +129,11 @@
 	sent := *q
 	sent.Request = action.Request
 	go func() {
-		left := q.Deadline.Sub(c.opts.Clock.Now())
+		start := c.opts.Clock.Now()
+		left := q.Deadline.Sub(start)
 		left -= min(left/answerMarginParts, maxAnswerMargin)
 		answer, err := c.sender.query(ctx, action.Entry.Address, &sent, left)
-		results <- result{action.Entry, answer, err}
+		results <- result{action.Entry, answer, err, c.opts.Clock.Now().Sub(start)}
 	}()
 }
 
--- /dev/null
+++ b/cpcaller/latency.go
@@ -0,0 +1,61 @@
+package cpcaller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Weights of the smoothed latency and of its deviation.
+const (
+	meanWeight      = 0.125
+	deviationWeight = 0.25
+)
+
+// silentDeviations is how many deviations above the mean an answer may take before its entry counts as silent.
+const silentDeviations = 8
+
+// minSilence is the shortest time after which an entry counts as silent.
+const minSilence = 50 * time.Millisecond
+
+// Latency estimates how long the answers of each service take.
+type Latency struct {
+	mu       sync.Mutex
+	services map[clementineport.ServiceID]estimate
+}
+
+// estimate is a smoothed latency and its smoothed absolute deviation, in seconds.
+type estimate struct{ mean, deviation float64 }
+
+// NewLatency returns an estimator without observations.
+func NewLatency() *Latency {
+	return &Latency{services: make(map[clementineport.ServiceID]estimate)}
+}
+
+// Observe records the time of one answer.
+func (l *Latency) Observe(id clementineport.ServiceID, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, known := l.services[id]
+	if !known {
+		l.services[id] = estimate{d.Seconds(), d.Seconds() / 2}
+		return
+	}
+	off := d.Seconds() - e.mean
+	e.mean += meanWeight * off
+	e.deviation += deviationWeight * (max(off, -off) - e.deviation)
+	l.services[id] = e
+}
+
+// Silence returns how long a query of the service may go without an answer before its entry counts as
+// silent, or zero if no answer has been observed.
+func (l *Latency) Silence(id clementineport.ServiceID) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, known := l.services[id]
+	if !known {
+		return 0
+	}
+	return max(time.Duration((e.mean+silentDeviations*e.deviation)*float64(time.Second)), minSilence)
+}
--- a/cpcaller/list.go
+++ b/cpcaller/list.go
@@ -1,6 +1,7 @@
 package cpcaller
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,12 +23,21 @@
 	expires    time.Time
 	refresh    time.Time
 	next       int
-	suspects   map[string]time.Time
+	suspects   map[string]suspicion
+}
+
+// maxSuspicion is the longest time for which an entry is used last after a failure.
+const maxSuspicion = 30 * time.Second
+
+// suspicion says until when an entry is used last; its span doubles with each failure after it has run out.
+type suspicion struct {
+	until time.Time
+	span  time.Duration
 }
 
 // NewList returns an empty list; an entry that failed is used last for the given time.
 func NewList(suspectFor time.Duration) *List {
-	return &List{suspectFor: suspectFor, suspects: make(map[string]time.Time)}
+	return &List{suspectFor: suspectFor, suspects: make(map[string]suspicion)}
 }
 
 // Set replaces the list; start in [0, 1) says at which entry the spread begins.
@@ -38,6 +48,9 @@
 	l.expires = now.Add(life)
 	l.refresh = now.Add(time.Duration(float64(life) * refreshShare))
 	l.next = int(start * float64(len(entries)))
+	maps.DeleteFunc(l.suspects, func(address string, _ suspicion) bool {
+		return !slices.ContainsFunc(entries, func(e Entry) bool { return e.Address == address })
+	})
 }
 
 // Order returns the entries in the order in which one request uses them: each request begins at the next
@@ -67,14 +80,27 @@
 	return usable, refresh
 }
 
-// Suspect records that an entry failed or is leaving; the next list is fetched soon.
+// Suspect records that an entry failed, is silent or is leaving; the next list is fetched soon.
 func (l *List) Suspect(now time.Time, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.suspects[address]; !known {
+	s, known := l.suspects[address]
+	switch {
+	case !known:
 		l.refresh = now
+		s.span = l.suspectFor
+	case !now.Before(s.until):
+		s.span = min(2*s.span, maxSuspicion)
 	}
-	l.suspects[address] = now.Add(l.suspectFor)
+	s.until = now.Add(s.span)
+	l.suspects[address] = s
+}
+
+// Trust records that an entry answered.
+func (l *List) Trust(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.suspects, address)
 }
 
 // Addresses returns the addresses of the listed entries, whether or not the list has expired.
@@ -89,16 +115,10 @@
 }
 
 func (l *List) suspicion(e Entry, now time.Time) int {
-	until, known := l.suspects[e.Address]
-	switch {
-	case !known:
-		return 0
-	case now.Before(until):
+	if now.Before(l.suspects[e.Address].until) {
 		return 1
-	default:
-		delete(l.suspects, e.Address)
-		return 0
 	}
+	return 0
 }
 
 func rank(e Entry, home clementineport.FailureDomain) int {
--- a/cpcaller/resend.go
+++ b/cpcaller/resend.go
@@ -25,6 +25,8 @@
 	// OverlapShare is the share of the time left after which a silent send is joined by a second one;
 	// zero turns second sends off.
 	OverlapShare float64
+	// OverlapAfter, if it is set and shorter, is the time after which a silent send is joined by a second one.
+	OverlapAfter time.Duration
 	// BlindResend gives a new id to every resend, whatever the fault; it is the baseline of comparisons
 	// and lets a non-idempotent request run twice.
 	BlindResend bool
@@ -179,8 +181,11 @@
 	r.redirect = ""
 	r.overlapAt = r.deadline
 	if r.rules.OverlapShare > 0 && !overlap {
-		left := float64(r.deadline.Sub(now))
-		r.overlapAt = now.Add(time.Duration(left * r.rules.OverlapShare))
+		after := time.Duration(float64(r.deadline.Sub(now)) * r.rules.OverlapShare)
+		if r.rules.OverlapAfter > 0 {
+			after = min(after, r.rules.OverlapAfter)
+		}
+		r.overlapAt = now.Add(after)
 	}
 	return Action{Kind: ActionSend, Entry: entry, Request: r.id, Overlap: overlap}
 }
--- a/cpcaller/resend_test.go
+++ b/cpcaller/resend_test.go
@@ -104,8 +104,32 @@
 	for range 10 {
 		assert.Equal(t, l.Order(now, "a")[2].Address, "b1", "a suspect entry must come last")
 	}
+	now = now.Add(2 * time.Second)
+	l.Suspect(now, "b1")
+	now = now.Add(3 * time.Second)
+	assert.Equal(t, l.Order(now, "a")[2].Address, "b1", "a second failure must count for longer")
+	l.Trust("b1")
+	first = make(map[string]int)
+	for range 3 {
+		first[l.Order(now, "a")[0].Address]++
+	}
+	assert.Equal(t, first["b1"], 1, "an entry that answered must be used again")
 	usable, refresh = l.State(now)
 	assert.Assert(t, usable && refresh, "a suspect entry must cause a new list to be fetched")
 	usable, _ = l.State(now.Add(20 * time.Second))
 	assert.Assert(t, !usable, "a list must not be used after its life")
 }
+
+func TestSilenceFollowsTheLatency(t *testing.T) {
+	l := cpcaller.NewLatency()
+	assert.Equal(t, l.Silence("desk"), time.Duration(0))
+	for range 100 {
+		l.Observe("desk", 20*time.Millisecond)
+	}
+	assert.Equal(t, l.Silence("desk"), 50*time.Millisecond)
+	for i := range 100 {
+		l.Observe("desk", time.Duration(50+i%2*100)*time.Millisecond)
+	}
+	assert.Assert(t, l.Silence("desk") > 400*time.Millisecond)
+	assert.Assert(t, l.Silence("desk") < 600*time.Millisecond)
+}
