--- a/cpmember/digest.go
+++ b/cpmember/digest.go
@@ -121,7 +121,7 @@
 }
 
 func (m *Membership) fillChanges(d *clementineport.Digest, to clementineport.VMID, left int) int {
-	slices.SortStableFunc(m.changed, func(x, y *peer) int { return y.tellings - x.tellings })
+	slices.SortStableFunc(m.changed, compareNews)
 	kept := m.changed[:0]
 	for _, p := range m.changed {
 		if p.member.ID != to && !p.private {
@@ -139,6 +139,18 @@
 	return left
 }
 
+// compareNews puts bad news first, and of equal news what has been told least.
+func compareNews(x, y *peer) int {
+	xAlive, yAlive := x.member.State == clementineport.MemberAlive, y.member.State == clementineport.MemberAlive
+	if xAlive != yAlive {
+		if yAlive {
+			return -1
+		}
+		return 1
+	}
+	return y.tellings - x.tellings
+}
+
 // fillSample adds one peer in turn, so that every difference between views is repaired in time.
 func (m *Membership) fillSample(d *clementineport.Digest, to clementineport.VMID, left int) {
 	for range m.peers {
