--- a/cptarget/cphttp/cphttp_test.go
+++ b/cptarget/cphttp/cphttp_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,87 +31,6 @@
 	return s
 }
 
-// forwarder passes bytes on until it is cut; the connections that are open then swallow everything
-// and stay open towards the target.
-type forwarder struct {
-	net.Listener
-	to string
-
-	mu    sync.Mutex
-	cut   *atomic.Bool
-	conns int
-	open  int
-	peak  int
-}
-
-func startForwarder(t *testing.T, to string) *forwarder {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	f := &forwarder{Listener: l, to: to, cut: &atomic.Bool{}}
-	t.Cleanup(func() { l.Close() })
-	go f.run()
-	return f
-}
-
-func (f *forwarder) run() {
-	for {
-		near, err := f.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", f.to)
-		if err != nil {
-			near.Close()
-			continue
-		}
-		f.mu.Lock()
-		f.conns, f.open = f.conns+1, f.open+1
-		f.peak = max(f.peak, f.open)
-		cut := f.cut
-		f.mu.Unlock()
-		go f.pipe(near, far, cut)
-		go f.pipe(far, near, cut)
-	}
-}
-
-// pipe leaves the far end open when the connection was cut.
-func (f *forwarder) pipe(from, to net.Conn, cut *atomic.Bool) {
-	buf := make([]byte, 4096)
-	for {
-		n, err := from.Read(buf)
-		if cut.Load() {
-			_, _ = io.Copy(io.Discard, from)
-			return
-		}
-		if n > 0 {
-			_, _ = to.Write(buf[:n])
-		}
-		if err != nil {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if to.Close() == nil {
-				f.open--
-			}
-			return
-		}
-	}
-}
-
-// cutAll makes the open connections silent; later ones work.
-func (f *forwarder) cutAll() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut.Store(true)
-	f.cut = &atomic.Bool{}
-}
-
-func (f *forwarder) counts() (conns, peak int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.conns, f.peak
-}
-
 // searchAtOnce runs n calls at the same time, so that n connections are open afterwards.
 func searchAtOnce(t *testing.T, c *cphttp.Client, n int) {
 	t.Helper()
@@ -126,7 +44,7 @@
 	wg.Wait()
 }
 
-// TestSilentConnections cuts all connections to a target at once. With the rule only the call that finds
+// TestSilentConnections lets all connections to a target go silent at once. With the rule only the call that finds
 // out fails, and what counts as open at the target stays within the share. Without it every
 // connection costs a call its whole deadline.
 func TestSilentConnections(t *testing.T) {
@@ -139,16 +57,14 @@
 		failed int
 	}{{"rule", false, 1}, {"no rule", true, open}} {
 		t.Run(c.name, func(t *testing.T) {
-			s := startSearcher(t, cpsearcher.Slots(open, 0), cpsearcher.ServiceTime(30*time.Millisecond))
-			f := startForwarder(t, s.Address())
+			s := startSearcher(t, cpsearcher.Slots(open, 0), cpsearcher.Connections(share, 0),
+				cpsearcher.ServiceTime(30*time.Millisecond))
 			rule.Off = c.off
-			client := cphttp.New(cphttp.Address(f.Addr().String()), cphttp.Connections(share),
-				cphttp.DetectSilence(rule))
+			client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(share), cphttp.DetectSilence(rule))
 			defer client.Close()
 			searchAtOnce(t, client, open)
-			before, _ := f.counts()
-			assert.Equal(t, before, open)
-			f.cutAll()
+			assert.Equal(t, s.Stats().Connections, open)
+			s.Apply(&cpsearcher.Command{Silent: true})
 			failed := 0
 			for i := range 2 * open {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -160,40 +76,44 @@
 				}
 			}
 			assert.Equal(t, failed, c.failed)
-			_, peak := f.counts()
-			assert.Assert(t, peak <= share, "peak %d", peak)
+			st := s.Stats()
+			assert.Assert(t, st.Connections > open, "the silent connections are still open at the target")
+			assert.Equal(t, st.ConnectionsOver, 0)
 		})
 	}
 }
 
-// TestShare opens more calls at once than the share allows, silent connections included.
+// TestShare makes more calls at once than the share allows, and again after the share has been lowered.
+// The target never sees more connections than its limit, and does with a larger share.
 func TestShare(t *testing.T) {
-	const share = 4
-	s := startSearcher(t, cpsearcher.Slots(20, 0), cpsearcher.Connections(share, 0),
-		cpsearcher.ServiceTime(50*time.Millisecond))
-	client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(share))
-	defer client.Close()
-	for _, size := range []int{share, share - 2} {
-		client.Resize(size)
-		var ok, shed atomic.Int32
-		var wg sync.WaitGroup
-		for i := range 3 * share {
-			wg.Go(func() {
-				switch _, err := client.Search(t.Context(), newCall(fmt.Sprint(i), 5*time.Second)); {
-				case err == nil:
-					ok.Add(1)
-				case clementineport.FaultOf(err) == clementineport.FaultShed:
-					shed.Add(1)
-				}
-			})
+	const limit = 4
+	for _, share := range []int{limit, 5 * limit} {
+		s := startSearcher(t, cpsearcher.Slots(20, 20), cpsearcher.Connections(limit, 0),
+			cpsearcher.ServiceTime(20*time.Millisecond))
+		client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(share))
+		defer client.Close()
+		for _, size := range []int{share, share / 2} {
+			client.Resize(size)
+			var ok, shed atomic.Int32
+			var wg sync.WaitGroup
+			for i := range 5 * limit {
+				wg.Go(func() {
+					switch _, err := client.Search(t.Context(), newCall(fmt.Sprint(i), 5*time.Second)); {
+					case err == nil:
+						ok.Add(1)
+					case clementineport.FaultOf(err) == clementineport.FaultShed:
+						shed.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			assert.Equal(t, ok.Load()+shed.Load(), int32(5*limit))
+			assert.Assert(t, ok.Load() >= 1)
+			n, _ := client.Open()
+			assert.Assert(t, n <= share, "%d connections of %d", n, share)
 		}
-		wg.Wait()
-		assert.Equal(t, ok.Load()+shed.Load(), int32(3*share))
-		assert.Assert(t, ok.Load() >= 1 && shed.Load() > 0)
-		n, _ := client.Open()
-		assert.Assert(t, n <= size, "%d connections of %d", n, size)
+		assert.Equal(t, s.Stats().ConnectionsOver > 0, share > limit)
 	}
-	assert.Equal(t, s.Stats().ConnectionsOver, 0)
 }
 
 // TestGivenUpWhileDialing cancels a call before its connection is ready: the call is proven unsent and
@@ -221,21 +141,48 @@
 	assert.Equal(t, s.Stats().Calls, 1)
 }
 
-// BenchmarkCancel measures one call that follows a canceled call, which closes its connection.
+// TestNothingIsWrittenThatMayNotBeSent shows that a process that was paused asks again whether it may
+// send when it goes on, on new and on kept connections.
+func TestNothingIsWrittenThatMayNotBeSent(t *testing.T) {
+	s := startSearcher(t)
+	var stale atomic.Bool
+	c := cphttp.New(cphttp.Address(s.Address()), cphttp.MaySend(func() error {
+		if stale.Load() {
+			return clementineport.Fail(clementineport.FaultStale, "paused")
+		}
+		return nil
+	}))
+	defer c.Close()
+	for i, may := range []bool{false, true, false} {
+		stale.Store(!may)
+		_, err := c.Search(t.Context(), newCall(fmt.Sprint(i), time.Second))
+		assert.Equal(t, err == nil, may, "%v", err)
+		if !may {
+			assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultStale)
+		}
+	}
+	assert.Equal(t, s.Stats().Calls, 1)
+}
+
+// BenchmarkCancel measures one call that follows a canceled call after a pause, by protocol. With
+// HTTP/1.1 the canceled call closes its connection; a spare one may have been opened meanwhile.
 func BenchmarkCancel(b *testing.B) {
 	for _, cost := range []time.Duration{0, time.Millisecond, 6 * time.Millisecond} {
-		for _, canceled := range []bool{false, true} {
-			b.Run(fmt.Sprintf("ConnectionCost=%v/Canceled=%v", cost, canceled), func(b *testing.B) {
+		for name, opts := range map[string][]cphttp.Option{
+			"http1":       {cphttp.SpareTime(0)},
+			"http1-spare": {},
+			"http2":       {cphttp.HTTP2(true)},
+		} {
+			b.Run(fmt.Sprintf("ConnectionCost=%v/Protocol=%s", cost, name), func(b *testing.B) {
 				s := startSearcher(b, cpsearcher.ServiceTime(2*time.Millisecond), cpsearcher.Connections(45, cost))
-				client := cphttp.New(cphttp.Address(s.Address()))
+				client := cphttp.New(append(opts, cphttp.Address(s.Address()), cphttp.Connections(45))...)
 				defer client.Close()
 				var total time.Duration
 				for i := range b.N {
-					if canceled {
-						ctx, cancel := context.WithTimeout(b.Context(), time.Millisecond/2)
-						_, _ = client.Search(ctx, newCall(fmt.Sprint("c", i), time.Second))
-						cancel()
-					}
+					ctx, cancel := context.WithTimeout(b.Context(), time.Millisecond/2)
+					_, _ = client.Search(ctx, newCall(fmt.Sprint("c", i), time.Second))
+					cancel()
+					time.Sleep(10 * time.Millisecond)
 					start := time.Now()
 					if _, err := client.Search(b.Context(), newCall(fmt.Sprint("r", i), time.Second)); err != nil {
 						b.Fatal(err)
@@ -243,6 +190,7 @@
 					total += time.Since(start)
 				}
 				b.ReportMetric(float64(total.Microseconds())/float64(b.N), "us/call")
+				b.ReportMetric(float64(s.Stats().NewConnections)/float64(b.N), "connections/op")
 			})
 		}
 	}
@@ -250,13 +198,17 @@
 
 // BenchmarkSearch measures one call over a warm connection, the stand-in included.
 func BenchmarkSearch(b *testing.B) {
-	s := startSearcher(b, cpsearcher.ServiceTime(0), cpsearcher.Slots(64, 64), cpsearcher.Connections(64, 0))
-	client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(64))
-	defer client.Close()
-	b.ReportAllocs()
-	for i := range b.N {
-		if _, err := client.Search(b.Context(), newCall(fmt.Sprint("r", i), time.Second)); err != nil {
-			b.Fatal(err)
-		}
+	for _, http2 := range []bool{false, true} {
+		b.Run(fmt.Sprintf("HTTP2=%v", http2), func(b *testing.B) {
+			s := startSearcher(b, cpsearcher.ServiceTime(0), cpsearcher.Slots(64, 64), cpsearcher.Connections(64, 0))
+			client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(64), cphttp.HTTP2(http2))
+			defer client.Close()
+			b.ReportAllocs()
+			for i := range b.N {
+				if _, err := client.Search(b.Context(), newCall(fmt.Sprint("r", i), time.Second)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -22,12 +22,21 @@
 	MaxResponseBytes int64
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// CloseTime is how long a closed connection counts as open at the target.
+	CloseTime time.Duration
 	// Linger is how long a connection that went silent counts as open at the target.
 	Linger time.Duration
+	// SpareTime is how long a connection that was opened in place of a canceled one waits to be used;
+	// zero opens none.
+	SpareTime time.Duration
+	// HTTP2 uses unencrypted HTTP/2, where calls share connections and a canceled call closes none.
+	HTTP2 bool
 	// Silence decides which connections are silent.
 	Silence Silence
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaySend is asked just before bytes are written; its error fails the call.
+	MaySend func() error
 	// Header adds headers to a call, such as those of a trace.
 	Header func(ctx context.Context, h http.Header)
 }
@@ -42,9 +51,12 @@
 		Connections:      8,
 		MaxResponseBytes: 4 << 20,
 		DialTimeout:      time.Second,
+		CloseTime:        100 * time.Millisecond,
 		Linger:           15 * time.Second,
+		SpareTime:        2 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
+		MaySend:          func() error { return nil },
 		Header:           func(context.Context, http.Header) {},
 	}
 	for _, opt := range opts {
@@ -71,9 +83,18 @@
 // Linger sets how long a connection that went silent counts as open at the target.
 func Linger(d time.Duration) Option { return func(o *Options) { o.Linger = d } }
 
+// SpareTime sets how long a connection opened ahead of need waits to be used; zero opens none.
+func SpareTime(d time.Duration) Option { return func(o *Options) { o.SpareTime = d } }
+
+// HTTP2 uses unencrypted HTTP/2, which the target must accept without an upgrade.
+func HTTP2(on bool) Option { return func(o *Options) { o.HTTP2 = on } }
+
 // DetectSilence sets the rule for silent connections.
 func DetectSilence(s Silence) Option { return func(o *Options) { o.Silence = s } }
 
+// MaySend sets what is asked just before bytes are written.
+func MaySend(f func() error) Option { return func(o *Options) { o.MaySend = f } }
+
 // Header adds headers to each call, such as those of a trace.
 func Header(f func(ctx context.Context, h http.Header)) Option {
 	return func(o *Options) { o.Header = f }
