--- a/cpestate/diff.go
+++ b/cpdiff/cpdiff.go
@@ -1,4 +1,6 @@
-package cpestate
+// Package cpdiff says in one line how two estate texts differ, for operators who lost a race or read the history.
+// It decides nothing about which text is in force.
+package cpdiff
 
 import (
 	"fmt"
@@ -7,6 +9,7 @@
 	"strings"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpestate"
 )
 
 // maxNamed bounds the names that Diff lists for one kind of change.
@@ -30,7 +33,7 @@
 }
 
 func parseOrEmpty(text []byte) *clementineport.Estate {
-	if e, err := Parse(text); err == nil {
+	if e, err := cpestate.Parse(text); err == nil {
 		return e
 	}
 	return &clementineport.Estate{}
@@ -76,15 +79,3 @@
 	}
 	return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNamed], ", "), len(names)-maxNamed)
 }
-
-// Summary describes an estate on one line.
-func Summary(e *clementineport.Estate) string {
-	shards := 0
-	for _, x := range e.Indexes {
-		for _, l := range x.Layouts {
-			shards += l.Shards
-		}
-	}
-	return fmt.Sprintf("%d services, %d groups, %d targets, %d shards, %d failure domains",
-		len(e.Services), len(e.Groups), len(e.Targets), shards, len(e.Domains))
-}
--- a/cpestate/format.go
+++ b/cpestate/format.go
@@ -95,3 +95,15 @@
 	}
 	return strings.Join(texts, ", ")
 }
+
+// Summary describes an estate on one line.
+func Summary(e *clementineport.Estate) string {
+	shards := 0
+	for _, x := range e.Indexes {
+		for _, l := range x.Layouts {
+			shards += l.Shards
+		}
+	}
+	return fmt.Sprintf("%d services, %d groups, %d targets, %d shards, %d failure domains",
+		len(e.Services), len(e.Groups), len(e.Targets), shards, len(e.Domains))
+}
--- a/cpsubmit/cpsubmit_test.go
+++ b/cpsubmit/cpsubmit_test.go
@@ -207,3 +207,52 @@
 	// <nil>
 	// not-run revision 2 is in force; revision 2 by ann: group changed: lookup
 }
+
+func BenchmarkMove(b *testing.B) {
+	for _, operators := range []int{1, 10} {
+		b.Run(fmt.Sprintf("Operators=%d", operators), func(b *testing.B) {
+			store := cpstore.New()
+			s := cpsubmit.New(cpsubmit.WithStore(store))
+			_, err := s.Submit(context.Background(), cpsubmit.Submission{ID: "first", Author: "ann", Text: smallText()})
+			assert.NilError(b, err)
+			before := store.Counts()
+			round := 0
+			for b.Loop() {
+				round++
+				var wg sync.WaitGroup
+				for i := range operators {
+					wg.Go(func() {
+						_, err := s.Move(context.Background(), cpsubmit.Move{
+							ID: clementineport.SubmissionID(fmt.Sprint(round, "-", i)), Author: "ann",
+							Action: cpsubmit.TakeOut, Kind: cpsubmit.KindVM, Name: fmt.Sprint(i),
+						})
+						assert.Check(b, err)
+					})
+				}
+				wg.Wait()
+			}
+			changes := float64(round * operators)
+			after := store.Counts()
+			for _, op := range []string{"get", "compare-and-swap"} {
+				b.ReportMetric(float64(after[op]-before[op])/changes, op+"s/change")
+			}
+		})
+	}
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	e, err := cpsample.Generate(cpsample.SizeTwoYear)
+	assert.NilError(b, err)
+	texts := [][]byte{cpestate.Format(e)}
+	e.Groups[0].Slots++
+	texts = append(texts, cpestate.Format(e))
+	b.Run("Targets=3900", func(b *testing.B) {
+		s := cpsubmit.New(cpsubmit.WithStore(cpstore.New()))
+		for n := 0; b.Loop(); n++ {
+			_, err := s.Submit(context.Background(), cpsubmit.Submission{
+				ID: clementineport.SubmissionID(fmt.Sprint(n)), Author: "ann", BasedOn: clementineport.Revision(n), Text: texts[n%2],
+			})
+			assert.NilError(b, err)
+		}
+	})
+}
--- a/cpsubmit/model_test.go
+++ b/cpsubmit/model_test.go
@@ -37,6 +37,7 @@
 type operator struct {
 	name    string
 	n       int
+	blind   bool
 	session *cpsubmit.Session
 	step    cpsubmit.Step
 	text    *cpsubmit.Submission
@@ -58,7 +59,7 @@
 	bases     map[clementineport.SubmissionID]clementineport.Revision
 	accepted  map[clementineport.SubmissionID]clementineport.Revision
 	refused   map[clementineport.SubmissionID]bool
-	out       []clementineport.VMID
+	restored  bool
 }
 
 func noCheck() cpsubmit.Option {
@@ -80,7 +81,7 @@
 	w.plain = w.store.Plain()
 	w.images = []cpstore.Image{w.store.Save()}
 	for i := range operators {
-		w.operators = append(w.operators, &operator{name: fmt.Sprintf("op%d", i)})
+		w.operators = append(w.operators, &operator{name: fmt.Sprintf("op%d", i), blind: i%2 == 1})
 	}
 	return w
 }
@@ -122,7 +123,7 @@
 		if err != nil {
 			return err
 		}
-		o.step = o.session.Read(stored, w.inForce, version, time.Unix(0, 0))
+		o.step = o.session.Read(stored, w.known(o), version, time.Unix(0, 0))
 	case o.step.Kind == cpsubmit.StepWrite:
 		step := o.step
 		var err error
@@ -151,6 +152,14 @@
 	return nil
 }
 
+// known returns what the operator's VM has in force. Until a first restore, every other VM knows of nothing.
+func (w *world) known(o *operator) *clementineport.Config {
+	if !w.restored && o.blind {
+		return nil
+	}
+	return w.inForce
+}
+
 // write carries out a write and checks what it changes.
 func (w *world) write(step cpsubmit.Step) (err, broken error) {
 	value, err := cpestate.EncodeConfig(step.Config)
@@ -229,6 +238,7 @@
 	case e.Kind == saveImage:
 		w.images = append(w.images, w.store.Save())
 	case e.Kind == restore:
+		w.restored = true
 		w.store.Restore(w.images[e.Choice%len(w.images)])
 	}
 	return nil
--- a/cpsubmit/options.go
+++ b/cpsubmit/options.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdiff"
 	"github.com/clementineport/clementineport/cpestate"
 )
 
@@ -87,7 +88,7 @@
 		Tries:     5,
 		Pause:     50 * time.Millisecond,
 		Check:     checkEstate,
-		Diff:      cpestate.Diff,
+		Diff:      cpdiff.Diff,
 		HasDomain: hasDomain,
 		Rules:     AllRules(),
 	}
