--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -33,6 +35,9 @@
 	typical atomic.Int64
 	// streak counts the calls in a row that ended without a byte of answer.
 	streak atomic.Int32
+	// spare hands over a connection that was opened ahead of need.
+	spare     chan *conn
+	refilling atomic.Bool
 
 	mu       sync.Mutex
 	waiting  map[*exchange]struct{}
@@ -45,7 +50,8 @@
 	c := &Client{
 		opts:    o,
 		url:     "http://" + o.Address,
-		pool:    &pool{clock: o.Clock, linger: o.Linger, share: o.Connections},
+		pool:    &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
+		spare:   make(chan *conn),
 		waiting: map[*exchange]struct{}{},
 	}
 	c.transport = &http.Transport{
@@ -56,6 +62,10 @@
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
 	}
+	if o.HTTP2 {
+		c.transport.Protocols = &http.Protocols{}
+		c.transport.Protocols.SetUnencryptedHTTP2(true)
+	}
 	return c
 }
 
@@ -74,6 +84,7 @@
 func (c *Client) Open() (n, peak int) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.pool.expire()
 	return c.pool.open + len(c.pool.lingering), c.pool.peak
 }
 
@@ -89,11 +100,11 @@
 	if left <= 0 {
 		return nil, clementineport.Fail(clementineport.FaultDeadline, "no time left")
 	}
-	body, err := json.Marshal(newSearchRequest(call, left))
+	body, err := easyjson.Marshal(newSearchRequest(call, left))
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := limit(ctx, left)
 	defer cancel()
 	e := &exchange{client: c}
 	r, err := e.request(ctx, c.url+PathSearch, body)
@@ -105,6 +116,9 @@
 	status, data, err := e.roundTrip(r)
 	c.end(e, err)
 	if err != nil {
+		if ctx.Err() != nil && e.conn != nil && !c.opts.HTTP2 {
+			c.refill()
+		}
 		return nil, e.fail(ctx, err)
 	}
 	if status == http.StatusOK {
@@ -113,6 +127,14 @@
 	return decodeRefusal(call, status, data)
 }
 
+// limit returns a context that ends when no time is left; the one of the caller serves if it ends by then.
+func limit(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= left {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, left)
+}
+
 // Status implements clementineport.Target.
 func (c *Client) Status(ctx context.Context) (clementineport.Signals, error) {
 	var s clementineport.Signals
