Report a value that can't be decoded once; refuse YAML tags

The check of the meaning of a value is left out when its decoding failed. Tags are refused, since the decoder marks such values with one. An operator's error no longer names its fault twice.

--- a/cpoperator/cpoperator.go
+++ b/cpoperator/cpoperator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -162,7 +163,7 @@
 		Reason  string
 		Changes []clementineport.Change `json:",omitempty"`
 		Faults  cpyaml.Faults           `json:",omitempty"`
-	}{fault.Verdict(), fault, err.Error(), changes, faults})
+	}{fault.Verdict(), fault, strings.TrimPrefix(err.Error(), fault.String()+": "), changes, faults})
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/cpyaml/cpyaml.go
+++ b/cpyaml/cpyaml.go
@@ -62,16 +62,27 @@
 	key  string
 }
 
-// Line returns the line of a key of the mapping, or that of the mapping if it has no such key.
-func (p Place) Line(key string) int {
+// find returns the nodes of a key and its value, or nil.
+func (p Place) find(key string) (k, value *yaml.Node) {
 	if p.node == nil {
-		return 0
+		return nil, nil
 	}
 	for i := 0; i+1 < len(p.node.Content); i += 2 {
 		if p.node.Content[i].Value == key {
-			return p.node.Content[i].Line
+			return p.node.Content[i], p.node.Content[i+1]
 		}
 	}
+	return nil, nil
+}
+
+// Line returns the line of a key of the mapping, or that of the mapping if it has no such key.
+func (p Place) Line(key string) int {
+	if k, _ := p.find(key); k != nil {
+		return k.Line
+	}
+	if p.node == nil {
+		return 0
+	}
 	return p.node.Line
 }
 
@@ -80,19 +91,15 @@
 
 // Has reports whether the mapping has the key.
 func (p Place) Has(key string) bool {
-	if p.node == nil {
-		return false
-	}
-	for i := 0; i+1 < len(p.node.Content); i += 2 {
-		if p.node.Content[i].Value == key {
-			return true
-		}
-	}
-	return false
+	k, _ := p.find(key)
+	return k != nil
 }
 
-// Report adds a fault at a key of the mapping.
+// Report adds a fault at a key of the mapping, unless its value could not be decoded at all.
 func (p Place) Report(faults *Faults, key, allowed, problem string, args ...any) {
+	if _, value := p.find(key); value != nil && value.Tag == badTag {
+		return
+	}
 	faults.Add(p.Line(key), p.Key(key), allowed, problem, args...)
 }
 
--- a/cpyaml/decode.go
+++ b/cpyaml/decode.go
@@ -25,8 +25,8 @@
 }
 
 func (d *decoder) node(n *yaml.Node, key string, v reflect.Value) {
-	if n.Kind == yaml.AliasNode || n.Anchor != "" {
-		d.faults.Add(n.Line, name(key), "plain values", "anchors and aliases are not allowed")
+	if n.Kind == yaml.AliasNode || n.Anchor != "" || n.Style&yaml.TaggedStyle != 0 {
+		d.fail(n, key, "plain values", "anchors, aliases and tags are not allowed")
 		return
 	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
@@ -45,9 +45,17 @@
 	}
 }
 
+// badTag marks a node whose value could not be decoded, so that checks of its meaning are left out.
+const badTag = "!bad"
+
+func (d *decoder) fail(n *yaml.Node, key, allowed, problem string, args ...any) {
+	n.Tag = badTag
+	d.faults.Add(n.Line, name(key), allowed, problem, args...)
+}
+
 func (d *decoder) mapping(n *yaml.Node, key string, v reflect.Value) {
 	if n.Kind != yaml.MappingNode {
-		d.faults.Add(n.Line, name(key), "a mapping with the keys "+strings.Join(fields(v.Type()), ", "), "is not a mapping")
+		d.fail(n, key, "a mapping with the keys "+strings.Join(fields(v.Type()), ", "), "is not a mapping")
 		return
 	}
 	for i := range v.NumField() {
@@ -76,7 +84,7 @@
 
 func (d *decoder) sequence(n *yaml.Node, key string, v reflect.Value) {
 	if n.Kind != yaml.SequenceNode {
-		d.faults.Add(n.Line, name(key), "a list", "is not a list")
+		d.fail(n, key, "a list", "is not a list")
 		return
 	}
 	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
@@ -89,7 +97,7 @@
 // plain returns the text of a scalar, or reports a fault.
 func (d *decoder) plain(n *yaml.Node, key, allowed string) (string, bool) {
 	if n.Kind != yaml.ScalarNode {
-		d.faults.Add(n.Line, name(key), allowed, "is not a single value")
+		d.fail(n, key, allowed, "is not a single value")
 		return "", false
 	}
 	return n.Value, true
@@ -101,7 +109,7 @@
 		return
 	}
 	if err := u.UnmarshalText([]byte(text)); err != nil {
-		d.faults.Add(n.Line, name(key), err.Error(), "is %q", text)
+		d.fail(n, key, err.Error(), "is %q", text)
 	}
 }
 
@@ -113,7 +121,7 @@
 	}
 	span, err := time.ParseDuration(text)
 	if err != nil {
-		d.faults.Add(n.Line, name(key), allowed, "is %q", text)
+		d.fail(n, key, allowed, "is %q", text)
 		return
 	}
 	v.SetInt(int64(span))
@@ -126,7 +134,7 @@
 		return
 	}
 	if err := set(v, text); err != nil {
-		d.faults.Add(n.Line, name(key), allowed, "is %q", text)
+		d.fail(n, key, allowed, "is %q", text)
 	}
 }
 
