--- a/cpsubmit/cpsubmit_test.go
+++ b/cpsubmit/cpsubmit_test.go
@@ -84,7 +84,11 @@
 }
 
 func TestTenOperatorsRace(t *testing.T) {
-	store, s := submitted(t)
+	store, s := submitted(t, cpsubmit.WithPause(time.Millisecond, 50))
+	for i := range 4 {
+		store.Script.Add(cpstore.Failure{Mode: cpstore.ModeLoseReply, Calls: 1, After: 3 * i, Writes: true})
+		store.Script.Add(cpstore.Failure{Mode: cpstore.ModeResetBefore, Calls: 1, After: 5 * i, Writes: true})
+	}
 	var mu sync.Mutex
 	var winners []clementineport.SubmissionID
 	var conflicts []*cpsubmit.ConflictError
