--- a/cpsubmit/cpsubmit_test.go
+++ b/cpsubmit/cpsubmit_test.go
@@ -169,6 +169,26 @@
 	assert.DeepEqual(t, result.Config.Out.Domains, []clementineport.FailureDomain{"b"})
 }
 
+// TestRefusalWhileAWriteMayArrive lets the VM learn of a newer configuration while its write at the present version
+// of a restored store may still arrive: "conflict" would claim that it can't.
+func TestRefusalWhileAWriteMayArrive(t *testing.T) {
+	const version = 5
+	config := func(r clementineport.Revision) *clementineport.Config {
+		return &clementineport.Config{Revision: r, Changes: []clementineport.Change{{Revision: r, Submission: "other"}}}
+	}
+	for _, c := range []struct {
+		version uint64
+		fault   clementineport.Fault
+	}{{version, clementineport.FaultTimeout}, {version + 1, clementineport.FaultConflict}} {
+		session := cpsubmit.NewTextSession(cpsubmit.Submission{ID: "text", Author: "ann", BasedOn: 1}, noCheck())
+		step := session.Read(config(1), nil, version, time.Time{})
+		assert.Equal(t, step.Kind, cpsubmit.StepWrite)
+		session.Wrote(clementineport.Fail(clementineport.FaultTimeout, "late"))
+		step = session.Read(config(1), config(2), c.version, time.Time{})
+		assert.Equal(t, clementineport.FaultOf(step.Err), c.fault)
+	}
+}
+
 func TestRefusedBeforeTheStoreIsAsked(t *testing.T) {
 	store, s := submitted(t)
 	calls := store.Counts()
