--- a/cpsubmit/cpsubmit_test.go
+++ b/cpsubmit/cpsubmit_test.go
@@ -84,7 +84,11 @@
 }
 
 func TestTenOperatorsRace(t *testing.T) {
-	store, s := submitted(t)
+	store, s := submitted(t, cpsubmit.WithPause(time.Millisecond, 50))
+	for i := range 4 {
+		store.Script.Add(cpstore.Failure{Mode: cpstore.ModeLoseReply, Calls: 1, After: 3 * i, Writes: true})
+		store.Script.Add(cpstore.Failure{Mode: cpstore.ModeResetBefore, Calls: 1, After: 5 * i, Writes: true})
+	}
 	var mu sync.Mutex
 	var winners []clementineport.SubmissionID
 	var conflicts []*cpsubmit.ConflictError
@@ -165,6 +169,26 @@
 	assert.DeepEqual(t, result.Config.Out.Domains, []clementineport.FailureDomain{"b"})
 }
 
+// TestRefusalWhileAWriteMayArrive lets the VM learn of a newer configuration while its write at the present version
+// of a restored store may still arrive: "conflict" would claim that it can't.
+func TestRefusalWhileAWriteMayArrive(t *testing.T) {
+	const version = 5
+	config := func(r clementineport.Revision) *clementineport.Config {
+		return &clementineport.Config{Revision: r, Changes: []clementineport.Change{{Revision: r, Submission: "other"}}}
+	}
+	for _, c := range []struct {
+		version uint64
+		fault   clementineport.Fault
+	}{{version, clementineport.FaultTimeout}, {version + 1, clementineport.FaultConflict}} {
+		session := cpsubmit.NewTextSession(cpsubmit.Submission{ID: "text", Author: "ann", BasedOn: 1}, noCheck())
+		step := session.Read(config(1), nil, version, time.Time{})
+		assert.Equal(t, step.Kind, cpsubmit.StepWrite)
+		session.Wrote(clementineport.Fail(clementineport.FaultTimeout, "late"))
+		step = session.Read(config(1), config(2), c.version, time.Time{})
+		assert.Equal(t, clementineport.FaultOf(step.Err), c.fault)
+	}
+}
+
 func TestRefusedBeforeTheStoreIsAsked(t *testing.T) {
 	store, s := submitted(t)
 	calls := store.Counts()
@@ -207,3 +231,52 @@
 	// <nil>
 	// not-run revision 2 is in force; revision 2 by ann: group changed: lookup
 }
+
+func BenchmarkMove(b *testing.B) {
+	for _, operators := range []int{1, 10} {
+		b.Run(fmt.Sprintf("Operators=%d", operators), func(b *testing.B) {
+			store := cpstore.New()
+			s := cpsubmit.New(cpsubmit.WithStore(store))
+			_, err := s.Submit(context.Background(), cpsubmit.Submission{ID: "first", Author: "ann", Text: smallText()})
+			assert.NilError(b, err)
+			before := store.Counts()
+			round := 0
+			for b.Loop() {
+				round++
+				var wg sync.WaitGroup
+				for i := range operators {
+					wg.Go(func() {
+						_, err := s.Move(context.Background(), cpsubmit.Move{
+							ID: clementineport.SubmissionID(fmt.Sprint(round, "-", i)), Author: "ann",
+							Action: cpsubmit.TakeOut, Kind: cpsubmit.KindVM, Name: fmt.Sprint(i),
+						})
+						assert.Check(b, err)
+					})
+				}
+				wg.Wait()
+			}
+			changes := float64(round * operators)
+			after := store.Counts()
+			for _, op := range []string{"get", "compare-and-swap"} {
+				b.ReportMetric(float64(after[op]-before[op])/changes, op+"s/change")
+			}
+		})
+	}
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	e, err := cpsample.Generate(cpsample.SizeTwoYear)
+	assert.NilError(b, err)
+	texts := [][]byte{cpestate.Format(e)}
+	e.Groups[0].Slots++
+	texts = append(texts, cpestate.Format(e))
+	b.Run("Targets=3900", func(b *testing.B) {
+		s := cpsubmit.New(cpsubmit.WithStore(cpstore.New()))
+		for n := 0; b.Loop(); n++ {
+			_, err := s.Submit(context.Background(), cpsubmit.Submission{
+				ID: clementineport.SubmissionID(fmt.Sprint(n)), Author: "ann", BasedOn: clementineport.Revision(n), Text: texts[n%2],
+			})
+			assert.NilError(b, err)
+		}
+	})
+}
