Answer unknown paths and methods of callers with a JSON body

Cause: the routes of net/http answered 404 and 405 with plain text, so a caller that decodes refusals saw a malformed answer. Ruled out: the query handler, whose refusals were JSON. Before: TestCallerErrors failed for 9 of 16 rows; after: all pass.

--- a/cpapi/cpapi.go
+++ b/cpapi/cpapi.go
@@ -45,6 +45,10 @@
 	mux.HandleFunc("GET /v1/entries", s.entries)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
+	for _, path := range []string{"/v1/query", "/v1/entries", "/livez", "/readyz"} {
+		mux.HandleFunc(path, s.wrongMethod)
+	}
+	mux.HandleFunc("/", s.unknownPath)
 	return mux
 }
 
--- a/cpapi/errors.go
+++ b/cpapi/errors.go
@@ -16,6 +16,16 @@
 
 func (e *tooLarge) Error() string { return fmt.Sprintf("body: larger than %d bytes", e.limit) }
 
+func (s *server) unknownPath(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, clementineport.Fail(clementineport.FaultNotFound, "path %q does not exist", r.URL.Path))
+}
+
+// wrongMethod refuses a request to a path that exists for another method.
+func (s *server) wrongMethod(w http.ResponseWriter, r *http.Request) {
+	refused := clementineport.Fail(clementineport.FaultInvalid, "method %s is not allowed here", r.Method)
+	s.write(w, http.StatusMethodNotAllowed, refused)
+}
+
 // Status returns the HTTP status for a fault.
 func Status(f clementineport.Fault) int {
 	switch f {
@@ -39,6 +49,10 @@
 
 // fail writes a refusal or failure with its verdict.
 func (s *server) fail(w http.ResponseWriter, err error) {
+	s.write(w, Status(clementineport.FaultOf(err)), err)
+}
+
+func (s *server) write(w http.ResponseWriter, status int, err error) {
 	var body struct {
 		Verdict          clementineport.Verdict
 		Fault            clementineport.Fault
@@ -49,7 +63,6 @@
 	body.Verdict = clementineport.VerdictOf(err)
 	body.Fault = clementineport.FaultOf(err)
 	body.Reason = err.Error()
-	status := Status(body.Fault)
 	if large, ok := errors.AsType[*tooLarge](err); ok {
 		body.Verdict, body.Fault, body.Reason = clementineport.NotRun, clementineport.FaultInvalid, large.Error()
 		status = http.StatusRequestEntityTooLarge
