Find the members through the peers in the settings while the list is down

Cause: settings had Peers, which nothing read, so a VM that started while the store and the list of VMs were both down knew nobody and stayed stale. Ruled out: the fetch of the configuration from peers, which works when the list answers (TestStoreOutage).

--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -1,6 +1,8 @@
 package cpnode
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineport/clementineport"
@@ -11,11 +13,14 @@
 	"github.com/clementineport/clementineport/cppick"
 )
 
+// seedTimeout bounds the calls to the peers that the settings name.
+const seedTimeout = time.Second
+
 func (n *Node) newControl() {
 	n.control = cpcontrol.New(
 		cpcontrol.WithSelf(clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}),
 		cpcontrol.WithStore(n.store),
-		cpcontrol.WithDirectory(n.list),
+		cpcontrol.WithDirectory(&seededList{Directory: n.list, n: n}),
 		cpcontrol.WithDial(n.dialPeer),
 		cpcontrol.WithPicker(cppick.New(cppick.Seed(n.seed))),
 		cpcontrol.WithClock(n.clock),
