--- a/cpfleet/domain_test.go
+++ b/cpfleet/domain_test.go
@@ -10,16 +10,20 @@
 )
 
 // coldFlags make the stand-in targets start cold and fall over when they get too much work then.
-var coldFlags = []string{"--cold-step", "20", "--cold-factor", "4", "--fall-over", "2s"}
+var coldFlags = []string{"--cold-step", fmt.Sprint(coldStep), "--cold-factor", "4", "--fall-over", "2s"}
 
-// warm waits until the targets have served enough calls to be warm.
-func (f *fleet) warm(targets []int) {
+// coldStep is the number of calls after which a cold target bears one more at a time.
+const coldStep = 20
+
+// served waits until each of the targets has completed some calls since it started.
+func (f *fleet) served(targets []int) {
 	f.t.Helper()
-	eventually(f.t, "targets are warm", func() error {
+	before := f.stats()
+	eventually(f.t, "targets serve", func() error {
 		all := f.stats()
 		for _, n := range targets {
-			if all[n].Cold {
-				return fmt.Errorf("target %d bears %d calls", n, all[n].Level)
+			if done := all[n].Completed - before[n].Completed; done < coldStep {
+				return fmt.Errorf("target %d has completed %d calls", n, done)
 			}
 		}
 		return nil
@@ -53,13 +57,13 @@
 	t.Parallel()
 	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
 	l := f.load("")
-	f.warm(allTargets())
+	f.served(allTargets())
 	accepted := f.move("take-out", "b")
 	time.Sleep(time.Until(accepted.Add(promised + settleTime)))
 	report(t, "quiet", f.checkQuiet("b", accepted))
 	f.coldRestart(domainTargets("b"))
 	f.move("bring-back", "b")
-	f.warm(domainTargets("b"))
+	f.served(domainTargets("b"))
 	l.checkAlways(true, true)
 }
 
@@ -69,10 +73,10 @@
 	t.Parallel()
 	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
 	l := f.load("")
-	f.warm(allTargets())
+	f.served(allTargets())
 	for _, targets := range [][]int{{4}, {0, 4, 8}, domainTargets("c")} {
 		f.coldRestart(targets)
-		f.warm(targets)
+		f.served(targets)
 		report(t, fmt.Sprintf("targets %v", targets), f.checkTargets())
 	}
 	outcomes := l.finish()
@@ -80,6 +84,22 @@
 	l.checkAlways(false, false)
 }
 
+// TestWarmUp proves that steady load brings cold targets to full service.
+func TestWarmUp(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	l := f.load("")
+	eventually(t, "all targets are warm", func() error {
+		for n, s := range f.stats() {
+			if s.Cold {
+				return fmt.Errorf("target %d bears %d calls", n, s.Level)
+			}
+		}
+		return nil
+	})
+	l.checkAlways(true, true)
+}
+
 // TestColdBaseline shows that the check for fall-overs fails under the baseline policy.
 func TestColdBaseline(t *testing.T) {
 	t.Parallel()
--- a/cpfleet/fleet_test.go
+++ b/cpfleet/fleet_test.go
@@ -132,6 +132,7 @@
 	targets  *process
 	entries  []*entry
 	revision clementineport.Revision
+	loads    int
 }
 
 type fleetOptions struct {
@@ -279,10 +280,26 @@
 `, name, domain, caller, peer, operator, vm.Peer, f.storeAt, f.storeAt, strings.Join(peers, ", "), f.file("token"))
 	assert.NilError(f.t, os.WriteFile(f.file(name+".yaml"), []byte(settings), 0o600))
 	e := &entry{f.start(name, "clementineport", "entry", "--settings", f.file(name+".yaml")), vm}
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.logMetrics(e)
+		}
+	})
 	f.entries = append(f.entries, e)
 	return e
 }
 
+// logMetrics logs the counters of an entry VM that still runs.
+func (f *fleet) logMetrics(e *entry) {
+	w, err := client.Get("http://" + e.vm.Operator + "/metrics")
+	if err != nil {
+		return
+	}
+	defer w.Body.Close()
+	data, _ := io.ReadAll(w.Body)
+	f.t.Logf("metrics of %s:\n%s", e.name, data)
+}
+
 func (f *fleet) register(vm clementineport.VM) {
 	f.t.Helper()
 	assert.NilError(f.t, f.call(http.MethodPost, f.storeAt, "/admin/vms", vm, nil))
--- a/cpfleet/load_test.go
+++ b/cpfleet/load_test.go
@@ -44,6 +44,7 @@
 // load sends queries at a steady rate through the caller package until it is finished.
 type load struct {
 	f       *fleet
+	name    string
 	policy  string
 	callers []cpcaller.Caller
 	stop    chan struct{}
@@ -54,7 +55,8 @@
 }
 
 func (f *fleet) load(policy string, opts ...cpcaller.Option) *load {
-	l := &load{f: f, policy: policy, stop: make(chan struct{}), ended: make(chan struct{})}
+	f.loads++
+	l := &load{f: f, name: fmt.Sprintf("load-%d", f.loads), policy: policy, stop: make(chan struct{}), ended: make(chan struct{})}
 	for range callers {
 		l.callers = append(l.callers, cpcaller.New(append([]cpcaller.Option{cpcaller.WithSeeds(f.callers()...)}, opts...)...))
 	}
@@ -81,7 +83,7 @@
 
 func (l *load) query(n int) {
 	q := clementineport.Query{
-		Service: "lookup", Text: fmt.Sprintf("text-%d", n), Limit: hitLimit, Idempotent: n%onceEvery != 0, Policy: l.policy,
+		Service: "lookup", Text: fmt.Sprintf("%s-%d", l.name, n), Limit: hitLimit, Idempotent: n%onceEvery != 0, Policy: l.policy,
 	}
 	if q.Idempotent {
 		q.Request = clementineport.RequestID(q.Text)
--- /dev/null
+++ b/cpfleet/store_test.go
@@ -0,0 +1,200 @@
+package cpfleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcli"
+)
+
+// inForce waits until every entry VM has a revision in force and reports the restored one that is wanted.
+func (f *fleet) inForce(revision, restored clementineport.Revision) {
+	f.t.Helper()
+	for _, e := range f.entries {
+		eventually(f.t, fmt.Sprintf("revision %d in force at %s", revision, e.name), func() error {
+			out, fault, code := f.commandAt([]*entry{e}, "status")
+			var s struct{ Revision, Restored clementineport.Revision }
+			if code != 0 || json.Unmarshal([]byte(out), &s) != nil || s.Revision != revision || s.Restored != restored {
+				return fmt.Errorf("%s %s", out, fault)
+			}
+			return nil
+		})
+	}
+}
+
+// TestStoreOutage proves that queries, fresh entry VMs and the spread of an accepted change need no store, that
+// a change gets a clear verdict meanwhile, and that a store that was restored to an older revision changes nothing.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	l := f.load("")
+	l.answered(50)
+	assert.NilError(t, f.call(http.MethodPost, f.storeAt, "/admin/save", nil, nil))
+	old := f.revision
+	f.must(nil, "take-out", "domain", "c")
+	f.storeFault("down", 0, false, false)
+	f.revision++
+	accepted := f.config().Changes[old].At
+	f.inForce(f.revision, 0)
+	f.ready(f.startEntry("vm-fresh", "a"))
+	f.settled()
+	_, fault, code := f.command("submit", f.textFile(f.estate([]int{shards})), "--based-on", fmt.Sprint(f.revision))
+	assert.Assert(t, code == cpcli.ExitUnreachable || code == cpcli.ExitUnknown, "exit code %d: %s", code, fault)
+	l.answered(200)
+	assert.NilError(t, f.call(http.MethodPost, f.storeAt, "/admin/restore", nil, nil))
+	f.storeWell()
+	f.inForce(f.revision, old)
+	time.Sleep(time.Until(accepted.Add(promised + settleTime)))
+	report(t, "quiet", f.checkQuiet("c", accepted))
+	f.must(nil, "bring-back", "domain", "c")
+	f.revision = f.config().Revision
+	assert.Equal(t, f.revision, old+2)
+	f.inForce(f.revision, 0)
+	l.answered(50)
+	l.checkAlways(true, true)
+}
+
+// TestFreshEntryFromPeers proves that an entry VM that starts while the store and the list of VMs are down gets
+// the configuration from the peers that its settings name, and serves.
+func TestFreshEntryFromPeers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{peers: true})
+	f.storeFault("down", 0, false, false)
+	f.storeFault("down", 0, false, true)
+	fresh := f.startEntry("vm-fresh", "a")
+	f.ready(fresh)
+	f.entries = []*entry{fresh}
+	l := f.load("")
+	l.answered(100)
+	l.checkAlways(true, true)
+}
+
+// submitters is how many operators submit at once.
+const submitters = 10
+
+// TestOperatorRaces proves that one of many operators wins each revision, that a text never undoes a take-out,
+// and that a change whose reply was lost is settled as accepted.
+func TestOperatorRaces(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	text := f.estate([]int{shards})
+	for round := range 3 {
+		base, codes := f.revision, f.race(text)
+		assert.Equal(t, count(codes, cpcli.ExitOK), 1, "round %d: %v", round, codes)
+		assert.Equal(t, count(codes, cpcli.ExitRefused), submitters-1, "round %d: %v", round, codes)
+		f.revision = f.config().Revision
+		assert.Equal(t, f.revision, base+1)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { f.race(text) })
+	_, fault, code := f.command("take-out", "domain", "c")
+	wg.Wait()
+	assert.Equal(t, code, cpcli.ExitOK, fault)
+	f.revision = f.config().Revision
+	f.race(text)
+	cfg := f.config()
+	assert.DeepEqual(t, cfg.Out.Domains, []clementineport.FailureDomain{"c"})
+	f.revision = cfg.Revision
+
+	f.storeFault("lose-reply", 0, true, false)
+	var first, again struct {
+		Revision clementineport.Revision
+		Repeated bool
+	}
+	file, based := f.textFile(text+"# lost reply\n"), fmt.Sprint(f.revision)
+	f.must(&first, "submit", file, "--based-on", based, "--id", "lost-reply")
+	f.storeWell()
+	f.must(&again, "submit", file, "--based-on", based, "--id", "lost-reply")
+	assert.Assert(t, again.Repeated)
+	assert.Equal(t, first.Revision, f.revision+1)
+	assert.Equal(t, again.Revision, first.Revision)
+	cfg = f.config()
+	assert.Equal(t, cfg.Revision, first.Revision)
+	revisions := map[clementineport.Revision]bool{}
+	for _, c := range cfg.Changes {
+		assert.Assert(t, !revisions[c.Revision], "revision %d was given twice", c.Revision)
+		revisions[c.Revision] = true
+	}
+}
+
+func count(codes []int, code int) int {
+	return len(codes) - len(slices.DeleteFunc(slices.Clone(codes), func(c int) bool { return c == code }))
+}
+
+// race submits edited texts at once, all based on the revision in force, and returns the exit codes.
+func (f *fleet) race(text string) []int {
+	codes := make([]int, submitters)
+	var wg sync.WaitGroup
+	for i := range codes {
+		file, base := f.textFile(text+fmt.Sprintf("# operator %d\n", i)), fmt.Sprint(f.revision)
+		wg.Go(func() {
+			_, _, codes[i] = f.command("submit", file, "--based-on", base, "--author", fmt.Sprint("operator-", i))
+		})
+	}
+	wg.Wait()
+	return codes
+}
+
+// TestCallerErrors proves that a bad request of a caller gets a status 4xx with a JSON body that says what is
+// wrong, and that callers and strangers reach no call of operators or peers.
+func TestCallerErrors(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	vm := f.entries[0].vm
+	good := `{"Request":"r","Service":"lookup","Text":"t","Limit":1,"DeadlineMillis":1000,"Idempotent":true}`
+	for _, c := range []struct {
+		name, method, path, body string
+		status                   int
+	}{
+		{"malformed", "POST", "/v1/query", `{"Request":`, http.StatusBadRequest},
+		{"unknown key", "POST", "/v1/query", strings.Replace(good, `"Limit"`, `"Limits"`, 1), http.StatusBadRequest},
+		{"wrong type", "POST", "/v1/query", strings.Replace(good, `:1,`, `:"one",`, 1), http.StatusBadRequest},
+		{"no request id", "POST", "/v1/query", strings.Replace(good, `"r"`, `""`, 1), http.StatusBadRequest},
+		{"limit too high", "POST", "/v1/query", strings.Replace(good, `:1,`, `:1000000,`, 1), http.StatusBadRequest},
+		{"unknown service", "POST", "/v1/query", strings.Replace(good, "lookup", "other", 1), http.StatusNotFound},
+		{"oversized", "POST", "/v1/query", strings.Replace(good, `"t"`, `"`+strings.Repeat("t", 1<<20)+`"`, 1), http.StatusRequestEntityTooLarge},
+		{"unknown path", "POST", "/v1/other", good, http.StatusNotFound},
+		{"wrong method", "GET", "/v1/query", "", http.StatusMethodNotAllowed},
+		{"submit", "POST", "/v1/submit", `{}`, http.StatusNotFound},
+		{"take-out", "POST", "/v1/out", `{}`, http.StatusNotFound},
+		{"config", "GET", "/v1/config", "", http.StatusNotFound},
+		{"status", "GET", "/v1/status", "", http.StatusNotFound},
+		{"explain", "GET", "/v1/explain/r", "", http.StatusNotFound},
+		{"metrics", "GET", "/metrics", "", http.StatusNotFound},
+		{"profile", "GET", "/debug/pprof/profile", "", http.StatusNotFound},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, err := http.NewRequest(c.method, "http://"+vm.Caller+c.path, strings.NewReader(c.body))
+			assert.NilError(t, err)
+			r.Header.Set("Authorization", "Bearer "+token)
+			w, err := client.Do(r)
+			assert.NilError(t, err)
+			defer w.Body.Close()
+			assert.Equal(t, w.StatusCode, c.status)
+			var body struct {
+				Verdict clementineport.Verdict
+				Fault   string
+				Reason  string
+			}
+			assert.NilError(t, json.NewDecoder(w.Body).Decode(&body))
+			assert.Equal(t, body.Verdict, clementineport.NotRun)
+			assert.Assert(t, body.Reason != "" && body.Fault != "")
+		})
+	}
+	for _, path := range []string{"/v1/submit", "/v1/out", "/v1/config", "/v1/status", "/v1/explain/r", "/debug/pprof/"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			err := f.call(method, vm.Operator, path, struct{}{}, nil)
+			assert.Assert(t, err != nil, "%s %s without a token", method, path)
+		}
+	}
+	assert.Equal(t, f.config().Revision, f.revision)
+}
