--- a/cpfleet/domain_test.go
+++ b/cpfleet/domain_test.go
@@ -33,8 +33,21 @@
 // coldRestart restarts targets cold and waits until they have begun a new life.
 func (f *fleet) coldRestart(targets []int) {
 	f.t.Helper()
-	before := f.stats()
-	f.admin(cpsearcher.Command{Targets: targets, ColdRestart: true})
+	f.restart(cpsearcher.Command{Targets: targets, ColdRestart: true})
+}
+
+// newWarmFleet returns a fleet of warm targets that would be cold after a cold restart.
+func newWarmFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	f.restart(cpsearcher.Command{Targets: allTargets(), WarmRestart: true})
+	return f
+}
+
+func (f *fleet) restart(c cpsearcher.Command) {
+	f.t.Helper()
+	before, targets := f.stats(), c.Targets
+	f.admin(c)
 	eventually(f.t, "targets have restarted", func() error {
 		all := f.stats()
 		for _, n := range targets {
@@ -55,7 +68,7 @@
 // time, that no query fails for it, and that its return does not push its cold targets over.
 func TestFailureDomainMove(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	f := newWarmFleet(t)
 	l := f.load("")
 	f.served(allTargets())
 	accepted := f.move("take-out", "b")
@@ -71,7 +84,7 @@
 // them, and a whole failure domain.
 func TestColdTargets(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{targetFlags: coldFlags})
+	f := newWarmFleet(t)
 	l := f.load("")
 	f.served(allTargets())
 	for _, targets := range [][]int{{4}, {0, 4, 8}, domainTargets("c")} {
--- /dev/null
+++ b/cpfleet/pairs_test.go
@@ -0,0 +1,77 @@
+package cpfleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// trouble is one thing that goes wrong; begin starts it and returns what ends it.
+type trouble struct {
+	name  string
+	begin func(f *fleet, l *load) (end func())
+}
+
+// troubles lists what TestPairs combines. A failure domain is taken out, a third of the targets restart cold,
+// and the entry VM that is killed is of another failure domain.
+func troubles() []trouble {
+	return []trouble{
+		{"domain", func(f *fleet, _ *load) func() {
+			accepted := f.move("take-out", "b")
+			return func() {
+				time.Sleep(time.Until(accepted.Add(promised + settleTime)))
+				report(f.t, "quiet", f.checkQuiet("b", accepted))
+				f.storeWell()
+				f.move("bring-back", "b")
+			}
+		}},
+		{"entry", func(f *fleet, _ *load) func() {
+			killed := f.entries[2]
+			f.entries = f.entries[:2]
+			killed.kill()
+			return func() {
+				f.unregister(killed)
+				f.ready(f.startEntry("vm-new", "c"))
+			}
+		}},
+		{"store", func(f *fleet, _ *load) func() {
+			f.storeFault("down", 0, false, false)
+			return f.storeWell
+		}},
+		{"cold", func(f *fleet, _ *load) func() {
+			f.coldRestart([]int{0, 4, 8})
+			return func() {}
+		}},
+		{"version", func(f *fleet, l *load) func() {
+			v1, v2 := clementineport.Snapshot{Version: 1, Layout: 1}, clementineport.Snapshot{Version: 2, Layout: 1}
+			f.hold(l, allTargets(), v1, v2)
+			return func() { f.hold(l, allTargets(), v2) }
+		}},
+	}
+}
+
+// TestPairs proves that the promises hold while two troubles overlap. All ten pairs run: each of a killed entry
+// VM, a failure domain taken out, the store down, targets turned cold and a version roll-out with each other one.
+func TestPairs(t *testing.T) {
+	t.Parallel()
+	all := troubles()
+	for i, first := range all {
+		for _, second := range all[i+1:] {
+			t.Run(first.name+" and "+second.name, func(t *testing.T) {
+				t.Parallel()
+				f := newWarmFleet(t)
+				l := f.load("")
+				f.served(allTargets())
+				endFirst := first.begin(f, l)
+				endSecond := second.begin(f, l)
+				l.answered(100)
+				endFirst()
+				endSecond()
+				l.answered(100)
+				f.inForce(f.config().Revision, 0)
+				l.checkAlways(true, false)
+			})
+		}
+	}
+}
