--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -1,8 +1,6 @@
 package cpnode
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineport/clementineport"
@@ -13,14 +11,12 @@
 	"github.com/clementineport/clementineport/cppick"
 )
 
-// seedTimeout bounds the calls to the peers that the settings name.
-const seedTimeout = time.Second
-
 func (n *Node) newControl() {
+	self := clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}
 	n.control = cpcontrol.New(
-		cpcontrol.WithSelf(clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}),
+		cpcontrol.WithSelf(self),
 		cpcontrol.WithStore(n.store),
-		cpcontrol.WithDirectory(&seededList{Directory: n.list, n: n}),
+		cpcontrol.WithDirectory(n.newDirectory(self)),
 		cpcontrol.WithDial(n.dialPeer),
 		cpcontrol.WithPicker(cppick.New(cppick.Seed(n.seed))),
 		cpcontrol.WithClock(n.clock),
