Send one call at a time after a target has closed a connection

Closed connections now begin a generation in which one call at a time is sent until an answer, the limiter is told, and only a call sent later dispels a suspicion.

--- a/cplimit/cplimit.go
+++ b/cplimit/cplimit.go
@@ -106,6 +106,15 @@
 	return e.state.InUse() + e.state.Queued()
 }
 
+// Suspect says that a target may have restarted, such as when it closed a connection.
+func (l *Limiter) Suspect(id clementineport.TargetID) {
+	if e := l.entry(id); e != nil {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Suspect(l.opts.Clock.Now())
+	}
+}
+
 // Cold returns the number of owned targets that are not allowed all their slots.
 func (l *Limiter) Cold() int {
 	l.mu.RLock()
--- a/cplimit/ramp.go
+++ b/cplimit/ramp.go
@@ -24,6 +24,8 @@
 	seen  int
 	// failures counts refusals or failed connections in a row.
 	failures int
+	// suspected is when a restart was last suspected; only calls started later can dispel it.
+	suspected time.Time
 	// cut is when the allowance was last lowered; calls started before it lower it no further.
 	cut time.Time
 }
@@ -51,10 +53,11 @@
 }
 
 // suspect allows one call at a time until an answer shows whether the target has restarted.
-func (r *ramp) suspect() {
+func (r *ramp) suspect(now time.Time) {
 	if r.opts.Off {
 		return
 	}
+	r.suspected = now
 	if r.saved == 0 {
 		r.saved = r.allowance
 	}
@@ -90,6 +93,9 @@
 	}
 	r.failures = 0
 	if r.saved > 0 {
+		if !started.After(r.suspected) {
+			return
+		}
 		r.allowance, r.saved = r.saved, 0
 	}
 	r.answered(res, warmTime)
@@ -105,7 +111,7 @@
 	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
 		clementineport.FaultCut:
 		r.failures++
-		r.suspect()
+		r.suspect(now)
 	case clementineport.FaultTimeout, clementineport.FaultCanceled:
 		if r.isJump(elapsed, warmTime) {
 			r.judge(false, true)
--- a/cplimit/target.go
+++ b/cplimit/target.go
@@ -95,9 +95,12 @@
 	}
 	t.closed = clementineport.FaultUnknown
 	t.handover = now.Add(t.opts.Handover)
-	t.ramp.suspect()
+	t.ramp.suspect(now)
 }
 
+// Suspect allows one call at a time until an answer shows whether the target has restarted.
+func (t *Target) Suspect(now time.Time) { t.ramp.suspect(now) }
+
 // Offer asks to start a call; without a grant for it in the result the call is queued.
 func (t *Target) Offer(now time.Time, w Waiter) []Grant {
 	t.grants = t.grants[:0]
--- a/cplimit/target_test.go
+++ b/cplimit/target_test.go
@@ -215,18 +215,25 @@
 }
 
 // TestConfirmation shows that a target which has not answered for a while gets one call at a time until
-// it does, and that a failed connection is forgotten when the same process answers.
+// it does, and that a failed or closed connection is forgotten when the same process answers a later call.
 func TestConfirmation(t *testing.T) {
 	o := cplimit.NewOptions()
 	target, now := warm(t, &o, &clementineport.Group{Slots: 6, Queue: 4})
 	now = now.Add(time.Minute)
 	assert.Equal(t, target.Limit(now), 1)
-	for id, res := range []*clementineport.CallResult{
-		failure(clementineport.FaultRefused, 0), answer(10 * time.Millisecond),
-	} {
-		target.Offer(now, cplimit.Waiter{Ticket: cplimit.Ticket(id), Deadline: now.Add(time.Second)})
-		assert.Equal(t, target.Limit(now), 1)
-		target.Done(now, cplimit.Ticket(id), res)
+	call := func(id cplimit.Ticket, res *clementineport.CallResult, limit int) {
+		target.Offer(now, cplimit.Waiter{Ticket: id, Deadline: now.Add(time.Second)})
+		now = now.Add(time.Millisecond)
+		target.Done(now, id, res)
+		assert.Equal(t, target.Limit(now), limit)
+		now = now.Add(time.Millisecond)
 	}
-	assert.Equal(t, target.Limit(now), 6)
+	call(1, failure(clementineport.FaultRefused, 0), 1)
+	call(2, answer(10*time.Millisecond), 6)
+	target.Offer(now, cplimit.Waiter{Ticket: 3, Deadline: now.Add(time.Second)})
+	target.Suspect(now)
+	target.Done(now, 3, answer(10*time.Millisecond))
+	assert.Equal(t, target.Limit(now), 1, "call 3 was sent before the connection was closed")
+	now = now.Add(time.Millisecond)
+	call(4, answer(10*time.Millisecond), 6)
 }
--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -76,12 +76,13 @@
 }
 
 func (n *Node) dialTarget(t *clementineport.TargetRow, connections int) clementineport.Target {
+	id := t.ID
 	client := cphttp.New(
 		cphttp.Clock(n.clock),
 		cphttp.Address(t.Address),
 		cphttp.Connections(connections),
 		cphttp.MaySend(n.control.MaySend),
-		cphttp.MaySend(n.control.MaySend),
+		cphttp.Closed(func() { n.limiter.Suspect(id) }),
 		cphttp.Header(func(ctx context.Context, h http.Header) {
 			if traceparent := n.tracer.Inject(ctx); traceparent != "" {
 				h.Set("Traceparent", traceparent)
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -66,6 +66,8 @@
 		return clementineport.FaultUnsent
 	case clementineport.FaultOf(err) == clementineport.FaultStale:
 		return clementineport.FaultStale
+	case errors.Is(err, errProbing):
+		return clementineport.FaultUnavailable
 	case errors.Is(err, errShare):
 		return clementineport.FaultShed
 	case e.conn == nil:
--- a/cptarget/cphttp/conn.go
+++ b/cptarget/cphttp/conn.go
@@ -118,6 +118,11 @@
 	pool *pool
 	// maySend is asked just before each write, since the process may have been paused.
 	maySend func() error
+	// generation counts the closures by the target before the connection was made.
+	generation  uint64
+	generations *generations
+	// ended is called when the target closes the connection.
+	ended func()
 	// received counts the bytes read.
 	received atomic.Int64
 	// last is the time of the last byte read in nanoseconds since the epoch.
@@ -136,15 +141,29 @@
 	if n > 0 {
 		c.last.Store(c.pool.clock.Now().UnixNano())
 		c.received.Add(int64(n))
+		c.generations.answered(c)
+	}
+	if err != nil && !c.isClosed() {
+		c.generations.closed()
+		c.ended()
 	}
 	return n, err
 }
 
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.maySend(); err != nil {
 		return 0, err
 	}
+	if !c.generations.allow(c) {
+		return 0, errProbing
+	}
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -157,12 +176,14 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closed {
-		c.closed = true
-		c.pool.release(c.silent)
+	first, silent := !c.closed, c.silent
+	c.closed = true
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	if first {
+		c.generations.gone(c)
+		c.pool.release(silent)
 	}
 	return err
 }
@@ -220,12 +241,16 @@
 func (c *Client) open(ctx context.Context, network, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
+	generation := c.generations.current.Load()
 	raw, err := c.opts.Dial(ctx, network, address)
 	if err != nil {
 		c.pool.cancel()
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: c.pool, maySend: c.opts.MaySend}, nil
+	return &conn{
+		Conn: raw, pool: c.pool, maySend: c.opts.MaySend, ended: c.opts.Closed,
+		generation: generation, generations: &c.generations,
+	}, nil
 }
 
 // refill opens one connection ahead of need, in place of one that a canceled call has closed.
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -34,7 +34,8 @@
 	// typical is the moving average of the time of an answer in nanoseconds.
 	typical atomic.Int64
 	// streak counts the calls in a row that ended without a byte of answer.
-	streak atomic.Int32
+	streak      atomic.Int32
+	generations generations
 	// spare hands over a connection that was opened ahead of need.
 	spare     chan *conn
 	refilling atomic.Bool
@@ -48,11 +49,12 @@
 func New(opts ...Option) *Client {
 	o := NewOptions(opts...)
 	c := &Client{
-		opts:    o,
-		url:     "http://" + o.Address,
-		pool:    &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
-		spare:   make(chan *conn),
-		waiting: map[*exchange]struct{}{},
+		opts:        o,
+		url:         "http://" + o.Address,
+		pool:        &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
+		spare:       make(chan *conn),
+		waiting:     map[*exchange]struct{}{},
+		generations: generations{off: !o.Probe},
 	}
 	c.transport = &http.Transport{
 		DialContext:            c.dial,
--- a/cptarget/cphttp/cphttp_test.go
+++ b/cptarget/cphttp/cphttp_test.go
@@ -116,6 +116,41 @@
 	}
 }
 
+// TestRestartBetweenCalls restarts a target cold while its connections are idle, and makes many calls at
+// once. With the probe one of them is sent at a time, the others are proven not run; without it the
+// target falls over.
+func TestRestartBetweenCalls(t *testing.T) {
+	const slots = 4
+	for _, probe := range []bool{true, false} {
+		s := startSearcher(t, cpsearcher.Slots(slots, slots), cpsearcher.Cold(10))
+		s.Apply(&cpsearcher.Command{WarmRestart: true})
+		var closed atomic.Int32
+		client := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(4*slots), cphttp.Probe(probe),
+			cphttp.Closed(func() { closed.Add(1) }))
+		defer client.Close()
+		searchAtOnce(t, client, slots)
+		s.Apply(&cpsearcher.Command{ColdRestart: true})
+		for closed.Load() < slots {
+			time.Sleep(time.Millisecond)
+		}
+		var ok, other atomic.Int32
+		var wg sync.WaitGroup
+		for i := range slots {
+			wg.Go(func() {
+				switch _, err := client.Search(t.Context(), newCall(fmt.Sprint(i), 5*time.Second)); {
+				case err == nil:
+					ok.Add(1)
+				case clementineport.FaultOf(err) != clementineport.FaultUnavailable:
+					other.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, s.Stats().FallOvers > 0, !probe)
+		assert.Assert(t, !probe || (ok.Load() > 0 && other.Load() == 0))
+	}
+}
+
 // TestGivenUpWhileDialing cancels a call before its connection is ready: the call is proven unsent and
 // is not sent later.
 func TestGivenUpWhileDialing(t *testing.T) {
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -35,6 +35,10 @@
 	Silence Silence
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Probe sends one call at a time after the target has closed a connection, until it answers.
+	Probe bool
+	// Closed is called when the target closes a connection, before the client makes another.
+	Closed func()
 	// MaySend is asked just before bytes are written; its error fails the call.
 	MaySend func() error
 	// Header adds headers to a call, such as those of a trace.
@@ -57,6 +61,8 @@
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
 		MaySend:          func() error { return nil },
+		Probe:            true,
+		Closed:           func() {},
 		Header:           func(context.Context, http.Header) {},
 	}
 	for _, opt := range opts {
@@ -92,6 +98,12 @@
 // DetectSilence sets the rule for silent connections.
 func DetectSilence(s Silence) Option { return func(o *Options) { o.Silence = s } }
 
+// Probe sets whether one call at a time is sent after the target has closed a connection.
+func Probe(on bool) Option { return func(o *Options) { o.Probe = on } }
+
+// Closed sets what is called when the target closes a connection, before the client makes another.
+func Closed(f func()) Option { return func(o *Options) { o.Closed = f } }
+
 // MaySend sets what is asked just before bytes are written.
 func MaySend(f func() error) Option { return func(o *Options) { o.MaySend = f } }
 
