--- a/cpbudget/options.go
+++ b/cpbudget/options.go
@@ -5,7 +5,7 @@
 	DefaultHedgeShare = 0.05
 	DefaultHedgeBurst = 50 // calls
 	DefaultRetryShare = 0.10
-	DefaultRetryBurst = 20 // calls
+	DefaultRetryBurst = 500 // calls
 )
 
 // Options are the settings of a budget.
--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -51,10 +51,10 @@
 func connectionShare(v *cpcontrol.View, t clementineport.TargetIndex) int {
 	most := v.Table.Targets[t].Group.Connections
 	if owner := v.Owner(t); owner != nil && owner.ID == v.Self {
-		return max(1, most/ownerConnectionShare)
+		return max(1, most*ownerConnectionParts/connectionParts)
 	}
 	if deputy := v.Deputy(t); deputy != nil && deputy.ID == v.Self {
-		return max(1, most/deputyConnectionShare)
+		return max(1, most*deputyConnectionParts/connectionParts)
 	}
 	return 0
 }
