Replace a silent connection between VMs at once, and bound retries by time

Cause: when every connection went silent, calls through a peer failed for about 2 s, until pings gave the HTTP/2 connection up, and the peer was avoided for 1 s although it worked; shards were given up after three retries with seconds left; the retry budget of 20 calls was empty after the first burst. Changed: a call that times out on a connection between VMs replaces it; the VM is avoided only if a relay that began on the new connection is silent too. A shard gets up to 8 retries, and waits between them end with a quarter of the deadline. TestRetriesAreBounded: 5 calls instead of 4 fit in that time, and the answer now must come within 300 ms of a 1 s deadline instead of 500 ms. Not solved: callers see timeouts and refusals for some hundred milliseconds in such a burst.

--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -63,8 +63,8 @@
 	cutAt   time.Duration
 	hedgeAt time.Duration
 	retryAt time.Duration
-	// shedUntil is when the query stops to wait for full targets.
-	shedUntil time.Duration
+	// waitUntil is when the query stops to wait between retries.
+	waitUntil time.Duration
 	replanAt  time.Duration
 
 	stats      clementineport.GatherStats
@@ -110,7 +110,7 @@
 	}
 	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
 	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
-	m.shedUntil = time.Duration(float64(deadline) * m.opts.ShedShare)
+	m.waitUntil = time.Duration(float64(deadline) * m.opts.WaitShare)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
 	m.plannedWhole()
 	if m.done() {
--- a/cpgather/decision_test.go
+++ b/cpgather/decision_test.go
@@ -76,11 +76,11 @@
 		budget clementineport.Budget
 		calls  int
 	}{
-		"free refusal":             {clementineport.FaultDraining, nil, 4},
+		"free refusal":             {clementineport.FaultDraining, nil, 5},
 		"full target, no budget":   {clementineport.FaultShed, nil, 5},
 		"failure without budget":   {clementineport.FaultReset, nil, 1},
 		"failure with a budget":    {clementineport.FaultReset, &cpgathertest.Budget{Share: 2}, 3},
-		"failure with much budget": {clementineport.FaultReset, &cpgathertest.Budget{Share: 100}, 4},
+		"failure with much budget": {clementineport.FaultReset, &cpgathertest.Budget{Share: 100}, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			// One replica: every retry waits for its backoff and asks the same target again.
@@ -92,7 +92,7 @@
 			}
 			assert.Equal(t, len(g.calls), c.calls)
 			assert.Assert(t, g.m.Err() != nil)
-			assert.Assert(t, g.now.Before(cpgathertest.Start.Add(500*time.Millisecond)), "the answer is held")
+			assert.Assert(t, g.now.Before(cpgathertest.Start.Add(300*time.Millisecond)), "the answer is held")
 		})
 	}
 }
--- a/cpgather/options.go
+++ b/cpgather/options.go
@@ -13,11 +13,11 @@
 	defaultHedgeFactor     = 1.25
 	defaultProjectedFactor = 2
 	defaultMaxHedges       = 2
-	defaultMaxRetries      = 3
+	defaultMaxRetries      = 8
 	defaultMaxRestarts     = 1
 	defaultTailCut         = 0.5
 	defaultReserve         = 20 * time.Millisecond
-	defaultShedShare       = 0.25
+	defaultWaitShare       = 0.25
 	defaultBackoff         = 5 * time.Millisecond
 	defaultRecheck         = 10 * time.Millisecond
 	defaultReplan          = 20 * time.Millisecond
@@ -76,8 +76,8 @@
 	TailCut float64
 	// Reserve is the time before the deadline at which the answer is closed.
 	Reserve time.Duration
-	// ShedShare is the share of the deadline for which full targets are asked again.
-	ShedShare float64
+	// WaitShare is the share of the deadline in which a shard waits between retries.
+	WaitShare float64
 	// Backoff is the delay before the first retry when every target has been tried.
 	Backoff time.Duration
 	// Recheck is the delay after a hedge that the budget or the load did not allow.
@@ -122,7 +122,7 @@
 		MaxRestarts:     defaultMaxRestarts,
 		TailCut:         defaultTailCut,
 		Reserve:         defaultReserve,
-		ShedShare:       defaultShedShare,
+		WaitShare:       defaultWaitShare,
 		Backoff:         defaultBackoff,
 		Recheck:         defaultRecheck,
 		Replan:          defaultReplan,
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -70,7 +70,7 @@
 		return
 	}
 	backoff := max(m.opts.Backoff<<min(sh.retries, maxBackoffShift), sh.retryAfter)
-	if shed(sh.fault) && m.at+backoff > m.shedUntil {
+	if m.at+backoff > m.waitUntil {
 		m.giveUp(s)
 		return
 	}
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -15,7 +13,6 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpwire"
-	"github.com/clementineport/clementineport/cpwire/cpwireconnect"
 )
 
 // Tracer carries a trace context from one process to another.
@@ -48,38 +45,16 @@
 	return o
 }
 
-// NewTransport returns an HTTP/2 transport that notices a silent connection by pings.
-func NewTransport() *http.Transport {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: defaultDialTimeout}
-	return &http.Transport{
-		DialContext: dialer.DialContext,
-		Protocols:   &protocols,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: defaultPingAfter,
-			PingTimeout:     defaultPingTimeout,
-		},
-	}
-}
-
 type client struct {
-	opts   Options
-	http   *http.Client
-	remote cpwireconnect.PeerServiceClient
+	opts Options
+	link atomic.Pointer[link]
 }
 
 // New returns a client for the VM at an address.
 func New(opts ...Option) clementineport.Peer {
-	o := newOptions(opts)
-	if o.Transport == nil {
-		o.Transport = NewTransport()
-	}
-	hc := &http.Client{Transport: o.Transport}
-	remote := cpwireconnect.NewPeerServiceClient(hc, "http://"+o.Address,
-		connect.WithReadMaxBytes(o.MaxMessageSize), connect.WithSendMaxBytes(o.MaxMessageSize),
-		connect.WithAcceptCompression("gzip", nil, nil))
-	return &client{opts: o, http: hc, remote: remote}
+	c := &client{opts: newOptions(opts)}
+	c.link.Store(newLink(&c.opts))
+	return c
 }
 
 // watchSent returns a context that records whether bytes of a request may have left.
@@ -103,7 +78,8 @@
 	silence := time.AfterFunc(c.opts.SilentAfter, func() { cancel(errSilent) })
 	defer silence.Stop()
 	ctx, sent := watchSent(ctx)
-	err := c.relay(ctx, r, func(m *cpwire.RelayResponse) {
+	l := c.link.Load()
+	err := c.relay(ctx, l, r, func(m *cpwire.RelayResponse) {
 		silence.Reset(c.opts.SilentAfter)
 		c.opts.Seen(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
@@ -114,16 +90,17 @@
 	case err == nil:
 		return nil
 	case errors.Is(context.Cause(ctx), errSilent) && sent.Load():
+		c.replace(l)
 		return &clementineport.Error{Fault: clementineport.FaultTimeout, Reason: errSilent.Error(), Err: err}
 	default:
 		return classify(ctx, err, sent.Load())
 	}
 }
 
-func (c *client) relay(ctx context.Context, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
+func (c *client) relay(ctx context.Context, l *link, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
 	req := connect.NewRequest(relayToWire(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
 	c.opts.Token.Set(req.Header())
-	stream, err := c.remote.Relay(ctx, req)
+	stream, err := l.remote.Relay(ctx, req)
 	if err != nil {
 		return err
 	}
@@ -149,9 +126,10 @@
 	ctx, sent := watchSent(ctx)
 	req := connect.NewRequest(DigestMessage(d))
 	c.opts.Token.Set(req.Header())
-	resp, err := c.remote.Exchange(ctx, req)
+	l := c.link.Load()
+	resp, err := l.remote.Exchange(ctx, req)
 	if err != nil {
-		return nil, classify(ctx, err, sent.Load())
+		return nil, c.failed(ctx, l, err, sent.Load())
 	}
 	m := resp.Msg
 	return &clementineport.Digest{
@@ -167,9 +145,10 @@
 	ctx, sent := watchSent(ctx)
 	req := connect.NewRequest(&cpwire.ConfigRequest{Have: uint64(have)})
 	c.opts.Token.Set(req.Header())
-	resp, err := c.remote.Config(ctx, req)
+	l := c.link.Load()
+	resp, err := l.remote.Config(ctx, req)
 	if err != nil {
-		return nil, classify(ctx, err, sent.Load())
+		return nil, c.failed(ctx, l, err, sent.Load())
 	}
 	if len(resp.Msg.GetConfig()) == 0 {
 		return nil, nil
@@ -183,6 +162,6 @@
 
 // Close implements clementineport.Peer.
 func (c *client) Close() error {
-	c.http.CloseIdleConnections()
+	c.link.Load().transport.CloseIdleConnections()
 	return nil
 }
--- a/cppeer/cpconnect/forward.go
+++ b/cppeer/cpconnect/forward.go
@@ -25,9 +25,10 @@
 		Traceparent: c.opts.Tracer.Inject(ctx),
 	})
 	c.opts.Token.Set(req.Header())
-	resp, err := c.remote.Forward(ctx, req)
+	l := c.link.Load()
+	resp, err := l.remote.Forward(ctx, req)
 	if err != nil {
-		return nil, classify(ctx, err, sent.Load())
+		return nil, c.failed(ctx, l, err, sent.Load())
 	}
 	m := resp.Msg
 	if len(m.GetAnswer()) == 0 {
--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -1,7 +1,6 @@
 package cpconnect
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -23,7 +22,6 @@
 	Address        string
 	Token          cpsecret.Token
 	Clock          clementineport.Clock
-	Transport      http.RoundTripper
 	MaxMessageSize int
 	// Heartbeat is how often a VM says that it is still working on a Relay.
 	Heartbeat time.Duration
@@ -53,9 +51,6 @@
 // WithClock sets the clock.
 func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
 
-// WithTransport sets the HTTP transport of a client.
-func WithTransport(t http.RoundTripper) Option { return func(o *Options) { o.Transport = t } }
-
 // WithSelf sets the id of this VM.
 func WithSelf(vm clementineport.VMID) Option { return func(o *Options) { o.Self = vm } }
 
--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -157,7 +157,7 @@
 	case ctx.Err() != nil:
 	default:
 		s.opts.Metrics.RouteFailures.Inc()
-		s.routes.failed(vm, s.opts.Clock.Now())
+		s.routes.failed(vm, clementineport.FaultOf(err), began, s.opts.Clock.Now())
 		s.opts.OnFailed(vm)
 	}
 }
--- a/cprelay/health.go
+++ b/cprelay/health.go
@@ -2,47 +2,62 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/clementineport/clementineport"
 )
 
-// health remembers which VMs failed a relay; a failed one is tried again after a while.
+// health remembers which VMs failed a relay. A VM that was silent is tried once more at once, since its
+// connection may have gone silent and is replaced; after a second silence, as after any other failure, it is
+// avoided for a while.
 type health struct {
+	mu         sync.RWMutex
 	retryAfter time.Duration
-	// failures is the size of notBefore, so that a healthy fleet takes no lock.
-	failures  atomic.Int32
-	mu        sync.RWMutex
-	notBefore map[clementineport.VMID]time.Time
+	failures   map[clementineport.VMID]failure
+}
+
+type failure struct {
+	// replaced is when the connection was replaced.
+	replaced time.Time
+	// notBefore is when the VM is tried again.
+	notBefore time.Time
 }
 
 func newHealth(retryAfter time.Duration) *health {
-	return &health{retryAfter: retryAfter, notBefore: make(map[clementineport.VMID]time.Time)}
+	return &health{retryAfter: retryAfter, failures: make(map[clementineport.VMID]failure)}
 }
 
 func (h *health) usable(vm clementineport.VMID, now time.Time) bool {
-	if h.failures.Load() == 0 {
-		return true
-	}
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return !now.Before(h.notBefore[vm])
+	return !now.Before(h.failures[vm].notBefore)
 }
 
-func (h *health) failed(vm clementineport.VMID, now time.Time) {
+// failed records a failed relay that began at a time.
+func (h *health) failed(vm clementineport.VMID, fault clementineport.Fault, began, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.notBefore[vm] = now.Add(h.retryAfter)
-	h.failures.Store(int32(len(h.notBefore)))
+	f := h.failures[vm]
+	switch {
+	case fault != clementineport.FaultTimeout:
+		f.notBefore = now.Add(h.retryAfter)
+	case f.replaced.IsZero():
+		f.replaced = now
+	case began.After(f.replaced):
+		f.notBefore = now.Add(h.retryAfter)
+		f.replaced = now
+	}
+	h.failures[vm] = f
 }
 
 func (h *health) answered(vm clementineport.VMID) {
-	if h.failures.Load() == 0 {
+	h.mu.RLock()
+	_, known := h.failures[vm]
+	h.mu.RUnlock()
+	if !known {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.notBefore, vm)
-	h.failures.Store(int32(len(h.notBefore)))
+	delete(h.failures, vm)
 }
