--- a/cpcaller/cpcaller_test.go
+++ b/cpcaller/cpcaller_test.go
@@ -1,6 +1,7 @@
 package cpcaller_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -217,9 +218,42 @@
 	assert.ErrorContains(t, err, "is not allowed")
 }
 
+func TestSeedsAreAskedWhenEveryListedEntryIsDead(t *testing.T) {
+	f := newFleet(t)
+	f.servers[0].Close()
+	dead := f.address(0)
+	seed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"Entries":[{"Address":%q}],"LifeSeconds":0}`, dead)
+		dead = f.address(1) // from now on the seed knows an entry that is alive
+	}))
+	defer seed.Close()
+	c := cpcaller.New(cpcaller.WithSeeds(seed.Listener.Addr().String()))
+	defer c.Close()
+	a, err := c.Query(t.Context(), &clementineport.Query{Service: "desk", Idempotent: true})
+	assert.Equal(t, result(a, err), "answered", "%v", err)
+}
+
+// A caller learns the entries from its seeds and states whether a query may be run twice.
 func ExampleNew() {
-	caller := cpcaller.New(cpcaller.WithSeeds("127.0.0.1:7001", "127.0.0.1:7002"), cpcaller.WithDomain("a"))
+	entry := httptest.NewServer(nil)
+	defer entry.Close()
+	address := entry.Listener.Addr().String()
+	entry.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/entries" {
+			fmt.Fprintf(w, `{"Entries":[{"VM":"vm-1","Address":%q}],"LifeSeconds":20}`, address)
+			return
+		}
+		answer(w, "desk-1")
+	})
+	caller := cpcaller.New(cpcaller.WithSeeds(address))
 	defer caller.Close()
-	fmt.Println("ready")
-	// Output: ready
+	a, err := caller.Query(context.Background(), &clementineport.Query{
+		Request: "desk-1", Service: "booking-desk", Text: "record 17", Limit: 10, Idempotent: true,
+	})
+	if err != nil {
+		fmt.Println(clementineport.VerdictOf(err), err)
+		return
+	}
+	fmt.Printf("%d hits of %s, %d of %d shards\n", len(a.Hits), a.Snapshot, len(a.Covered), a.Shards)
+	// Output: 1 hits of v3/l1, 1 of 2 shards
 }
--- a/cpcaller/http.go
+++ b/cpcaller/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpresend"
 )
 
 // sender makes the HTTP requests of a caller.
@@ -80,7 +81,7 @@
 }
 
 // entries asks one entry for the list of entries.
-func (s *sender) entries(ctx context.Context, address string) ([]Entry, time.Duration, error) {
+func (s *sender) entries(ctx context.Context, address string) ([]cpresend.Entry, time.Duration, error) {
 	values := url.Values{"Domain": {string(s.opts.Domain)}}
 	status, data, fault, err := s.do(ctx, http.MethodGet, address, "/v1/entries", values, nil)
 	switch {
@@ -90,7 +91,7 @@
 		return nil, 0, refusal(status, data)
 	}
 	var list struct {
-		Entries     []Entry
+		Entries     []cpresend.Entry
 		LifeSeconds float64
 	}
 	if err := json.Unmarshal(data, &list); err != nil {
--- a/cpcaller/options.go
+++ b/cpcaller/options.go
@@ -10,15 +10,18 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpresend"
 )
 
+// Rules bound the sends of one request.
+type Rules = cpresend.Rules
+
+// DefaultRules returns the default bounds.
+func DefaultRules() Rules { return cpresend.DefaultRules() }
+
 // Defaults of a caller.
 const (
 	DefaultDeadline       = time.Second
-	DefaultMaxSends       = 8
-	DefaultBackoff        = 5 * time.Millisecond
-	DefaultMaxBackoff     = 200 * time.Millisecond
-	DefaultOverlapShare   = 0.6 // of the time left when the first send starts
 	DefaultExtraShare     = 0.05
 	DefaultExtraBurst     = 20 // sends
 	DefaultSuspectFor     = 2 * time.Second
--- a/cpcaller/resend.go
+++ b/cpresend/cpresend.go
@@ -1,4 +1,7 @@
-package cpcaller
+// Package cpresend decides to which entry VM a caller sends a request, when it sends it again, and under
+// which id. It never gives a non-idempotent request a new id after a send that may have run. It opens no
+// connections; time, entries and outcomes are passed in.
+package cpresend
 
 import (
 	"time"
@@ -14,6 +17,14 @@
 	Ticket  string
 }
 
+// Defaults of the rules.
+const (
+	DefaultMaxSends     = 8
+	DefaultBackoff      = 5 * time.Millisecond
+	DefaultMaxBackoff   = 200 * time.Millisecond
+	DefaultOverlapShare = 0.6 // of the time left when the first send starts
+)
+
 // Rules bound the sends of one request.
 type Rules struct {
 	// MaxSends is the largest number of sends of one request.
@@ -156,7 +167,7 @@
 	if r.inFlight > 0 {
 		return r.overlapDue(now)
 	}
-	return !now.Before(r.notBefore) && !isConnectionLoss(r.last)
+	return !now.Before(r.notBefore) && !IsConnectionLoss(r.last)
 }
 
 // Refuse withholds a send that needs budget: a silent send is waited for, and a failed request is given up.
@@ -275,8 +286,8 @@
 	}
 }
 
-// isConnectionLoss reports whether a failure shows that the entry is gone or leaving, not that it is loaded.
-func isConnectionLoss(err *clementineport.Error) bool {
+// IsConnectionLoss reports whether a failure shows that the entry is gone or leaving, not that it is loaded.
+func IsConnectionLoss(err *clementineport.Error) bool {
 	switch err.Fault {
 	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
 		clementineport.FaultCut, clementineport.FaultDraining, clementineport.FaultStale:
--- a/cpcaller/resend_test.go
+++ b/cpresend/cpresend_test.go
@@ -1,4 +1,4 @@
-package cpcaller_test
+package cpresend_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcaller"
+	"github.com/clementineport/clementineport/cpresend"
 )
 
 // send is one send of the modelled request, as far as its sender can know.
@@ -21,11 +21,11 @@
 
 // drive runs a request against random outcomes and reports whether every new id of a non-idempotent request
 // was taken after all earlier sends were proven not to have run, and whether the final verdict was true.
-func drive(t *rapid.T, rules cpcaller.Rules) (idsSafe, verdictTrue bool) {
+func drive(t *rapid.T, rules cpresend.Rules) (idsSafe, verdictTrue bool) {
 	now := time.Unix(0, 0)
-	entries := make([]cpcaller.Entry, rapid.IntRange(1, 4).Draw(t, "entries"))
+	entries := make([]cpresend.Entry, rapid.IntRange(1, 4).Draw(t, "entries"))
 	for i := range entries {
-		entries[i] = cpcaller.Entry{Address: fmt.Sprint("e", i), Ticket: fmt.Sprint("t", i)}
+		entries[i] = cpresend.Entry{Address: fmt.Sprint("e", i), Ticket: fmt.Sprint("t", i)}
 	}
 	q := &clementineport.Query{Idempotent: rapid.Bool().Draw(t, "idempotent"), Deadline: now.Add(time.Second)}
 	ids := 0
@@ -33,20 +33,20 @@
 		ids++
 		return clementineport.RequestID(fmt.Sprint(ticket, "-", ids))
 	}
-	r := cpcaller.NewRequest(rules, q, now, newID, func() float64 { return 0.5 })
+	r := cpresend.NewRequest(rules, q, now, newID, func() float64 { return 0.5 })
 	var sends []send
 	idsSafe = true
 	for {
 		a := r.Next(now, entries)
 		switch a.Kind {
-		case cpcaller.ActionFinish:
+		case cpresend.ActionFinish:
 			proven := true
 			for _, s := range sends {
 				proven = proven && s.proven
 			}
 			assert.Assert(t, len(sends) <= rules.MaxSends)
 			return idsSafe, proven || a.Err.Verdict() == clementineport.MayHaveRun
-		case cpcaller.ActionSend:
+		case cpresend.ActionSend:
 			for _, s := range sends {
 				idsSafe = idsSafe && (q.Idempotent || s.id == a.Request || s.proven)
 			}
@@ -73,10 +73,10 @@
 func TestNewIDsOnlyAfterProvenNotRun(t *testing.T) {
 	broken := false
 	rapid.Check(t, func(t *rapid.T) {
-		safe, honest := drive(t, cpcaller.DefaultRules())
+		safe, honest := drive(t, cpresend.DefaultRules())
 		assert.Assert(t, safe, "a request was given a new id after a send that may have run")
 		assert.Assert(t, honest, "a request was reported as not run after a send that may have run")
-		blind := cpcaller.DefaultRules()
+		blind := cpresend.DefaultRules()
 		blind.BlindResend = true
 		safe, _ = drive(t, blind)
 		broken = broken || !safe
@@ -86,10 +86,10 @@
 
 func TestListSpreadsRequests(t *testing.T) {
 	now := time.Unix(0, 0)
-	l := cpcaller.NewList(2 * time.Second)
+	l := cpresend.NewList(2 * time.Second)
 	usable, refresh := l.State(now)
 	assert.Assert(t, !usable && refresh, "an empty list must be fetched")
-	l.Set(now, []cpcaller.Entry{{Address: "a1", Domain: "a"}, {Address: "b1", Domain: "b"}, {Address: "a2", Domain: "a"}}, 20*time.Second, 0.5)
+	l.Set(now, []cpresend.Entry{{Address: "a1", Domain: "a"}, {Address: "b1", Domain: "b"}, {Address: "a2", Domain: "a"}}, 20*time.Second, 0.5)
 	first := make(map[string]int)
 	for range 300 {
 		order := l.Order(now, "a")
@@ -121,7 +121,7 @@
 }
 
 func TestSilenceFollowsTheLatency(t *testing.T) {
-	l := cpcaller.NewLatency()
+	l := cpresend.NewLatency()
 	assert.Equal(t, l.Silence("desk"), time.Duration(0))
 	for range 100 {
 		l.Observe("desk", 20*time.Millisecond)
--- a/cpcaller/list.go
+++ b/cpresend/list.go
@@ -1,4 +1,4 @@
-package cpcaller
+package cpresend
 
 import (
 	"maps"
