Move local health into cphealth, limit urgent exchanges with x/time/rate, list VMs often at the start

A VM that knows no other one reads the platform's list every 0.5 s: the first list after a common start names few VMs, and the next one came 5 s later.

--- a/cpcontrol/calls.go
+++ b/cpcontrol/calls.go
@@ -8,6 +8,9 @@
 	"github.com/clementineport/clementineport/cpspread"
 )
 
+// startListShare is the share of ListPeriod between two reads of the list while no other VM is known.
+const startListShare = 10
+
 // withTimeout ends a context by the clock that the decisions use.
 func (c *Control) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -57,6 +60,9 @@
 	}
 	c.listing = true
 	c.nextList = now.Add(c.options.ListPeriod)
+	if len(c.View().Members) <= 1 {
+		c.nextList = now.Add(c.options.ListPeriod / startListShare)
+	}
 	go func() {
 		call, cancel := c.withTimeout(ctx, c.options.ListTimeout)
 		defer cancel()
--- a/cpmember/cpmember.go
+++ b/cpmember/cpmember.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cphealth"
 )
 
 // Action asks for an exchange with a peer. Its result is given to Reached or Failed.
@@ -29,8 +31,8 @@
 	options Options
 	self    clementineport.Member
 	rand    *rand.Rand
-	health  health
-	bucket  bucket
+	health  *cphealth.Health
+	limiter *rate.Limiter // of urgent exchanges
 
 	peers   []*peer // sorted by id
 	byID    map[clementineport.VMID]*peer
@@ -48,6 +50,7 @@
 	next     time.Time
 	nextDead time.Time
 	lastTick time.Time
+	heard    time.Time // when another VM called
 	version  uint64
 }
 
@@ -81,8 +84,8 @@
 		options: options,
 		self:    self,
 		rand:    rand.New(rand.NewPCG(options.Seed, seed)),
-		health:  health{highest: options.HighestHealth},
-		bucket:  bucket{rate: options.UrgentPerSecond, burst: options.UrgentBurst},
+		health:  cphealth.New(options.HighestHealth),
+		limiter: rate.NewLimiter(rate.Limit(options.UrgentPerSecond), options.UrgentBurst),
 		byID:    map[clementineport.VMID]*peer{},
 		version: 1,
 	}
@@ -98,7 +101,7 @@
 func (m *Membership) Version() uint64 { return m.version }
 
 // Health returns the local health score; zero is healthy.
-func (m *Membership) Health() int { return m.health.score }
+func (m *Membership) Health() int { return m.health.Score() }
 
 // Answered returns when the VM last answered an exchange of this VM, or the zero time.
 func (m *Membership) Answered(id clementineport.VMID) time.Time {
@@ -167,7 +170,7 @@
 
 // pushAll asks for exchanges with as many peers as the burst allows.
 func (m *Membership) pushAll() {
-	for _, p := range m.pick(int(m.options.UrgentBurst)) {
+	for _, p := range m.pick(m.options.UrgentBurst) {
 		m.push(p)
 	}
 }
@@ -208,21 +211,20 @@
 			m.push(p)
 		}
 	}
-	m.bucket.fill(now)
-	for p := m.nextUrgent(); p != nil; p = m.nextUrgent() {
+	for p := m.nextUrgent(now); p != nil; p = m.nextUrgent(now) {
 		actions = append(actions, m.action(p.member.VM, now))
 	}
 	return actions
 }
 
-// nextUrgent returns the next peer for which the bucket has room.
-func (m *Membership) nextUrgent() *peer {
-	if len(m.urgent) > 0 && m.bucket.take() {
+// nextUrgent returns the next peer for which the limit has room.
+func (m *Membership) nextUrgent(now time.Time) *peer {
+	if len(m.urgent) > 0 && m.limiter.AllowN(now, 1) {
 		p := m.urgent[0]
 		m.urgent = m.urgent[1:]
 		return p
 	}
-	for len(m.urgent) == 0 && len(m.claims) > 0 && m.bucket.take() {
+	for len(m.urgent) == 0 && len(m.claims) > 0 && m.limiter.AllowN(now, 1) {
 		p := m.claims[0]
 		m.claims = m.claims[1:]
 		return p
@@ -231,7 +233,7 @@
 }
 
 func (m *Membership) action(vm clementineport.VM, now time.Time) Action {
-	return Action{Peer: vm, Timeout: m.health.timeout(m.options.ProbeTimeout), Began: now}
+	return Action{Peer: vm, Timeout: m.health.Timeout(m.options.ProbeTimeout), Began: now}
 }
 
 func (m *Membership) jitter(d time.Duration) time.Duration {
@@ -246,7 +248,7 @@
 	if !late || m.options.HighestHealth == 0 {
 		return
 	}
-	m.health.paused(now, int(gap/m.options.PauseAfter))
+	m.health.Paused(now, int(gap/m.options.PauseAfter))
 	if gap > m.options.SuspicionOwn {
 		m.rejoin()
 	}
@@ -273,7 +275,7 @@
 
 // reportCut reports this VM as suspect while it hears others but reaches nobody.
 func (m *Membership) reportCut(now time.Time) {
-	cut := m.health.cut(now, m.options.CutAfter) && now.Sub(m.health.heard) < m.options.CutAfter
+	cut := m.health.Cut(now, m.options.CutAfter) && now.Sub(m.heard) < m.options.CutAfter
 	switch {
 	case cut && m.self.State == clementineport.MemberAlive:
 		m.self.State = clementineport.MemberSuspect
@@ -388,7 +390,7 @@
 
 // push asks for an exchange beyond the regular ones.
 func (m *Membership) push(p *peer) {
-	if len(m.urgent) < 4*int(m.options.UrgentBurst) && !slices.Contains(m.urgent, p) {
+	if len(m.urgent) < 4*m.options.UrgentBurst && !slices.Contains(m.urgent, p) {
 		m.urgent = append(m.urgent, p)
 	}
 }
--- a/cpmember/cpmember_test.go
+++ b/cpmember/cpmember_test.go
@@ -110,7 +110,7 @@
 			"a VM that is starved accuses nobody", cpmember.WithHighestHealth(0), 12,
 			func(f *fleet) bool {
 				stalled := f.nodes[3]
-				for range 30 {
+				for range 150 {
 					stalled.frozen = true
 					f.run(1200 * time.Millisecond)
 					f.thaw(stalled)
--- a/cpmember/digest.go
+++ b/cpmember/digest.go
@@ -31,7 +31,7 @@
 
 // Heard takes the digest of a VM that called, and returns the response.
 func (m *Membership) Heard(now time.Time, d *clementineport.Digest) *clementineport.Digest {
-	m.health.heard = now
+	m.heard = now
 	m.claim(now, &d.From)
 	response := &clementineport.Digest{From: m.self, Revision: m.self.Revision}
 	if d.From.Incarnation == 0 {
@@ -55,10 +55,10 @@
 	if d.From.ID != peer {
 		m.Failed(now, peer, began, clementineport.FaultMismatched)
 	}
-	if m.health.cut(now, m.options.CutAfter) {
+	if m.health.Cut(now, m.options.CutAfter) {
 		m.rejoin()
 	}
-	m.health.success(now, began)
+	m.health.Success(now, began)
 	m.reached(now, &d.From)
 	for i := range d.Members {
 		m.told(now, &d.Members[i])
--- a/cpmember/fleet_test.go
+++ b/cpmember/fleet_test.go
@@ -224,6 +224,7 @@
 			if !done {
 				done = true
 				fn()
+				f.note(n)
 			}
 		})
 	}
--- a/cpmember/options.go
+++ b/cpmember/options.go
@@ -38,7 +38,7 @@
 	// UrgentPerSecond bounds the exchanges beyond the regular ones.
 	UrgentPerSecond float64
 	// UrgentBurst is the number of such exchanges that may be saved up.
-	UrgentBurst float64
+	UrgentBurst int
 	// HighestHealth bounds the local health score; zero switches local health awareness off.
 	HighestHealth int
 	// TrustCallers believes a VM alive because it called, without reaching it.
--- a/cpmember/records.go
+++ b/cpmember/records.go
@@ -187,7 +187,7 @@
 	m.self.Incarnation = r.Incarnation + 1
 	m.version++
 	if accused && !stale {
-		m.health.refuted()
+		m.health.Refuted()
 	}
 }
 
@@ -195,9 +195,9 @@
 // While this VM may itself be the cause, it keeps what it believes to itself.
 func (m *Membership) Failed(now time.Time, id clementineport.VMID, began time.Time, fault clementineport.Fault) {
 	m.noticePause(now)
-	m.health.others = len(m.peers)
+	m.health.SetOthers(len(m.peers))
 	p := m.byID[id]
-	if !m.health.failure(now, began, id) || p == nil || !p.known || now.Before(p.muted) {
+	if !m.health.Failure(now, began, id) || p == nil || !p.known || now.Before(p.muted) {
 		if p != nil && !p.known {
 			p.failures++
 		}
@@ -214,10 +214,10 @@
 
 // keepPrivate marks the peers whose failures this VM itself may have caused.
 func (m *Membership) keepPrivate() {
-	if !m.health.alone() {
+	if !m.health.Alone() {
 		return
 	}
-	for _, id := range m.health.failed {
+	for _, id := range m.health.Failed() {
 		if p := m.byID[id]; p != nil {
 			p.private = true
 		}
@@ -231,7 +231,7 @@
 		m.callWitnesses(p)
 	case clementineport.MemberLeaving:
 		if p.deadline.IsZero() {
-			p.deadline = now.Add(m.suspicion(m.options.SuspicionHeard))
+			p.deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
 			m.suspect = append(m.suspect, p)
 		}
 	}
@@ -240,16 +240,12 @@
 
 // hasten shortens the time of a suspect for which this VM has evidence of its own.
 func (m *Membership) hasten(now time.Time, p *peer) {
-	deadline := now.Add(m.suspicion(m.options.SuspicionOwn))
+	deadline := now.Add(m.health.Patience(m.options.SuspicionOwn))
 	if !p.deadline.IsZero() && deadline.Before(p.deadline) {
 		p.deadline = deadline
 	}
 }
 
-func (m *Membership) suspicion(d time.Duration) time.Duration {
-	return d * time.Duration(1+m.health.score)
-}
-
 // witnesses returns the VMs that probe a suspect; every VM with the same view finds the same ones.
 func (m *Membership) witnesses(p *peer) []clementineport.Member {
 	members := m.Members()
@@ -288,7 +284,7 @@
 	}
 	switch s {
 	case clementineport.MemberSuspect:
-		p.deadline = now.Add(m.suspicion(m.options.SuspicionHeard))
+		p.deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
 		m.suspect = append(m.suspect, p)
 		m.witness(p)
 	case clementineport.MemberDead:
