Order tickets by their text instead of by incarnation

A ticket changes every minute. As a higher incarnation it looked like the refutation of an accusation, and at 770 VMs thirteen changes a second would have taken the place of other news. TestTicketsSpread covers the order.

--- a/cpmember/cpmember.go
+++ b/cpmember/cpmember.go
@@ -142,11 +142,12 @@
 	}
 }
 
-// SetTicket records the ticket of this process.
+// SetTicket records the ticket of this process. A later ticket is longer than the earlier ones,
+// or as long and greater as text; it spreads with ordinary exchanges.
 func (m *Membership) SetTicket(ticket string) {
 	if m.self.Ticket != ticket {
 		m.self.Ticket = ticket
-		m.announce()
+		m.version++
 	}
 }
 
--- a/cpmember/cpmember_test.go
+++ b/cpmember/cpmember_test.go
@@ -181,6 +181,19 @@
 	}
 }
 
+func TestTicketsSpread(t *testing.T) {
+	f := newFleet(8, 17)
+	for _, ticket := range []string{string(firstStart) + ".99", string(firstStart) + ".100"} {
+		f.nodes[2].SetTicket(ticket)
+		f.run(20 * time.Second)
+		for _, n := range f.nodes {
+			for _, m := range n.Members() {
+				assert.Assert(t, m.ID != f.nodes[2].vm.ID || m.Ticket == ticket, "%s at %s", m.Ticket, n.vm.ID)
+			}
+		}
+	}
+}
+
 func TestQuiet(t *testing.T) {
 	f := newFleet(8, 11)
 	assert.Equal(t, quiet(f, 10*time.Minute), 0)
--- a/cpmember/records.go
+++ b/cpmember/records.go
@@ -88,12 +88,17 @@
 		p.member.Revision = r.Revision
 		m.version++
 	}
-	if r.Ticket != "" && r.Ticket != p.member.Ticket && r.Incarnation >= p.member.Incarnation {
+	if laterTicket(r.Ticket, p.member.Ticket) {
 		p.member.Ticket = r.Ticket
 		m.version++
 	}
 }
 
+// laterTicket reports whether a ticket was given out after another one of the same process.
+func laterTicket(x, y string) bool {
+	return len(x) > len(y) || len(x) == len(y) && x > y
+}
+
 // reached takes what a VM that answered says about itself.
 func (m *Membership) reached(now time.Time, from *clementineport.Member) {
 	if from.ID == m.self.ID {
@@ -146,6 +151,8 @@
 	}
 	if r.Peer != "" {
 		p.member.VM = r.VM
+	}
+	if r.Start != p.member.Start {
 		p.member.Ticket = r.Ticket
 	}
 	if newer && r.State == clementineport.MemberAlive && p.failures > 0 {
