--- a/cpmember/cpmember_test.go
+++ b/cpmember/cpmember_test.go
@@ -110,7 +110,7 @@
 			"a VM that is starved accuses nobody", cpmember.WithHighestHealth(0), 12,
 			func(f *fleet) bool {
 				stalled := f.nodes[3]
-				for range 30 {
+				for range 150 {
 					stalled.frozen = true
 					f.run(1200 * time.Millisecond)
 					f.thaw(stalled)
@@ -181,6 +181,19 @@
 	}
 }
 
+func TestTicketsSpread(t *testing.T) {
+	f := newFleet(8, 17)
+	for _, ticket := range []string{string(firstStart) + ".99", string(firstStart) + ".100"} {
+		f.nodes[2].SetTicket(ticket)
+		f.run(20 * time.Second)
+		for _, n := range f.nodes {
+			for _, m := range n.Members() {
+				assert.Assert(t, m.ID != f.nodes[2].vm.ID || m.Ticket == ticket, "%s at %s", m.Ticket, n.vm.ID)
+			}
+		}
+	}
+}
+
 func TestQuiet(t *testing.T) {
 	f := newFleet(8, 11)
 	assert.Equal(t, quiet(f, 10*time.Minute), 0)
