--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -82,6 +82,7 @@
 		cphttp.Clock(n.clock),
 		cphttp.Address(t.Address),
 		cphttp.Connections(connections),
+		cphttp.Concurrency(t.Group.Slots+1),
 		cphttp.MaySend(n.control.MaySend),
 		cphttp.Closed(func() { n.limiter.Suspect(id) }),
 		cphttp.Header(func(ctx context.Context, h http.Header) {
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -60,6 +60,7 @@
 		DialContext:            c.dial,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    o.Connections,
+		MaxConnsPerHost:        o.Concurrency,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -18,6 +18,9 @@
 	Address string
 	// Connections is the most connections that may be open to the target.
 	Connections int
+	// Concurrency is the most connections in use or kept for use; zero means as many as Connections. Fewer
+	// kept connections leave more of the share to replace silent ones.
+	Concurrency int
 	// MaxResponseBytes bounds the body of a response.
 	MaxResponseBytes int64
 	// DialTimeout bounds the time to open a connection.
@@ -56,7 +59,7 @@
 		MaxResponseBytes: 4 << 20,
 		DialTimeout:      time.Second,
 		CloseTime:        100 * time.Millisecond,
-		Linger:           15 * time.Second,
+		Linger:           5 * time.Second,
 		SpareTime:        2 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
@@ -80,6 +83,9 @@
 // Connections sets the most connections that may be open to the target.
 func Connections(n int) Option { return func(o *Options) { o.Connections = n } }
 
+// Concurrency sets the most connections in use or kept for use.
+func Concurrency(n int) Option { return func(o *Options) { o.Concurrency = n } }
+
 // MaxResponseBytes bounds the body of a response.
 func MaxResponseBytes(n int64) Option { return func(o *Options) { o.MaxResponseBytes = n } }
 
