--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -82,7 +82,6 @@
 		cphttp.Address(t.Address),
 		cphttp.Connections(connections),
 		cphttp.MaySend(n.control.MaySend),
-		cphttp.MaySend(n.control.MaySend),
 		cphttp.Header(func(ctx context.Context, h http.Header) {
 			if traceparent := n.tracer.Inject(ctx); traceparent != "" {
 				h.Set("Traceparent", traceparent)
