--- a/cpcli/status.go
+++ b/cpcli/status.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cpoperator"
@@ -91,7 +92,11 @@
 	fmt.Fprintln(w, "ATTEMPT\tSHARD\tTARGET\tTRY\tSENT\tTOOK\tENDING\tFAULT")
 	for i := range attempts {
 		a := &attempts[i]
-		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", a.Attempt, a.Shard, a.Target, a.Try, a.Sent, a.Took, a.Ending, a.Fault)
+		fault := a.Fault.String()
+		if a.Fault == clementineport.FaultUnknown && a.Ending != "failed" {
+			fault = "-"
+		}
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", a.Attempt, a.Shard, a.Target, a.Try, a.Sent, a.Took, a.Ending, fault)
 	}
 	return w.Flush()
 }
--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -73,10 +73,11 @@
 func (e *Entry) Query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	began := e.opts.Clock.Now()
 	ctx, end := e.opts.Tracer.Start(ctx, "query", attribute.String("service", string(q.Service)))
 	answer, err := e.query(ctx, q)
 	end(err)
-	e.metrics.answered(q.Service, answer, err)
+	e.metrics.answered(q.Service, e.opts.Clock.Now().Sub(began), answer, err)
 	return answer, err
 }
 
--- a/cpentry/metrics.go
+++ b/cpentry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -31,8 +32,8 @@
 	}
 }
 
-// answered counts the outcome of a query.
-func (m *queryMetrics) answered(service clementineport.ServiceID, a *clementineport.Answer, err error) {
+// answered counts the outcome of a query and the time it took.
+func (m *queryMetrics) answered(service clementineport.ServiceID, took time.Duration, a *clementineport.Answer, err error) {
 	outcome := "complete"
 	switch {
 	case err != nil:
@@ -44,6 +45,7 @@
 		service = "unknown"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("clementineport_queries_total{service=%q,outcome=%q}", service, outcome)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("clementineport_query_seconds{service=%q}", service)).Update(took.Seconds())
 	if a == nil {
 		return
 	}
--- a/cpentry/peerside.go
+++ b/cpentry/peerside.go
@@ -26,8 +26,9 @@
 func (e *Entry) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	began := e.opts.Clock.Now()
 	q.Idempotent = false
 	answer, err := e.runOnce(ctx, q, false)
-	e.metrics.answered(q.Service, answer, err)
+	e.metrics.answered(q.Service, e.opts.Clock.Now().Sub(began), answer, err)
 	return answer, err
 }
