--- a/cpmember/options.go
+++ b/cpmember/options.go
@@ -14,6 +14,8 @@
 	ProbeTimeout time.Duration
 	// SuspicionOwn is how long a VM that this VM itself can't reach stays suspect before it is dead.
 	SuspicionOwn time.Duration
+	// SuspicionRefused is the same for a VM that refuses connections.
+	SuspicionRefused time.Duration
 	// SuspicionHeard is how long a VM that others suspect stays suspect before it is dead,
 	// unless others say so earlier. It is probed after half of that time.
 	SuspicionHeard time.Duration
@@ -51,23 +53,24 @@
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
 	options := Options{
-		Period:          time.Second,
-		JoinPeriod:      100 * time.Millisecond,
-		ProbeTimeout:    500 * time.Millisecond,
-		SuspicionOwn:    3 * time.Second,
-		SuspicionHeard:  12 * time.Second,
-		Mute:            30 * time.Second,
-		PauseAfter:      700 * time.Millisecond,
-		CutAfter:        2500 * time.Millisecond,
-		Partners:        16,
-		DeadPeriod:      5 * time.Second,
-		Forget:          2 * time.Minute,
-		DigestBytes:     360,
-		PageMembers:     32,
-		Witnesses:       3,
-		UrgentPerSecond: 1,
-		UrgentBurst:     10,
-		HighestHealth:   8,
+		Period:           time.Second,
+		JoinPeriod:       100 * time.Millisecond,
+		ProbeTimeout:     500 * time.Millisecond,
+		SuspicionOwn:     3 * time.Second,
+		SuspicionRefused: time.Second,
+		SuspicionHeard:   12 * time.Second,
+		Mute:             30 * time.Second,
+		PauseAfter:       700 * time.Millisecond,
+		CutAfter:         2500 * time.Millisecond,
+		Partners:         16,
+		DeadPeriod:       5 * time.Second,
+		Forget:           2 * time.Minute,
+		DigestBytes:      360,
+		PageMembers:      32,
+		Witnesses:        3,
+		UrgentPerSecond:  1,
+		UrgentBurst:      10,
+		HighestHealth:    8,
 	}
 	for _, o := range opts {
 		o(&options)
--- a/cpmember/records.go
+++ b/cpmember/records.go
@@ -121,7 +121,7 @@
 	p.private = false
 	m.setState(p, from.State, now)
 	if from.State == clementineport.MemberSuspect {
-		m.hasten(now, p)
+		m.hasten(now, p, m.options.SuspicionOwn)
 	}
 	if news {
 		m.tell(p)
@@ -217,6 +217,9 @@
 		return
 	}
 	m.accuse(now, p)
+	if fault == clementineport.FaultRefused {
+		m.hasten(now, p, m.options.SuspicionRefused)
+	}
 }
 
 // keepPrivate marks the peers whose failures this VM itself may have caused.
@@ -242,12 +245,12 @@
 			m.suspect = append(m.suspect, p)
 		}
 	}
-	m.hasten(now, p)
+	m.hasten(now, p, m.options.SuspicionOwn)
 }
 
 // hasten shortens the time of a suspect for which this VM has evidence of its own.
-func (m *Membership) hasten(now time.Time, p *peer) {
-	deadline := now.Add(m.health.Patience(m.options.SuspicionOwn))
+func (m *Membership) hasten(now time.Time, p *peer, d time.Duration) {
+	deadline := now.Add(m.health.Patience(d))
 	if !p.deadline.IsZero() && deadline.Before(p.deadline) {
 		p.deadline = deadline
 	}
