--- a/cpentry/explain.go
+++ b/cpentry/explain.go
@@ -7,27 +7,42 @@
 	"github.com/clementineport/clementineport/cpgather"
 )
 
-// explanations keeps the traces of the most recent queries.
+// explainedQuery is what a trace counts for beside its calls.
+const explainedQuery = 4 // calls
+
+// explanations keeps the traces of the most recent queries, as many as their calls allow.
 type explanations struct {
-	mu    sync.Mutex
-	ring  []*cpgather.Trace
-	next  int
-	index map[clementineport.RequestID]int
+	mu sync.Mutex
+	// most bounds held, the sum of the calls of the traces.
+	most, held int
+	// recent are the traces, the oldest first.
+	recent    []*cpgather.Trace
+	byRequest map[clementineport.RequestID]*cpgather.Trace
 }
 
-func newExplanations(n int) *explanations {
-	return &explanations{ring: make([]*cpgather.Trace, n), index: make(map[clementineport.RequestID]int, n)}
+func newExplanations(most int) *explanations {
+	return &explanations{most: most, byRequest: make(map[clementineport.RequestID]*cpgather.Trace)}
 }
 
 func (x *explanations) add(t *cpgather.Trace) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if old := x.ring[x.next]; old != nil && x.index[old.Request] == x.next {
-		delete(x.index, old.Request)
+	x.recent = append(x.recent, t)
+	x.byRequest[t.Request] = t
+	x.held += t.Stats.Calls + explainedQuery
+	for x.held > x.most && len(x.recent) > 1 {
+		x.dropOldest()
+	}
+}
+
+func (x *explanations) dropOldest() {
+	oldest := x.recent[0]
+	x.recent[0] = nil
+	x.recent = x.recent[1:]
+	x.held -= oldest.Stats.Calls + explainedQuery
+	if x.byRequest[oldest.Request] == oldest {
+		delete(x.byRequest, oldest.Request)
 	}
-	x.ring[x.next] = t
-	x.index[t.Request] = x.next
-	x.next = (x.next + 1) % len(x.ring)
 }
 
 // Explain returns the trace of a recent query, or nil.
@@ -35,9 +50,5 @@
 	x := e.explained
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	i, ok := x.index[id]
-	if !ok {
-		return nil
-	}
-	return x.ring[i]
+	return x.byRequest[id]
 }
--- a/cpentry/options.go
+++ b/cpentry/options.go
@@ -19,7 +19,7 @@
 	defaultProbeTimeout  = time.Second
 	defaultProbeTargets  = 64
 	defaultChoiceLife    = 20 * time.Millisecond
-	defaultExplained     = 1024
+	defaultExplained     = 1 << 16 // calls
 	defaultStaleRetry    = 500 * time.Millisecond
 )
 
@@ -51,7 +51,7 @@
 	ProbeInterval time.Duration
 	// ProbeTargets is the most targets that one probe asks.
 	ProbeTargets int
-	// Explained is the number of recent queries that can be explained.
+	// Explained bounds the recent queries that can be explained, by the sum of their calls.
 	Explained int
 }
 
@@ -96,6 +96,9 @@
 // WithBaseline lets queries ask for the baseline policy.
 func WithBaseline(b *Baseline) Option { return func(o *Options) { o.Baseline = b } }
 
+// WithExplained bounds the recent queries that can be explained, by the sum of their calls.
+func WithExplained(calls int) Option { return func(o *Options) { o.Explained = calls } }
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Admit:         func() error { return nil },
--- a/cpentry/query_bench_test.go
+++ b/cpentry/query_bench_test.go
@@ -100,7 +100,9 @@
 }
 
 // benchEntry returns an entry VM whose targets are owned by one VM.
-func benchEntry(b *testing.B, self, owner clementineport.VMID, peer string, t *clementineport.Table, dial cprelay.Dial) *cpentry.Entry {
+func benchEntry(
+	b testing.TB, self, owner clementineport.VMID, peer string, t *clementineport.Table, dial cprelay.Dial, opts ...cpentry.Option,
+) *cpentry.Entry {
 	clock := clockwork.NewRealClock()
 	view := &cpcontrol.View{
 		Revision: t.Revision, Table: t, Self: self, Targets: cppick.New().View(t),
@@ -121,7 +123,7 @@
 	assert.NilError(b, err)
 	once, err := cponce.New("start", clock.Now())
 	assert.NilError(b, err)
-	return cpentry.New(
+	return cpentry.New(append([]cpentry.Option{
 		cpentry.WithClock(clock),
 		cpentry.WithSelf(clementineport.VM{ID: self, Domain: "a"}),
 		cpentry.WithControl(control),
@@ -134,7 +136,7 @@
 		cpentry.WithOnce(once),
 		cpentry.WithGather(cpgather.NewOptions()),
 		cpentry.WithTracer(tracer),
-	)
+	}, opts...)...)
 }
 
 // benchPeer serves an owner to other VMs and returns its address.
@@ -200,6 +202,20 @@
 	}
 }
 
+func TestExplanationsAreBoundedByCalls(t *testing.T) {
+	const branches = 35
+	e := benchEntry(t, "vm-1", "vm-1", "", benchTable(branches, nowhere), inMemory, cpentry.WithExplained(3*branches))
+	for _, id := range []clementineport.RequestID{"a", "b", "c", "b"} {
+		_, err := e.Query(t.Context(), &clementineport.Query{
+			Request: id, Service: "lookup", Limit: benchHits, Deadline: time.Now().Add(benchDeadline), Idempotent: true,
+		})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, e.Explain("a") == nil)
+	assert.Equal(t, len(e.Explain("b").Rows()), branches)
+	assert.Equal(t, e.Explain("c").Request, clementineport.RequestID("c"))
+}
+
 func runQueries(b *testing.B, e *cpentry.Entry, branches int) {
 	var id atomic.Int64
 	query := func() {
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -101,11 +101,11 @@
 }
 
 // listen serves a node over HTTP/2 and returns its address.
-func listen(t *testing.T, h http.Handler) string {
+func listen(t testing.TB, h http.Handler) string {
 	return serve(t, h).Listener.Addr().String()
 }
 
-func serve(t *testing.T, h http.Handler) *httptest.Server {
+func serve(t testing.TB, h http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(h)
 	server.Config.Protocols = &http.Protocols{}
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -5,6 +5,7 @@
 #   scripts/slopes.sh calls BRANCHES RATE SECONDS     one entry VM, one service of BRANCHES shards
 #   scripts/slopes.sh control VMS SECONDS             VMS entry VMs at rest, then a change, then at rest
 #   scripts/slopes.sh idle TARGETS                    one entry VM that holds a table of TARGETS targets
+#   scripts/slopes.sh connections TARGETS             one entry VM with idle connections to TARGETS targets
 set -euo pipefail
 # shellcheck source=scripts/lib.sh
 . "$(dirname "$0")/lib.sh"
@@ -33,6 +34,15 @@
 # resident prints the resident memory of the process of a name in kB.
 resident() { awk '/^VmRSS/ { print $2 }' "/proc/$(cat "$work/$1.pid")/status"; }
 
+# heap prints the bytes of live heap and of stacks of the first entry VM, after a collection.
+heap() {
+	curl -fsS -H "Authorization: Bearer $(cat "$work/token")" "127.0.0.1:18002/debug/pprof/heap?gc=1&debug=1" |
+		awk '/^# HeapAlloc =/ { h = $4 } /^# Stack =/ { s = $4 } END { print h + s }'
+}
+
+# sockets prints the number of open sockets of the first entry VM.
+sockets() { find "/proc/$(cat "$work/vm-0.pid")/fd" -lname 'socket:*' | wc -l; }
+
 # metric prints the sum of the counters whose names match: first port of an entry VM, pattern.
 metric() {
 	curl -fsS "127.0.0.1:$(($1 + 2))/metrics" | awk -v p="$2" '$1 ~ p { s += $2 } END { print s + 0 }'
@@ -106,13 +116,29 @@
 
 idle() {
 	fleet 1 1
-	local empty
+	local empty empty_heap
 	sleep 3
-	empty=$(resident vm-0)
+	empty=$(resident vm-0) empty_heap=$(heap)
 	estate "$1" "$((($1 + 2) / 3))" 1 >"$work/estate.yaml"
 	submit "$work/estate.yaml" 0 >/dev/null
 	sleep 3
-	echo "targets $1: text $(wc -c <"$work/estate.yaml") bytes, resident $empty kB without and $(resident vm-0) kB with the table"
+	echo "targets $1: text $(wc -c <"$work/estate.yaml") bytes, $(gzip -9 <"$work/estate.yaml" | wc -c) by gzip;" \
+		"heap and stacks $empty_heap bytes without the table and $(heap) with it; resident $empty kB and $(resident vm-0) kB"
+}
+
+connections() {
+	fleet 1 1
+	start targets "$bin/clementineport-standin" target --listen 127.0.0.1:20000 --count "$1" --service-time 5ms --slots 100 --queue 100 --connections 200
+	estate "$1" "$1" 1 >"$work/estate.yaml"
+	submit "$work/estate.yaml" 0 >/dev/null
+	wait_for curl -fsS 127.0.0.1:18000/readyz
+	sleep 2
+	local before_heap before
+	before_heap=$(heap) before=$(sockets)
+	"$bin/clementineport" load --entries 127.0.0.1:18000 --services lookup --deadline 2s --rate 10 --duration 5s >"$work/load.txt" || true
+	sleep 3
+	echo "targets $1: $before sockets and $before_heap bytes of heap and stacks before, $(sockets) sockets and $(heap) bytes after"
+	grep -E "lookup|verdicts" "$work/load.txt"
 }
 
 "$@"
