--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -113,7 +113,10 @@
 	}
 	answer, err := e.gather(ctx, q, view, service)
 	done(answer)
-	return answer, err
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
 }
 
 func lookup(view *cpcontrol.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
@@ -127,6 +130,7 @@
 	return service, nil
 }
 
+// gather returns an answer beside the error when the answer covers too little to be given.
 func (e *Entry) gather(
 	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
@@ -149,10 +153,7 @@
 		},
 	))
 	e.explained.add(machine.Trace())
-	if err != nil {
-		return nil, err
-	}
-	return answer, nil
+	return answer, err
 }
 
 // choose chooses the snapshot; when nothing is known it asks some targets first.
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -197,15 +197,25 @@
 		err = m.check(a, r.Reply)
 	}
 	if err == nil {
-		if r.Elapsed > 0 {
-			m.stats.Queued = max(a.took-r.Elapsed, 0)
-		}
+		m.stats.Queued = m.queued(a, r)
 		m.merge(a, r.Reply)
 		return
 	}
 	m.failed(a, err)
 }
 
+// queued returns how long the shard of a reply waited for others; a retry waited from the start of the query.
+func (m *Machine) queued(a *attempt, r *clementineport.CallResult) time.Duration {
+	switch {
+	case r.Elapsed <= 0:
+		return 0
+	case a.try == Retry:
+		return max(m.at-r.Elapsed, 0)
+	default:
+		return max(a.took-r.Elapsed, 0)
+	}
+}
+
 // late counts a result that nothing waits for; a cancelled call that ends as cancelled is expected.
 func (m *Machine) late(r *clementineport.CallResult) {
 	if r.Err != nil && clementineport.FaultOf(r.Err) == clementineport.FaultCanceled {
