--- a/cpcaller/cpcaller_test.go
+++ b/cpcaller/cpcaller_test.go
@@ -140,6 +140,10 @@
 			fmt.Fprint(w, strings.Repeat("x", 2000))
 		}, answered, "may-have-run"},
 		{"mismatched", func(f *fleet, w http.ResponseWriter, id string) { f.run(id); answer(w, "other") }, answered, "may-have-run"},
+		{"too little covered", func(f *fleet, w http.ResponseWriter, id string) {
+			f.run(id)
+			refuse(w, http.StatusBadGateway, `{"Verdict":"may-have-run","Fault":"coverage"}`)
+		}, "may-have-run", "may-have-run"},
 		{"invalid", func(_ *fleet, w http.ResponseWriter, _ string) {
 			refuse(w, http.StatusBadRequest, `{"Verdict":"not-run","Fault":"invalid"}`)
 		}, "not-run", "not-run"},
--- a/cpresend/cpresend.go
+++ b/cpresend/cpresend.go
@@ -276,8 +276,9 @@
 // isFinal reports whether a failure would be the same at every other entry or asks not to come back yet.
 func isFinal(err *clementineport.Error) bool {
 	switch err.Fault {
-	case clementineport.FaultShed, clementineport.FaultInvalid, clementineport.FaultUnauthorized,
-		clementineport.FaultDuplicate, clementineport.FaultDeadline:
+	case clementineport.FaultShed, clementineport.FaultInvalid, clementineport.FaultNotFound,
+		clementineport.FaultUnauthorized, clementineport.FaultDuplicate, clementineport.FaultDeadline,
+		clementineport.FaultCoverage:
 		return true
 	case clementineport.FaultDraining, clementineport.FaultStale, clementineport.FaultNotOwner:
 		return false
