Spread a caller's queries over the domain that its list begins with

The advice puts the caller's own failure domain first, or another one for the share of lives in which its own has too few VMs. Spreading over the whole list undid that.

--- a/cpresend/cpresend_test.go
+++ b/cpresend/cpresend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadvice"
 	"github.com/clementineport/clementineport/cpresend"
 )
 
@@ -94,24 +97,28 @@
 	for range 300 {
 		order := l.Order(now, "a")
 		first[order[0].Address]++
-		if order[0].Address == "a1" {
-			assert.Equal(t, order[1].Address, "a2", "a resend must stay in the failure domain of the caller")
-		}
+		assert.Equal(t, order[2].Address, "b1", "another failure domain must come last")
+	}
+	assert.DeepEqual(t, first, map[string]int{"a1": 150, "a2": 150})
+	first = make(map[string]int)
+	for range 300 {
+		first[l.Order(now, "")[0].Address]++
 	}
 	assert.DeepEqual(t, first, map[string]int{"a1": 100, "b1": 100, "a2": 100})
+	assert.Equal(t, l.Order(now, "b")[2].Address, "b1", "a list that begins elsewhere says that the own domain is full")
 
 	l.Suspect(now, "b1")
 	for range 10 {
-		assert.Equal(t, l.Order(now, "a")[2].Address, "b1", "a suspect entry must come last")
+		assert.Equal(t, l.Order(now, "")[2].Address, "b1", "a suspect entry must come last")
 	}
 	now = now.Add(2 * time.Second)
 	l.Suspect(now, "b1")
 	now = now.Add(3 * time.Second)
-	assert.Equal(t, l.Order(now, "a")[2].Address, "b1", "a second failure must count for longer")
+	assert.Equal(t, l.Order(now, "")[2].Address, "b1", "a second failure must count for longer")
 	l.Trust("b1")
 	first = make(map[string]int)
 	for range 3 {
-		first[l.Order(now, "a")[0].Address]++
+		first[l.Order(now, "")[0].Address]++
 	}
 	assert.Equal(t, first["b1"], 1, "an entry that answered must be used again")
 	usable, refresh = l.State(now)
@@ -133,3 +140,59 @@
 	assert.Assert(t, l.Silence("desk") > 400*time.Millisecond)
 	assert.Assert(t, l.Silence("desk") < 600*time.Millisecond)
 }
+
+// imbalance lets callers of unequal weight follow the advice and returns how far the load of a VM was from
+// even within so many lives of a list, at most.
+func imbalance(spread bool, lives int) float64 {
+	const life, callers, vms = 10 * time.Second, 1000, 8
+	var members []clementineport.Member
+	for i := range vms {
+		name := clementineport.VMID(fmt.Sprint("vm", i))
+		members = append(members, clementineport.Member{VM: clementineport.VM{
+			ID: name, Caller: string(name), Domain: clementineport.FailureDomain("aabbbccc"[i : i+1]),
+		}})
+	}
+	adviser := cpadvice.New("vm0", members, &clementineport.Out{}, cpadvice.WithLife(life))
+	r := rand.New(rand.NewPCG(1, 1))
+	lists, weights := make([]*cpresend.List, callers), make([]int, callers)
+	for i := range lists {
+		lists[i] = cpresend.NewList(time.Second)
+		weights[i] = int(10 * min(1/math.Sqrt(1-r.Float64()), 20))
+	}
+	worst := 0.0
+	loads, total := make(map[string]float64), 0.0
+	for n := range 36 {
+		now := time.Unix(0, 0).Add(time.Duration(n) * life)
+		for i, l := range lists {
+			home := clementineport.FailureDomain("abc"[i%3 : i%3+1])
+			var entries []cpresend.Entry
+			for _, e := range adviser.Advise(cpadvice.Caller{Address: fmt.Sprint(i), Domain: home}, now).Entries {
+				entries = append(entries, cpresend.Entry(e))
+			}
+			l.Set(now, entries, life, 0)
+			for range weights[i] {
+				used := entries[0]
+				if spread {
+					used = l.Order(now, home)[0]
+				}
+				loads[used.Address]++
+				total++
+			}
+		}
+		if n%lives != lives-1 {
+			continue
+		}
+		for _, load := range loads {
+			worst = max(worst, load/total*vms-1, 1-load/total*vms)
+		}
+		clear(loads)
+		total = 0
+	}
+	return worst
+}
+
+func TestLoadIsEvenWithinFourListLives(t *testing.T) {
+	spread, first := imbalance(true, 4), imbalance(false, 4)
+	assert.Assert(t, spread < 0.1, "off by %.3f", spread)
+	assert.Assert(t, first > 0.1, "spreading makes no difference: %.3f", first)
+}
--- a/cpresend/list.go
+++ b/cpresend/list.go
@@ -53,21 +53,48 @@
 	})
 }
 
-// Order returns the entries in the order in which one request uses them: each request begins at the next
-// entry, entries of the failure domain home come first among the others, and suspect entries come last.
+// Order returns the entries in the order in which one request uses them. A caller of a failure domain spreads
+// its requests over the listed entries of the domain that the list begins with, which is another one only when
+// its own has too few VMs; a caller of no domain spreads them over the whole list. The other entries of the
+// caller's domain come next, and suspect entries come last.
 func (l *List) Order(now time.Time, home clementineport.FailureDomain) []Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.entries) == 0 {
 		return nil
 	}
-	l.next = (l.next + 1) % len(l.entries)
-	order := slices.Concat(l.entries[l.next:], l.entries[:l.next])
-	slices.SortStableFunc(order[1:], func(a, b Entry) int { return rank(a, home) - rank(b, home) })
-	slices.SortStableFunc(order, func(a, b Entry) int { return l.suspicion(a, now) - l.suspicion(b, now) })
-	return order
+	spread := func(e Entry) bool { return home == "" || e.Domain == l.entries[0].Domain }
+	rank := func(e Entry) int {
+		switch {
+		case now.Before(l.suspects[e.Address].until):
+			return rankSuspect
+		case spread(e):
+			return rankSpread
+		case e.Domain == home:
+			return rankHome
+		default:
+			return rankOther
+		}
+	}
+	l.next++
+	order := slices.Clone(l.entries)
+	slices.SortStableFunc(order, func(a, b Entry) int { return rank(a) - rank(b) })
+	n := 1
+	for n < len(order) && rank(order[n]) == rank(order[0]) {
+		n++
+	}
+	first := l.next % n
+	return slices.Concat(order[first:n], order[:first], order[n:])
 }
 
+// Ranks of entries in the order of one request.
+const (
+	rankSpread = iota
+	rankHome
+	rankOther
+	rankSuspect
+)
+
 // State reports whether the list can be used and whether the next one should be fetched.
 func (l *List) State(now time.Time) (usable, refresh bool) {
 	l.mu.Lock()
@@ -113,17 +140,3 @@
 	}
 	return addresses
 }
-
-func (l *List) suspicion(e Entry, now time.Time) int {
-	if now.Before(l.suspects[e.Address].until) {
-		return 1
-	}
-	return 0
-}
-
-func rank(e Entry, home clementineport.FailureDomain) int {
-	if e.Domain == home {
-		return 0
-	}
-	return 1
-}
