--- a/cpcli/load.go
+++ b/cpcli/load.go
@@ -21,6 +21,7 @@
 type loadFlags struct {
 	opts     cpload.Options
 	entries  string
+	domains  string
 	services string
 	policies string
 	json     bool
@@ -32,7 +33,7 @@
 	fs := newFlagSet("load", stderr)
 	f := &loadFlags{opts: cpload.DefaultOptions()}
 	fs.StringVar(&f.entries, "entries", "", "caller addresses of entries, separated by commas")
-	fs.StringVar((*string)(&f.opts.Domain), "domain", "", "failure domain of the callers")
+	fs.StringVar(&f.domains, "domain", "", "failure domains of the callers in turn, separated by commas")
 	fs.Float64Var(&f.opts.Rate, "rate", f.opts.Rate, "queries a second")
 	fs.DurationVar(&f.opts.Duration, "duration", f.opts.Duration, "length of the run")
 	fs.StringVar(&f.services, "services", "", "services as name[=weight], separated by commas")
@@ -74,6 +75,9 @@
 		return usagef("unexpected argument %q", args[0])
 	}
 	f.opts.Entries = splitList(f.entries)
+	for _, d := range splitList(f.domains) {
+		f.opts.Domains = append(f.opts.Domains, clementineport.FailureDomain(d))
+	}
 	f.opts.Policies = splitList(f.policies)
 	services, err := parseServices(f.services)
 	if err != nil {
--- a/cpload/cpload.go
+++ b/cpload/cpload.go
@@ -62,13 +62,7 @@
 func (r *run) open() {
 	newCaller := r.opts.NewCaller
 	if newCaller == nil {
-		newCaller = func(int) cpcaller.Caller {
-			return cpcaller.New(
-				cpcaller.WithSeeds(r.opts.Entries...),
-				cpcaller.WithDomain(r.opts.Domain),
-				cpcaller.WithAllow(r.opts.allow),
-			)
-		}
+		newCaller = r.newCaller
 	}
 	for n := range r.opts.Callers {
 		r.callers = append(r.callers, newCaller(n))
@@ -78,6 +72,18 @@
 	}
 }
 
+func (r *run) newCaller(n int) cpcaller.Caller {
+	var domain clementineport.FailureDomain
+	if len(r.opts.Domains) > 0 {
+		domain = r.opts.Domains[n%len(r.opts.Domains)]
+	}
+	return cpcaller.New(
+		cpcaller.WithSeeds(r.opts.Entries...),
+		cpcaller.WithDomain(domain),
+		cpcaller.WithAllow(r.opts.allow),
+	)
+}
+
 func (r *run) close() {
 	for _, c := range r.callers {
 		_ = c.Close()
--- a/cpload/options.go
+++ b/cpload/options.go
@@ -37,7 +37,8 @@
 type Options struct {
 	// Entries are the addresses that callers ask first.
 	Entries []string
-	Domain  clementineport.FailureDomain
+	// Domains are the failure domains of the callers, in turn.
+	Domains []clementineport.FailureDomain
 	// Rate is the number of queries a second over all callers.
 	Rate     float64
 	Duration time.Duration
