--- a/cpadmit/cpadmit_test.go
+++ b/cpadmit/cpadmit_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
@@ -119,6 +121,66 @@
 	}
 }
 
+// TestGate holds over random arrivals and ends: every query starts once or is refused once, the limit holds when
+// a query starts, and no query waits longer than its share of the time left.
+func TestGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := simStart
+		g := cpadmit.NewGate(cpadmit.NewOptions(cpadmit.WithLimits(1, 3, 5)))
+		running := make(map[cpadmit.Ticket]bool)
+		type wait struct {
+			arrival cpadmit.Arrival
+			until   time.Time
+		}
+		waits := make(map[cpadmit.Ticket]wait)
+		start := func(ticket cpadmit.Ticket) {
+			assert.Assert(t, !running[ticket], "started twice")
+			running[ticket] = true
+			assert.Equal(t, g.InProgress(), len(running))
+			assert.Assert(t, len(running) <= g.Limit())
+		}
+		refused := func(d cpadmit.Decision) {
+			assert.Equal(t, d.Kind, cpadmit.KindRefused)
+			assert.Assert(t, d.RetryAfter > 0 && d.RetryAfter <= cpadmit.DefaultMaxRetryAfter)
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			for _, ticket := range slices.Sorted(maps.Keys(waits)) {
+				w := waits[ticket]
+				if !now.Before(w.until) {
+					delete(waits, ticket)
+					refused(g.Withdraw(ticket, w.arrival))
+				}
+			}
+			a := cpadmit.Arrival{
+				Service:  clementineport.ServiceID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "service")),
+				Class:    clementineport.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+				Deadline: now.Add(simDeadline),
+			}
+			switch d := g.Offer(now, a); d.Kind {
+			case cpadmit.KindAdmitted:
+				start(d.Ticket)
+			case cpadmit.KindQueued:
+				assert.Assert(t, !d.Until.After(now.Add(simDeadline/10)))
+				waits[d.Ticket] = wait{a, d.Until}
+			default:
+				refused(d)
+			}
+			for _, ticket := range slices.Sorted(maps.Keys(running)) {
+				if rapid.Bool().Draw(t, "ends") {
+					delete(running, ticket)
+					for _, next := range g.Done(now, ticket, cpadmit.Outcome{Shed: rapid.Bool().Draw(t, "shed")}) {
+						_, waited := waits[next]
+						assert.Assert(t, waited, "a query that does not wait was started")
+						delete(waits, next)
+						start(next)
+					}
+				}
+			}
+		}
+	})
+}
+
 func TestAdmitter(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	a := cpadmit.New(cpadmit.WithClock(clock), cpadmit.WithLimits(1, 1, 1))
