--- a/cpcontrol/calls.go
+++ b/cpcontrol/calls.go
@@ -11,6 +11,9 @@
 // startListShare is the share of ListPeriod between two reads of the list while no other VM is known.
 const startListShare = 10
 
+// unusedAfter is how long a peer is kept open without a call.
+const unusedAfter = 5 * time.Minute
+
 // withTimeout ends a context by the clock that the decisions use.
 func (c *Control) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -35,16 +38,26 @@
 
 // dial returns the peer of a VM; a VM whose address has changed is dialed anew.
 func (c *Control) dial(vm clementineport.VM) clementineport.Peer {
+	now := c.options.Clock.Now()
 	d, known := c.peers[vm.ID]
-	if known && d.vm.Peer == vm.Peer {
-		return d.peer
+	if !known || d.vm.Peer != vm.Peer {
+		c.hangUp(vm.ID)
+		d = dialed{vm: vm, peer: c.options.Dial(vm)}
 	}
-	c.hangUp(vm.ID)
-	d = dialed{vm: vm, peer: c.options.Dial(vm)}
+	d.used = now
 	c.peers[vm.ID] = d
 	return d.peer
 }
 
+// hangUpUnused closes the peers that have not been called for a while.
+func (c *Control) hangUpUnused(now time.Time) {
+	for id, d := range c.peers {
+		if now.Sub(d.used) > unusedAfter {
+			c.hangUp(id)
+		}
+	}
+}
+
 // hangUp closes the peer of a VM, so that the next call uses a new connection.
 func (c *Control) hangUp(id clementineport.VMID) {
 	if d, known := c.peers[id]; known {
--- a/cpcontrol/cpcontrol.go
+++ b/cpcontrol/cpcontrol.go
@@ -52,6 +52,7 @@
 type dialed struct {
 	vm   clementineport.VM
 	peer clementineport.Peer
+	used time.Time
 }
 
 // event is something that happened outside of the loop.
--- a/cpcontrol/events.go
+++ b/cpcontrol/events.go
@@ -128,6 +128,7 @@
 
 func (e listed) apply(_ context.Context, c *Control, now time.Time) {
 	c.listing = false
+	c.hangUpUnused(now)
 	if e.err != nil {
 		c.counters.listFailures.Inc()
 		return
