--- a/cpfleet/load_test.go
+++ b/cpfleet/load_test.go
@@ -157,18 +157,26 @@
 func checkHits(o *outcome) error {
 	var want []clementineport.Hit
 	for _, shard := range o.answer.Covered {
-		want = append(want, cptarget.Hits("lookup", shard, o.answer.Snapshot, o.query.Text, hitLimit)...)
+		want = append(want, hits(shard, o.answer.Snapshot, o.query.Text)...)
 	}
-	slices.SortFunc(want, func(a, b clementineport.Hit) int {
-		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Record, b.Record))
-	})
-	want = want[:min(len(want), hitLimit)]
-	if !slices.Equal(want, o.answer.Hits) {
+	if want = best(want); !slices.Equal(want, o.answer.Hits) {
 		return fmt.Errorf("hits are %v, not %v", o.answer.Hits, want)
 	}
 	return nil
 }
 
+func hits(shard clementineport.ShardID, s clementineport.Snapshot, text string) []clementineport.Hit {
+	return cptarget.Hits("lookup", shard, s, text, hitLimit)
+}
+
+// best returns the hits that an answer holds of all.
+func best(all []clementineport.Hit) []clementineport.Hit {
+	slices.SortFunc(all, func(a, b clementineport.Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Record, b.Record))
+	})
+	return all[:min(len(all), hitLimit)]
+}
+
 // checkWhole checks that queries were answered whole; nonIdempotent includes the non-idempotent ones.
 func checkWhole(outcomes []outcome, nonIdempotent bool) []error {
 	var faults []error
--- /dev/null
+++ b/cpfleet/race_test.go
@@ -0,0 +1,77 @@
+package cpfleet_test
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpsearcher"
+)
+
+// TestLateAnswers proves that answers that come late or out of order reach no other request, with programs
+// that are built with the race detector.
+func TestLateAnswers(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	assert.NilError(t, build(dir, "-race"))
+	f := newFleet(t, fleetOptions{binaries: dir, targetFlags: []string{"--straggler-share", "0.1", "--straggler-factor", "40"}})
+	l := f.load("")
+	l.answered(300)
+	f.entries[2].kill()
+	l.answered(200)
+	l.checkAlways(false, false)
+	for _, e := range f.entries {
+		log, err := os.ReadFile(e.log)
+		assert.NilError(t, err)
+		assert.Assert(t, !bytes.Contains(log, []byte("DATA RACE")), "%s: %s", e.name, log)
+	}
+}
+
+// TestChecks shows that the checks of the load find what they look for.
+func TestChecks(t *testing.T) {
+	t.Parallel()
+	v1, v2 := clementineport.Snapshot{Version: 1, Layout: 1}, clementineport.Snapshot{Version: 2, Layout: 1}
+	answer := func(covered []clementineport.ShardID, text string, snapshots ...clementineport.Snapshot) outcome {
+		o := outcome{query: clementineport.Query{Text: "own", Limit: hitLimit}, answer: &clementineport.Answer{
+			Snapshot: v1, Shards: 2, Covered: covered, Complete: len(covered) == 2,
+		}}
+		for shard := clementineport.ShardID(0); int(shard) < len(covered); shard++ {
+			if !o.answer.Complete {
+				o.answer.Missing = []clementineport.MissingShard{{Shard: 1}}
+			}
+			o.answer.Hits = append(o.answer.Hits, hits(shard, snapshots[shard], text)...)
+		}
+		o.answer.Hits = best(o.answer.Hits)
+		return o
+	}
+	both := []clementineport.ShardID{0, 1}
+	good := answer(both, "own", v1, v1)
+	assert.NilError(t, firstFault(checkTruth([]outcome{good, answer(both[:1], "own", v1)})))
+	assert.NilError(t, firstFault(checkWhole([]outcome{good}, true)))
+	for name, o := range map[string]outcome{
+		"two versions":        answer(both, "own", v1, v2),
+		"another request":     answer(both, "other", v1, v1),
+		"covered but not hit": {query: good.query, answer: &clementineport.Answer{Snapshot: v1, Shards: 2, Covered: both, Complete: true}},
+		"shard not stated":    {query: good.query, answer: &clementineport.Answer{Snapshot: v1, Shards: 3, Covered: both, Complete: true, Hits: good.answer.Hits}},
+	} {
+		assert.Assert(t, len(checkTruth([]outcome{o})) > 0, name)
+	}
+	notRun := outcome{query: good.query, err: clementineport.Fail(clementineport.FaultShed, "full")}
+	run := func(shard clementineport.ShardID) cpsearcher.Run { return cpsearcher.Run{Text: "own", Shard: shard} }
+	assert.NilError(t, firstFault(checkOnce([]outcome{good}, []cpsearcher.Run{run(0), run(1)})))
+	assert.Assert(t, len(checkOnce([]outcome{good}, []cpsearcher.Run{run(0)})) > 0, "covered but not run")
+	assert.Assert(t, len(checkOnce([]outcome{good}, []cpsearcher.Run{run(0), run(1), run(1)})) > 0, "run twice")
+	assert.Assert(t, len(checkOnce([]outcome{notRun}, []cpsearcher.Run{run(0)})) > 0, "refused but run")
+	assert.Assert(t, len(checkWhole([]outcome{notRun}, true)) > 0, "refused")
+	assert.Assert(t, len(checkWhole([]outcome{answer(both[:1], "own", v1)}, true)) > 0, "incomplete")
+}
+
+func firstFault(faults []error) error {
+	if len(faults) > 0 {
+		return faults[0]
+	}
+	return nil
+}
