--- a/cpcaller/cpcaller.go
+++ b/cpcaller/cpcaller.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbudget"
+	"github.com/clementineport/clementineport/cpresend"
 )
 
 // Caller sends queries to the query tier.
@@ -31,7 +32,8 @@
 type caller struct {
 	opts    Options
 	sender  *sender
-	list    *List
+	list    *cpresend.List
+	latency *cpresend.Latency
 	fetches singleflight.Group
 }
 
@@ -44,7 +46,8 @@
 		)
 	}
 	c.sender = newSender(&c.opts)
-	c.list = NewList(c.opts.SuspectFor)
+	c.list = cpresend.NewList(c.opts.SuspectFor)
+	c.latency = cpresend.NewLatency()
 	return c
 }
 
@@ -64,27 +67,30 @@
 	ctx, cancel := context.WithTimeout(ctx, query.Deadline.Sub(now))
 	defer cancel()
 	c.opts.Extra.Earn(1)
-	request := NewRequest(c.opts.Rules, &query, now, c.newID, c.opts.Rand)
+	rules := c.opts.Rules
+	rules.OverlapAfter = c.latency.Silence(q.Service)
+	request := cpresend.NewRequest(rules, &query, now, c.newID, c.opts.Rand)
 	return c.run(ctx, request, &query)
 }
 
 // result is what became of one send.
 type result struct {
-	entry  Entry
+	entry  cpresend.Entry
 	answer *clementineport.Answer
 	err    *clementineport.Error
+	took   time.Duration
 }
 
 // run carries out the actions of a request until it has an answer or is given up.
 func (c *caller) run(
-	ctx context.Context, request *Request, q *clementineport.Query,
+	ctx context.Context, request *cpresend.Request, q *clementineport.Query,
 ) (*clementineport.Answer, error) {
 	results := make(chan result, c.opts.Rules.MaxSends)
 	entries, err := c.entries(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var last Entry
+	var last cpresend.Entry
 	for {
 		now := c.opts.Clock.Now()
 		if request.NeedsBudget(now) && !c.opts.Extra.Spend() {
@@ -92,9 +98,9 @@
 		}
 		action := request.Next(now, entries)
 		switch action.Kind {
-		case ActionFinish:
+		case cpresend.ActionFinish:
 			return nil, action.Err
-		case ActionSend:
+		case cpresend.ActionSend:
 			if action.Overlap {
 				c.list.Suspect(now, last.Address)
 			}
@@ -105,6 +111,8 @@
 		select {
 		case res := <-results:
 			if res.answer != nil {
+				c.list.Trust(res.entry.Address)
+				c.latency.Observe(q.Service, res.took)
 				return res.answer, nil
 			}
 			now = c.opts.Clock.Now()
@@ -118,26 +126,27 @@
 	}
 }
 
-func (c *caller) send(ctx context.Context, q *clementineport.Query, action Action, results chan<- result) {
+func (c *caller) send(ctx context.Context, q *clementineport.Query, action cpresend.Action, results chan<- result) {
 	sent := *q
 	sent.Request = action.Request
 	go func() {
-		left := q.Deadline.Sub(c.opts.Clock.Now())
+		start := c.opts.Clock.Now()
+		left := q.Deadline.Sub(start)
 		left -= min(left/answerMarginParts, maxAnswerMargin)
 		answer, err := c.sender.query(ctx, action.Entry.Address, &sent, left)
-		results <- result{action.Entry, answer, err}
+		results <- result{action.Entry, answer, err, c.opts.Clock.Now().Sub(start)}
 	}()
 }
 
 // note makes later requests use an entry last that failed or is leaving.
 func (c *caller) note(now time.Time, res result) {
-	if isConnectionLoss(res.err) {
+	if cpresend.IsConnectionLoss(res.err) {
 		c.list.Suspect(now, res.entry.Address)
 	}
 }
 
 // entries returns the entries in order for one request; it waits for a list if there is none.
-func (c *caller) entries(ctx context.Context) ([]Entry, error) {
+func (c *caller) entries(ctx context.Context) ([]cpresend.Entry, error) {
 	now := c.opts.Clock.Now()
 	usable, refresh := c.list.State(now)
 	if refresh {
@@ -157,7 +166,7 @@
 }
 
 // again returns the entries for a resend, which may come from a newer list.
-func (c *caller) again(ctx context.Context, old []Entry) []Entry {
+func (c *caller) again(ctx context.Context, old []cpresend.Entry) []cpresend.Entry {
 	entries, err := c.entries(ctx)
 	if err != nil {
 		return old
@@ -191,7 +200,7 @@
 	}
 }
 
-func (c *caller) fetchFrom(ctx context.Context, address string) ([]Entry, time.Duration, error) {
+func (c *caller) fetchFrom(ctx context.Context, address string) ([]cpresend.Entry, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, DefaultListTimeout)
 	defer cancel()
 	return c.sender.entries(ctx, address)
--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -20,11 +20,12 @@
 	"github.com/clementineport/clementineport/cptrace"
 )
 
-// Shares of a target's connections. An owner that is being replaced, its successor and both deputies stay
-// within the limit together, also while the connections of a lost VM still count at the target.
+// Shares of a target's connections, in twelfths. An owner that is being replaced, its successor and both
+// deputies stay within the limit together, also while the connections of a lost VM still count at the target.
 const (
-	ownerConnectionShare  = 3  // one part in
-	deputyConnectionShare = 12 // one part in
+	connectionParts       = 12
+	ownerConnectionParts  = 5
+	deputyConnectionParts = 1
 )
 
 // hedgeOffShare is the load of the admission limit, in parts of ten, above which no hedges are sent.
@@ -76,12 +77,13 @@
 }
 
 func (n *Node) dialTarget(t *clementineport.TargetRow, connections int) clementineport.Target {
+	id := t.ID
 	client := cphttp.New(
 		cphttp.Clock(n.clock),
 		cphttp.Address(t.Address),
 		cphttp.Connections(connections),
 		cphttp.MaySend(n.control.MaySend),
-		cphttp.MaySend(n.control.MaySend),
+		cphttp.Closed(func() { n.limiter.Suspect(id) }),
 		cphttp.Header(func(ctx context.Context, h http.Header) {
 			if traceparent := n.tracer.Inject(ctx); traceparent != "" {
 				h.Set("Traceparent", traceparent)
