--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -105,11 +105,13 @@
 		echo "$c $b $r"
 	}
 	read -r cpu0 bytes0 _ < <(sums)
+	views0=$(metric 18000 view_publications_total)
 	store0=$(curl -fsS 127.0.0.1:18900/admin/counters)
 	sleep "$seconds"
 	read -r cpu1 bytes1 rss < <(sums)
 	awk -v n="$vms" -v s="$seconds" -v c0="$cpu0" -v c1="$cpu1" -v b0="$bytes0" -v b1="$bytes1" -v r="$rss" \
 		'BEGIN { printf "VMs %d: %.2f%% of a core, %.0f control bytes/s (sent and received), resident %.0f kB, each\n", n, 100 * (c1 - c0) / s / n, (b1 - b0) / s / n, r / n }'
+	echo "views published by one VM: $(($(metric 18000 view_publications_total) - views0)) in $seconds s"
 	echo "store before: $store0"
 	echo "store after $seconds s: $(curl -fsS 127.0.0.1:18900/admin/counters)"
 }
