--- a/cpgather/trace.go
+++ b/cpattempt/trace.go
@@ -1,6 +1,7 @@
-package cpgather
+package cpattempt
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -32,45 +33,34 @@
 	Took     time.Duration
 	Stats    clementineport.GatherStats
 	// Dropped counts results of other requests, unknown or ended attempts, and other snapshots.
-	Dropped  int
-	attempts []attempt
-	epoch    int
-	targets  []clementineport.TargetRow
+	Dropped int
+	log     Log
+	targets []clementineport.TargetRow
 }
 
-// Trace returns the explanation of a query.
-func (m *Machine) Trace() *Trace {
-	m.stats.Calls = m.calls()
-	return &Trace{
-		Request:  m.plan.Query.Request,
-		Snapshot: m.plan.Choice.Snapshot,
-		Start:    m.start,
-		Took:     m.closed,
-		Stats:    m.stats,
-		Dropped:  m.dropped,
-		attempts: append([]attempt(nil), m.attempts...),
-		epoch:    m.epoch,
-		targets:  m.plan.Targets,
-	}
+// Explain keeps a copy of the attempts, which were made to the targets.
+func (t *Trace) Explain(l *Log, targets []clementineport.TargetRow) {
+	t.log = Log{attempts: slices.Clone(l.attempts), epoch: l.epoch}
+	t.targets = targets
 }
 
 // Rows returns a row for each attempt.
 func (t *Trace) Rows() []TraceRow {
-	rows := make([]TraceRow, len(t.attempts))
-	for i := range t.attempts {
-		a := &t.attempts[i]
+	rows := make([]TraceRow, t.log.Len())
+	for i := range rows {
+		a := t.log.At(int32(i))
 		rows[i] = TraceRow{
-			Attempt: clementineport.AttemptID(i + 1),
-			Shard:   a.shard,
-			Target:  t.targets[a.target].ID,
-			Try:     a.try.String(),
-			Sent:    a.sent,
-			Took:    a.took,
-			Ending:  endingNames[a.end],
-			Fault:   a.fault,
-			Late:    a.late,
+			Attempt: ID(int32(i)),
+			Shard:   a.Shard,
+			Target:  t.targets[a.Target].ID,
+			Try:     a.Try.String(),
+			Sent:    a.Sent,
+			Took:    a.Took,
+			Ending:  a.End.String(),
+			Fault:   a.Fault,
+			Late:    a.Late,
 		}
-		if i >= t.epoch {
+		if i >= t.log.epoch {
 			rows[i].Epoch = t.Stats.Restarts
 		}
 	}
--- a/cpcli/status.go
+++ b/cpcli/status.go
@@ -13,8 +13,8 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpcontrol"
-	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cpoperator"
 )
 
@@ -72,8 +72,8 @@
 				return err
 			}
 			var reply struct {
-				cpgather.Trace
-				Attempts []cpgather.TraceRow
+				cpattempt.Trace
+				Attempts []cpattempt.TraceRow
 			}
 			if err := client.call(ctx, http.MethodGet, explainPath+url.PathEscape(args[0]), nil, &reply); err != nil {
 				return err
@@ -85,7 +85,7 @@
 		})
 }
 
-func printTrace(stdout io.Writer, t *cpgather.Trace, attempts []cpgather.TraceRow) error {
+func printTrace(stdout io.Writer, t *cpattempt.Trace, attempts []cpattempt.TraceRow) error {
 	fmt.Fprintf(stdout, "request %s, snapshot %s, took %s, %d calls, %d hedges, %d retries, %d dropped\n",
 		t.Request, t.Snapshot, t.Took, t.Stats.Calls, t.Stats.Hedges, t.Stats.Retries, t.Dropped)
 	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
--- a/cpentry/explain.go
+++ b/cpentry/explain.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpattempt"
 )
 
 // explainedQuery is what a trace counts for beside its calls.
@@ -16,15 +16,15 @@
 	// most bounds held, the sum of the calls of the traces.
 	most, held int
 	// recent are the traces, the oldest first.
-	recent    []*cpgather.Trace
-	byRequest map[clementineport.RequestID]*cpgather.Trace
+	recent    []*cpattempt.Trace
+	byRequest map[clementineport.RequestID]*cpattempt.Trace
 }
 
 func newExplanations(most int) *explanations {
-	return &explanations{most: most, byRequest: make(map[clementineport.RequestID]*cpgather.Trace)}
+	return &explanations{most: most, byRequest: make(map[clementineport.RequestID]*cpattempt.Trace)}
 }
 
-func (x *explanations) add(t *cpgather.Trace) {
+func (x *explanations) add(t *cpattempt.Trace) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.recent = append(x.recent, t)
@@ -46,7 +46,7 @@
 }
 
 // Explain returns the trace of a recent query, or nil.
-func (e *Entry) Explain(id clementineport.RequestID) *cpgather.Trace {
+func (e *Entry) Explain(id clementineport.RequestID) *cpattempt.Trace {
 	x := e.explained
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 )
 
 // ActionKind says what an Action asks for.
@@ -18,58 +19,15 @@
 	Finish
 )
 
-// Try says why a call is sent.
-type Try uint8
-
-const (
-	// First is the first call for a shard.
-	First Try = iota
-	// Hedge is a second call beside a straggler.
-	Hedge
-	// Retry is a call after a failed one.
-	Retry
-)
-
-var tryNames = [...]string{"first", "hedge", "retry"}
-
-// String returns the try as it appears in an explanation.
-func (t Try) String() string { return tryNames[t] }
-
 // Action is one thing to do for a query.
 type Action struct {
 	Kind    ActionKind
-	Try     Try
+	Try     cpattempt.Try
 	Attempt clementineport.AttemptID
 	Shard   clementineport.ShardID
 	Target  clementineport.TargetIndex
 }
 
-// ending says how an attempt ended.
-type ending uint8
-
-const (
-	open ending = iota
-	merged
-	failed
-	cancelled
-	withdrawn
-)
-
-var endingNames = [...]string{"open", "merged", "failed", "cancelled", "withdrawn"}
-
-// attempt is one call for one shard; times are since the start of the query.
-type attempt struct {
-	shard  clementineport.ShardID
-	target clementineport.TargetIndex
-	prev   int32
-	try    Try
-	end    ending
-	fault  clementineport.Fault
-	late   bool
-	sent   time.Duration
-	took   time.Duration
-}
-
 // shard is the state of one shard of the query.
 type shard struct {
 	state   clementineport.ShardState
@@ -110,18 +68,15 @@
 }
 
 // send makes a new attempt.
-func (m *Machine) send(s clementineport.ShardID, t clementineport.TargetIndex, try Try) {
+func (m *Machine) send(s clementineport.ShardID, t clementineport.TargetIndex, try cpattempt.Try) {
 	sh := &m.shards[s]
-	i := int32(len(m.attempts))
-	m.attempts = append(m.attempts, attempt{shard: s, target: t, prev: sh.last, try: try, sent: m.at})
+	i := m.attempts.Add(cpattempt.Attempt{Shard: s, Target: t, Prev: sh.last, Try: try, Sent: m.at})
 	m.plan.View.Sent(t)
 	sh.last = i
 	sh.open++
-	m.actions = append(m.actions, Action{
-		Kind: Send, Try: try, Attempt: clementineport.AttemptID(i + 1), Shard: s, Target: t,
-	})
-	if try != First || m.hedgeAt == never {
+	m.actions = append(m.actions, Action{Kind: Send, Try: try, Attempt: cpattempt.ID(i), Shard: s, Target: t})
+	if try != cpattempt.First || m.hedgeAt == never {
 		// The usual time of the first target stands for all until stragglers are looked for.
-		m.hedgeAt = min(m.hedgeAt, m.hedgeDue(&m.attempts[i]))
+		m.hedgeAt = min(m.hedgeAt, m.hedgeDue(m.attempts.At(i)))
 	}
 }
--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -74,7 +74,7 @@
 
 // Answer returns the answer with what it covers; an answer that Err refuses has no hits.
 func (m *Machine) Answer() *clementineport.Answer {
-	m.stats.Calls = m.calls()
+	m.stats.Calls = m.attempts.Calls()
 	a := &clementineport.Answer{
 		Request:  m.plan.Query.Request,
 		Snapshot: m.plan.Choice.Snapshot,
@@ -93,22 +93,11 @@
 		a.Missing = append(a.Missing, clementineport.MissingShard{Shard: id, State: sh.state, Fault: sh.fault})
 	}
 	if !m.refused() {
-		a.Hits = m.hits.result()
+		a.Hits = m.hits.Hits()
 	}
 	return a
 }
 
-// calls returns the number of calls that were sent.
-func (m *Machine) calls() int {
-	n := 0
-	for i := range m.attempts {
-		if m.attempts[i].end != withdrawn {
-			n++
-		}
-	}
-	return n
-}
-
 // refused reports whether the answer is not to be given.
 func (m *Machine) refused() bool {
 	if m.covered == 0 || m.aborted != clementineport.FaultUnknown {
@@ -125,23 +114,12 @@
 		return clementineport.Ran
 	case m.covered > 0 && m.plan.Query.Idempotent:
 		return clementineport.Ran
-	case m.provenNotRun():
+	case m.attempts.NotRun():
 		return clementineport.NotRun
 	}
 	return clementineport.MayHaveRun
 }
 
-func (m *Machine) provenNotRun() bool {
-	for i := range m.attempts {
-		a := &m.attempts[i]
-		notRun := a.end == withdrawn || a.end == failed && a.fault.Verdict() == clementineport.NotRun
-		if !notRun {
-			return false
-		}
-	}
-	return true
-}
-
 // Err returns why the answer is refused, or nil. Its verdict is never stronger than that of the answer.
 func (m *Machine) Err() error {
 	if !m.refused() {
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
+	"github.com/clementineport/clementineport/cpmerge"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
 
@@ -41,14 +43,12 @@
 
 	layout   *clementineport.LayoutTable
 	shards   []shard
-	attempts []attempt
+	attempts cpattempt.Log
 	actions  []Action
-	hits     merger
+	hits     cpmerge.Merger
 	pick     clementineport.PickRequest
 	tried    []clementineport.TargetIndex
 
-	// epoch is the number of attempts made before the last restart.
-	epoch       int
 	outstanding int
 	covered     int
 	// lost counts shards given up because no usable target holds the snapshot.
@@ -87,15 +87,17 @@
 	m := machines.Get().(*Machine)
 	*m = Machine{
 		plan: plan, opts: opts,
-		shards: m.shards[:0], attempts: m.attempts[:0], actions: m.actions[:0], tried: m.tried[:0],
-		hits: merger{limit: plan.Query.Limit, hits: m.hits.hits},
+		shards: m.shards[:0], attempts: m.attempts, actions: m.actions[:0], tried: m.tried[:0],
+		hits: m.hits,
 	}
+	m.attempts.Reset()
+	m.hits.SetLimit(plan.Query.Limit)
 	return m
 }
 
 // Release hands the buffers of a finished machine to later queries; the machine must not be used afterwards.
 func (m *Machine) Release() {
-	m.hits.reset()
+	m.hits.Reset()
 	m.plan, m.opts, m.layout, m.pick = Plan{}, Options{}, nil, clementineport.PickRequest{}
 	machines.Put(m)
 }
@@ -175,30 +177,45 @@
 // Targets returns the target rows of the plan.
 func (m *Machine) Targets() []clementineport.TargetRow { return m.plan.Targets }
 
+// Trace returns the explanation of the query.
+func (m *Machine) Trace() *cpattempt.Trace {
+	m.stats.Calls = m.attempts.Calls()
+	t := &cpattempt.Trace{
+		Request:  m.plan.Query.Request,
+		Snapshot: m.plan.Choice.Snapshot,
+		Start:    m.start,
+		Took:     m.closed,
+		Stats:    m.stats,
+		Dropped:  m.dropped,
+	}
+	t.Explain(&m.attempts, m.plan.Targets)
+	return t
+}
+
 // Finished reports whether the answer is closed.
 func (m *Machine) Finished() bool { return m.finished }
 
 // result checks a result against its attempt and merges or fails it.
 func (m *Machine) result(r *clementineport.CallResult) {
-	i := int(r.Attempt) - 1
-	if i < 0 || i >= len(m.attempts) || !m.mine(i, r) {
+	i := cpattempt.Index(r.Attempt)
+	if i < 0 || i >= m.attempts.Len() || !m.mine(m.attempts.At(int32(i)), r) {
 		m.dropped++
 		return
 	}
-	a := &m.attempts[i]
-	if a.end != open && (!m.opts.off(CheckAttempt) || int(a.shard) >= len(m.shards)) {
-		a.late = r.Reply != nil
+	a := m.attempts.At(int32(i))
+	if a.End != cpattempt.Open && (!m.opts.off(CheckAttempt) || int(a.Shard) >= len(m.shards)) {
+		a.Late = r.Reply != nil
 		m.late(r)
 		return
 	}
-	a.took = m.at - a.sent
+	a.Took = m.at - a.Sent
 	err := r.Err
 	if err == nil {
 		err = m.check(a, r.Reply)
 	}
 	if err == nil {
 		if r.Elapsed > 0 {
-			m.stats.Queued = max(a.took-r.Elapsed, 0)
+			m.stats.Queued = max(a.Took-r.Elapsed, 0)
 		}
 		m.merge(a, r.Reply)
 		return
@@ -216,25 +233,24 @@
 }
 
 // mine reports whether a result belongs to the attempt that it names and not to another request.
-func (m *Machine) mine(i int, r *clementineport.CallResult) bool {
+func (m *Machine) mine(a *cpattempt.Attempt, r *clementineport.CallResult) bool {
 	if m.opts.off(CheckReply) {
 		return true
 	}
-	a := &m.attempts[i]
-	if r.Shard != a.shard || (r.Target != "" && r.Target != m.plan.Targets[a.target].ID) {
+	if r.Shard != a.Shard || (r.Target != "" && r.Target != m.plan.Targets[a.Target].ID) {
 		return false
 	}
 	return r.Err != nil || r.Reply == nil || r.Reply.Request == m.plan.Query.Request
 }
 
 // check reports why a reply must not be merged.
-func (m *Machine) check(a *attempt, r *clementineport.Reply) error {
+func (m *Machine) check(a *cpattempt.Attempt, r *clementineport.Reply) error {
 	switch {
 	case r == nil:
 		return errNoReply
 	case m.opts.off(CheckReply):
 		return nil
-	case r.Shard != a.shard || r.Snapshot != m.plan.Choice.Snapshot:
+	case r.Shard != a.Shard || r.Snapshot != m.plan.Choice.Snapshot:
 		m.dropped++
 		return errMismatched
 	}
@@ -242,32 +258,32 @@
 }
 
 // merge takes the hits of a shard; the other attempts on it are cancelled.
-func (m *Machine) merge(a *attempt, r *clementineport.Reply) {
-	sh := &m.shards[a.shard]
-	if a.end == open {
+func (m *Machine) merge(a *cpattempt.Attempt, r *clementineport.Reply) {
+	sh := &m.shards[a.Shard]
+	if a.End == cpattempt.Open {
 		sh.open--
 	}
-	a.end = merged
+	a.End = cpattempt.Merged
 	sh.state = clementineport.ShardCovered
 	if len(r.Hits) == 0 {
 		sh.state = clementineport.ShardEmpty
 	}
-	m.hits.add(r.Hits)
+	m.hits.Add(r.Hits)
 	m.covered++
 	m.conclude(sh)
-	for i := sh.last; i >= 0 && sh.open > 0; i = m.attempts[i].prev {
-		if m.attempts[i].end == open {
+	for i := sh.last; i >= 0 && sh.open > 0; i = m.attempts.At(i).Prev {
+		if m.attempts.At(i).End == cpattempt.Open {
 			m.cancel(i)
 		}
 	}
 }
 
 func (m *Machine) cancel(i int32) {
-	a := &m.attempts[i]
-	a.end = cancelled
-	m.shards[a.shard].open--
+	a := m.attempts.At(i)
+	a.End = cpattempt.Canceled
+	m.shards[a.Shard].open--
 	m.actions = append(m.actions, Action{
-		Kind: Cancel, Attempt: clementineport.AttemptID(i + 1), Shard: a.shard, Target: a.target, Try: a.try,
+		Kind: Cancel, Attempt: cpattempt.ID(i), Shard: a.Shard, Target: a.Target, Try: a.Try,
 	})
 }
 
--- a/cpgather/decision_test.go
+++ b/cpgather/decision_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cpgather/cpgathertest"
 )
@@ -128,7 +129,7 @@
 				g.reply(11)
 				assert.Assert(t, !g.open[1], "the straggler is not cancelled")
 				row := g.m.Trace().Rows()[10]
-				assert.Equal(t, row, cpgather.TraceRow{
+				assert.Equal(t, row, cpattempt.TraceRow{
 					Attempt: 11, Shard: 0, Target: "t10", Try: "hedge", Sent: 12500 * time.Microsecond,
 					Took: 500 * time.Microsecond, Ending: "merged",
 				})
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 )
 
 // hedge sends second calls beside the stragglers that hold the query up.
@@ -18,7 +19,7 @@
 		if sh.final || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
 			continue
 		}
-		due := m.hedgeDue(&m.attempts[sh.last])
+		due := m.hedgeDue(m.attempts.At(sh.last))
 		if due > m.at {
 			m.hedgeAt = min(m.hedgeAt, due)
 			continue
@@ -35,12 +36,12 @@
 
 // hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
 // outstanding than while many are.
-func (m *Machine) hedgeDue(a *attempt) time.Duration {
+func (m *Machine) hedgeDue(a *cpattempt.Attempt) time.Duration {
 	factor := m.opts.ProjectedFactor
 	if m.outstanding <= m.few {
 		factor = m.opts.HedgeFactor
 	}
-	return a.sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.target)))
+	return a.Sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.Target)))
 }
 
 // sendHedge sends a hedge if there is a target for it, or reports that the budget has none left.
@@ -55,6 +56,6 @@
 	}
 	sh.hedges++
 	m.stats.Hedges++
-	m.send(s, t, Hedge)
+	m.send(s, t, cpattempt.Hedge)
 	return true
 }
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
 
@@ -28,10 +29,10 @@
 // planSnapshot picks a target for each shard of the pinned snapshot and returns the number of shards without one.
 func (m *Machine) planSnapshot() int {
 	choice := &m.plan.Choice
-	m.epoch = len(m.attempts)
+	m.attempts.Restart()
 	m.covered, m.lost = 0, 0
 	m.hedgeAt, m.retryAt = never, never
-	m.hits.reset()
+	m.hits.Reset()
 	m.pick.Snapshot, m.pick.Home = choice.Snapshot, m.plan.Home
 	m.shards = m.shards[:0]
 	// The choice may have been made under another revision, whose target indexes differ.
@@ -42,7 +43,7 @@
 	n := len(m.layout.Replicas)
 	if cap(m.shards) < n {
 		m.shards = make([]shard, 0, n)
-		m.attempts = append(make([]attempt, 0, len(m.attempts)+n+n/spareShare+1), m.attempts...)
+		m.attempts.Grow(n + n/spareShare + 1)
 		m.actions = append(make([]Action, 0, n+1), m.actions...)
 	}
 	m.outstanding = n
@@ -50,7 +51,7 @@
 	m.least = int(math.Ceil(m.plan.Service.Service.LeastCoverage*float64(n) - roundOff))
 	unplanned := 0
 	for s := range clementineport.ShardID(n) {
-		m.shards = append(m.shards, shard{last: -1})
+		m.shards = append(m.shards, shard{last: cpattempt.None})
 		if !m.sendFirst(s) {
 			unplanned++
 		}
@@ -68,32 +69,26 @@
 		m.conclude(&m.shards[s])
 		return false
 	}
-	m.send(s, t, First)
+	m.send(s, t, cpattempt.First)
 	return true
 }
 
 // pickTarget picks a usable target that has not been tried for the shard.
 func (m *Machine) pickTarget(s clementineport.ShardID) (clementineport.TargetIndex, bool) {
 	sh := &m.shards[s]
-	m.tried = m.tried[:0]
-	for i := sh.last; i >= int32(m.epoch); i = m.attempts[i].prev {
-		a := &m.attempts[i]
-		if i >= sh.triedFrom || a.end == open || a.fault == clementineport.FaultSnapshot {
-			m.tried = append(m.tried, a.target)
-		}
-	}
+	m.tried = m.attempts.Tried(m.tried[:0], sh.last, sh.triedFrom)
 	m.pick.Replicas, m.pick.Tried = m.layout.Replicas[s], m.tried
 	return m.plan.View.Pick(&m.pick)
 }
 
 // withdraw takes back the calls that were planned and not yet sent.
 func (m *Machine) withdraw() {
-	for i := m.epoch; i < len(m.attempts); i++ {
-		a := &m.attempts[i]
-		a.end = withdrawn
-		m.shards[a.shard].open--
-		m.plan.View.Observe(a.target, m.now, &clementineport.CallResult{
-			Attempt: clementineport.AttemptID(i + 1), Shard: a.shard, Err: errWithdrawn,
+	for i := m.attempts.Epoch(); int(i) < m.attempts.Len(); i++ {
+		a := m.attempts.At(i)
+		a.End = cpattempt.Withdrawn
+		m.shards[a.Shard].open--
+		m.plan.View.Observe(a.Target, m.now, &clementineport.CallResult{
+			Attempt: cpattempt.ID(i), Shard: a.Shard, Err: errWithdrawn,
 		})
 	}
 	m.actions = m.actions[:0]
@@ -131,9 +126,9 @@
 	if !ok || !m.preferred(&choice) {
 		return false
 	}
-	for i := m.epoch; i < len(m.attempts); i++ {
-		if m.attempts[i].end == open {
-			m.cancel(int32(i))
+	for i := m.attempts.Epoch(); int(i) < m.attempts.Len(); i++ {
+		if m.attempts.At(i).End == cpattempt.Open {
+			m.cancel(i)
 		}
 	}
 	m.stats.Restarts++
@@ -145,8 +140,8 @@
 // slowest returns the longest usual time of the targets asked since the last restart.
 func (m *Machine) slowest() time.Duration {
 	var d time.Duration
-	for i := m.epoch; i < len(m.attempts); i++ {
-		d = max(d, m.plan.View.HedgeAfter(m.attempts[i].target))
+	for _, a := range m.attempts.Current() {
+		d = max(d, m.plan.View.HedgeAfter(a.Target))
 	}
 	return d
 }
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 )
 
 // maxBackoffShift bounds how often the delay between retries doubles.
@@ -17,16 +18,16 @@
 )
 
 // failed ends an attempt and retries its shard or gives it up.
-func (m *Machine) failed(a *attempt, err error) {
-	sh := &m.shards[a.shard]
-	if a.end == open {
+func (m *Machine) failed(a *cpattempt.Attempt, err error) {
+	sh := &m.shards[a.Shard]
+	if a.End == cpattempt.Open {
 		sh.open--
 	}
-	a.end = failed
-	a.fault = clementineport.FaultOf(err)
-	sh.fault = a.fault
-	m.overloaded = m.overloaded || overload(a.fault)
-	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
+	a.End = cpattempt.Failed
+	a.Fault = clementineport.FaultOf(err)
+	sh.fault = a.Fault
+	m.overloaded = m.overloaded || overload(a.Fault)
+	sh.mayHaveRun = sh.mayHaveRun || a.Fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
 		sh.retryAfter = e.RetryAfter
@@ -35,10 +36,10 @@
 		return
 	}
 	if m.mayRetry(sh) {
-		m.retry(a.shard)
+		m.retry(a.Shard)
 		return
 	}
-	m.giveUp(a.shard)
+	m.giveUp(a.Shard)
 }
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
@@ -75,7 +76,7 @@
 		return
 	}
 	sh.retryAt = m.at + backoff
-	sh.triedFrom = int32(len(m.attempts))
+	sh.triedFrom = int32(m.attempts.Len())
 	m.retryAt = min(m.retryAt, sh.retryAt)
 }
 
@@ -87,7 +88,7 @@
 	}
 	sh.retries = min(sh.retries+1, math.MaxUint8-1)
 	m.stats.Retries++
-	m.send(s, t, Retry)
+	m.send(s, t, cpattempt.Retry)
 }
 
 // spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
@@ -136,7 +137,7 @@
 // held reports whether a usable target may hold the shard in the pinned snapshot.
 func (m *Machine) held(s clementineport.ShardID) bool {
 	for _, t := range m.layout.Replicas[s] {
-		if m.plan.View.Usable(t, m.now) && !m.refusedSnapshot(s, t) &&
+		if m.plan.View.Usable(t, m.now) && !m.attempts.RefusedSnapshot(m.shards[s].last, t) &&
 			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
 			return true
 		}
@@ -144,15 +145,6 @@
 	return false
 }
 
-func (m *Machine) refusedSnapshot(s clementineport.ShardID, t clementineport.TargetIndex) bool {
-	for i := m.shards[s].last; i >= int32(m.epoch); i = m.attempts[i].prev {
-		if a := &m.attempts[i]; a.target == t && a.fault == clementineport.FaultSnapshot {
-			return true
-		}
-	}
-	return false
-}
-
 // giveUp settles a shard as missing.
 func (m *Machine) giveUp(s clementineport.ShardID) {
 	sh := &m.shards[s]
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -13,7 +13,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
-	"github.com/clementineport/clementineport/cpgather"
+	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpsecret"
@@ -155,8 +155,8 @@
 		return
 	}
 	writeJSON(w, struct {
-		*cpgather.Trace
-		Attempts []cpgather.TraceRow
+		*cpattempt.Trace
+		Attempts []cpattempt.TraceRow
 	}{trace, trace.Rows()})
 }
 
