Split the coverage of an answer from cpgather

The Machine counted outstanding, covered and lost shards, derived from them what its service accepts, and decided the course of the query. cpcoverage now keeps the count and says what an answer covers and why it is refused; cpgather reads it. One edge changes: a restart on a layout that the service does not have closes the query at once, as its start does, instead of at the deadline.

--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -28,11 +28,8 @@
 	Target  clementineport.TargetIndex
 }
 
-// shard is the state of one shard of the query.
+// shard is what the attempts on one shard lead to.
 type shard struct {
-	state   clementineport.ShardState
-	fault   clementineport.Fault
-	final   bool
 	open    uint8
 	hedges  uint8
 	retries uint8
--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -21,12 +21,7 @@
 
 // done reports whether the answer is to be closed.
 func (m *Machine) done() bool {
-	return m.outstanding == 0 || m.hopeless() && m.idle() || m.at >= m.closing()
-}
-
-// hopeless reports whether the service refuses every answer that can still be reached.
-func (m *Machine) hopeless() bool {
-	return m.plan.Service.Service.BelowLeast == clementineport.BelowRefuse && m.covered+m.outstanding < m.least
+	return m.coverage.Outstanding() == 0 || m.coverage.Hopeless() && m.idle() || m.at >= m.closing()
 }
 
 // idle reports whether attempts in progress can't change the verdict.
@@ -45,7 +40,7 @@
 // closing returns when the answer is closed whatever is outstanding.
 func (m *Machine) closing() time.Duration {
 	tail := m.plan.Service.Service.Prefer == clementineport.PreferTail
-	if tail && m.covered > 0 && m.covered >= m.least && m.plan.Query.Idempotent {
+	if tail && m.coverage.Enough() && m.plan.Query.Idempotent {
 		return min(m.cutAt, m.closeAt)
 	}
 	return m.closeAt
@@ -55,21 +50,23 @@
 	m.finished = true
 	m.closed = m.at
 	for i := range m.shards {
-		if sh := &m.shards[i]; !sh.final {
-			sh.state, sh.fault = m.lateState(sh)
+		if s := clementineport.ShardID(i); !m.coverage.Settled(s) {
+			m.leaveOut(s)
 		}
 	}
 	m.actions = append(m.actions, Action{Kind: Finish})
 }
 
-func (m *Machine) lateState(sh *shard) (clementineport.ShardState, clementineport.Fault) {
-	if sh.open == 0 {
-		return missingState(sh.fault), sh.fault
-	}
-	if m.at < m.closing() {
-		return clementineport.ShardLate, clementineport.FaultCanceled
+// leaveOut marks a shard that is outstanding when the answer is closed.
+func (m *Machine) leaveOut(s clementineport.ShardID) {
+	switch {
+	case m.shards[s].open == 0:
+		m.coverage.Miss(s)
+	case m.at < m.closing():
+		m.coverage.Late(s, clementineport.FaultCanceled)
+	default:
+		m.coverage.Late(s, clementineport.FaultTimeout)
 	}
-	return clementineport.ShardLate, clementineport.FaultTimeout
 }
 
 // Answer returns the answer with what it covers; an answer that Err refuses has no hits.
@@ -78,20 +75,10 @@
 	a := &clementineport.Answer{
 		Request:  m.plan.Query.Request,
 		Snapshot: m.plan.Choice.Snapshot,
-		Shards:   len(m.shards),
-		Complete: m.covered == len(m.shards) && m.covered > 0,
 		Verdict:  m.verdict(),
 		Stats:    m.stats,
 	}
-	a.Covered = make([]clementineport.ShardID, 0, m.covered)
-	for i := range m.shards {
-		id, sh := clementineport.ShardID(i), &m.shards[i]
-		if sh.state.Covered() {
-			a.Covered = append(a.Covered, id)
-			continue
-		}
-		a.Missing = append(a.Missing, clementineport.MissingShard{Shard: id, State: sh.state, Fault: sh.fault})
-	}
+	m.coverage.State(a)
 	if !m.refused() {
 		a.Hits = m.hits.Hits()
 	}
@@ -100,19 +87,16 @@
 
 // refused reports whether the answer is not to be given.
 func (m *Machine) refused() bool {
-	if m.covered == 0 || m.aborted != clementineport.FaultUnknown {
-		return true
-	}
-	return m.covered < m.least && m.plan.Service.Service.BelowLeast == clementineport.BelowRefuse
+	return m.aborted != clementineport.FaultUnknown || m.coverage.Refused()
 }
 
 // verdict returns NotRun only if every attempt is proven not to have run, and Ran only if the whole query ran
 // or, for an idempotent query, if a part of it did.
 func (m *Machine) verdict() clementineport.Verdict {
 	switch {
-	case m.covered == len(m.shards) && m.covered > 0:
+	case m.coverage.Whole():
 		return clementineport.Ran
-	case m.covered > 0 && m.plan.Query.Idempotent:
+	case m.coverage.Covered() > 0 && m.plan.Query.Idempotent:
 		return clementineport.Ran
 	case m.attempts.NotRun():
 		return clementineport.NotRun
@@ -125,28 +109,19 @@
 	if !m.refused() {
 		return nil
 	}
-	err := &clementineport.Error{Fault: m.refusalFault(), RetryAfter: m.retryAfter}
-	err.Reason = clementineport.Fail(err.Fault, "%d of %d shards are covered and %d are needed",
-		m.covered, len(m.shards), m.least).Reason
-	return err
+	return &clementineport.Error{Fault: m.refusalFault(), Reason: m.coverage.Reason(), RetryAfter: m.retryAfter}
 }
 
 func (m *Machine) refusalFault() clementineport.Fault {
-	if m.verdict() == clementineport.NotRun {
-		for i := range m.shards {
-			if m.shards[i].fault == clementineport.FaultShed {
-				return clementineport.FaultShed
-			}
-		}
+	switch notRun := m.verdict() == clementineport.NotRun; {
+	case notRun && m.coverage.Has(clementineport.FaultShed):
+		return clementineport.FaultShed
+	case notRun:
 		return clementineport.FaultUnavailable
-	}
-	if m.aborted != clementineport.FaultUnknown {
+	case m.aborted != clementineport.FaultUnknown:
 		return m.aborted
-	}
-	for i := range m.shards {
-		if m.shards[i].fault == clementineport.FaultTimeout {
-			return clementineport.FaultTimeout
-		}
+	case m.coverage.Has(clementineport.FaultTimeout):
+		return clementineport.FaultTimeout
 	}
 	return clementineport.FaultCoverage
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
+	"github.com/clementineport/clementineport/cpcoverage"
 	"github.com/clementineport/clementineport/cpmerge"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
@@ -44,19 +45,14 @@
 	layout   *clementineport.LayoutTable
 	shards   []shard
 	attempts cpattempt.Log
+	coverage cpcoverage.Tally
 	actions  []Action
 	hits     cpmerge.Merger
 	pick     clementineport.PickRequest
 	tried    []clementineport.TargetIndex
 
-	outstanding int
-	covered     int
-	// lost counts shards given up because no usable target holds the snapshot.
-	lost int
 	// few is the number of outstanding shards at which they are held to delay the query.
 	few int
-	// least is the number of covered shards that the service asks for.
-	least int
 
 	// Times since start.
 	closeAt time.Duration
@@ -88,9 +84,10 @@
 	*m = Machine{
 		plan: plan, opts: opts,
 		shards: m.shards[:0], attempts: m.attempts, actions: m.actions[:0], tried: m.tried[:0],
-		hits: m.hits,
+		coverage: m.coverage, hits: m.hits,
 	}
 	m.attempts.Reset()
+	m.coverage.Reset(&plan.Service.Service, 0)
 	m.hits.SetLimit(plan.Query.Limit)
 	return m
 }
@@ -264,13 +261,8 @@
 		sh.open--
 	}
 	a.End = cpattempt.Merged
-	sh.state = clementineport.ShardCovered
-	if len(r.Hits) == 0 {
-		sh.state = clementineport.ShardEmpty
-	}
 	m.hits.Add(r.Hits)
-	m.covered++
-	m.conclude(sh)
+	m.settled(m.coverage.Cover(a.Shard, len(r.Hits)))
 	for i := sh.last; i >= 0 && sh.open > 0; i = m.attempts.At(i).Prev {
 		if m.attempts.At(i).End == cpattempt.Open {
 			m.cancel(i)
@@ -287,14 +279,9 @@
 	})
 }
 
-// conclude counts a shard as settled, covered or not.
-func (m *Machine) conclude(sh *shard) {
-	if sh.final {
-		return
-	}
-	sh.final = true
-	m.outstanding--
-	if m.outstanding == m.few {
+// settled looks for stragglers at once when the shard just settled leaves few outstanding.
+func (m *Machine) settled(outstandingBefore bool) {
+	if outstandingBefore && m.coverage.Outstanding() == m.few {
 		m.hedgeAt = 0
 	}
 }
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -16,7 +16,7 @@
 	off := m.overloaded || m.opts.HedgeOff != nil && m.opts.HedgeOff()
 	for i := range m.shards {
 		sh := &m.shards[i]
-		if sh.final || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
+		if m.coverage.Settled(clementineport.ShardID(i)) || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
 			continue
 		}
 		due := m.hedgeDue(m.attempts.At(sh.last))
@@ -38,7 +38,7 @@
 // outstanding than while many are.
 func (m *Machine) hedgeDue(a *cpattempt.Attempt) time.Duration {
 	factor := m.opts.ProjectedFactor
-	if m.outstanding <= m.few {
+	if m.coverage.Outstanding() <= m.few {
 		factor = m.opts.HedgeFactor
 	}
 	return a.Sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.Target)))
--- a/cpgather/options.go
+++ b/cpgather/options.go
@@ -30,8 +30,6 @@
 	spareShare = 16
 	// restartNeed is how many times the slowest usual call must fit into the time left for a restart.
 	restartNeed = 2
-	// roundOff keeps a least coverage such as 0.9 of 10 shards at 9.
-	roundOff = 1e-9
 )
 
 // Check is a check that can be left out to compare with a plain tier.
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -16,12 +16,12 @@
 		return
 	}
 	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, m.now)
-	if ok && choice.Coverage() > m.prospect() {
+	if ok && choice.Coverage() > m.coverage.Prospect() {
 		m.withdraw()
 		m.plan.Choice = choice
 		m.planSnapshot()
 	}
-	if m.hopeless() {
+	if m.coverage.Hopeless() {
 		m.withdraw()
 	}
 }
@@ -30,25 +30,23 @@
 func (m *Machine) planSnapshot() int {
 	choice := &m.plan.Choice
 	m.attempts.Restart()
-	m.covered, m.lost = 0, 0
 	m.hedgeAt, m.retryAt = never, never
 	m.hits.Reset()
 	m.pick.Snapshot, m.pick.Home = choice.Snapshot, m.plan.Home
 	m.shards = m.shards[:0]
 	// The choice may have been made under another revision, whose target indexes differ.
 	m.layout = m.plan.Service.Layout(choice.Snapshot.Layout)
-	if m.layout == nil {
-		return 0
+	n := 0
+	if m.layout != nil {
+		n = len(m.layout.Replicas)
 	}
-	n := len(m.layout.Replicas)
+	m.coverage.Reset(&m.plan.Service.Service, n)
 	if cap(m.shards) < n {
 		m.shards = make([]shard, 0, n)
 		m.attempts.Grow(n + n/spareShare + 1)
 		m.actions = append(make([]Action, 0, n+1), m.actions...)
 	}
-	m.outstanding = n
 	m.few = 1 + int(math.Ceil(m.opts.HedgeShare*float64(n)))
-	m.least = int(math.Ceil(m.plan.Service.Service.LeastCoverage*float64(n) - roundOff))
 	unplanned := 0
 	for s := range clementineport.ShardID(n) {
 		m.shards = append(m.shards, shard{last: cpattempt.None})
@@ -63,10 +61,7 @@
 func (m *Machine) sendFirst(s clementineport.ShardID) bool {
 	t, ok := m.pickTarget(s)
 	if !ok {
-		m.shards[s].state = clementineport.ShardUnplanned
-		m.shards[s].fault = clementineport.FaultUnavailable
-		m.lost++
-		m.conclude(&m.shards[s])
+		m.settled(m.coverage.Unplan(s))
 		return false
 	}
 	m.send(s, t, cpattempt.First)
@@ -102,20 +97,12 @@
 	}
 }
 
-// prospect returns the coverage that the pinned snapshot can still reach.
-func (m *Machine) prospect() float64 {
-	if len(m.shards) == 0 {
-		return 0
-	}
-	return float64(m.covered+m.outstanding) / float64(len(m.shards))
-}
-
 // restart begins again on another snapshot when shards have been lost and that gives the better answer.
 func (m *Machine) restart() bool {
-	if !m.plan.Query.Idempotent || m.lost == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
+	if !m.plan.Query.Idempotent || m.coverage.Lost() == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
 		return false
 	}
-	if m.at < m.replanAt && m.outstanding > 0 && !m.hopeless() {
+	if m.at < m.replanAt && m.coverage.Outstanding() > 0 && !m.coverage.Hopeless() {
 		return false
 	}
 	m.replanAt = m.at + m.opts.Replan
@@ -148,9 +135,8 @@
 
 // preferred reports whether the service prefers a restart on the choice to what the pinned snapshot can still give.
 func (m *Machine) preferred(choice *cpsnapshot.Choice) bool {
-	service := &m.plan.Service.Service
-	if choice.Coverage() <= m.prospect() {
+	if choice.Coverage() <= m.coverage.Prospect() {
 		return false
 	}
-	return service.Prefer == clementineport.PreferCoverage || m.covered+m.outstanding < m.least
+	return m.plan.Service.Service.Prefer == clementineport.PreferCoverage || m.coverage.Short()
 }
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -25,17 +25,17 @@
 	}
 	a.End = cpattempt.Failed
 	a.Fault = clementineport.FaultOf(err)
-	sh.fault = a.Fault
+	m.coverage.Fail(a.Shard, a.Fault)
 	m.overloaded = m.overloaded || overload(a.Fault)
 	sh.mayHaveRun = sh.mayHaveRun || a.Fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
 		sh.retryAfter = e.RetryAfter
 	}
-	if sh.final || sh.open > 0 {
+	if m.coverage.Settled(a.Shard) || sh.open > 0 {
 		return
 	}
-	if m.mayRetry(sh) {
+	if m.mayRetry(sh, a.Fault) {
 		m.retry(a.Shard)
 		return
 	}
@@ -43,14 +43,14 @@
 }
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
-func (m *Machine) mayRetry(sh *shard) bool {
-	if m.at >= m.closeAt || m.hopeless() {
+func (m *Machine) mayRetry(sh *shard, fault clementineport.Fault) bool {
+	if m.at >= m.closeAt || m.coverage.Hopeless() {
 		return false
 	}
-	if !shed(sh.fault) && int(sh.retries) >= m.opts.MaxRetries {
+	if !shed(fault) && int(sh.retries) >= m.opts.MaxRetries {
 		return false
 	}
-	switch sh.fault {
+	switch fault {
 	case clementineport.FaultInvalid, clementineport.FaultNotFound, clementineport.FaultUnauthorized,
 		clementineport.FaultStale:
 		return false
@@ -60,13 +60,13 @@
 
 // retry sends a call to another target, or waits when all have been tried and one may be asked again.
 func (m *Machine) retry(s clementineport.ShardID) {
-	sh := &m.shards[s]
+	sh, fault := &m.shards[s], m.coverage.Fault(s)
 	t, ok := m.pickTarget(s)
 	switch {
-	case ok && m.spendRetry(sh.fault):
+	case ok && m.spendRetry(fault):
 		m.sendRetry(s, t)
 		return
-	case ok && !shed(sh.fault), !m.held(s):
+	case ok && !shed(fault), !m.held(s):
 		m.giveUp(s)
 		return
 	}
@@ -126,7 +126,7 @@
 // retryNow sends the retry of a shard that has waited. After the refusal of a full target the wait has paid
 // for it.
 func (m *Machine) retryNow(s clementineport.ShardID) {
-	fault := m.shards[s].fault
+	fault := m.coverage.Fault(s)
 	if t, ok := m.pickTarget(s); ok && (shed(fault) || m.spendRetry(fault)) {
 		m.sendRetry(s, t)
 		return
@@ -147,22 +147,5 @@
 
 // giveUp settles a shard as missing.
 func (m *Machine) giveUp(s clementineport.ShardID) {
-	sh := &m.shards[s]
-	sh.state = missingState(sh.fault)
-	if !m.held(s) {
-		m.lost++
-	}
-	m.conclude(sh)
-}
-
-// missingState returns the state of a shard whose last attempt ended with a fault.
-func missingState(fault clementineport.Fault) clementineport.ShardState {
-	switch fault {
-	case clementineport.FaultCut:
-		return clementineport.ShardCut
-	case clementineport.FaultTimeout, clementineport.FaultDeadline:
-		return clementineport.ShardLate
-	default:
-		return clementineport.ShardFailed
-	}
+	m.settled(m.coverage.GiveUp(s, m.held(s)))
 }
