Wait for requests that are read or answered when an entry VM ends

Cause: the listeners' Serve returned as soon as the shutdown of net/http began, so the process ended while a request was still being read, or an answer still being written; neither counts in InFlight. The drain itself (InFlight 0, then end) was ruled out: the request never reaches it. Change: Serve waits for Shutdown, which has 5 s in place of 1 s for the last bytes. Before: TestRequestReadDuringShutdown (a body that is half sent when the process ends) 2 of 2 failed with an unexpected EOF. After: 3 of 3 passed with -race, TestRollingReplacement 1 of 1, on a busy machine. Conclusion: a caller with a slow link gets its refusal or answer in place of a broken connection.

--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -1,13 +1,19 @@
 package cpfleet_test
 
 import (
+	"bufio"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcaller"
 )
 
@@ -80,3 +86,33 @@
 	report(t, "quiet", f.checkQuiet("b", accepted))
 	l.checkAlways(true, false)
 }
+
+// TestRequestReadDuringShutdown proves that a request whose body is still on its way when an entry VM ends is
+// answered and not cut.
+func TestRequestReadDuringShutdown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	leaving := f.entries[0]
+	conn, err := net.Dial("tcp", leaving.vm.Caller)
+	assert.NilError(t, err)
+	defer conn.Close()
+	body := `{"Request":"r","Service":"lookup","Text":"t","Limit":1,"DeadlineMillis":1000,"Idempotent":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:20])
+	assert.NilError(t, err)
+	leaving.signal(syscall.SIGTERM)
+	eventually(t, "the entry VM takes no connections", func() error {
+		probe, err := net.Dial("tcp", leaving.vm.Caller)
+		if err != nil {
+			return nil
+		}
+		return errors.Join(errors.New("it does"), probe.Close())
+	})
+	_, err = conn.Write([]byte(body[20:]))
+	assert.NilError(t, err)
+	w, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer w.Body.Close()
+	var reply struct{ Verdict clementineport.Verdict }
+	assert.NilError(t, json.NewDecoder(w.Body).Decode(&reply))
+	assert.Equal(t, reply.Verdict, clementineport.NotRun)
+}
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -25,7 +25,7 @@
 	bodyTimeout     = 10 * time.Second
 	writeTimeout    = 90 * time.Second
 	peerStreams     = 10_000
-	closeTimeout    = time.Second
+	closeTimeout    = 5 * time.Second
 	acceptedTimeout = 2 * time.Second
 )
 
@@ -36,22 +36,30 @@
 	http     *http.Server
 }
 
-// Serve implements suture.Service.
+// Serve implements suture.Service. It returns when the requests that are still being read or answered have ended.
 func (s *server) Serve(ctx context.Context) error {
+	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		if s.http.Shutdown(closing) != nil {
-			_ = s.http.Close()
-		}
+		defer close(closed)
+		s.close()
 	})
-	defer stop()
-	if err := s.http.Serve(s.listener); ctx.Err() == nil {
+	err := s.http.Serve(s.listener)
+	if stop() {
 		return Error.New("%s listener: %v", s.name, err)
 	}
+	<-closed
 	return ctx.Err()
 }
 
+// close ends the listener and waits for the requests in progress.
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
+
 // String names the service in the supervisor's events.
 func (s *server) String() string { return s.name }
 
