Never say not-run of a resend while refusing new queries

Cause: a VM that leaves, is taken out or has too many requests in progress refused every query before it looked at the id, so the resend of a non-idempotent request that had run, or was running, got the verdict not-run. cpresend was ruled out: it counts the earlier send as unproven; other callers take the verdict as it is. Change: a refusal goes through the memory of ids. A known id gets the outcome of its run, one of another process is handed on, and only an unseen one is refused. The caller API reads the body before it refuses for number. Before: TestRefusalOfAResend fails with 'draining: leaving' for a request that ran. After: passes with -race. Conclusion: the verdict not-run of a direct refusal is true for the request, not only for the send.

--- a/cpapi/cpapi.go
+++ b/cpapi/cpapi.go
@@ -25,6 +25,8 @@
 type Service interface {
 	// Query runs a query; the error is an *clementineport.Error.
 	Query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error)
+	// Refuse returns the refusal, or the outcome of a non-idempotent query that an earlier send has begun.
+	Refuse(ctx context.Context, q *clementineport.Query, refusal error) (*clementineport.Answer, error)
 	// Entries returns the entry VMs for a caller, for how long to use them, and the revision in force.
 	Entries(caller string, domain clementineport.FailureDomain) ([]Entry, time.Duration, clementineport.Revision)
 	// Ready returns nil when this VM can serve queries, or the reason why not.
@@ -64,15 +66,7 @@
 }
 
 func (s *server) query(w http.ResponseWriter, r *http.Request) {
-	if s.inProgress.Add(1) > int64(s.opts.MaxInProgress) {
-		s.inProgress.Add(-1)
-		s.fail(w, &clementineport.Error{
-			Fault:      clementineport.FaultShed,
-			Reason:     "too many requests in progress at this VM",
-			RetryAfter: s.opts.RetryAfter,
-		})
-		return
-	}
+	tooMany := s.inProgress.Add(1) > int64(s.opts.MaxInProgress)
 	defer s.inProgress.Add(-1)
 	q, err := s.decode(w, r)
 	if err != nil {
@@ -81,7 +75,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
 	defer cancel()
-	answer, err := s.next.Query(s.opts.Extract(ctx, r.Header.Get("Traceparent")), q)
+	answer, err := s.answer(s.opts.Extract(ctx, r.Header.Get("Traceparent")), q, tooMany)
 	if err != nil {
 		s.fail(w, err)
 		return
@@ -89,6 +83,17 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+func (s *server) answer(ctx context.Context, q *clementineport.Query, tooMany bool) (*clementineport.Answer, error) {
+	if !tooMany {
+		return s.next.Query(ctx, q)
+	}
+	return s.next.Refuse(ctx, q, &clementineport.Error{
+		Fault:      clementineport.FaultShed,
+		Reason:     "too many requests in progress at this VM",
+		RetryAfter: s.opts.RetryAfter,
+	})
+}
+
 // decode reads and checks the body; the deadline starts when it has been read.
 func (s *server) decode(w http.ResponseWriter, r *http.Request) (*clementineport.Query, error) {
 	var body queryBody
--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -83,12 +83,20 @@
 
 func (e *Entry) query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	if err := e.opts.Admit(); err != nil {
-		return nil, err
+		return e.Refuse(ctx, q, err)
 	}
 	if q.Idempotent {
 		return e.run(ctx, q)
 	}
-	return e.runOnce(ctx, q, true)
+	return e.runOnce(ctx, q, true, nil)
+}
+
+// Refuse implements cpapi.Service.
+func (e *Entry) Refuse(ctx context.Context, q *clementineport.Query, refusal error) (*clementineport.Answer, error) {
+	if q.Idempotent {
+		return nil, refusal
+	}
+	return e.runOnce(ctx, q, true, refusal)
 }
 
 // run runs a query on this VM.
--- a/cpentry/once.go
+++ b/cpentry/once.go
@@ -7,11 +7,17 @@
 	"github.com/clementineport/clementineport/cponce"
 )
 
-// runOnce runs a non-idempotent query if this process may, or hands it to the one that may.
-func (e *Entry) runOnce(ctx context.Context, q *clementineport.Query, mayForward bool) (*clementineport.Answer, error) {
+// runOnce runs a non-idempotent query if this process may, or hands it to the one that may. With a refusal
+// nothing new is run here, but the resend of a request that has begun gets the outcome of its run, since
+// "not run" would be wrong.
+func (e *Entry) runOnce(ctx context.Context, q *clementineport.Query, mayForward bool, refusal error) (*clementineport.Answer, error) {
 	d := e.opts.Once.Begin(e.opts.Clock.Now(), q.Request)
 	switch d.Kind {
 	case cponce.Run:
+		if refusal != nil {
+			e.opts.Once.End(q.Request, nil, refusal)
+			return nil, refusal
+		}
 		// The run goes on when the caller disconnects, since a resend may join it.
 		answer, err := e.run(context.WithoutCancel(ctx), q)
 		e.opts.Once.End(q.Request, answer, err)
--- /dev/null
+++ b/cpentry/once_test.go
@@ -0,0 +1,54 @@
+package cpentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpentry"
+	"github.com/clementineport/clementineport/cponce"
+	"github.com/clementineport/clementineport/cptrace"
+)
+
+// TestRefusalOfAResend checks that a VM that refuses new queries says "not run" only of a request that has
+// not begun, here or at the process that its id names.
+func TestRefusalOfAResend(t *testing.T) {
+	leaving := clementineport.Fail(clementineport.FaultDraining, "leaving")
+	clock := clockwork.NewFakeClock()
+	once, err := cponce.New("s1", clock.Now())
+	assert.NilError(t, err)
+	tracer, err := cptrace.New(t.Context())
+	assert.NilError(t, err)
+	e := cpentry.New(
+		cpentry.WithClock(clock), cpentry.WithOnce(once), cpentry.WithTracer(tracer),
+		cpentry.WithControl(&steady{&cpcontrol.View{}}),
+		cpentry.WithAdmit(func() error { return leaving }),
+	)
+	query := func(id clementineport.RequestID, idempotent bool) (*clementineport.Answer, error) {
+		return e.Query(t.Context(), &clementineport.Query{
+			Request: id, Service: "lookup", Idempotent: idempotent, Deadline: clock.Now().Add(time.Second),
+		})
+	}
+	ran := &clementineport.Answer{Request: "s1.0.ran", Verdict: clementineport.Ran}
+	once.Begin(clock.Now(), ran.Request)
+	once.End(ran.Request, ran, nil)
+	once.Begin(clock.Now(), "s1.0.failed")
+	once.End("s1.0.failed", nil, clementineport.Fail(clementineport.FaultReset, "test"))
+
+	answer, err := query(ran.Request, false)
+	assert.NilError(t, err)
+	assert.Equal(t, answer, ran)
+	_, err = query("s1.0.failed", false)
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.MayHaveRun)
+	_, err = query("s0.0.elsewhere", false)
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.MayHaveRun)
+	for _, idempotent := range []bool{false, true} {
+		_, err = query("s1.0.new", idempotent)
+		assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultDraining)
+	}
+	assert.Equal(t, once.Begin(clock.Now(), "s1.0.new").Kind, cponce.Run)
+}
--- a/cpentry/peerside.go
+++ b/cpentry/peerside.go
@@ -28,7 +28,7 @@
 	defer e.inFlight.Add(-1)
 	began := e.opts.Clock.Now()
 	q.Idempotent = false
-	answer, err := e.runOnce(ctx, q, false)
+	answer, err := e.runOnce(ctx, q, false, nil)
 	e.metrics.answered(q.Service, e.opts.Clock.Now().Sub(began), answer, err)
 	return answer, err
 }
