Ask a draining target before it gets work again

Cause: 30 s after the last sign of a drain a target got one whole query as a trial call, from its owner's limiter and from each root, so a target that drains for longer than that got new work. TestDrainingTarget looks for 5 s only. The health endpoint was ruled out as the way to ask, since it may say that all is well. Conclusion: a target that says that it leaves gets no work, for however long. A new owner that has not heard of the drain still sends one call, which the target refuses.

--- a/cplimit/cplimit.go
+++ b/cplimit/cplimit.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// Recheck reports whether the target was draining when it last answered, so that it has to be asked whether it
+// still is before it gets work.
+func (l *Limiter) Recheck(id clementineport.TargetID) bool {
+	e := l.entry(id)
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.state.drained.IsZero()
+}
+
 // Cold returns the number of owned targets that are not allowed all their slots.
 func (l *Limiter) Cold() int {
 	l.mu.RLock()
--- a/cprelay/owner.go
+++ b/cprelay/owner.go
@@ -72,13 +72,33 @@
 	return r
 }
 
+// rechecker is a Limiter that knows of targets that were draining.
+type rechecker interface {
+	Recheck(t clementineport.TargetID) bool
+}
+
+// recheckRequest is the id of the questions whether a target is still draining.
+const recheckRequest clementineport.RequestID = "recheck"
+
+// toSend returns the call, or a question in its place when the target was draining: a call for no snapshot, which
+// runs nothing and whose refusal says whether the target still drains.
+func (o *Owner) toSend(c *clementineport.Call) *clementineport.Call {
+	if l, ok := o.limiter.(rechecker); !ok || !l.Recheck(c.Target) {
+		return c
+	}
+	question := *c
+	question.Request, question.Snapshot, question.Text = recheckRequest, clementineport.Snapshot{}, ""
+	question.Limit, question.Idempotent = 1, true
+	return &question
+}
+
 // search checks again that new work may be sent, since the call may have waited.
 func (o *Owner) search(ctx context.Context, t clementineport.Target, c *clementineport.Call) clementineport.CallResult {
 	if err := o.maySend(); err != nil {
 		return failed(c, asError(err))
 	}
 	start := o.clock.Now()
-	reply, err := t.Search(ctx, c)
+	reply, err := t.Search(ctx, o.toSend(c))
 	r := clementineport.CallResult{
 		Attempt: c.Attempt,
 		Shard:   c.Shard,
