Make the default bound on a shutdown long enough for every query in flight

Cause: a VM that leaves takes queries for AdviceLife and 3 s more, and a query may last for 1 min, but the default of Shutdown.Whole was 45 s, so queries of services with deadlines above 32 s could be cut. The tests had the old value; they now have the new one and check the sum as well. Before: the new check fails for 45 s. After: go test -race ./cpsettings passes.

--- a/cpsettings/cpsettings.go
+++ b/cpsettings/cpsettings.go
@@ -97,7 +97,7 @@
 			HeaderTimeout:     5 * time.Second,
 			IdleTimeout:       2 * time.Minute,
 		},
-		Shutdown: Shutdown{AdviceLife: 10 * time.Second, Whole: 45 * time.Second},
+		Shutdown: Shutdown{AdviceLife: 10 * time.Second, Whole: 75 * time.Second},
 		Trace:    Trace{Exporter: ExporterNone},
 	}
 }
--- a/cpsettings/cpsettings_test.go
+++ b/cpsettings/cpsettings_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpsettings"
 	"github.com/clementineport/clementineport/cpyaml"
 )
@@ -25,6 +26,9 @@
 	return string(text)
 }
 
+// longestQuery is the longest deadline of a query that the caller API takes.
+const longestQuery = time.Minute
+
 func TestLoad(t *testing.T) {
 	dir := t.TempDir()
 	tokenFile, file := filepath.Join(dir, "token"), filepath.Join(dir, "entry.yaml")
@@ -35,7 +39,10 @@
 	assert.Equal(t, s.Advertise, s.Listen, "addresses to tell are those to listen on unless set")
 	assert.Equal(t, s.Limits.BodyBytes, cpyaml.Size(64<<10))
 	assert.Equal(t, s.Limits.HeaderBytes, cpsettings.Defaults().Limits.HeaderBytes)
-	assert.Equal(t, s.Shutdown.Whole, 45*time.Second)
+	assert.Equal(t, s.Shutdown.Whole, 75*time.Second)
+	for _, s := range []cpsettings.Shutdown{s.Shutdown, cpsettings.Defaults().Shutdown} {
+		assert.Assert(t, s.Whole >= s.AdviceLife+cpdrain.NewOptions().Notice+longestQuery, "a query in flight would be cut")
+	}
 	assert.Equal(t, s.Token.Len(), len(secret))
 
 	assert.NilError(t, os.WriteFile(tokenFile, []byte("short\n"), 0o600))
@@ -74,7 +81,7 @@
 		{"BodyBytes: 64KiB", "BodyBytes: 64", "Limits.BodyBytes", `is "64"`},
 		{"BodyBytes: 64KiB", "BodyBytes: 1GB", "Limits", "BodyBytes is 1000000000"},
 		{"QueriesInProgress: 4096", "QueriesInProgress: 0", "Limits", "QueriesInProgress is 0"},
-		{"AdviceLife: 10s", "AdviceLife: 60s", "Shutdown", "Whole is 45s"},
+		{"AdviceLife: 10s", "AdviceLife: 90s", "Shutdown", "Whole is 1m15s"},
 		{"Exporter: none", "Exporter: file", "Trace", `Exporter is "file"`},
 		{"Exporter: none", "Exporter: otlp", "Trace", `Endpoint is ""`},
 	} {
