Show that VMs that reach only each other go on sending with an old revision

Cause: an answer from any peer counts as contact, also from one that is cut off as well. A store outage looks the same to them, so it can't simply be left out; a majority of the members last known to be fresh would narrow it.

--- a/cpcontrol/cpcontrol_test.go
+++ b/cpcontrol/cpcontrol_test.go
@@ -51,6 +51,8 @@
 	cut, cutStore bool
 	// cutIn is true when the VM is not reached.
 	cutIn bool
+	// apart is true for VMs that reach only each other.
+	apart bool
 }
 
 func newFleet(t *testing.T, n int, opts ...cpcontrol.Option) *fleet {
@@ -196,7 +198,7 @@
 	}
 	l.from.f.mu.Lock()
 	n := l.from.f.nodes[l.to]
-	cut := l.from.cut || n != nil && (n.cut || n.cutIn)
+	cut := l.from.cut || n != nil && (n.cut || n.cutIn || n.apart != l.from.apart)
 	l.from.f.mu.Unlock()
 	switch {
 	case cut:
@@ -339,6 +341,23 @@
 	}
 }
 
+// TestIsolatedPairDoesNotSend checks that two VMs that reach each other, but neither the store nor the other VMs,
+// stop sending when a change that they have not seen was accepted.
+func TestIsolatedPairDoesNotSend(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.set(func() {
+			for _, id := range []clementineport.VMID{"vm03", "vm04"} {
+				f.nodes[id].cutStore, f.nodes[id].apart = true, true
+			}
+		})
+		f.submit(2)
+		time.Sleep(10 * time.Second)
+		for id, n := range f.nodes {
+			assert.Equal(t, n.stale(), n.apart, "%s has revision %d: %v", id, n.View().Revision, n.MaySend())
+		}
+	})
+}
+
 // TestReturnsWithTheNewRevision checks that a VM that missed a change sends nothing before it has it.
 func TestReturnsWithTheNewRevision(t *testing.T) {
 	run(t, func(t *testing.T, f *fleet) {
