--- a/cpfleet/fleet_test.go
+++ b/cpfleet/fleet_test.go
@@ -146,8 +146,26 @@
 	through func(address string) string
 }
 
-// newFleet starts a store, nine targets and an entry VM in each of three failure domains, and submits an estate.
+// newFleet is launch, and lets the entry VMs learn what the targets bear, which is not the subject of most tests.
 func newFleet(t *testing.T, o fleetOptions) *fleet {
+	t.Helper()
+	f := launch(t, o)
+	f.warmUp()
+	return f
+}
+
+// warmUpQueries is how many whole answers the start of a tier takes.
+const warmUpQueries = 150
+
+func (f *fleet) warmUp() {
+	f.t.Helper()
+	l := f.load("")
+	l.answered(warmUpQueries)
+	l.checkAlways(false, false)
+}
+
+// launch starts a store, nine targets and an entry VM in each of three failure domains, and submits an estate.
+func launch(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
 	fleets <- struct{}{}
 	t.Cleanup(func() { <-fleets })
