Ask the health endpoint on a new connection when no connection answers

When all connections of a target went silent at once, none answered, and the rule waited for 1 s while the slots were taken; a spare connection made before was silent as well, and calls moved on to idle silent connections while the first was closed. Any answer on a new connection now shows that the others are silent; idle ones and the spare go first.

--- a/cptarget/cphttp/conn.go
+++ b/cptarget/cphttp/conn.go
@@ -121,6 +121,10 @@
 	// generation counts the closures by the target before the connection was made.
 	generation  uint64
 	generations *generations
+	// once is true for a connection that is made for a single request.
+	once bool
+	// epoch counts the times that unused connections were closed before the connection was made.
+	epoch uint64
 	// ended is called when the target closes the connection.
 	ended func()
 	// received counts the bytes read.
@@ -143,7 +147,7 @@
 		c.received.Add(int64(n))
 		c.generations.answered(c)
 	}
-	if err != nil && !c.isClosed() {
+	if err != nil && !c.once && !c.isClosed() {
 		c.generations.closed()
 		c.ended()
 	}
@@ -224,24 +228,43 @@
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	select {
 	case cn := <-c.spare:
-		return cn, nil
+		if cn.epoch == c.epoch.Load() {
+			return cn, nil
+		}
+		cn.markSilent()
+		_ = cn.Close()
 	default:
 	}
-	if err := c.pool.wait(ctx); err != nil {
+	cn, err := c.reserved(ctx, network, address)
+	if err != nil {
 		return nil, err
 	}
-	cn, err := c.open(ctx, network, address)
+	return cn, nil
+}
+
+// dialOnce opens a connection for a single request, after which the target closes it.
+func (c *Client) dialOnce(ctx context.Context, network, address string) (net.Conn, error) {
+	cn, err := c.reserved(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
+	cn.once = true
 	return cn, nil
 }
 
+// reserved opens a connection within the share.
+func (c *Client) reserved(ctx context.Context, network, address string) (*conn, error) {
+	if err := c.pool.wait(ctx); err != nil {
+		return nil, err
+	}
+	return c.open(ctx, network, address)
+}
+
 // open opens a connection that has been reserved.
 func (c *Client) open(ctx context.Context, network, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
-	generation := c.generations.current.Load()
+	generation, epoch := c.generations.current.Load(), c.epoch.Load()
 	raw, err := c.opts.Dial(ctx, network, address)
 	if err != nil {
 		c.pool.cancel()
@@ -249,7 +272,7 @@
 	}
 	return &conn{
 		Conn: raw, pool: c.pool, maySend: c.opts.MaySend, ended: c.opts.Closed,
-		generation: generation, generations: &c.generations,
+		generation: generation, generations: &c.generations, epoch: epoch,
 	}, nil
 }
 
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -39,6 +39,11 @@
 	// spare hands over a connection that was opened ahead of need.
 	spare     chan *conn
 	refilling atomic.Bool
+	// epoch counts the times that unused connections were closed as possibly silent.
+	epoch atomic.Uint64
+	// knocker makes a connection for each request.
+	knocker  *http.Transport
+	knocking atomic.Bool
 
 	mu       sync.Mutex
 	waiting  map[*exchange]struct{}
@@ -65,6 +70,7 @@
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
 	}
+	c.knocker = &http.Transport{DialContext: c.dialOnce, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	if o.HTTP2 {
 		c.transport.Protocols = &http.Protocols{}
 		c.transport.Protocols.SetUnencryptedHTTP2(true)
--- a/cptarget/cphttp/options.go
+++ b/cptarget/cphttp/options.go
@@ -59,7 +59,7 @@
 		MaxResponseBytes: 4 << 20,
 		DialTimeout:      time.Second,
 		CloseTime:        100 * time.Millisecond,
-		Linger:           5 * time.Second,
+		Linger:           2 * time.Second,
 		SpareTime:        2 * time.Second,
 		Silence:          DefaultSilence(),
 		Dial:             (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
--- a/cptarget/cphttp/silence.go
+++ b/cptarget/cphttp/silence.go
@@ -27,7 +27,7 @@
 		Factor:     30,
 		AloneFloor: time.Second,
 		Streak:     3,
-		Interval:   100 * time.Millisecond,
+		Interval:   50 * time.Millisecond,
 	}
 }
 
@@ -39,6 +39,13 @@
 	Answered time.Time
 }
 
+// Doubtful reports whether the call has waited long enough to be silent while no connection has answered,
+// so that it has to be found out whether the target answers on a new one.
+func (s Silence) Doubtful(now time.Time, w Wait, typical time.Duration) bool {
+	limit := time.Duration(s.Factor * float64(typical))
+	return !s.Off && !w.Answered.After(w.Since) && now.Sub(w.Since) > max(limit, s.Floor)
+}
+
 // Silent reports whether the call's connection is silent, given the typical time of an answer.
 func (s Silence) Silent(now time.Time, w Wait, typical time.Duration) bool {
 	if s.Off {
--- a/cptarget/cphttp/watch.go
+++ b/cptarget/cphttp/watch.go
@@ -1,6 +1,8 @@
 package cphttp
 
 import (
+	"context"
+	"net/http"
 	"time"
 )
 
@@ -37,7 +39,7 @@
 	if e.conn != nil && int(c.streak.Add(1)) >= c.opts.Silence.Streak {
 		c.streak.Store(0)
 		e.conn.markSilent()
-		c.pool.suspecting(c.transport.CloseIdleConnections)
+		c.closeIdle()
 	}
 }
 
@@ -62,29 +64,81 @@
 }
 
 func (c *Client) sweep() bool {
-	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	if len(c.waiting) == 0 {
 		c.watching = false
 		c.mu.Unlock()
 		return false
 	}
+	c.mu.Unlock()
+	c.scan()
+	return true
+}
+
+// scan closes the silent connections and finds out about the doubtful ones.
+func (c *Client) scan() {
+	now := c.opts.Clock.Now()
+	typical := time.Duration(c.typical.Load())
 	var silent []*conn
+	doubtful := false
+	c.mu.Lock()
 	for e := range c.waiting {
 		cn, w, ok := e.wait(c.answered.Load())
-		if ok && c.opts.Silence.Silent(now, w, time.Duration(c.typical.Load())) {
+		switch {
+		case !ok:
+		case c.opts.Silence.Silent(now, w, typical):
 			silent = append(silent, cn)
+		case c.opts.Silence.Doubtful(now, w, typical):
+			doubtful = true
 		}
 	}
 	c.mu.Unlock()
+	if doubtful {
+		c.knock()
+	}
+	c.drop(silent)
+}
+
+// drop closes silent connections, the unused ones first, so that no call moves on to one of them.
+func (c *Client) drop(silent []*conn) {
+	if len(silent) == 0 {
+		return
+	}
+	c.closeIdle()
 	for _, cn := range silent {
 		cn.markSilent()
 		_ = cn.Close()
 	}
-	if len(silent) > 0 {
-		c.pool.suspecting(c.transport.CloseIdleConnections)
+}
+
+// closeIdle closes the connections that are not in use, since they may be silent too.
+func (c *Client) closeIdle() {
+	c.epoch.Add(1)
+	c.pool.suspecting(c.transport.CloseIdleConnections)
+}
+
+// knock asks the health endpoint on a new connection. Any answer shows that the target is reachable, so
+// that connections which do not answer are silent.
+func (c *Client) knock() {
+	if !c.knocking.CompareAndSwap(false, true) {
+		return
 	}
-	return true
+	go func() {
+		defer c.knocking.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), c.opts.Silence.AloneFloor)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+PathHealth, http.NoBody)
+		if err != nil {
+			return
+		}
+		resp, err := c.knocker.RoundTrip(r)
+		if err != nil {
+			return
+		}
+		_ = resp.Body.Close()
+		c.answered.Store(c.opts.Clock.Now().UnixNano())
+		c.scan()
+	}()
 }
 
 // wait returns the connection that the call waits on, if it has one.
