Say of a relay whose time ran out that it timed out

Cause: the receiver's deadline comes with the call, so both ends run out together; the receiver then sent either results of a handler that had given up or an internal error, whichever came first. The test's handler delivered results after its context had ended, which no handler of the system does.

--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	if err := <-failed; err != nil {
-		return connect.NewError(connect.CodeInternal, err)
+		return handlerError(ctx, err)
 	}
 	return nil
 }
@@ -78,6 +78,14 @@
 	}
 }
 
+// handlerError returns the error of a handler as it is sent; a call whose time ran out says so.
+func handlerError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return connect.NewError(connect.CodeInternal, err)
+}
+
 // Exchange implements the connect handler.
 func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
 	m := req.Msg
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -38,6 +38,9 @@
 		if n.act != nil {
 			n.act(ctx)
 		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if n.reply != nil {
 			deliver(clementineport.CallResult{Attempt: c.Attempt, Shard: c.Shard, Target: c.Target, Reply: n.reply, Signals: n.reply.Signals})
 			continue
