--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -83,12 +83,20 @@
 
 func (e *Entry) query(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	if err := e.opts.Admit(); err != nil {
-		return nil, err
+		return e.Refuse(ctx, q, err)
 	}
 	if q.Idempotent {
 		return e.run(ctx, q)
 	}
-	return e.runOnce(ctx, q, true)
+	return e.runOnce(ctx, q, true, nil)
+}
+
+// Refuse implements cpapi.Service.
+func (e *Entry) Refuse(ctx context.Context, q *clementineport.Query, refusal error) (*clementineport.Answer, error) {
+	if q.Idempotent {
+		return nil, refusal
+	}
+	return e.runOnce(ctx, q, true, refusal)
 }
 
 // run runs a query on this VM.
@@ -113,7 +121,10 @@
 	}
 	answer, err := e.gather(ctx, q, view, service)
 	done(answer)
-	return answer, err
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
 }
 
 func lookup(view *cpcontrol.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
@@ -127,6 +138,7 @@
 	return service, nil
 }
 
+// gather returns an answer beside the error when the answer covers too little to be given.
 func (e *Entry) gather(
 	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
@@ -149,10 +161,7 @@
 		},
 	))
 	e.explained.add(machine.Trace())
-	if err != nil {
-		return nil, err
-	}
-	return answer, nil
+	return answer, err
 }
 
 // choose chooses the snapshot; when nothing is known it asks some targets first.
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpattempt"
 )
 
 // maxBackoffShift bounds how often the delay between retries doubles.
@@ -17,39 +18,39 @@
 )
 
 // failed ends an attempt and retries its shard or gives it up.
-func (m *Machine) failed(a *attempt, err error) {
-	sh := &m.shards[a.shard]
-	if a.end == open {
+func (m *Machine) failed(a *cpattempt.Attempt, err error) {
+	sh := &m.shards[a.Shard]
+	if a.End == cpattempt.Open {
 		sh.open--
 	}
-	a.end = failed
-	a.fault = clementineport.FaultOf(err)
-	sh.fault = a.fault
-	m.overloaded = m.overloaded || overload(a.fault)
-	sh.mayHaveRun = sh.mayHaveRun || a.fault.Verdict() != clementineport.NotRun
+	a.End = cpattempt.Failed
+	a.Fault = clementineport.FaultOf(err)
+	m.coverage.Fail(a.Shard, a.Fault)
+	m.overloaded = m.overloaded || overload(a.Fault)
+	sh.mayHaveRun = sh.mayHaveRun || a.Fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
 		sh.retryAfter = e.RetryAfter
 	}
-	if sh.final || sh.open > 0 {
+	if m.coverage.Settled(a.Shard) || sh.open > 0 {
 		return
 	}
-	if m.mayRetry(sh) {
-		m.retry(a.shard)
+	if m.mayRetry(sh, a.Fault) {
+		m.retry(a.Shard)
 		return
 	}
-	m.giveUp(a.shard)
+	m.giveUp(a.Shard)
 }
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
-func (m *Machine) mayRetry(sh *shard) bool {
-	if m.at >= m.closeAt || m.hopeless() {
+func (m *Machine) mayRetry(sh *shard, fault clementineport.Fault) bool {
+	if m.at >= m.closeAt || m.coverage.Hopeless() {
 		return false
 	}
-	if !shed(sh.fault) && int(sh.retries) >= m.opts.MaxRetries {
+	if !shed(fault) && int(sh.retries) >= m.opts.MaxRetries {
 		return false
 	}
-	switch sh.fault {
+	switch fault {
 	case clementineport.FaultInvalid, clementineport.FaultNotFound, clementineport.FaultUnauthorized,
 		clementineport.FaultStale:
 		return false
@@ -59,13 +60,13 @@
 
 // retry sends a call to another target, or waits when all have been tried and one may be asked again.
 func (m *Machine) retry(s clementineport.ShardID) {
-	sh := &m.shards[s]
+	sh, fault := &m.shards[s], m.coverage.Fault(s)
 	t, ok := m.pickTarget(s)
 	switch {
-	case ok && m.spendRetry(sh.fault):
+	case ok && m.spendRetry(fault):
 		m.sendRetry(s, t)
 		return
-	case ok && !shed(sh.fault), !m.held(s):
+	case ok && !shed(fault), !m.held(s):
 		m.giveUp(s)
 		return
 	}
@@ -75,7 +76,7 @@
 		return
 	}
 	sh.retryAt = m.at + backoff
-	sh.triedFrom = int32(len(m.attempts))
+	sh.triedFrom = int32(m.attempts.Len())
 	m.retryAt = min(m.retryAt, sh.retryAt)
 }
 
@@ -87,7 +88,7 @@
 	}
 	sh.retries = min(sh.retries+1, math.MaxUint8-1)
 	m.stats.Retries++
-	m.send(s, t, Retry)
+	m.send(s, t, cpattempt.Retry)
 }
 
 // spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
@@ -125,7 +126,7 @@
 // retryNow sends the retry of a shard that has waited. After the refusal of a full target the wait has paid
 // for it.
 func (m *Machine) retryNow(s clementineport.ShardID) {
-	fault := m.shards[s].fault
+	fault := m.coverage.Fault(s)
 	if t, ok := m.pickTarget(s); ok && (shed(fault) || m.spendRetry(fault)) {
 		m.sendRetry(s, t)
 		return
@@ -136,7 +137,7 @@
 // held reports whether a usable target may hold the shard in the pinned snapshot.
 func (m *Machine) held(s clementineport.ShardID) bool {
 	for _, t := range m.layout.Replicas[s] {
-		if m.plan.View.Usable(t, m.now) && !m.refusedSnapshot(s, t) &&
+		if m.plan.View.Usable(t, m.now) && !m.attempts.RefusedSnapshot(m.shards[s].last, t) &&
 			m.plan.View.Holds(t, m.plan.Choice.Snapshot) != clementineport.PossessionNo {
 			return true
 		}
@@ -144,33 +145,7 @@
 	return false
 }
 
-func (m *Machine) refusedSnapshot(s clementineport.ShardID, t clementineport.TargetIndex) bool {
-	for i := m.shards[s].last; i >= int32(m.epoch); i = m.attempts[i].prev {
-		if a := &m.attempts[i]; a.target == t && a.fault == clementineport.FaultSnapshot {
-			return true
-		}
-	}
-	return false
-}
-
 // giveUp settles a shard as missing.
 func (m *Machine) giveUp(s clementineport.ShardID) {
-	sh := &m.shards[s]
-	sh.state = missingState(sh.fault)
-	if !m.held(s) {
-		m.lost++
-	}
-	m.conclude(sh)
-}
-
-// missingState returns the state of a shard whose last attempt ended with a fault.
-func missingState(fault clementineport.Fault) clementineport.ShardState {
-	switch fault {
-	case clementineport.FaultCut:
-		return clementineport.ShardCut
-	case clementineport.FaultTimeout, clementineport.FaultDeadline:
-		return clementineport.ShardLate
-	default:
-		return clementineport.ShardFailed
-	}
+	m.settled(m.coverage.GiveUp(s, m.held(s)))
 }
