--- a/cpcontrol/cpcontrol_test.go
+++ b/cpcontrol/cpcontrol_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,7 +37,7 @@
 	mu    sync.Mutex
 	nodes map[clementineport.VMID]*node
 	items clementineport.Item
-	down  bool // of the store
+	down  bool // of the store and the list
 	calls int  // of the store
 	vms   []clementineport.VM
 }
@@ -80,7 +81,9 @@
 		cpcontrol.WithClock(n.clock),
 		cpcontrol.WithStore(&store{n: n}),
 		cpcontrol.WithDirectory(f),
-		cpcontrol.WithDial(func(to clementineport.VM) clementineport.Peer { return &link{from: n, to: to.ID} }),
+		cpcontrol.WithDial(func(to clementineport.VM) clementineport.Peer {
+			return &link{from: n, to: clementineport.VMID(strings.TrimSuffix(to.Peer, ":2"))}
+		}),
 		cpcontrol.WithDecode(decode),
 		cpcontrol.WithCompile(compile(30)),
 	}, opts...)
@@ -129,7 +132,14 @@
 }
 
 // List implements clementineport.Directory.
-func (f *fleet) List(context.Context) ([]clementineport.VM, error) { return f.vms, nil }
+func (f *fleet) List(context.Context) ([]clementineport.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, clementineport.Fail(clementineport.FaultRefused, "list is down")
+	}
+	return f.vms, nil
+}
 
 func decode(b []byte) (*clementineport.Config, error) {
 	r, err := strconv.Atoi(string(b))
@@ -395,8 +405,10 @@
 		}
 		f.set(func() { f.down = true })
 		fresh := f.start(f.vms[4], "s2")
+		other := f.start(vm(8), "s1", cpcontrol.WithSeeds("vm08:2", "vm06:2", "vm01:2"))
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, fresh.View().Revision, clementineport.Revision(1))
+		assert.Equal(t, other.View().Revision, clementineport.Revision(1))
 		time.Sleep(5 * time.Second)
 		for id, n := range f.nodes {
 			m := n.View().Member("vm04")
--- a/cpcontrol/events.go
+++ b/cpcontrol/events.go
@@ -131,6 +131,7 @@
 	c.hangUpUnused(now)
 	if e.err != nil {
 		c.counters.listFailures.Inc()
+		c.joinThroughSeeds(now)
 		return
 	}
 	if len(e.vms) > c.listed {
@@ -140,6 +141,21 @@
 	c.member.Listed(now, e.vms)
 }
 
+// joinThroughSeeds asks the seeds for members while no other VM is known. The ids of seeds are not known
+// before they answer, so their addresses stand in for them.
+func (c *Control) joinThroughSeeds(now time.Time) {
+	if len(c.View().Members) > 1 {
+		return
+	}
+	var vms []clementineport.VM
+	for _, address := range c.options.Seeds {
+		if address != c.options.Self.Peer {
+			vms = append(vms, clementineport.VM{ID: clementineport.VMID(address), Peer: address})
+		}
+	}
+	c.member.Listed(now, vms)
+}
+
 // heard is a peer's digest; the loop answers with its own.
 type heard struct {
 	digest *clementineport.Digest
--- a/cpcontrol/options.go
+++ b/cpcontrol/options.go
@@ -34,6 +34,8 @@
 	Log     *zap.Logger
 	// Key is the store's key of the configuration.
 	Key string
+	// Seeds are addresses of peers to join through when the platform's list can't be read.
+	Seeds []string
 	// Seed seeds every random choice.
 	Seed uint64
 	// TickPeriod is the time between two steps of the decisions.
@@ -141,6 +143,11 @@
 	return func(o *Options) { o.Key = key }
 }
 
+// WithSeeds sets addresses of peers to join through when the platform's list can't be read.
+func WithSeeds(addresses ...string) Option {
+	return func(o *Options) { o.Seeds = addresses }
+}
+
 // WithSeed seeds every random choice.
 func WithSeed(seed uint64) Option {
 	return func(o *Options) { o.Seed = seed }
