--- /dev/null
+++ b/cpspread/peers.go
@@ -0,0 +1,52 @@
+package cpspread
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Seen takes the revision that a call from or to a peer carried.
+func (s *Spread) Seen(now time.Time, from clementineport.VMID, r clementineport.Revision) {
+	if r <= s.revision || from == s.self {
+		return
+	}
+	s.wanted[from] = max(s.wanted[from], r)
+	s.fetch(now)
+}
+
+// fetch asks the peer with the highest announced revision, one at a time.
+func (s *Spread) fetch(now time.Time) {
+	if s.fetching != "" {
+		return
+	}
+	var best clementineport.VMID
+	for id, r := range s.wanted {
+		if best == "" || r > s.wanted[best] || r == s.wanted[best] && id < best {
+			best = id
+		}
+	}
+	if best == "" {
+		return
+	}
+	s.fetching = best
+	s.pending = append(s.pending, Action{Kind: KindFetch, Peer: best, Timeout: s.options.ReadTimeout, Began: now})
+}
+
+// fetched ends a fetch and starts the next one if a higher revision is still wanted.
+func (s *Spread) fetched(now time.Time, peer clementineport.VMID) {
+	s.fetching = ""
+	delete(s.wanted, peer)
+	s.fetch(now)
+}
+
+// Fetched takes a peer's configuration; a zero revision means that the peer had nothing newer.
+func (s *Spread) Fetched(now time.Time, a Action, r clementineport.Revision) Verdict {
+	s.Contacted(a.Began)
+	verdict := VerdictSame
+	if r > 0 {
+		verdict = s.Accept(now, r)
+	}
+	s.fetched(now, a.Peer)
+	return verdict
+}
