--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -4,6 +4,7 @@
 #
 #   scripts/slopes.sh calls BRANCHES RATE SECONDS     one entry VM, one service of BRANCHES shards
 #   scripts/slopes.sh control VMS SECONDS             VMS entry VMs at rest, then a change, then at rest
+#   scripts/slopes.sh domain VMS SECONDS              store calls after all VMs of one of four domains are lost
 #   scripts/slopes.sh idle TARGETS                    one entry VM that holds a table of TARGETS targets
 #   scripts/slopes.sh connections TARGETS             one entry VM with idle connections to TARGETS targets
 set -euo pipefail
@@ -116,6 +117,20 @@
 	echo "store after $seconds s: $(curl -fsS 127.0.0.1:18900/admin/counters)"
 }
 
+domain() {
+	local i
+	fleet "$1" 4
+	estate 48 48 4 >"$work/estate.yaml"
+	submit "$work/estate.yaml" 0 >/dev/null
+	sleep 20
+	echo "at rest: $(curl -fsS 127.0.0.1:18900/admin/counters)"
+	sleep "$2"
+	echo "$2 s later, domain a is lost: $(curl -fsS 127.0.0.1:18900/admin/counters)"
+	for i in $(seq 0 4 $(($1 - 1))); do kill -KILL "$(cat "$work/vm-$i.pid")"; done
+	sleep "$2"
+	echo "$2 s later: $(curl -fsS 127.0.0.1:18900/admin/counters)"
+}
+
 idle() {
 	fleet 1 1
 	local empty empty_heap
