--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		MaxMessageSize: defaultMaxMessageSize,
+		Dial:           (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
 		Heartbeat:      defaultHeartbeat,
 		SilentAfter:    defaultSilentAfter,
 		Tracer:         noTracer{},
--- a/cppeer/cpconnect/link.go
+++ b/cppeer/cpconnect/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -21,9 +20,8 @@
 func newLink(o *Options) *link {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: defaultDialTimeout}
 	t := &http.Transport{
-		DialContext: dialer.DialContext,
+		DialContext: o.Dial,
 		Protocols:   &protocols,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: defaultPingAfter,
--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -1,6 +1,8 @@
 package cpconnect
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -23,6 +25,8 @@
 	Token          cpsecret.Token
 	Clock          clementineport.Clock
 	MaxMessageSize int
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Heartbeat is how often a VM says that it is still working on a Relay.
 	Heartbeat time.Duration
 	// SilentAfter is how long a Relay may bring nothing before it is given up.
@@ -74,3 +78,8 @@
 func WithSilence(heartbeat, silentAfter time.Duration) Option {
 	return func(o *Options) { o.Heartbeat, o.SilentAfter = heartbeat, silentAfter }
 }
+
+// WithDial sets how connections are opened.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *Options) { o.Dial = dial }
+}
