--- a/cpattempt/cpattempt.go
+++ b/cpattempt/cpattempt.go
@@ -66,6 +66,14 @@
 	Took time.Duration
 }
 
+// Owns reports whether a result that names the attempt belongs to its shard, its target and its request.
+func (a *Attempt) Owns(r *clementineport.CallResult, request clementineport.RequestID, target clementineport.TargetID) bool {
+	if r.Shard != a.Shard || (r.Target != "" && r.Target != target) {
+		return false
+	}
+	return r.Err != nil || r.Reply == nil || r.Reply.Request == request
+}
+
 // Log holds the attempts of one query in the order in which they were made.
 type Log struct {
 	attempts []Attempt
--- a/cpcoverage/cpcoverage.go
+++ b/cpcoverage/cpcoverage.go
@@ -153,8 +153,24 @@
 	return fmt.Sprintf("%d of %d shards are covered and %d are needed", t.covered, len(t.shards), t.least)
 }
 
-// Has reports whether the last fault of any shard is fault.
-func (t *Tally) Has(fault clementineport.Fault) bool {
+// RefusalFault returns the fault of a refused answer; notRun says that no part of the query has run, and
+// aborted is the fault of a query that was given up, or FaultUnknown.
+func (t *Tally) RefusalFault(notRun bool, aborted clementineport.Fault) clementineport.Fault {
+	switch {
+	case notRun && t.has(clementineport.FaultShed):
+		return clementineport.FaultShed
+	case notRun:
+		return clementineport.FaultUnavailable
+	case aborted != clementineport.FaultUnknown:
+		return aborted
+	case t.has(clementineport.FaultTimeout):
+		return clementineport.FaultTimeout
+	}
+	return clementineport.FaultCoverage
+}
+
+// has reports whether the last fault of any shard is fault.
+func (t *Tally) has(fault clementineport.Fault) bool {
 	for i := range t.shards {
 		if t.shards[i].fault == fault {
 			return true
--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -109,19 +109,9 @@
 	if !m.refused() {
 		return nil
 	}
-	return &clementineport.Error{Fault: m.refusalFault(), Reason: m.coverage.Reason(), RetryAfter: m.retryAfter}
-}
-
-func (m *Machine) refusalFault() clementineport.Fault {
-	switch notRun := m.verdict() == clementineport.NotRun; {
-	case notRun && m.coverage.Has(clementineport.FaultShed):
-		return clementineport.FaultShed
-	case notRun:
-		return clementineport.FaultUnavailable
-	case m.aborted != clementineport.FaultUnknown:
-		return m.aborted
-	case m.coverage.Has(clementineport.FaultTimeout):
-		return clementineport.FaultTimeout
+	return &clementineport.Error{
+		Fault:      m.coverage.RefusalFault(m.verdict() == clementineport.NotRun, m.aborted),
+		Reason:     m.coverage.Reason(),
+		RetryAfter: m.retryAfter,
 	}
-	return clementineport.FaultCoverage
 }
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -1,5 +1,5 @@
 // Package cpgather decides the course of one query: which calls to send, hedge, retry and cancel, which
-// results to merge, and when to close the answer.
+// results to take, when to begin again on another snapshot, and when to close the answer.
 //
 // A Machine is pure: it takes results and the time and returns actions. It reads the target view it is
 // given and records sent calls there; it opens no connection, starts no goroutine and reads no clock.
@@ -76,7 +76,7 @@
 var machines = sync.Pool{New: func() any { return new(Machine) }}
 
 // New returns a machine for a plan.
-func New(plan Plan, opts ...Option) *Machine { return NewWith(plan, newOptions(opts...)) }
+func New(plan Plan, opts ...Option) *Machine { return NewWith(plan, NewOptions(opts...)) }
 
 // NewWith returns a machine for a plan with options that were made before.
 func NewWith(plan Plan, opts Options) *Machine {
@@ -231,13 +231,7 @@
 
 // mine reports whether a result belongs to the attempt that it names and not to another request.
 func (m *Machine) mine(a *cpattempt.Attempt, r *clementineport.CallResult) bool {
-	if m.opts.off(CheckReply) {
-		return true
-	}
-	if r.Shard != a.Shard || (r.Target != "" && r.Target != m.plan.Targets[a.Target].ID) {
-		return false
-	}
-	return r.Err != nil || r.Reply == nil || r.Reply.Request == m.plan.Query.Request
+	return m.opts.off(CheckReply) || a.Owns(r, m.plan.Query.Request, m.plan.Targets[a.Target].ID)
 }
 
 // check reports why a reply must not be merged.
--- a/cpgather/hedge.go
+++ b/cpgather/hedge.go
@@ -13,10 +13,10 @@
 	if !m.mayHedge() {
 		return
 	}
-	off := m.overloaded || m.opts.HedgeOff != nil && m.opts.HedgeOff()
+	off := m.overloaded || m.opts.Hedge.Loaded()
 	for i := range m.shards {
 		sh := &m.shards[i]
-		if m.coverage.Settled(clementineport.ShardID(i)) || sh.open == 0 || int(sh.hedges) >= m.opts.MaxHedges {
+		if m.coverage.Settled(clementineport.ShardID(i)) || sh.open == 0 || int(sh.hedges) >= m.opts.Hedge.Max {
 			continue
 		}
 		due := m.hedgeDue(m.attempts.At(sh.last))
@@ -27,21 +27,16 @@
 		hedges := sh.hedges
 		off = off || !m.sendHedge(clementineport.ShardID(i))
 		if sh.hedges == hedges {
-			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Recheck)
+			m.hedgeAt = min(m.hedgeAt, m.at+m.opts.Hedge.Recheck)
 		}
 	}
 }
 
-func (m *Machine) mayHedge() bool { return m.plan.Query.Idempotent && m.opts.HedgeBudget != nil }
+func (m *Machine) mayHedge() bool { return m.plan.Query.Idempotent && m.opts.Hedge.Budget != nil }
 
-// hedgeDue returns when an attempt counts as a straggler that holds the query up: sooner when few shards are
-// outstanding than while many are.
+// hedgeDue returns when an attempt counts as a straggler that holds the query up.
 func (m *Machine) hedgeDue(a *cpattempt.Attempt) time.Duration {
-	factor := m.opts.ProjectedFactor
-	if m.coverage.Outstanding() <= m.few {
-		factor = m.opts.HedgeFactor
-	}
-	return a.Sent + time.Duration(factor*float64(m.plan.View.HedgeAfter(a.Target)))
+	return a.Sent + m.opts.Hedge.After(m.plan.View.HedgeAfter(a.Target), m.coverage.Outstanding() <= m.few)
 }
 
 // sendHedge sends a hedge if there is a target for it, or reports that the budget has none left.
@@ -51,7 +46,7 @@
 	if !ok || !m.plan.View.Usable(t, m.now) {
 		return true
 	}
-	if !m.opts.HedgeBudget.Spend() {
+	if !m.opts.Hedge.Budget.Spend() {
 		return false
 	}
 	sh.hedges++
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -1,7 +1,6 @@
 package cpgather
 
 import (
-	"math"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -46,7 +45,7 @@
 		m.attempts.Grow(n + n/spareShare + 1)
 		m.actions = append(make([]Action, 0, n+1), m.actions...)
 	}
-	m.few = 1 + int(math.Ceil(m.opts.HedgeShare*float64(n)))
+	m.few = m.opts.Hedge.Few(n)
 	unplanned := 0
 	for s := range clementineport.ShardID(n) {
 		m.shards = append(m.shards, shard{last: cpattempt.None})
@@ -54,7 +53,8 @@
 			unplanned++
 		}
 	}
-	m.earn(n - unplanned)
+	m.opts.Hedge.Earn(n - unplanned)
+	m.opts.Retry.Earn(n - unplanned)
 	return unplanned
 }
 
@@ -89,14 +89,6 @@
 	m.actions = m.actions[:0]
 }
 
-func (m *Machine) earn(calls int) {
-	for _, b := range []clementineport.Budget{m.opts.HedgeBudget, m.opts.RetryBudget} {
-		if b != nil {
-			b.Earn(calls)
-		}
-	}
-}
-
 // restart begins again on another snapshot when shards have been lost and that gives the better answer.
 func (m *Machine) restart() bool {
 	if !m.plan.Query.Idempotent || m.coverage.Lost() == 0 || m.stats.Restarts >= m.opts.MaxRestarts {
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -6,11 +6,9 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
+	"github.com/clementineport/clementineport/cpretry"
 )
 
-// maxBackoffShift bounds how often the delay between retries doubles.
-const maxBackoffShift = 6
-
 var (
 	errNoReply    = clementineport.Fail(clementineport.FaultUnknown, "a result without reply or error")
 	errMismatched = clementineport.Fail(clementineport.FaultMismatched, "the reply has another shard or snapshot")
@@ -26,7 +24,7 @@
 	a.End = cpattempt.Failed
 	a.Fault = clementineport.FaultOf(err)
 	m.coverage.Fail(a.Shard, a.Fault)
-	m.overloaded = m.overloaded || overload(a.Fault)
+	m.overloaded = m.overloaded || cpretry.Overload(a.Fault)
 	sh.mayHaveRun = sh.mayHaveRun || a.Fault.Verdict() != clementineport.NotRun
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		m.retryAfter = max(m.retryAfter, e.RetryAfter)
@@ -44,15 +42,7 @@
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
 func (m *Machine) mayRetry(sh *shard, fault clementineport.Fault) bool {
-	if m.at >= m.closeAt || m.coverage.Hopeless() {
-		return false
-	}
-	if !shed(fault) && int(sh.retries) >= m.opts.MaxRetries {
-		return false
-	}
-	switch fault {
-	case clementineport.FaultInvalid, clementineport.FaultNotFound, clementineport.FaultUnauthorized,
-		clementineport.FaultStale:
+	if m.at >= m.closeAt || m.coverage.Hopeless() || !m.opts.Retry.Allows(fault, sh.retries) {
 		return false
 	}
 	return m.plan.Query.Idempotent || !sh.mayHaveRun || m.opts.off(CheckVerdict)
@@ -63,19 +53,19 @@
 	sh, fault := &m.shards[s], m.coverage.Fault(s)
 	t, ok := m.pickTarget(s)
 	switch {
-	case ok && m.spendRetry(fault):
+	case ok && m.opts.Retry.Spend(fault):
 		m.sendRetry(s, t)
 		return
-	case ok && !shed(fault), !m.held(s):
+	case ok && !cpretry.Full(fault), !m.held(s):
 		m.giveUp(s)
 		return
 	}
-	backoff := max(m.opts.Backoff<<min(sh.retries, maxBackoffShift), sh.retryAfter)
-	if m.at+backoff > m.waitUntil {
+	delay := m.opts.Retry.Delay(sh.retries, sh.retryAfter)
+	if m.at+delay > m.waitUntil {
 		m.giveUp(s)
 		return
 	}
-	sh.retryAt = m.at + backoff
+	sh.retryAt = m.at + delay
 	sh.triedFrom = int32(m.attempts.Len())
 	m.retryAt = min(m.retryAt, sh.retryAt)
 }
@@ -91,22 +81,6 @@
 	m.send(s, t, cpattempt.Retry)
 }
 
-// spendRetry pays for a retry. A refusal that did no work and shows no overload is free.
-func (m *Machine) spendRetry(fault clementineport.Fault) bool {
-	if fault.Verdict() == clementineport.NotRun && !overload(fault) {
-		return true
-	}
-	return m.opts.RetryBudget != nil && m.opts.RetryBudget.Spend()
-}
-
-// overload reports whether a fault shows that targets have more work than they can do.
-func overload(fault clementineport.Fault) bool {
-	return fault == clementineport.FaultShed || fault == clementineport.FaultDeadline
-}
-
-// shed reports whether a fault is the refusal of a full target.
-func shed(fault clementineport.Fault) bool { return fault == clementineport.FaultShed }
-
 // retryWaiting asks the shards again whose time has come.
 func (m *Machine) retryWaiting() {
 	m.retryAt = never
@@ -127,7 +101,7 @@
 // for it.
 func (m *Machine) retryNow(s clementineport.ShardID) {
 	fault := m.coverage.Fault(s)
-	if t, ok := m.pickTarget(s); ok && (shed(fault) || m.spendRetry(fault)) {
+	if t, ok := m.pickTarget(s); ok && (cpretry.Full(fault) || m.opts.Retry.Spend(fault)) {
 		m.sendRetry(s, t)
 		return
 	}
--- /dev/null
+++ b/cphedge/cphedge_test.go
@@ -0,0 +1,14 @@
+package cphedge_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/clementineport/clementineport/cphedge"
+)
+
+func ExamplePolicy() {
+	p := cphedge.New(nil)
+	fmt.Println(p.Few(1100), p.After(8*time.Millisecond, false), p.After(8*time.Millisecond, true))
+	// Output: 34 16ms 10ms
+}
--- a/cpsnapshot/cpsnapshot.go
+++ b/cpsnapshot/cpsnapshot.go
@@ -38,6 +38,11 @@
 	return float64(c.Covered) / float64(c.Shards)
 }
 
+// ChooseFunc chooses a snapshot; Choose and the method of a Cache have this form.
+type ChooseFunc func(
+	service *clementineport.ServiceTable, view clementineport.TargetView, now time.Time, avoid ...clementineport.Snapshot,
+) (Choice, bool)
+
 // Choose returns the snapshot that suits the service's preference, or false when none is known to be held.
 // Snapshots in avoid are passed over.
 func Choose(
