--- a/cppeer/traffic_bench_test.go
+++ b/cppeer/traffic_bench_test.go
@@ -38,14 +38,13 @@
 	for _, members := range []int{1, 4, 8} {
 		b.Run(fmt.Sprintf("Members=%d", members), func(b *testing.B) {
 			var bytes atomic.Int64
-			transport := cpconnect.NewTransport()
-			dial := transport.DialContext
-			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := dial(ctx, network, address)
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				var d net.Dialer
+				c, err := d.DialContext(ctx, network, address)
 				return counted{c, &bytes}, err
 			}
 			address := listen(b, cpconnect.NewHandler(&node{}, connectOptions("", "secret")...))
-			peer := cpconnect.New(append(connectOptions(address, "secret"), cpconnect.WithTransport(transport))...)
+			peer := cpconnect.New(append(connectOptions(address, "secret"), cpconnect.WithDial(dial))...)
 			vm := clementineport.VM{
 				ID: "entry-1234", Domain: "domain-a", Caller: "10.20.30.40:8000", Peer: "10.20.30.40:8001", Operator: "10.20.30.40:8002",
 			}
