Give the operators' HTTP client and the running of commands their own packages

The explanation of a query is one type, cpattempt.Explanation, at the entry and at the client.

Two edges change: an operator address that is no address is refused as wrong usage before any call instead of after the others were tried, and the stand-ins print the error of wrong flags as the entry program does, with its exit codes. Help texts are sentences throughout.

--- a/cpattempt/trace.go
+++ b/cpattempt/trace.go
@@ -66,3 +66,12 @@
 	}
 	return rows
 }
+
+// Explanation is a trace with its rows, as operators get it.
+type Explanation struct {
+	*Trace
+	Attempts []TraceRow
+}
+
+// Explanation returns the trace with its rows.
+func (t *Trace) Explanation() Explanation { return Explanation{Trace: t, Attempts: t.Rows()} }
--- a/cpcli/config.go
+++ b/cpcli/config.go
@@ -6,68 +6,21 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/user"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/zeebo/errs"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpoperator"
+	"github.com/clementineport/clementineport/cpcommand"
+	"github.com/clementineport/clementineport/cpoperator/cpoperatorclient"
 	"github.com/clementineport/clementineport/cpsubmit"
 )
 
-// configReply is what an entry says of the configuration.
-type configReply struct {
-	Revision clementineport.Revision
-	Text     string
-	Out      clementineport.Out
-	Changes  []clementineport.Change
-}
-
-// changeReply is what an entry says of an accepted change.
-type changeReply struct {
-	Revision clementineport.Revision
-	Outcome  string
-	Repeated bool
-	Restored bool
-}
-
-// ConfigCommands returns the subcommands that check, change and show the configuration.
-func ConfigCommands(stdout, stderr io.Writer) []*ffcli.Command {
-	return []*ffcli.Command{
-		NewCheckCommand(stdout, stderr),
-		NewGenerateCommand(stdout, stderr),
-		NewSubmitCommand(stdout, stderr),
-		NewShowCommand(stdout, stderr),
-		NewHistoryCommand(stdout, stderr),
-		NewMoveCommand(cpsubmit.TakeOut, stdout, stderr),
-		NewMoveCommand(cpsubmit.BringBack, stdout, stderr),
-	}
-}
-
-func configCommand(fs *flag.FlagSet, usage, help string, exec func(ctx context.Context, args []string) error) *ffcli.Command {
-	return &ffcli.Command{
-		Name:       fs.Name(),
-		ShortUsage: "clementineport " + fs.Name() + " " + usage,
-		ShortHelp:  help,
-		FlagSet:    fs,
-		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec: func(ctx context.Context, args []string) error {
-			positional, err := parseMixed(fs, args)
-			if err != nil {
-				return err
-			}
-			return exec(ctx, positional)
-		},
-	}
-}
-
 // change holds the flags that all changes share.
 type change struct {
 	operatorFlags
@@ -101,29 +54,32 @@
 }
 
 // send makes the change and prints its outcome.
-func (c *change) send(ctx context.Context, path string, body any, stdout io.Writer) error {
+func (c *change) send(
+	ctx context.Context, stdout io.Writer,
+	send func(*cpoperatorclient.Client) (cpoperatorclient.Accepted, error),
+) error {
 	client, err := c.client()
 	if err != nil {
 		return err
 	}
-	var reply changeReply
-	if err := client.call(ctx, http.MethodPost, path, body, &reply); err != nil {
-		if ExitCode(err) == ExitUnknown {
+	accepted, err := send(client)
+	if err != nil {
+		if cpcommand.ExitCode(err) == cpcommand.ExitUnknown {
 			return fmt.Errorf("the outcome is unknown; repeat the command with --id %s to learn it: %w", c.id, err)
 		}
 		return err
 	}
 	var missing []clementineport.VMID
 	if c.wait > 0 {
-		missing, err = waitInForce(ctx, client, reply.Revision, c.wait)
+		missing, err = client.WaitInForce(ctx, accepted.Revision, c.wait)
 	}
-	if printed := c.print(stdout, &reply, missing); printed != nil {
+	if printed := c.print(stdout, &accepted, missing); printed != nil {
 		return printed
 	}
 	return err
 }
 
-func (c *change) print(stdout io.Writer, reply *changeReply, missing []clementineport.VMID) error {
+func (c *change) print(stdout io.Writer, reply *cpoperatorclient.Accepted, missing []clementineport.VMID) error {
 	if c.json {
 		return json.NewEncoder(stdout).Encode(struct {
 			Revision    clementineport.Revision
@@ -144,25 +100,24 @@
 	return nil
 }
 
-// NewSubmitCommand returns the submit command.
-func NewSubmitCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("submit", stderr)
+// newSubmitCommand returns the submit command.
+func newSubmitCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := cpcommand.NewFlagSet("submit", stderr)
 	var c change
 	c.register(fs)
-	return configCommand(fs, "FILE --based-on REVISION [flags]", "Submit an edited estate text.", func(ctx context.Context, args []string) error {
+	return newCommand(fs, "FILE --based-on REVISION [flags]", "Submit an edited estate text.", func(ctx context.Context, args []string) error {
 		if len(args) != 1 || !given(fs, "based-on") {
-			return usagef("submit needs a file and --based-on")
+			return cpcommand.Usagef("submit needs a file and --based-on")
 		}
 		text, err := os.ReadFile(args[0])
 		if err != nil {
 			return errs.Wrap(err)
 		}
-		return c.send(ctx, cpoperator.SubmitPath, struct {
-			Submission clementineport.SubmissionID
-			Author     string
-			BasedOn    uint64
-			Text       string
-		}{c.submissionID(), c.author, c.basedOn, string(text)}, stdout)
+		return c.send(ctx, stdout, func(client *cpoperatorclient.Client) (cpoperatorclient.Accepted, error) {
+			return client.Submit(ctx, cpsubmit.Submission{
+				ID: c.submissionID(), Author: c.author, BasedOn: clementineport.Revision(c.basedOn), Text: text,
+			})
+		})
 	})
 }
 
@@ -172,59 +127,58 @@
 	return found
 }
 
-// NewMoveCommand returns the take-out or bring-back command.
-func NewMoveCommand(action cpsubmit.Action, stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet(string(action), stderr)
+// newMoveCommand returns the take-out or bring-back command.
+func newMoveCommand(action cpsubmit.Action, stdout, stderr io.Writer) *ffcli.Command {
+	fs := cpcommand.NewFlagSet(string(action), stderr)
 	var c change
 	c.register(fs)
 	help := "Take a VM or a failure domain out of service."
 	if action == cpsubmit.BringBack {
 		help = "Bring a VM or a failure domain back into service."
 	}
-	return configCommand(fs, "vm|domain NAME [flags]", help, func(ctx context.Context, args []string) error {
+	return newCommand(fs, "vm|domain NAME [flags]", help, func(ctx context.Context, args []string) error {
 		if len(args) != 2 {
-			return usagef("%s needs vm or domain, and a name", action)
+			return cpcommand.Usagef("%s needs vm or domain, and a name", action)
 		}
-		return c.send(ctx, cpoperator.OutPath, struct {
-			Submission clementineport.SubmissionID
-			Author     string
-			BasedOn    uint64
-			Action     cpsubmit.Action
-			Kind, Name string
-		}{c.submissionID(), c.author, c.basedOn, action, args[0], args[1]}, stdout)
+		return c.send(ctx, stdout, func(client *cpoperatorclient.Client) (cpoperatorclient.Accepted, error) {
+			return client.Move(ctx, cpsubmit.Move{
+				ID: c.submissionID(), Author: c.author, BasedOn: clementineport.Revision(c.basedOn),
+				Action: action, Kind: cpsubmit.Kind(args[0]), Name: args[1],
+			})
+		})
 	})
 }
 
-// NewShowCommand returns the show command.
-func NewShowCommand(stdout, stderr io.Writer) *ffcli.Command {
-	return readCommand("show", "Show the estate text in force, its revision and what is out.", stderr, stdout, func(reply *configReply) {
+// newShowCommand returns the show command.
+func newShowCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return readCommand("show", "Show the estate text in force, its revision and what is out.", stderr, stdout, func(reply *cpoperatorclient.Config) {
 		fmt.Fprintf(stdout, "# Revision: %d\n# Out: VMs %v, failure domains %v\n%s", reply.Revision, reply.Out.VMs, reply.Out.Domains, reply.Text)
 	})
 }
 
-// NewHistoryCommand returns the history command.
-func NewHistoryCommand(stdout, stderr io.Writer) *ffcli.Command {
-	return readCommand("history", "Show who changed what and when.", stderr, stdout, func(reply *configReply) {
+// newHistoryCommand returns the history command.
+func newHistoryCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return readCommand("history", "Show who changed what and when.", stderr, stdout, func(reply *cpoperatorclient.Config) {
 		for _, c := range reply.Changes {
 			fmt.Fprintf(stdout, "%d  %s  %s  %s  (%s)\n", c.Revision, c.At.Format(time.RFC3339), c.Author, c.Summary, c.Submission)
 		}
 	})
 }
 
-func readCommand(name, help string, stderr, stdout io.Writer, show func(*configReply)) *ffcli.Command {
-	fs := newFlagSet(name, stderr)
+func readCommand(name, help string, stderr, stdout io.Writer, show func(*cpoperatorclient.Config)) *ffcli.Command {
+	fs := cpcommand.NewFlagSet(name, stderr)
 	var f operatorFlags
 	f.register(fs)
-	return configCommand(fs, "[flags]", help, func(ctx context.Context, args []string) error {
+	return newCommand(fs, "[flags]", help, func(ctx context.Context, args []string) error {
 		if len(args) > 0 {
-			return usagef("%s takes no arguments, but got %s", name, strings.Join(args, " "))
+			return cpcommand.Usagef("%s takes no arguments, but got %s", name, strings.Join(args, " "))
 		}
 		client, err := f.client()
 		if err != nil {
 			return err
 		}
-		var reply configReply
-		if err := client.call(ctx, http.MethodGet, cpoperator.ConfigPath, nil, &reply); err != nil {
+		reply, err := client.Config(ctx)
+		if err != nil {
 			return err
 		}
 		if f.json {
--- a/cpcli/config_test.go
+++ b/cpcli/config_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcli"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cpstore"
@@ -81,23 +82,23 @@
 		code   int
 		want   string
 	}{
-		{nil, []string{"submit", example}, cpcli.ExitUsage, "--based-on"},
-		{nil, []string{"submit", "absent.yaml", "--based-on", "0"}, cpcli.ExitFailed, "absent.yaml"},
-		{nil, []string{"submit", example, "--based-on", "0", "--author", "ann"}, cpcli.ExitOK, "accepted as revision 1"},
-		{nil, []string{"submit", example, "--based-on", "0", "--author", "bob"}, cpcli.ExitRefused, "revision 1 by ann: region or failure domains changed; service added"},
-		{nil, []string{"submit", "config_test.go", "--based-on", "1"}, cpcli.ExitRefused, "the text has faults: line"},
-		{nil, []string{"take-out", "domain", "a", "--author", "cat", "--id", "out-a"}, cpcli.ExitOK, "accepted as revision 2"},
-		{nil, []string{"take-out", "domain", "a", "--author", "cat", "--id", "out-a"}, cpcli.ExitOK, "accepted as revision 2"},
-		{nil, []string{"take-out", "domain", "z"}, cpcli.ExitRefused, "not a failure domain"},
-		{nil, []string{"take-out", "rack", "a"}, cpcli.ExitRefused, "Kind"},
-		{nil, []string{"take-out", "vm"}, cpcli.ExitUsage, "vm or domain"},
-		{lose(cpstore.Failure{Mode: cpstore.ModeLoseReply, Calls: 1, Writes: true}), []string{"bring-back", "domain", "a"}, cpcli.ExitOK, "revision 3"},
-		{lose(cpstore.Failure{Mode: cpstore.ModeDown, Calls: 2}), []string{"take-out", "vm", "x"}, cpcli.ExitUnreachable, "nothing was written"},
-		{lose(cpstore.Failure{Mode: cpstore.ModeResetBefore, Calls: 2, Writes: true}), []string{"take-out", "vm", "x", "--id", "x"}, cpcli.ExitUnknown, "--id x"},
-		{nil, []string{"take-out", "vm", "x", "--id", "x", "--wait", "50ms"}, cpcli.ExitUnknown, "not confirmed by vm-b"},
-		{func() { e.behind.Store(9) }, []string{"bring-back", "vm", "x", "--wait", "5s", "--json"}, cpcli.ExitOK, `"Revision":5`},
-		{nil, []string{"show"}, cpcli.ExitOK, "Region: local"},
-		{nil, []string{"history"}, cpcli.ExitOK, "take-out domain a"},
+		{nil, []string{"submit", example}, cpcommand.ExitUsage, "--based-on"},
+		{nil, []string{"submit", "absent.yaml", "--based-on", "0"}, cpcommand.ExitFailed, "absent.yaml"},
+		{nil, []string{"submit", example, "--based-on", "0", "--author", "ann"}, cpcommand.ExitOK, "accepted as revision 1"},
+		{nil, []string{"submit", example, "--based-on", "0", "--author", "bob"}, cpcommand.ExitRefused, "revision 1 by ann: region or failure domains changed; service added"},
+		{nil, []string{"submit", "config_test.go", "--based-on", "1"}, cpcommand.ExitRefused, "the text has faults: line"},
+		{nil, []string{"take-out", "domain", "a", "--author", "cat", "--id", "out-a"}, cpcommand.ExitOK, "accepted as revision 2"},
+		{nil, []string{"take-out", "domain", "a", "--author", "cat", "--id", "out-a"}, cpcommand.ExitOK, "accepted as revision 2"},
+		{nil, []string{"take-out", "domain", "z"}, cpcommand.ExitRefused, "not a failure domain"},
+		{nil, []string{"take-out", "rack", "a"}, cpcommand.ExitRefused, "Kind"},
+		{nil, []string{"take-out", "vm"}, cpcommand.ExitUsage, "vm or domain"},
+		{lose(cpstore.Failure{Mode: cpstore.ModeLoseReply, Calls: 1, Writes: true}), []string{"bring-back", "domain", "a"}, cpcommand.ExitOK, "revision 3"},
+		{lose(cpstore.Failure{Mode: cpstore.ModeDown, Calls: 2}), []string{"take-out", "vm", "x"}, cpcommand.ExitUnreachable, "nothing was written"},
+		{lose(cpstore.Failure{Mode: cpstore.ModeResetBefore, Calls: 2, Writes: true}), []string{"take-out", "vm", "x", "--id", "x"}, cpcommand.ExitUnknown, "--id x"},
+		{nil, []string{"take-out", "vm", "x", "--id", "x", "--wait", "50ms"}, cpcommand.ExitUnknown, "not confirmed by vm-b"},
+		{func() { e.behind.Store(9) }, []string{"bring-back", "vm", "x", "--wait", "5s", "--json"}, cpcommand.ExitOK, `"Revision":5`},
+		{nil, []string{"show"}, cpcommand.ExitOK, "Region: local"},
+		{nil, []string{"history"}, cpcommand.ExitOK, "take-out domain a"},
 	} {
 		if step.before != nil {
 			step.before()
@@ -125,17 +126,17 @@
 	wrong := filepath.Join(t.TempDir(), "token")
 	assert.NilError(t, os.WriteFile(wrong, []byte("another-token-of-16"), 0o600))
 	code, _ := run("show", "--operator", e.address, "--token-file", wrong)
-	assert.Equal(t, code, cpcli.ExitRefused)
+	assert.Equal(t, code, cpcommand.ExitRefused)
 	code, _ = run("show", "--operator", e.address)
-	assert.Equal(t, code, cpcli.ExitUsage)
+	assert.Equal(t, code, cpcommand.ExitUsage)
 	code, _ = run("show", "--operator", "127.0.0.1:1", "--token-file", e.token)
-	assert.Equal(t, code, cpcli.ExitUnreachable)
+	assert.Equal(t, code, cpcommand.ExitUnreachable)
 	code, out := run("show", "--operator", "127.0.0.1:1,"+e.address, "--token-file", e.token)
-	assert.Equal(t, code, cpcli.ExitOK, out)
+	assert.Equal(t, code, cpcommand.ExitOK, out)
 	t.Setenv("CLEMENTINEPORT_OPERATOR", e.address)
 	t.Setenv("CLEMENTINEPORT_TOKEN_FILE", e.token)
 	code, out = run("history")
-	assert.Equal(t, code, cpcli.ExitOK, out)
+	assert.Equal(t, code, cpcommand.ExitOK, out)
 	for _, body := range []string{"", "{", `{"Texts":""}`, `{"BasedOn":-1}`} {
 		r := httptest.NewRequest(http.MethodPost, "http://"+e.address+cpoperator.SubmitPath, strings.NewReader(body))
 		r.RequestURI = ""
@@ -154,15 +155,15 @@
 		code int
 		want string
 	}{
-		{[]string{"check", example}, cpcli.ExitOK, "2 services"},
-		{[]string{"check", "../examples/entry.yaml"}, cpcli.ExitOK, "settings of VM vm-a1"},
-		{[]string{"check", "../examples/entry.yaml", "--kind", "estate"}, cpcli.ExitRefused, "unknown key"},
-		{[]string{"check", example, "--kind", "odd"}, cpcli.ExitUsage, "--kind"},
-		{[]string{"check", "--json", bad}, cpcli.ExitRefused, `"Key":"Region"`},
-		{[]string{"check"}, cpcli.ExitUsage, "one file"},
-		{[]string{"check", "--odd"}, cpcli.ExitUsage, "odd"},
-		{[]string{"generate", "--size", "two-year"}, cpcli.ExitOK, "records-new-1699"},
-		{[]string{"generate", "--size", "odd"}, cpcli.ExitUsage, "unknown size"},
+		{[]string{"check", example}, cpcommand.ExitOK, "2 services"},
+		{[]string{"check", "../examples/entry.yaml"}, cpcommand.ExitOK, "settings of VM vm-a1"},
+		{[]string{"check", "../examples/entry.yaml", "--kind", "estate"}, cpcommand.ExitRefused, "unknown key"},
+		{[]string{"check", example, "--kind", "odd"}, cpcommand.ExitUsage, "--kind"},
+		{[]string{"check", "--json", bad}, cpcommand.ExitRefused, `"Key":"Region"`},
+		{[]string{"check"}, cpcommand.ExitUsage, "one file"},
+		{[]string{"check", "--odd"}, cpcommand.ExitUsage, "odd"},
+		{[]string{"generate", "--size", "two-year"}, cpcommand.ExitOK, "records-new-1699"},
+		{[]string{"generate", "--size", "odd"}, cpcommand.ExitUsage, "unknown size"},
 	} {
 		assert.NilError(t, os.WriteFile(bad, []byte("Region: X\n"), 0o600))
 		code, out := run(c.args...)
--- a/cpcli/entry.go
+++ b/cpcli/entry.go
@@ -11,24 +11,25 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpnode"
 	"github.com/clementineport/clementineport/cpsettings"
 )
 
 // newEntryCommand returns the subcommand that runs the process of one entry VM.
 func newEntryCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("clementineport entry", stderr)
+	fs := cpcommand.NewFlagSet("clementineport entry", stderr)
 	settings := fs.String("settings", "", "settings file of this process")
 	return &ffcli.Command{
 		Name:       "entry",
 		ShortUsage: "clementineport entry --settings FILE",
-		ShortHelp:  "run the process of one entry VM",
+		ShortHelp:  "Run the process of one entry VM.",
 		LongHelp: "Runs until a graceful shutdown ends. The first SIGTERM begins it, the second skips the wait\n" +
 			"until callers' address lists have run out, the third ends the process at once.",
 		FlagSet: fs,
 		Exec: func(_ context.Context, args []string) error {
 			if *settings == "" || len(args) > 0 {
-				return usagef("usage: clementineport entry --settings FILE")
+				return cpcommand.Usagef("usage: clementineport entry --settings FILE")
 			}
 			return runEntry(*settings, stdout, stderr)
 		},
--- a/cpcli/load.go
+++ b/cpcli/load.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpload"
 	"github.com/clementineport/clementineport/cpreport"
 )
@@ -28,9 +29,9 @@
 	timeline string
 }
 
-// NewLoadCommand returns the load command.
-func NewLoadCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("load", stderr)
+// newLoadCommand returns the load command.
+func newLoadCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := cpcommand.NewFlagSet("load", stderr)
 	f := &loadFlags{opts: cpload.DefaultOptions()}
 	fs.StringVar(&f.entries, "entries", "", "caller addresses of entries, separated by commas")
 	fs.StringVar(&f.domains, "domain", "", "failure domains of the callers in turn, separated by commas")
@@ -57,9 +58,9 @@
 	}
 }
 
-// NewPlotCommand returns the plot command.
-func NewPlotCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("plot", stderr)
+// newPlotCommand returns the plot command.
+func newPlotCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := cpcommand.NewFlagSet("plot", stderr)
 	out := fs.String("out", "", "file for the plot; standard output if empty")
 	return &ffcli.Command{
 		Name:       "plot",
@@ -72,7 +73,7 @@
 
 func (f *loadFlags) exec(ctx context.Context, args []string, stdout io.Writer) error {
 	if len(args) > 0 {
-		return usagef("unexpected argument %q", args[0])
+		return cpcommand.Usagef("unexpected argument %q", args[0])
 	}
 	f.opts.Entries = splitList(f.entries)
 	for _, d := range splitList(f.domains) {
@@ -85,7 +86,7 @@
 	}
 	f.opts.Services = services
 	if err := f.opts.Validate(); err != nil {
-		return usagef("%v", err)
+		return cpcommand.Usagef("%v", err)
 	}
 	report, err := cpload.Run(ctx, cpload.WithOptions(f.opts))
 	if err != nil {
@@ -133,12 +134,12 @@
 }
 
 func plotReport(fs *flag.FlagSet, args []string, out *string, stdout io.Writer) error {
-	files, err := parseMixed(fs, args)
+	files, err := cpcommand.ParseMixed(fs, args)
 	if err != nil {
 		return err
 	}
 	if len(files) != 1 {
-		return usagef("one report is needed")
+		return cpcommand.Usagef("one report is needed")
 	}
 	data, err := os.ReadFile(files[0])
 	if err != nil {
@@ -166,7 +167,7 @@
 		if found {
 			parsed, err := strconv.ParseFloat(weightText, 64)
 			if err != nil || parsed <= 0 {
-				return nil, usagef("weight of service %q must be above 0", part)
+				return nil, cpcommand.Usagef("weight of service %q must be above 0", part)
 			}
 			weight = parsed
 		}
--- a/cpcli/load_test.go
+++ b/cpcli/load_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport/cpcli"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpreport"
 )
 
@@ -39,14 +40,14 @@
 		code int
 		want string
 	}{
-		{"text", append(short, "--services", "desk=3,sync", "--timeline", timeline), cpcli.ExitOK, "p99.9 ms"},
-		{"json", append(short, "--services", "desk", "--json", "--policy", "current,baseline"), cpcli.ExitOK, `"P99Millis"`},
-		{"plot", []string{"plot", file, "--out", drawn}, cpcli.ExitOK, ""},
-		{"no report", []string{"plot"}, cpcli.ExitUsage, ""},
-		{"no services", short, cpcli.ExitUsage, ""},
-		{"weight", append(short, "--services", "desk=x"), cpcli.ExitUsage, ""},
-		{"remote", []string{"load", "--entries", "192.0.2.1:80", "--services", "desk"}, cpcli.ExitUsage, ""},
-		{"unreachable", []string{"load", "--entries", "127.0.0.1:1", "--duration", "20ms", "--services", "desk"}, cpcli.ExitUnreachable, ""},
+		{"text", append(short, "--services", "desk=3,sync", "--timeline", timeline), cpcommand.ExitOK, "p99.9 ms"},
+		{"json", append(short, "--services", "desk", "--json", "--policy", "current,baseline"), cpcommand.ExitOK, `"P99Millis"`},
+		{"plot", []string{"plot", file, "--out", drawn}, cpcommand.ExitOK, ""},
+		{"no report", []string{"plot"}, cpcommand.ExitUsage, ""},
+		{"no services", short, cpcommand.ExitUsage, ""},
+		{"weight", append(short, "--services", "desk=x"), cpcommand.ExitUsage, ""},
+		{"remote", []string{"load", "--entries", "192.0.2.1:80", "--services", "desk"}, cpcommand.ExitUsage, ""},
+		{"unreachable", []string{"load", "--entries", "127.0.0.1:1", "--duration", "20ms", "--services", "desk"}, cpcommand.ExitUnreachable, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var stdout, stderr bytes.Buffer
--- a/cpcli/status.go
+++ b/cpcli/status.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"net/url"
 	"text/tabwriter"
 	"time"
 
@@ -14,25 +12,23 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpcontrol"
-	"github.com/clementineport/clementineport/cpoperator"
 )
 
-const explainPath = "/v1/explain/"
-
 // newStatusCommand returns the subcommand that shows what one VM knows of the fleet.
 func newStatusCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("status", stderr)
+	fs := cpcommand.NewFlagSet("status", stderr)
 	var f operatorFlags
 	f.register(fs)
-	return configCommand(fs, "[flags]", "show the VMs and the revision in force at each",
+	return newCommand(fs, "[flags]", "Show the VMs and the revision in force at each.",
 		func(ctx context.Context, _ []string) error {
 			client, err := f.client()
 			if err != nil {
 				return err
 			}
-			var status cpcontrol.Status
-			if err := client.call(ctx, http.MethodGet, cpoperator.StatusPath, nil, &status); err != nil {
+			status, err := client.Status(ctx)
+			if err != nil {
 				return err
 			}
 			if f.json {
@@ -59,39 +55,36 @@
 
 // newExplainCommand returns the subcommand that shows how one recent query was run.
 func newExplainCommand(stdout, stderr io.Writer) *ffcli.Command {
-	fs := newFlagSet("explain", stderr)
+	fs := cpcommand.NewFlagSet("explain", stderr)
 	var f operatorFlags
 	f.register(fs)
-	return configCommand(fs, "REQUEST-ID [flags]", "show the attempts of a recent query",
+	return newCommand(fs, "REQUEST-ID [flags]", "Show the attempts of a recent query.",
 		func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
-				return usagef("usage: clementineport explain REQUEST-ID [flags]")
+				return cpcommand.Usagef("usage: clementineport explain REQUEST-ID [flags]")
 			}
 			client, err := f.client()
 			if err != nil {
 				return err
 			}
-			var reply struct {
-				cpattempt.Trace
-				Attempts []cpattempt.TraceRow
-			}
-			if err := client.call(ctx, http.MethodGet, explainPath+url.PathEscape(args[0]), nil, &reply); err != nil {
+			reply, err := client.Explain(ctx, clementineport.RequestID(args[0]))
+			if err != nil {
 				return err
 			}
 			if f.json {
 				return json.NewEncoder(stdout).Encode(&reply)
 			}
-			return printTrace(stdout, &reply.Trace, reply.Attempts)
+			return printTrace(stdout, &reply)
 		})
 }
 
-func printTrace(stdout io.Writer, t *cpattempt.Trace, attempts []cpattempt.TraceRow) error {
+func printTrace(stdout io.Writer, t *cpattempt.Explanation) error {
 	fmt.Fprintf(stdout, "request %s, snapshot %s, took %s, %d calls, %d hedges, %d retries, %d dropped\n",
 		t.Request, t.Snapshot, t.Took, t.Stats.Calls, t.Stats.Hedges, t.Stats.Retries, t.Dropped)
 	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ATTEMPT\tSHARD\tTARGET\tTRY\tSENT\tTOOK\tENDING\tFAULT")
-	for i := range attempts {
-		a := &attempts[i]
+	for i := range t.Attempts {
+		a := &t.Attempts[i]
 		fault := a.Fault.String()
 		if a.Fault == clementineport.FaultUnknown && a.Ending != "failed" {
 			fault = "-"
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -13,7 +13,6 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
-	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpsecret"
@@ -131,7 +130,7 @@
 		cpoperator.WithToken(n.token),
 	))
 	mux.Handle("GET "+cpoperator.StatusPath, cpsecret.Require(n.token, http.HandlerFunc(n.status)))
-	mux.Handle("GET /v1/explain/{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
+	mux.Handle("GET "+cpoperator.ExplainPath+"{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
 	mux.Handle("GET /debug/pprof/", cpsecret.Require(n.token, http.HandlerFunc(pprof.Index)))
 	mux.Handle("GET /debug/pprof/profile", cpsecret.Require(n.token, http.HandlerFunc(pprof.Profile)))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
@@ -162,10 +161,7 @@
 		cpoperator.WriteError(w, clementineport.Fail(clementineport.FaultNotFound, "this VM has not run the request lately"))
 		return
 	}
-	writeJSON(w, struct {
-		*cpattempt.Trace
-		Attempts []cpattempt.TraceRow
-	}{trace, trace.Rows()})
+	writeJSON(w, trace.Explanation())
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/cpoperator/cpoperator.go
+++ b/cpoperator/cpoperator.go
@@ -23,6 +23,8 @@
 	OutPath    = "/v1/out"
 	ConfigPath = "/v1/config"
 	StatusPath = "/v1/status"
+	// ExplainPath is followed by the id of a request.
+	ExplainPath = "/v1/explain/"
 )
 
 // OutcomeAccepted is the outcome of every change that is answered without an error.
--- /dev/null
+++ b/cpoperator/cpoperatorclient/options.go
@@ -0,0 +1,41 @@
+package cpoperatorclient
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport/cpsecret"
+)
+
+// Defaults of Options.
+const (
+	DefaultTimeout = 15 * time.Second
+	DefaultPause   = 100 * time.Millisecond
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	// Addresses are the operator addresses of entries; each call tries them in turn.
+	Addresses []string
+	Token     cpsecret.Token
+	// Timeout bounds one request to one address.
+	Timeout time.Duration
+	// Pause is the time between two looks at the status while a revision is waited for.
+	Pause time.Duration
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// WithAddresses sets the operator addresses of entries.
+func WithAddresses(addresses []string) Option { return func(o *Options) { o.Addresses = addresses } }
+
+// WithToken sets the operators' token.
+func WithToken(token cpsecret.Token) Option { return func(o *Options) { o.Token = token } }
+
+func newOptions(opts []Option) Options {
+	o := Options{Timeout: DefaultTimeout, Pause: DefaultPause}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- a/cpstandin/target.go
+++ b/cpstandin/target.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpsearcher"
 )
 
@@ -27,14 +28,14 @@
 	opts     cpsearcher.Options
 }
 
-func targetCommand(stdout, stderr io.Writer) *ffcli.Command {
+func newTargetCommand(stdout, stderr io.Writer) *ffcli.Command {
 	f := &targetFlags{opts: cpsearcher.NewOptions()}
-	fs := newFlagSet("clementineport-standin target", stderr)
+	fs := cpcommand.NewFlagSet("clementineport-standin target", stderr)
 	f.register(fs)
 	return &ffcli.Command{
 		Name:       "target",
 		ShortUsage: "clementineport-standin target [flags]",
-		ShortHelp:  "run one or many targets on consecutive ports",
+		ShortHelp:  "Run one or many targets on consecutive ports.",
 		FlagSet:    fs,
 		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx, stdout) },
 	}
