Let calls that cannot be sent again wait on silent connections until their deadline

Ending such a call early gains nothing: it may not be sent again. The rule now closes connections, and gives up a relay, only for idempotent calls.

--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -77,12 +77,13 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(c.opts.SilentAfter, func() { cancel(errSilent) })
+	silentAfter := c.silentAfter(r)
+	silence := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
 	defer silence.Stop()
 	ctx, sent := watchSent(ctx)
 	l := c.link.Load()
 	err := c.relay(ctx, l, r, func(m *cpwire.RelayResponse) {
-		silence.Reset(c.opts.SilentAfter)
+		silence.Reset(silentAfter)
 		c.opts.Seen(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
 			deliver(resultFromWire(result, r.Calls[0].Request))
@@ -99,6 +100,15 @@
 	}
 }
 
+// silentAfter returns how long a relay may bring nothing. Calls that cannot be sent again gain nothing by
+// ending early.
+func (c *client) silentAfter(r *clementineport.RelayRequest) time.Duration {
+	if r.Calls[0].Idempotent {
+		return c.opts.SilentAfter
+	}
+	return max(c.opts.SilentAfter, r.Calls[0].Deadline.Sub(c.opts.Clock.Now()))
+}
+
 func (c *client) relay(ctx context.Context, l *link, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
 	req := connect.NewRequest(relayToWire(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
 	c.opts.Token.Set(req.Header())
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -115,7 +115,7 @@
 	}
 	ctx, cancel := limit(ctx, left)
 	defer cancel()
-	e := &exchange{client: c}
+	e := &exchange{client: c, keep: !call.Idempotent}
 	r, err := e.request(ctx, c.url+PathSearch, body)
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
@@ -167,6 +167,8 @@
 type exchange struct {
 	client *Client
 	sent   time.Time
+	// keep is true for a call that cannot be sent again, so that ending it early gains nothing.
+	keep bool
 
 	mu   sync.Mutex
 	conn *conn
--- a/cptarget/cphttp/watch.go
+++ b/cptarget/cphttp/watch.go
@@ -85,7 +85,7 @@
 	for e := range c.waiting {
 		cn, w, ok := e.wait(c.answered.Load())
 		switch {
-		case !ok:
+		case !ok, e.keep:
 		case c.opts.Silence.Silent(now, w, typical):
 			silent = append(silent, cn)
 		case c.opts.Silence.Doubtful(now, w, typical):
