Count calls that are sent again after a refusal apart from retries

Cause: calls that an owner's full queue refused were counted as retries, so extra load looked like up to 98% under overload although those calls never reached a target.

--- a/cpentry/metrics.go
+++ b/cpentry/metrics.go
@@ -17,6 +17,7 @@
 	Calls     *metrics.Counter
 	Hedges    *metrics.Counter
 	Retries   *metrics.Counter
+	Resends   *metrics.Counter
 	Restarts  *metrics.Counter
 }
 
@@ -28,6 +29,7 @@
 		Calls:     set.GetOrCreateCounter("clementineport_query_calls_total"),
 		Hedges:    set.GetOrCreateCounter("clementineport_query_hedges_total"),
 		Retries:   set.GetOrCreateCounter("clementineport_query_retries_total"),
+		Resends:   set.GetOrCreateCounter("clementineport_query_resends_total"),
 		Restarts:  set.GetOrCreateCounter("clementineport_query_restarts_total"),
 	}
 }
@@ -52,5 +54,6 @@
 	m.Calls.Add(a.Stats.Calls)
 	m.Hedges.Add(a.Stats.Hedges)
 	m.Retries.Add(a.Stats.Retries)
+	m.Resends.Add(a.Stats.Resends)
 	m.Restarts.Add(a.Stats.Restarts)
 }
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -77,7 +77,11 @@
 		return
 	}
 	sh.retries = min(sh.retries+1, math.MaxUint8-1)
-	m.stats.Retries++
+	if m.coverage.Fault(s).Verdict() == clementineport.NotRun {
+		m.stats.Resends++
+	} else {
+		m.stats.Retries++
+	}
 	m.send(s, t, cpattempt.Retry)
 }
 
--- a/cpreport/collect.go
+++ b/cpreport/collect.go
@@ -137,6 +137,7 @@
 	t.stats.Calls += r.Answer.Stats.Calls
 	t.stats.Hedges += r.Answer.Stats.Hedges
 	t.stats.Retries += r.Answer.Stats.Retries
+	t.stats.Resends += r.Answer.Stats.Resends
 	t.stats.Restarts += r.Answer.Stats.Restarts
 	t.stats.Late += r.Answer.Stats.Late
 	if r.Wrong != nil {
@@ -200,10 +201,11 @@
 	}
 }
 
-// ExtraLoad returns the number of hedges and retries for each ordinary call.
+// ExtraLoad returns the number of hedges and retries for each ordinary call; calls sent again after a refusal
+// that did not run put no load on targets.
 func ExtraLoad(s clementineport.GatherStats) float64 {
 	extra := s.Hedges + s.Retries
-	return share(float64(extra), s.Calls-extra)
+	return share(float64(extra), s.Calls-extra-s.Resends)
 }
 
 func latency(h *hdrhistogram.Histogram) Latency {
--- a/cpreport/text.go
+++ b/cpreport/text.go
@@ -29,9 +29,9 @@
 	}
 	for i := range r.Series {
 		s := &r.Series[i]
-		fmt.Fprintf(w, "\n%s %s: verdicts %s; faults %s; %d calls, %d hedges, %d retries, %d restarts, %d late\n",
+		fmt.Fprintf(w, "\n%s %s: verdicts %s; faults %s; %d calls, %d hedges, %d retries, %d resent after a refusal, %d restarts, %d late\n",
 			s.Service, s.Policy, counts(s.Verdicts), counts(s.Faults),
-			s.Stats.Calls, s.Stats.Hedges, s.Stats.Retries, s.Stats.Restarts, s.Stats.Late)
+			s.Stats.Calls, s.Stats.Hedges, s.Stats.Retries, s.Stats.Resends, s.Stats.Restarts, s.Stats.Late)
 		if s.Failed > 0 {
 			fmt.Fprintf(w, "  failures took p50 %.1f ms, p99 %.1f ms\n", s.FailedLatency.P50Millis, s.FailedLatency.P99Millis)
 		}
--- a/query.go
+++ b/query.go
@@ -85,9 +85,11 @@
 
 // GatherStats counts the calls that one query cost.
 type GatherStats struct {
-	Calls    int
-	Hedges   int
-	Retries  int
+	Calls   int
+	Hedges  int
+	Retries int
+	// Resends counts calls sent again after a refusal that proved that nothing had run.
+	Resends  int
 	Restarts int
 	Late     int
 	// Queued is the time that the call of the shard covered last spent outside its target.
