--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -33,13 +33,14 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
-		MaxMessageSize: defaultMaxMessageSize,
-		Dial:           (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
-		Heartbeat:      defaultHeartbeat,
-		SilentAfter:    defaultSilentAfter,
-		Tracer:         noTracer{},
-		Revision:       func() clementineport.Revision { return 0 },
-		Seen:           func(clementineport.Revision, clementineport.VMID) {},
+		MaxMessageSize:  defaultMaxMessageSize,
+		Dial:            (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
+		Heartbeat:       defaultHeartbeat,
+		SilentAfter:     defaultSilentAfter,
+		SilentOnceAfter: defaultSilentOnceAfter,
+		Tracer:          noTracer{},
+		Revision:        func() clementineport.Revision { return 0 },
+		Seen:            func(clementineport.Revision, clementineport.VMID) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -77,7 +78,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silentAfter := c.silentAfter(r)
+	silentAfter := c.opts.SilentAfter
+	if !r.Calls[0].Idempotent {
+		silentAfter = c.opts.SilentOnceAfter
+	}
 	silence := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
 	defer silence.Stop()
 	ctx, sent := watchSent(ctx)
@@ -100,15 +104,6 @@
 	}
 }
 
-// silentAfter returns how long a relay may bring nothing. Calls that cannot be sent again gain nothing by
-// ending early.
-func (c *client) silentAfter(r *clementineport.RelayRequest) time.Duration {
-	if r.Calls[0].Idempotent {
-		return c.opts.SilentAfter
-	}
-	return max(c.opts.SilentAfter, r.Calls[0].Deadline.Sub(c.opts.Clock.Now()))
-}
-
 func (c *client) relay(ctx context.Context, l *link, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
 	req := connect.NewRequest(relayToWire(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
 	c.opts.Token.Set(req.Header())
