Write JSON and serve HTTP in one package each

cpnode, cpoperator and cpstoreserver had a writeJSON each, cpoperator, cpsecret and the operators' client each spelled out the body of a refusal, and cpnode and both stand-ins each ended a server with the context in their own way. cpjson now writes, reads and refuses; cpserver serves until the context ends and waits for requests in progress. A refusal for the token has the content type of JSON, as other refusals have; the stand-in of targets lets its admin calls end for a second as the stand-in of the store does.

--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -13,9 +12,11 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpsecret"
+	"github.com/clementineport/clementineport/cpserver"
 	"github.com/clementineport/clementineport/cpsubmit"
 )
 
@@ -37,28 +38,12 @@
 
 // Serve implements suture.Service. It returns when the requests that are still being read or answered have ended.
 func (s *server) Serve(ctx context.Context) error {
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		s.close()
-	})
-	err := s.http.Serve(s.listener)
-	if stop() {
+	if err := cpserver.Serve(ctx, s.http, s.listener, closeTimeout); err != nil {
 		return Error.New("%s listener: %v", s.name, err)
 	}
-	<-closed
 	return ctx.Err()
 }
 
-// close ends the listener and waits for the requests in progress.
-func (s *server) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
-	}
-}
-
 // String names the service in the supervisor's events.
 func (s *server) String() string { return s.name }
 
@@ -152,7 +137,7 @@
 		cpoperator.WriteError(w, err)
 		return
 	}
-	writeJSON(w, status)
+	cpjson.Write(w, http.StatusOK, status)
 }
 
 func (n *Node) explain(w http.ResponseWriter, r *http.Request) {
@@ -161,10 +146,5 @@
 		cpoperator.WriteError(w, clementineport.Fail(clementineport.FaultNotFound, "this VM has not run the request lately"))
 		return
 	}
-	writeJSON(w, trace.Explanation())
-}
-
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	cpjson.Write(w, http.StatusOK, trace.Explanation())
 }
--- a/cpoperator/cpoperator.go
+++ b/cpoperator/cpoperator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cpsubmit"
 	"github.com/clementineport/clementineport/cpyaml"
@@ -101,7 +101,7 @@
 		return
 	}
 	h.opts.Accepted(result)
-	writeJSON(w, http.StatusOK, struct {
+	cpjson.Write(w, http.StatusOK, struct {
 		Revision clementineport.Revision
 		Outcome  string
 		Repeated bool `json:",omitempty"`
@@ -114,7 +114,7 @@
 	if cfg == nil {
 		cfg = &clementineport.Config{}
 	}
-	writeJSON(w, http.StatusOK, struct {
+	cpjson.Write(w, http.StatusOK, struct {
 		Revision clementineport.Revision
 		Text     string
 		Out      clementineport.Out
@@ -126,13 +126,11 @@
 const maxBodyBytes = 2*cpestate.MaxTextBytes + 64<<10
 
 func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(body); err != nil {
-		WriteError(w, clementineport.Fail(clementineport.FaultInvalid, "body: %v", err))
-		return false
+	err := cpjson.Read(w, r, maxBodyBytes, body)
+	if err != nil {
+		WriteError(w, err)
 	}
-	return true
+	return err == nil
 }
 
 var statuses = map[clementineport.Fault]int{
@@ -159,19 +157,11 @@
 	}
 	var faults cpyaml.Faults
 	errors.As(err, &faults)
-	writeJSON(w, status, struct {
-		Verdict clementineport.Verdict
-		Fault   clementineport.Fault
-		Reason  string
+	cpjson.Write(w, status, struct {
+		cpjson.Refusal
 		Changes []clementineport.Change `json:",omitempty"`
 		Faults  cpyaml.Faults           `json:",omitempty"`
-	}{fault.Verdict(), fault, strings.TrimPrefix(err.Error(), fault.String()+": "), changes, faults})
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	}{cpjson.NewRefusal(fault, strings.TrimPrefix(err.Error(), fault.String()+": ")), changes, faults})
 }
 
 // defaultTimeout bounds one change.
--- a/cpoperator/cpoperatorclient/call.go
+++ b/cpoperator/cpoperatorclient/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpestate"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpsubmit"
 	"github.com/clementineport/clementineport/cpyaml"
 )
@@ -89,8 +90,7 @@
 // refusal returns the error that an entry has sent.
 func refusal(status string, data []byte) error {
 	var body struct {
-		Fault   clementineport.Fault
-		Reason  string
+		cpjson.Refusal
 		Changes []clementineport.Change
 		Faults  cpyaml.Faults
 	}
--- a/cpsecret/cpsecret.go
+++ b/cpsecret/cpsecret.go
@@ -9,6 +9,9 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 )
 
 const bearer = "Bearer "
@@ -53,7 +56,7 @@
 func Require(t Token, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !t.Accepts(r.Header) {
-			http.Error(w, `{"Verdict":"not-run","Fault":"unauthorized","Reason":"token missing or wrong"}`, http.StatusUnauthorized)
+			cpjson.Write(w, http.StatusUnauthorized, cpjson.NewRefusal(clementineport.FaultUnauthorized, "token missing or wrong"))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/cpstandin/store.go
+++ b/cpstandin/store.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/clementineport/clementineport/cpcommand"
+	"github.com/clementineport/clementineport/cpserver"
 	"github.com/clementineport/clementineport/cpstore"
 	"github.com/clementineport/clementineport/cpstore/cpstoreserver"
 )
@@ -48,16 +49,5 @@
 	}
 	fmt.Fprintln(stdout, "store listens on", ln.Addr())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(ln); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return cpserver.Serve(ctx, server, ln, closeTimeout)
 }
--- a/cpstandin/target.go
+++ b/cpstandin/target.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/zeebo/errs"
@@ -17,6 +16,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpsearcher"
+	"github.com/clementineport/clementineport/cpserver"
 )
 
 type targetFlags struct {
@@ -127,11 +127,10 @@
 
 // serveAdmin serves until the context ends.
 func serveAdmin(ctx context.Context, address string, h http.Handler) error {
-	srv := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.ListenAndServe(); err != http.ErrServerClosed {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
 		return errs.Wrap(err)
 	}
-	return nil
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return errs.Wrap(cpserver.Serve(ctx, srv, ln, closeTimeout))
 }
--- a/cpstore/cpstoreserver/cpstoreserver.go
+++ b/cpstore/cpstoreserver/cpstoreserver.go
@@ -3,7 +3,6 @@
 package cpstoreserver
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpstore"
 )
 
@@ -99,7 +99,7 @@
 			writeError(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, struct{ Version uint64 }{version})
+		cpjson.Write(w, http.StatusOK, struct{ Version uint64 }{version})
 	})
 }
 
@@ -122,7 +122,7 @@
 			writeError(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, lease)
+		cpjson.Write(w, http.StatusOK, lease)
 	})
 }
 
@@ -132,7 +132,7 @@
 			writeError(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, s.directory.Shown())
+		cpjson.Write(w, http.StatusOK, s.directory.Shown())
 	})
 }
 
@@ -166,24 +166,16 @@
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfter.Seconds())))
 	}
-	writeJSON(w, status, struct {
+	cpjson.Write(w, status, struct {
 		Fault  clementineport.Fault
 		Reason string
 	}{e.Fault, e.Reason})
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func readJSON(w http.ResponseWriter, r *http.Request, body any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(body); err != nil {
-		writeError(w, clementineport.Fail(clementineport.FaultInvalid, "body: %v", err))
-		return false
+	err := cpjson.Read(w, r, maxRequestBytes, body)
+	if err != nil {
+		writeError(w, err)
 	}
-	return true
+	return err == nil
 }
--- a/cpstore/cpstoreserver/failures.go
+++ b/cpstore/cpstoreserver/failures.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpstore"
 )
 
@@ -158,5 +159,5 @@
 }
 
 func (s *Server) counters(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.store.Counts())
+	cpjson.Write(w, http.StatusOK, s.store.Counts())
 }
