Read the platform's list less often in a larger fleet

Cause: every VM read the whole list every 5 s. With 32 VMs 8 reads a second were counted (scripts/slopes.sh control 32 12), which is 154 reads a second and about 16 KB a second a node at 770 VMs by calculation. Members come and go by exchanges; the list is for the start and for what exchanges cannot tell. The period now grows with the fleet from 8 VMs on, so that reads of the fleet and bytes of a VM stay the same. Not measured after.

--- a/cpcontrol/calls.go
+++ b/cpcontrol/calls.go
@@ -8,6 +8,9 @@
 	"github.com/clementineport/clementineport/cpspread"
 )
 
+// listVMs is the number of VMs above which the list is read less often.
+const listVMs = 8
+
 // startListShare is the share of ListPeriod between two reads of the list while no other VM is known.
 const startListShare = 10
 
@@ -72,10 +75,7 @@
 		return
 	}
 	c.listing = true
-	c.nextList = now.Add(c.options.ListPeriod)
-	if len(c.View().Members) <= 1 {
-		c.nextList = now.Add(c.options.ListPeriod / startListShare)
-	}
+	c.nextList = now.Add(listPeriod(c.options.ListPeriod, len(c.View().Members)))
 	go func() {
 		call, cancel := c.withTimeout(ctx, c.options.ListTimeout)
 		defer cancel()
@@ -84,6 +84,15 @@
 	}()
 }
 
+// listPeriod returns the time between two reads of the list. It grows with the number of VMs, as the list
+// does, so that the bytes of a VM and the reads of all VMs stay the same.
+func listPeriod(period time.Duration, members int) time.Duration {
+	if members <= 1 {
+		return period / startListShare
+	}
+	return period * time.Duration(max(1, members/listVMs))
+}
+
 // exchange swaps digests with a peer.
 func (c *Control) exchange(ctx context.Context, e exchanged, vm clementineport.VM) {
 	p := c.dial(vm)
