--- a/cpgather/action.go
+++ b/cpgather/action.go
@@ -59,7 +59,7 @@
 		Snapshot:   m.plan.Choice.Snapshot,
 		Text:       q.Text,
 		Limit:      q.Limit,
-		Deadline:   m.start.Add(m.closeAt),
+		Deadline:   m.start.Add(m.times.Close),
 		Idempotent: q.Idempotent,
 	}
 }
--- a/cpgather/close.go
+++ b/cpgather/close.go
@@ -39,11 +39,8 @@
 
 // closing returns when the answer is closed whatever is outstanding.
 func (m *Machine) closing() time.Duration {
-	tail := m.plan.Service.Service.Prefer == clementineport.PreferTail
-	if tail && m.coverage.Enough() && m.plan.Query.Idempotent {
-		return min(m.cutAt, m.closeAt)
-	}
-	return m.closeAt
+	early := m.coverage.Enough() && m.plan.Query.Idempotent
+	return m.times.Closing(m.plan.Service.Service.Prefer, early)
 }
 
 func (m *Machine) finish() {
--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -14,6 +14,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpcoverage"
+	"github.com/clementineport/clementineport/cpdeadline"
 	"github.com/clementineport/clementineport/cpmerge"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
@@ -55,13 +56,10 @@
 	few int
 
 	// Times since start.
-	closeAt time.Duration
-	cutAt   time.Duration
-	hedgeAt time.Duration
-	retryAt time.Duration
-	// waitUntil is when the query stops to wait between retries.
-	waitUntil time.Duration
-	replanAt  time.Duration
+	times    cpdeadline.Times
+	hedgeAt  time.Duration
+	retryAt  time.Duration
+	replanAt time.Duration
 
 	stats      clementineport.GatherStats
 	dropped    int
@@ -103,13 +101,11 @@
 func (m *Machine) Start(now time.Time) []Action {
 	m.start = now
 	m.enter(now)
-	deadline := m.plan.Query.Deadline.Sub(now)
+	left := m.plan.Query.Deadline.Sub(now)
 	if m.plan.Query.Deadline.IsZero() {
-		deadline = m.plan.Service.Service.Deadline
+		left = m.plan.Service.Service.Deadline
 	}
-	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
-	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
-	m.waitUntil = time.Duration(float64(deadline) * m.opts.WaitShare)
+	m.times = m.opts.Deadline.Times(left)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
 	m.plannedWhole()
 	if m.done() {
--- a/cpgather/options.go
+++ b/cpgather/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdeadline"
 	"github.com/clementineport/clementineport/cphedge"
 	"github.com/clementineport/clementineport/cpretry"
 	"github.com/clementineport/clementineport/cpsnapshot"
@@ -12,15 +13,10 @@
 // Defaults of Options.
 const (
 	defaultMaxRestarts = 1
-	defaultTailCut     = 0.5
-	defaultReserve     = 20 * time.Millisecond
-	defaultWaitShare   = 0.25
 	defaultReplan      = 20 * time.Millisecond
 )
 
 const (
-	// reserveShare is the part of the deadline that the reserve may take at most, as a divisor.
-	reserveShare = 10
 	// spareShare is the part of the shards for which room for further attempts is kept, as a divisor.
 	spareShare = 16
 	// restartNeed is how many times the slowest usual call must fit into the time left for a restart.
@@ -44,16 +40,12 @@
 	// Hedge bounds hedges and Retry retries.
 	Hedge cphedge.Policy
 	Retry cpretry.Policy
+	// Deadline divides the time of the query.
+	Deadline cpdeadline.Policy
 	// Choose chooses another snapshot when the pinned one is lost.
 	Choose cpsnapshot.ChooseFunc
 	// MaxRestarts bounds the restarts of the query.
 	MaxRestarts int
-	// TailCut is the share of the deadline after which PreferTail leaves out stragglers.
-	TailCut float64
-	// Reserve is the time before the deadline at which the answer is closed.
-	Reserve time.Duration
-	// WaitShare is the share of the deadline in which a shard waits between retries.
-	WaitShare float64
 	// Replan is the least time between two looks for another snapshot.
 	Replan time.Duration
 	// Off are the checks left out.
@@ -75,7 +67,7 @@
 func Choose(choose cpsnapshot.ChooseFunc) Option { return func(o *Options) { o.Choose = choose } }
 
 // TailCut sets the share of the deadline after which PreferTail leaves out stragglers.
-func TailCut(share float64) Option { return func(o *Options) { o.TailCut = share } }
+func TailCut(share float64) Option { return func(o *Options) { o.Deadline.TailCut = share } }
 
 // Without leaves out checks.
 func Without(checks Check) Option { return func(o *Options) { o.Off |= checks } }
@@ -85,11 +77,9 @@
 	o := Options{
 		Hedge:       cphedge.New(nil),
 		Retry:       cpretry.New(nil),
+		Deadline:    cpdeadline.New(),
 		Choose:      cpsnapshot.Choose,
 		MaxRestarts: defaultMaxRestarts,
-		TailCut:     defaultTailCut,
-		Reserve:     defaultReserve,
-		WaitShare:   defaultWaitShare,
 		Replan:      defaultReplan,
 	}
 	for _, opt := range opts {
--- a/cpgather/plan.go
+++ b/cpgather/plan.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	m.replanAt = m.at + m.opts.Replan
-	if m.at+restartNeed*m.slowest() >= m.closeAt {
+	if m.at+restartNeed*m.slowest() >= m.times.Close {
 		return false
 	}
 	choice, ok := m.opts.Choose(m.plan.Service, m.plan.View, m.now, m.plan.Choice.Snapshot)
--- a/cpgather/retry.go
+++ b/cpgather/retry.go
@@ -42,7 +42,7 @@
 
 // mayRetry reports whether another call may be made for a shard that has none in progress.
 func (m *Machine) mayRetry(sh *shard, fault clementineport.Fault) bool {
-	if m.at >= m.closeAt || m.coverage.Hopeless() || !m.opts.Retry.Allows(fault, sh.retries) {
+	if m.at >= m.times.Close || m.coverage.Hopeless() || !m.opts.Retry.Allows(fault, sh.retries) {
 		return false
 	}
 	return m.plan.Query.Idempotent || !sh.mayHaveRun || m.opts.off(CheckVerdict)
@@ -61,7 +61,7 @@
 		return
 	}
 	delay := m.opts.Retry.Delay(sh.retries, sh.retryAfter)
-	if m.at+delay > m.waitUntil {
+	if m.at+delay > m.times.Wait {
 		m.giveUp(s)
 		return
 	}
