--- a/cpgather/cpgather.go
+++ b/cpgather/cpgather.go
@@ -1,5 +1,5 @@
 // Package cpgather decides the course of one query: which calls to send, hedge, retry and cancel, which
-// results to merge, and when to close the answer.
+// results to take, when to begin again on another snapshot, and when to close the answer.
 //
 // A Machine is pure: it takes results and the time and returns actions. It reads the target view it is
 // given and records sent calls there; it opens no connection, starts no goroutine and reads no clock.
@@ -14,6 +14,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpcoverage"
+	"github.com/clementineport/clementineport/cpdeadline"
 	"github.com/clementineport/clementineport/cpmerge"
 	"github.com/clementineport/clementineport/cpsnapshot"
 )
@@ -55,13 +56,10 @@
 	few int
 
 	// Times since start.
-	closeAt time.Duration
-	cutAt   time.Duration
-	hedgeAt time.Duration
-	retryAt time.Duration
-	// waitUntil is when the query stops to wait between retries.
-	waitUntil time.Duration
-	replanAt  time.Duration
+	times    cpdeadline.Times
+	hedgeAt  time.Duration
+	retryAt  time.Duration
+	replanAt time.Duration
 
 	stats      clementineport.GatherStats
 	dropped    int
@@ -76,7 +74,7 @@
 var machines = sync.Pool{New: func() any { return new(Machine) }}
 
 // New returns a machine for a plan.
-func New(plan Plan, opts ...Option) *Machine { return NewWith(plan, newOptions(opts...)) }
+func New(plan Plan, opts ...Option) *Machine { return NewWith(plan, NewOptions(opts...)) }
 
 // NewWith returns a machine for a plan with options that were made before.
 func NewWith(plan Plan, opts Options) *Machine {
@@ -103,13 +101,11 @@
 func (m *Machine) Start(now time.Time) []Action {
 	m.start = now
 	m.enter(now)
-	deadline := m.plan.Query.Deadline.Sub(now)
+	left := m.plan.Query.Deadline.Sub(now)
 	if m.plan.Query.Deadline.IsZero() {
-		deadline = m.plan.Service.Service.Deadline
+		left = m.plan.Service.Service.Deadline
 	}
-	m.closeAt = deadline - min(m.opts.Reserve, deadline/reserveShare)
-	m.cutAt = time.Duration(float64(deadline) * m.opts.TailCut)
-	m.waitUntil = time.Duration(float64(deadline) * m.opts.WaitShare)
+	m.times = m.opts.Deadline.Times(left)
 	m.hedgeAt, m.retryAt, m.replanAt = never, never, m.opts.Replan
 	m.plannedWhole()
 	if m.done() {
@@ -241,13 +237,7 @@
 
 // mine reports whether a result belongs to the attempt that it names and not to another request.
 func (m *Machine) mine(a *cpattempt.Attempt, r *clementineport.CallResult) bool {
-	if m.opts.off(CheckReply) {
-		return true
-	}
-	if r.Shard != a.Shard || (r.Target != "" && r.Target != m.plan.Targets[a.Target].ID) {
-		return false
-	}
-	return r.Err != nil || r.Reply == nil || r.Reply.Request == m.plan.Query.Request
+	return m.opts.off(CheckReply) || a.Owns(r, m.plan.Query.Request, m.plan.Targets[a.Target].ID)
 }
 
 // check reports why a reply must not be merged.
--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -13,10 +12,11 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
-	"github.com/clementineport/clementineport/cpattempt"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpsecret"
+	"github.com/clementineport/clementineport/cpserver"
 	"github.com/clementineport/clementineport/cpsubmit"
 )
 
@@ -38,28 +38,12 @@
 
 // Serve implements suture.Service. It returns when the requests that are still being read or answered have ended.
 func (s *server) Serve(ctx context.Context) error {
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		s.close()
-	})
-	err := s.http.Serve(s.listener)
-	if stop() {
+	if err := cpserver.Serve(ctx, s.http, s.listener, closeTimeout); err != nil {
 		return Error.New("%s listener: %v", s.name, err)
 	}
-	<-closed
 	return ctx.Err()
 }
 
-// close ends the listener and waits for the requests in progress.
-func (s *server) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
-	}
-}
-
 // String names the service in the supervisor's events.
 func (s *server) String() string { return s.name }
 
@@ -131,7 +115,7 @@
 		cpoperator.WithToken(n.token),
 	))
 	mux.Handle("GET "+cpoperator.StatusPath, cpsecret.Require(n.token, http.HandlerFunc(n.status)))
-	mux.Handle("GET /v1/explain/{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
+	mux.Handle("GET "+cpoperator.ExplainPath+"{request}", cpsecret.Require(n.token, http.HandlerFunc(n.explain)))
 	mux.Handle("GET /debug/pprof/", cpsecret.Require(n.token, http.HandlerFunc(pprof.Index)))
 	mux.Handle("GET /debug/pprof/profile", cpsecret.Require(n.token, http.HandlerFunc(pprof.Profile)))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
@@ -153,7 +137,7 @@
 		cpoperator.WriteError(w, err)
 		return
 	}
-	writeJSON(w, status)
+	cpjson.Write(w, http.StatusOK, status)
 }
 
 func (n *Node) explain(w http.ResponseWriter, r *http.Request) {
@@ -162,13 +146,5 @@
 		cpoperator.WriteError(w, clementineport.Fail(clementineport.FaultNotFound, "this VM has not run the request lately"))
 		return
 	}
-	writeJSON(w, struct {
-		*cpattempt.Trace
-		Attempts []cpattempt.TraceRow
-	}{trace, trace.Rows()})
-}
-
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	cpjson.Write(w, http.StatusOK, trace.Explanation())
 }
--- a/cpstandin/target.go
+++ b/cpstandin/target.go
@@ -9,13 +9,14 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/zeebo/errs"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpsearcher"
+	"github.com/clementineport/clementineport/cpserver"
 )
 
 type targetFlags struct {
@@ -27,14 +28,14 @@
 	opts     cpsearcher.Options
 }
 
-func targetCommand(stdout, stderr io.Writer) *ffcli.Command {
+func newTargetCommand(stdout, stderr io.Writer) *ffcli.Command {
 	f := &targetFlags{opts: cpsearcher.NewOptions()}
-	fs := newFlagSet("clementineport-standin target", stderr)
+	fs := cpcommand.NewFlagSet("clementineport-standin target", stderr)
 	f.register(fs)
 	return &ffcli.Command{
 		Name:       "target",
 		ShortUsage: "clementineport-standin target [flags]",
-		ShortHelp:  "run one or many targets on consecutive ports",
+		ShortHelp:  "Run one or many targets on consecutive ports.",
 		FlagSet:    fs,
 		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx, stdout) },
 	}
@@ -126,11 +127,10 @@
 
 // serveAdmin serves until the context ends.
 func serveAdmin(ctx context.Context, address string, h http.Handler) error {
-	srv := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.ListenAndServe(); err != http.ErrServerClosed {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
 		return errs.Wrap(err)
 	}
-	return nil
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return errs.Wrap(cpserver.Serve(ctx, srv, ln, closeTimeout))
 }
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -39,6 +39,11 @@
 	// spare hands over a connection that was opened ahead of need.
 	spare     chan *conn
 	refilling atomic.Bool
+	// epoch counts the times that unused connections were closed as possibly silent.
+	epoch atomic.Uint64
+	// knocker makes a connection for each request.
+	knocker  *http.Transport
+	knocking atomic.Bool
 
 	mu       sync.Mutex
 	waiting  map[*exchange]struct{}
@@ -65,6 +70,7 @@
 		DisableCompression:     true,
 		ForceAttemptHTTP2:      false,
 	}
+	c.knocker = &http.Transport{DialContext: c.dialOnce, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	if o.HTTP2 {
 		c.transport.Protocols = &http.Protocols{}
 		c.transport.Protocols.SetUnencryptedHTTP2(true)
@@ -109,7 +115,7 @@
 	}
 	ctx, cancel := limit(ctx, left)
 	defer cancel()
-	e := &exchange{client: c}
+	e := &exchange{client: c, keep: !call.Idempotent}
 	r, err := e.request(ctx, c.url+PathSearch, body)
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInvalid, Err: err}
@@ -161,6 +167,8 @@
 type exchange struct {
 	client *Client
 	sent   time.Time
+	// keep is true for a call that cannot be sent again, so that ending it early gains nothing.
+	keep bool
 
 	mu   sync.Mutex
 	conn *conn
