--- /dev/null
+++ b/cpfleet/operate_test.go
@@ -0,0 +1,201 @@
+package cpfleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpsearcher"
+)
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+// call makes one HTTP call with JSON bodies.
+func (f *fleet) call(method, address, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	w, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	data, err = io.ReadAll(w.Body)
+	switch {
+	case err != nil:
+		return err
+	case w.StatusCode/100 != 2:
+		return fmt.Errorf("%s %s: %s: %s", method, path, w.Status, data)
+	case reply == nil:
+		return nil
+	}
+	return json.Unmarshal(data, reply)
+}
+
+// command runs the operators' command line and returns its output, its error output and its exit code.
+func (f *fleet) command(args ...string) (string, string, int) {
+	f.t.Helper()
+	return f.commandAt(f.entries, args...)
+}
+
+// commandAt is command with the entry VMs to ask.
+func (f *fleet) commandAt(entries []*entry, args ...string) (string, string, int) {
+	f.t.Helper()
+	var operators []string
+	for _, e := range entries {
+		operators = append(operators, e.vm.Operator)
+	}
+	args = append(args, "--operator", strings.Join(operators, ","), "--token-file", f.file("token"), "--json")
+	var stdout, stderr bytes.Buffer
+	cmd := exec.Command(filepath.Join(f.binaries, "clementineport"), args...)
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
+		f.t.Fatal(err)
+	}
+	return stdout.String(), stderr.String(), cmd.ProcessState.ExitCode()
+}
+
+// must runs a command that has to succeed.
+func (f *fleet) must(reply any, args ...string) {
+	f.t.Helper()
+	stdout, stderr, code := f.command(args...)
+	assert.Equal(f.t, code, 0, "%v: %s %s", args, stdout, stderr)
+	if reply != nil {
+		assert.NilError(f.t, json.Unmarshal([]byte(stdout), reply))
+	}
+}
+
+// submit submits a text and waits until it is in force.
+func (f *fleet) submit(text string) {
+	f.t.Helper()
+	var reply struct{ Revision clementineport.Revision }
+	f.must(&reply, "submit", f.textFile(text), "--based-on", fmt.Sprint(f.revision), "--wait", patience.String())
+	f.revision = reply.Revision
+}
+
+func (f *fleet) textFile(text string) string {
+	file, err := os.CreateTemp(f.dir, "estate")
+	assert.NilError(f.t, err)
+	_, err = file.WriteString(text)
+	assert.NilError(f.t, errors.Join(err, file.Close()))
+	return file.Name()
+}
+
+// move takes a failure domain out or brings it back, and returns when the change was made.
+func (f *fleet) move(action, domain string) time.Time {
+	f.t.Helper()
+	f.must(nil, action, "domain", domain)
+	cfg := f.config()
+	f.revision = cfg.Revision
+	return cfg.Changes[len(cfg.Changes)-1].At
+}
+
+func (f *fleet) config() (cfg clementineport.Config) {
+	f.t.Helper()
+	var reply struct {
+		Revision clementineport.Revision
+		Out      clementineport.Out
+		Changes  []clementineport.Change
+	}
+	f.must(&reply, "show")
+	return clementineport.Config{Revision: reply.Revision, Out: reply.Out, Changes: reply.Changes}
+}
+
+func (f *fleet) status() (s cpcontrol.Status) {
+	f.t.Helper()
+	f.must(&s, "status")
+	return s
+}
+
+// estate returns a text in which target n is in failure domain n/shards and holds a part of each layout.
+func (f *fleet) estate(layouts []int) string {
+	var b strings.Builder
+	b.WriteString("Region: local\nDomains: [a, b, c]\nServices:\n")
+	b.WriteString("  - {Name: lookup, DependsOn: [lookup], Index: lookup, Deadline: 10s, Class: interactive, LeastCoverage: 1, BelowLeast: mark, Prefer: coverage}\n")
+	b.WriteString("Indexes:\n  - Name: lookup\n    Layouts:\n")
+	for i, n := range layouts {
+		if n > 0 {
+			fmt.Fprintf(&b, "      - {Layout: %d, Shards: %d}\n", i+1, n)
+		}
+	}
+	fmt.Fprintf(&b, "Groups:\n  - {Name: lookup, Index: lookup, Slots: %d, Queue: %d, Connections: %d, ConnectionCost: 1ms}\nTargets:\n", slots, slots, connections)
+	for n := range len(domains) * shards {
+		address := f.options.through(fmt.Sprintf("127.0.0.1:%d", f.first+n))
+		fmt.Fprintf(&b, "  - {ID: lookup-%d, Group: lookup, Address: %q, Domain: %c, Holds: [", n, address, domains[n/shards])
+		var holds []string
+		for i, count := range layouts {
+			var held []string
+			for shard := n % shards; shard < count; shard += shards {
+				held = append(held, fmt.Sprint(shard))
+			}
+			if count > 0 {
+				holds = append(holds, fmt.Sprintf("{Layout: %d, Shards: [%s]}", i+1, strings.Join(held, ", ")))
+			}
+		}
+		b.WriteString(strings.Join(holds, ", ") + "]}\n")
+	}
+	return b.String()
+}
+
+// domainTargets returns the positions of the targets of a failure domain.
+func domainTargets(domain string) []int {
+	first := strings.Index(domains, domain) * shards
+	return []int{first, first + 1, first + 2}
+}
+
+func (f *fleet) admin(c cpsearcher.Command) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodPost, f.adminAt, "/admin", c, nil))
+}
+
+func (f *fleet) stats() []cpsearcher.Stats {
+	f.t.Helper()
+	var reply struct{ Targets []cpsearcher.Stats }
+	assert.NilError(f.t, f.call(http.MethodGet, f.adminAt, "/admin/stats", nil, &reply))
+	return reply.Targets
+}
+
+// storeFault makes calls to the store fail; directory applies it to the list of VMs.
+func (f *fleet) storeFault(mode string, calls int, writes, directory bool) {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodPost, f.storeAt, "/admin/faults", struct {
+		Mode              string
+		Calls             int
+		Writes, Directory bool
+	}{mode, calls, writes, directory}, nil))
+}
+
+func (f *fleet) storeWell() {
+	f.t.Helper()
+	assert.NilError(f.t, f.call(http.MethodDelete, f.storeAt, "/admin/faults", nil, nil))
+}
+
+// eventually polls until check succeeds.
+func eventually(t *testing.T, what string, check func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pollWait) {
+		if err = check(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %s: %v", what, patience, err)
+}
