Ask targets again while not every shard can be covered, and end a query whose caller has gone at once

Cause: what is known of targets that are not called grows old. After a swap of versions one by one, queries stayed on the old version for up to 1 s although the new one was held whole; after a start, queries were refused for up to 1 s when the first probe had found no owner. Probes now also ask targets that have not said that they hold the newest version; while not all shards can be covered they follow each other after 50 ms, and a service that prefers coverage waits for them for up to 200 ms. TestEndWithoutResults failed once in a whole run: failures that a cancelled query brings on itself could be taken before the cancellation.

--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -37,7 +37,7 @@
 		metrics:   newQueryMetrics(o.Metrics),
 	}
 	e.opts.Gather.Choose = e.snapshots.Choose
-	e.prober = newProber(o.Clock, o.ProbeInterval)
+	e.prober = newProber(&o)
 	return e
 }
 
@@ -164,17 +164,27 @@
 	return answer, err
 }
 
-// choose chooses the snapshot; when nothing is known it asks some targets first.
+// choose chooses the snapshot. While nothing is known it asks targets first. A service that prefers coverage
+// also waits a little for what targets say when not every shard can be covered.
 func (e *Entry) choose(
 	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
 ) (cpsnapshot.Choice, error) {
-	choice, ok := e.snapshots.Choose(service, view.Targets, e.opts.Clock.Now())
-	if !ok || choice.Probe {
-		probed := e.prober.start(service, func() { e.probe(q, view, service, router) })
-		if !ok {
-			wait(ctx, probed)
-			choice, ok = e.snapshots.Choose(service, view.Targets, e.opts.Clock.Now())
+	now := e.opts.Clock.Now()
+	choice, ok := e.snapshots.Choose(service, view.Targets, now)
+	whole := ok && choice.Covered == choice.Shards
+	if whole && !choice.Probe {
+		return choice, nil
+	}
+	ask := func() { e.probe(q, view, service, router, !whole) }
+	for until := e.probeUntil(now, q, service, ok); ; {
+		probed := e.prober.start(service, whole, ask)
+		if whole || !now.Before(until) {
+			break
 		}
+		e.wait(ctx, probed, until.Sub(now))
+		now = e.opts.Clock.Now()
+		choice, ok = e.snapshots.Choose(service, view.Targets, now)
+		whole = ok && choice.Covered == choice.Shards
 	}
 	if !ok {
 		return choice, &clementineport.Error{
@@ -186,9 +196,31 @@
 	return choice, nil
 }
 
-func wait(ctx context.Context, done <-chan struct{}) {
+// probeUntil returns until when a query waits for what targets say.
+func (e *Entry) probeUntil(now time.Time, q *clementineport.Query, service *clementineport.ServiceTable, known bool) time.Time {
+	share := now.Add(q.Deadline.Sub(now) / probeShare)
+	switch {
+	case !known:
+		return share
+	case service.Service.Prefer == clementineport.PreferCoverage && share.After(now.Add(e.opts.ProbeWait)):
+		return now.Add(e.opts.ProbeWait)
+	default:
+		return now
+	}
+}
+
+// wait waits for a probe to end, and then for the time before the next one.
+func (e *Entry) wait(ctx context.Context, probed <-chan struct{}, most time.Duration) {
+	end := e.opts.Clock.After(most)
+	select {
+	case <-probed:
+	case <-end:
+		return
+	case <-ctx.Done():
+		return
+	}
 	select {
-	case <-done:
+	case <-e.opts.Clock.After(min(most, e.opts.ProbePause)):
 	case <-ctx.Done():
 	}
 }
--- a/cpentry/options.go
+++ b/cpentry/options.go
@@ -16,8 +16,11 @@
 // Defaults of Options.
 const (
 	defaultProbeInterval = time.Second
+	defaultProbePause    = 50 * time.Millisecond
+	defaultProbeWait     = 200 * time.Millisecond
 	defaultProbeTimeout  = time.Second
 	defaultProbeTargets  = 64
+	probeShare           = 4 // one part of the time left in
 	defaultChoiceLife    = 20 * time.Millisecond
 	defaultExplained     = 1 << 16 // calls
 	defaultStaleRetry    = 500 * time.Millisecond
@@ -49,6 +52,10 @@
 	Baseline *Baseline
 	// ProbeInterval is the least time between two probes of one service.
 	ProbeInterval time.Duration
+	// ProbePause is the least time between two probes while not all shards can be covered.
+	ProbePause time.Duration
+	// ProbeWait is how long a service that prefers coverage waits for a probe then.
+	ProbeWait time.Duration
 	// ProbeTargets is the most targets that one probe asks.
 	ProbeTargets int
 	// Explained bounds the recent queries that can be explained, by the sum of their calls.
@@ -103,6 +110,8 @@
 	o := Options{
 		Admit:         func() error { return nil },
 		ProbeInterval: defaultProbeInterval,
+		ProbePause:    defaultProbePause,
+		ProbeWait:     defaultProbeWait,
 		ProbeTargets:  defaultProbeTargets,
 		Explained:     defaultExplained,
 	}
--- a/cpentry/probe.go
+++ b/cpentry/probe.go
@@ -15,6 +15,7 @@
 type prober struct {
 	clock    clementineport.Clock
 	interval time.Duration
+	pause    time.Duration
 	mu       sync.Mutex
 	probes   map[clementineport.ServiceID]*probe
 	sequence uint64
@@ -25,17 +26,27 @@
 	done  chan struct{}
 }
 
-func newProber(clock clementineport.Clock, interval time.Duration) *prober {
-	return &prober{clock: clock, interval: interval, probes: make(map[clementineport.ServiceID]*probe)}
+func newProber(o *Options) *prober {
+	return &prober{
+		clock:    o.Clock,
+		interval: o.ProbeInterval,
+		pause:    o.ProbePause,
+		probes:   make(map[clementineport.ServiceID]*probe),
+	}
 }
 
-// start runs f unless the service was probed shortly before; the channel closes when the probe ends.
-func (p *prober) start(service *clementineport.ServiceTable, f func()) <-chan struct{} {
+// start runs f unless the service was probed shortly before; the channel closes when the probe ends. While
+// not all shards can be covered, probes follow each other sooner.
+func (p *prober) start(service *clementineport.ServiceTable, whole bool, f func()) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	name := service.Service.Name
-	if last := p.probes[name]; last != nil && now.Sub(last.began) < p.interval {
+	interval := p.pause
+	if whole {
+		interval = p.interval
+	}
+	if last := p.probes[name]; last != nil && now.Sub(last.began) < interval {
 		return last.done
 	}
 	next := &probe{began: now, done: make(chan struct{})}
@@ -55,9 +66,15 @@
 }
 
 // probe asks targets for a snapshot that none holds; their refusals say what they do hold.
-func (e *Entry) probe(q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router) {
+// With again, targets that have not said that they hold the newest version are asked once more.
+func (e *Entry) probe(
+	q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router, again bool,
+) {
 	now := e.opts.Clock.Now()
 	targets := cpsnapshot.Ask(nil, service, view.Targets, now, e.opts.ProbeTargets)
+	if again {
+		targets = cpsnapshot.AskAgain(targets, service, view.Targets, now, e.opts.ProbeTargets)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), defaultProbeTimeout)
 	defer cancel()
 	id := e.prober.requestID(e.opts.Self.ID)
--- a/cpscatter/cpscatter.go
+++ b/cpscatter/cpscatter.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -61,6 +62,10 @@
 
 // step takes the results that have come before it looks at the time, so that a paused process merges them.
 func (r *runner) step(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		r.do(ctx, r.machine.Abort(r.clock.Now()))
+		return
+	}
 	select {
 	case <-r.box.notify:
 		r.take(ctx)
--- a/cpsnapshot/cpsnapshot.go
+++ b/cpsnapshot/cpsnapshot.go
@@ -5,6 +5,8 @@
 package cpsnapshot
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -233,3 +235,44 @@
 	}
 	return clementineport.NoTarget, false
 }
+
+// AskAgain appends to dst up to limit usable targets that have not said that they hold the newest version
+// which any target of the service holds, since what they said may be old.
+func AskAgain(
+	dst []clementineport.TargetIndex, service *clementineport.ServiceTable, view clementineport.TargetView,
+	now time.Time, limit int,
+) []clementineport.TargetIndex {
+	seen := make(map[clementineport.TargetIndex]bool)
+	var newest clementineport.IndexVersion
+	for t := range targetsOf(service) {
+		seen[t] = true
+		for _, s := range view.Held(t) {
+			newest = max(newest, s.Version)
+		}
+	}
+	holds := func(s clementineport.Snapshot) bool { return s.Version == newest }
+	for t := range seen {
+		if len(dst) >= limit {
+			break
+		}
+		if view.Usable(t, now) && !slices.ContainsFunc(view.Held(t), holds) && !slices.Contains(dst, t) {
+			dst = append(dst, t)
+		}
+	}
+	return dst
+}
+
+// targetsOf yields the targets of a service, once for each shard that they hold.
+func targetsOf(service *clementineport.ServiceTable) iter.Seq[clementineport.TargetIndex] {
+	return func(yield func(clementineport.TargetIndex) bool) {
+		for i := range service.Layouts {
+			for _, replicas := range service.Layouts[i].Replicas {
+				for _, t := range replicas {
+					if !yield(t) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
