--- a/cpestate/check.go
+++ b/cpestate/check.go
@@ -18,12 +18,6 @@
 	MaxDeadline    = 10 * time.Minute
 )
 
-var classes = map[string]clementineport.Class{
-	"interactive": clementineport.ClassInteractive,
-	"standard":    clementineport.ClassStandard,
-	"batch":       clementineport.ClassBatch,
-}
-
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
 const (
--- a/cpestate/cpestate.go
+++ b/cpestate/cpestate.go
@@ -149,8 +149,9 @@
 }
 
 func (s *serviceText) service() clementineport.Service {
+	class, _ := clementineport.ParseClass(s.Class)
 	return clementineport.Service{
-		Name: s.Name, DependsOn: s.DependsOn, Index: s.Index, Deadline: s.Deadline, Class: classes[s.Class],
+		Name: s.Name, DependsOn: s.DependsOn, Index: s.Index, Deadline: s.Deadline, Class: class,
 		LeastCoverage: s.LeastCoverage, BelowLeast: s.BelowLeast, Prefer: s.Prefer,
 	}
 }
--- a/cpestate/format.go
+++ b/cpestate/format.go
@@ -43,7 +43,7 @@
 		fmt.Fprintf(b, "    Index: %s\n", s.Index)
 	}
 	fmt.Fprintf(b, "    Deadline: %s\n    Class: %s\n    LeastCoverage: %s\n    BelowLeast: %s\n    Prefer: %s\n",
-		s.Deadline, className(s.Class), strconv.FormatFloat(s.LeastCoverage, 'g', -1, 64), s.BelowLeast, s.Prefer)
+		s.Deadline, s.Class, strconv.FormatFloat(s.LeastCoverage, 'g', -1, 64), s.BelowLeast, s.Prefer)
 }
 
 func formatTarget(b *bytes.Buffer, t *clementineport.TargetSpec) {
@@ -79,15 +79,6 @@
 	return ranges
 }
 
-func className(class clementineport.Class) string {
-	for name, c := range classes {
-		if c == class {
-			return name
-		}
-	}
-	return defaultClass
-}
-
 func list[T ~string](items []T) string {
 	texts := make([]string, len(items))
 	for i, item := range items {
--- a/cpestate/service.go
+++ b/cpestate/service.go
@@ -54,7 +54,7 @@
 	if s.Deadline <= 0 || s.Deadline > MaxDeadline {
 		s.At.Report(c.faults, "Deadline", "more than 0s, at most "+MaxDeadline.String(), "is %s", s.Deadline)
 	}
-	if _, ok := classes[s.Class]; !ok {
+	if _, ok := clementineport.ParseClass(s.Class); !ok {
 		s.At.Report(c.faults, "Class", "interactive, standard, batch", "is %q", s.Class)
 	}
 	if !(s.LeastCoverage >= 0 && s.LeastCoverage <= 1) {
--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -9,6 +9,7 @@
 	"github.com/clementineport/clementineport/cpestate"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cppick"
+	"github.com/clementineport/clementineport/cpshare"
 )
 
 func (n *Node) newControl() {
@@ -49,12 +50,16 @@
 
 // connectionShare returns how many connections this VM may open to a target.
 func connectionShare(v *cpcontrol.View, t clementineport.TargetIndex) int {
-	most := v.Table.Targets[t].Group.Connections
+	return cpshare.Connections(v.Table.Targets[t].Group.Connections, role(v, t))
+}
+
+// role returns what this VM is for a target.
+func role(v *cpcontrol.View, t clementineport.TargetIndex) cpshare.Role {
 	if owner := v.Owner(t); owner != nil && owner.ID == v.Self {
-		return max(1, most*ownerConnectionParts/connectionParts)
+		return cpshare.Owner
 	}
 	if deputy := v.Deputy(t); deputy != nil && deputy.ID == v.Self {
-		return max(1, most*deputyConnectionParts/connectionParts)
+		return cpshare.Deputy
 	}
-	return 0
+	return cpshare.Other
 }
--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -20,14 +20,6 @@
 	"github.com/clementineport/clementineport/cptrace"
 )
 
-// Shares of a target's connections, in twelfths. An owner that is being replaced, its successor and both
-// deputies stay within the limit together, also while the connections of a lost VM still count at the target.
-const (
-	connectionParts       = 12
-	ownerConnectionParts  = 5
-	deputyConnectionParts = 1
-)
-
 // hedgeOffShare is the load of the admission limit, in parts of ten, above which no hedges are sent.
 const hedgeOffShare = 8
 
--- a/estate.go
+++ b/estate.go
@@ -36,6 +36,26 @@
 	NumClasses
 )
 
+var classNames = [NumClasses]string{"interactive", "standard", "batch"}
+
+// String returns the class as it appears in an estate text.
+func (c Class) String() string {
+	if c >= NumClasses {
+		return "unknown"
+	}
+	return classNames[c]
+}
+
+// ParseClass returns the class that a text names, or reports that there is none.
+func ParseClass(text string) (Class, bool) {
+	for c, name := range classNames {
+		if name == text {
+			return Class(c), true
+		}
+	}
+	return ClassStandard, false
+}
+
 // Service is a service of the estate and what it depends on.
 type Service struct {
 	Name          ServiceID
