Wait for the connections that were open, not for four

Cause: TestRestartBetweenCalls waits until as many connections are closed as calls were made at once, but on a busy machine a call can reuse the connection of another, and the test then never ended (1 of 3 runs with -race, killed after 5 min; the stack shows the loop). Ruled out: a connection whose end is not noticed. Change: it waits for the number of connections that the target had open. The checks are the same.

--- a/cptarget/cphttp/cphttp_test.go
+++ b/cptarget/cphttp/cphttp_test.go
@@ -129,8 +129,9 @@
 			cphttp.Closed(func() { closed.Add(1) }))
 		defer client.Close()
 		searchAtOnce(t, client, slots)
+		open := s.Stats().Connections
 		s.Apply(&cpsearcher.Command{ColdRestart: true})
-		for closed.Load() < slots {
+		for int(closed.Load()) < open {
 			time.Sleep(time.Millisecond)
 		}
 		var ok, other atomic.Int32
