--- a/cpscatter/cpscatter_test.go
+++ b/cpscatter/cpscatter_test.go
@@ -132,7 +132,7 @@
 		},
 	))
 	assert.Assert(t, err == nil && answer.Complete)
-	assert.Equal(t, answer.Stats.Retries, 3)
+	assert.Equal(t, answer.Stats.Resends, 3)
 	_, observed := v.Calls()
 	failures := 0
 	for _, r := range observed {
