Show that two owners at once push a cold target over

Cause: every owner of a cold target allows one call at a time, so while views of the membership differ the target gets two; the handover bounds a warm target only.

--- a/cplimit/model_test.go
+++ b/cplimit/model_test.go
@@ -213,6 +213,19 @@
 	}
 }
 
+// TestOwnersOfColdTarget lets two VMs own a cold target for a second, as when ownership moves while their views
+// differ: the target never gets more than it bears.
+func TestOwnersOfColdTarget(t *testing.T) {
+	o := cplimit.NewOptions()
+	b := newBackend(1, 6, 1, 20)
+	for i := range uint64(2) {
+		vm := &owner{backend: b, limits: cplimit.NewTarget(&o, i, &clementineport.Group{Slots: 6, Queue: 4}, &cplimit.Average{}, start)}
+		vm.flood(start.Add(time.Duration(i)*100*time.Millisecond), interval, always)
+	}
+	b.schedule.runUntil(start.Add(time.Second))
+	assert.Equal(t, b.fallOvers, 0)
+}
+
 // TestColdStart floods a cold target whose slots and steps vary. It never gets more than it bears, whether it
 // says that it is cold or shows it by its latency alone, and reaches full service.
 func TestColdStart(t *testing.T) {
