--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -125,3 +125,37 @@
 	assert.NilError(t, json.NewDecoder(w.Body).Decode(&reply))
 	assert.Equal(t, reply.Verdict, clementineport.NotRun)
 }
+
+// TestShutdownWaitsForQuery proves that an entry VM that is told twice to shut down, and so refuses new work at
+// once, answers the query in flight before it ends.
+func TestShutdownWaitsForQuery(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "7s"}})
+	leaving := f.entries[0]
+	var list struct {
+		Entries []struct {
+			VM     clementineport.VMID
+			Ticket string
+		}
+	}
+	assert.NilError(t, f.call(http.MethodGet, leaving.vm.Caller, "/v1/entries", nil, &list))
+	var ticket string
+	for _, e := range list.Entries {
+		if e.VM == leaving.vm.ID {
+			ticket = e.Ticket
+		}
+	}
+	time.AfterFunc(time.Second, func() {
+		leaving.signal(syscall.SIGTERM)
+		time.Sleep(2 * pollWait)
+		leaving.signal(syscall.SIGTERM)
+	})
+	var answer clementineport.Answer
+	assert.NilError(t, f.call(http.MethodPost, leaving.vm.Caller, "/v1/query", struct {
+		Request, Service, Text string
+		Limit, DeadlineMillis  int
+	}{ticket + ".slow", "lookup", "slow", hitLimit, int(queryDeadline.Milliseconds())}, &answer))
+	assert.Assert(t, answer.Complete)
+	<-leaving.done
+	assert.NilError(t, leaving.err)
+}
