--- a/cpfleet/domain_test.go
+++ b/cpfleet/domain_test.go
@@ -97,6 +97,18 @@
 	l.checkAlways(false, false)
 }
 
+// TestLostTargets proves that the loss of two targets of different shards, each with two replicas left, fails no
+// idempotent query.
+func TestLostTargets(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	l := f.load("")
+	l.answered(100)
+	f.admin(cpsearcher.Command{Targets: []int{0, 4}, WarmRestart: true, PauseMilliseconds: patience.Milliseconds()})
+	l.answered(400)
+	l.checkAlways(true, false)
+}
+
 // TestWarmUp proves that steady load brings cold targets to full service.
 func TestWarmUp(t *testing.T) {
 	t.Parallel()
