Fix the service time in the test of a shutdown

The time varied between 3.5 and 10.5 s, and a trial without the drain's wait passed, since the listeners wait for 5 s as well.

--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -130,7 +130,7 @@
 // once, answers the query in flight before it ends.
 func TestShutdownWaitsForQuery(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "7s"}})
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "7s", "--spread", "0"}})
 	leaving := f.entries[0]
 	var list struct {
 		Entries []struct {
