--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -78,8 +78,11 @@
 	l.checkAlways(true, true)
 }
 
+// buffered is how many queries wait in the sockets of a paused entry VM when it goes on.
+const buffered = 50
+
 // TestPausedEntry proves that an entry VM that was paused while its failure domain was taken out sends
-// no work to the domain's targets when it goes on.
+// no work to the domain's targets when it goes on, though queries wait for it.
 func TestPausedEntry(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetOptions{})
@@ -90,6 +93,17 @@
 	f.entries = []*entry{f.entries[0], f.entries[2], paused}
 	accepted := f.move("take-out", "b")
 	time.Sleep(time.Until(accepted.Add(2 * promised)))
+	for n := range buffered {
+		go func() {
+			// The outcome does not matter, only which targets are called.
+			_ = f.call(http.MethodPost, paused.vm.Caller, "/v1/query", struct {
+				Request, Service, Text string
+				Limit, DeadlineMillis  int
+				Idempotent             bool
+			}{fmt.Sprint("buffered-", n), "lookup", "buffered", hitLimit, int(queryDeadline.Milliseconds()), true}, nil)
+		}()
+	}
+	time.Sleep(settleTime / 2)
 	paused.signal(syscall.SIGCONT)
 	l.answered(300)
 	report(t, "quiet", f.checkQuiet("b", accepted))
