--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -78,8 +78,11 @@
 	l.checkAlways(true, true)
 }
 
+// buffered is how many queries wait in the sockets of a paused entry VM when it goes on.
+const buffered = 50
+
 // TestPausedEntry proves that an entry VM that was paused while its failure domain was taken out sends
-// no work to the domain's targets when it goes on.
+// no work to the domain's targets when it goes on, though queries wait for it.
 func TestPausedEntry(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetOptions{})
@@ -90,6 +93,17 @@
 	f.entries = []*entry{f.entries[0], f.entries[2], paused}
 	accepted := f.move("take-out", "b")
 	time.Sleep(time.Until(accepted.Add(2 * promised)))
+	for n := range buffered {
+		go func() {
+			// The outcome does not matter, only which targets are called.
+			_ = f.call(http.MethodPost, paused.vm.Caller, "/v1/query", struct {
+				Request, Service, Text string
+				Limit, DeadlineMillis  int
+				Idempotent             bool
+			}{fmt.Sprint("buffered-", n), "lookup", "buffered", hitLimit, int(queryDeadline.Milliseconds()), true}, nil)
+		}()
+	}
+	time.Sleep(settleTime / 2)
 	paused.signal(syscall.SIGCONT)
 	l.answered(300)
 	report(t, "quiet", f.checkQuiet("b", accepted))
@@ -125,3 +139,37 @@
 	assert.NilError(t, json.NewDecoder(w.Body).Decode(&reply))
 	assert.Equal(t, reply.Verdict, clementineport.NotRun)
 }
+
+// TestShutdownWaitsForQuery proves that an entry VM that is told twice to shut down, and so refuses new work at
+// once, answers the query in flight before it ends.
+func TestShutdownWaitsForQuery(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "7s", "--spread", "0"}})
+	leaving := f.entries[0]
+	var list struct {
+		Entries []struct {
+			VM     clementineport.VMID
+			Ticket string
+		}
+	}
+	assert.NilError(t, f.call(http.MethodGet, leaving.vm.Caller, "/v1/entries", nil, &list))
+	var ticket string
+	for _, e := range list.Entries {
+		if e.VM == leaving.vm.ID {
+			ticket = e.Ticket
+		}
+	}
+	time.AfterFunc(time.Second, func() {
+		leaving.signal(syscall.SIGTERM)
+		time.Sleep(2 * pollWait)
+		leaving.signal(syscall.SIGTERM)
+	})
+	var answer clementineport.Answer
+	assert.NilError(t, f.call(http.MethodPost, leaving.vm.Caller, "/v1/query", struct {
+		Request, Service, Text string
+		Limit, DeadlineMillis  int
+	}{ticket + ".slow", "lookup", "slow", hitLimit, int(queryDeadline.Milliseconds())}, &answer))
+	assert.Assert(t, answer.Complete)
+	<-leaving.done
+	assert.NilError(t, leaving.err)
+}
