Make the tests of a paused entry VM and of replacement able to fail

With the check of freshness switched off in a trial, TestPausedEntry still passed, since nothing waited at the paused VM. TestRollingReplacement now also reads that the process cut nothing.

--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 // and cuts none.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{})
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "50ms"}})
 	l := f.load("")
 	l.answered(100)
 	for i, old := range f.entries[:len(domains)] {
@@ -70,6 +71,7 @@
 			t.Fatalf("%s has not ended", old.name)
 		}
 		assert.NilError(t, old.err, "%s", tail(old.log))
+		assert.Assert(t, strings.Contains(tail(old.log), `"cut":0`), tail(old.log))
 		f.unregister(old)
 		f.ready(fresh)
 		l.answered(100)
@@ -89,7 +91,18 @@
 	paused.signal(syscall.SIGSTOP)
 	f.entries = []*entry{f.entries[0], f.entries[2], paused}
 	accepted := f.move("take-out", "b")
-	time.Sleep(time.Until(accepted.Add(2 * promised)))
+	time.Sleep(time.Until(accepted.Add(promised + settleTime)))
+	// These wait at the paused VM, which gets them before it can hear of the change.
+	for n := range 30 {
+		go func() {
+			_ = f.call(http.MethodPost, paused.vm.Caller, "/v1/query", struct {
+				Request, Service, Text string
+				Limit, DeadlineMillis  int
+				Idempotent             bool
+			}{fmt.Sprint("waiting-", n), "lookup", "text", hitLimit, int(queryDeadline.Milliseconds()), true}, nil)
+		}()
+	}
+	time.Sleep(settleTime / 2)
 	paused.signal(syscall.SIGCONT)
 	l.answered(300)
 	report(t, "quiet", f.checkQuiet("b", accepted))
