--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 // and cuts none.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{})
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "50ms"}})
 	l := f.load("")
 	l.answered(100)
 	for i, old := range f.entries[:len(domains)] {
@@ -70,6 +71,7 @@
 			t.Fatalf("%s has not ended", old.name)
 		}
 		assert.NilError(t, old.err, "%s", tail(old.log))
+		assert.Assert(t, strings.Contains(tail(old.log), `"cut":0`), tail(old.log))
 		f.unregister(old)
 		f.ready(fresh)
 		l.answered(100)
