--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -143,6 +144,35 @@
 	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
 	router := &router{control: e.opts.Control, peers: e.opts.Peers}
+	answer, err := e.gatherOnce(ctx, q, view, service, router)
+	if answer == nil || !q.Idempotent || !lostSnapshot(answer) || ctx.Err() != nil {
+		return answer, err
+	}
+	// The targets have moved on to another snapshot since the query was planned.
+	e.wait(ctx, e.prober.start(service, false, func() { e.probe(q, view, service, router, true) }), e.opts.ProbeWait)
+	choice, ok := e.snapshots.Choose(service, view.Targets, e.opts.Clock.Now())
+	if !ok || choice.Covered*answer.Shards <= len(answer.Covered)*choice.Shards {
+		return answer, err
+	}
+	e.metrics.Restarts.Inc()
+	again, againErr := e.gatherOnce(ctx, q, view, service, router)
+	if again == nil || len(again.Covered)*answer.Shards <= len(answer.Covered)*again.Shards {
+		return answer, err
+	}
+	return again, againErr
+}
+
+// lostSnapshot reports whether an answer misses shards because their targets no longer hold its snapshot.
+func lostSnapshot(a *clementineport.Answer) bool {
+	return slices.ContainsFunc(a.Missing, func(m clementineport.MissingShard) bool {
+		return m.Fault == clementineport.FaultSnapshot
+	})
+}
+
+// gatherOnce chooses a snapshot and runs the query on it.
+func (e *Entry) gatherOnce(
+	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
+) (*clementineport.Answer, error) {
 	choice, err := e.choose(ctx, q, view, service, router)
 	if err != nil {
 		return nil, err
@@ -163,64 +193,3 @@
 	e.explained.add(machine.Trace())
 	return answer, err
 }
-
-// choose chooses the snapshot. While nothing is known it asks targets first. A service that prefers coverage
-// also waits a little for what targets say when not every shard can be covered.
-func (e *Entry) choose(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
-) (cpsnapshot.Choice, error) {
-	now := e.opts.Clock.Now()
-	choice, ok := e.snapshots.Choose(service, view.Targets, now)
-	whole := ok && choice.Covered == choice.Shards
-	if whole && !choice.Probe {
-		return choice, nil
-	}
-	ask := func() { e.probe(q, view, service, router, !whole) }
-	for until := e.probeUntil(now, q, service, ok); ; {
-		probed := e.prober.start(service, whole, ask)
-		if whole || !now.Before(until) {
-			break
-		}
-		e.wait(ctx, probed, until.Sub(now))
-		now = e.opts.Clock.Now()
-		choice, ok = e.snapshots.Choose(service, view.Targets, now)
-		whole = ok && choice.Covered == choice.Shards
-	}
-	if !ok {
-		return choice, &clementineport.Error{
-			Fault:      clementineport.FaultUnavailable,
-			Reason:     "no usable target has said which snapshots it holds",
-			RetryAfter: e.opts.ProbeInterval,
-		}
-	}
-	return choice, nil
-}
-
-// probeUntil returns until when a query waits for what targets say.
-func (e *Entry) probeUntil(now time.Time, q *clementineport.Query, service *clementineport.ServiceTable, known bool) time.Time {
-	share := now.Add(q.Deadline.Sub(now) / probeShare)
-	switch {
-	case !known:
-		return share
-	case service.Service.Prefer == clementineport.PreferCoverage && share.After(now.Add(e.opts.ProbeWait)):
-		return now.Add(e.opts.ProbeWait)
-	default:
-		return now
-	}
-}
-
-// wait waits for a probe to end, and then for the time before the next one.
-func (e *Entry) wait(ctx context.Context, probed <-chan struct{}, most time.Duration) {
-	end := e.opts.Clock.After(most)
-	select {
-	case <-probed:
-	case <-end:
-		return
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case <-e.opts.Clock.After(min(most, e.opts.ProbePause)):
-	case <-ctx.Done():
-	}
-}
--- a/cpentry/probe.go
+++ b/cpentry/probe.go
@@ -18,6 +18,7 @@
 	pause    time.Duration
 	mu       sync.Mutex
 	probes   map[clementineport.ServiceID]*probe
+	futile   map[clementineport.ServiceID]time.Time
 	sequence uint64
 }
 
@@ -26,12 +27,35 @@
 	done  chan struct{}
 }
 
+// waitUntil returns until when a query may wait for a probe. After a wait that did not help, none is made for
+// an interval, so that a lasting loss of shards costs few queries a wait.
+func (p *prober) waitUntil(service clementineport.ServiceID, now, until time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.futile[service]) < p.interval {
+		return now
+	}
+	return until
+}
+
+// waited records whether a wait helped.
+func (p *prober) waited(service clementineport.ServiceID, now time.Time, helped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if helped {
+		delete(p.futile, service)
+		return
+	}
+	p.futile[service] = now
+}
+
 func newProber(o *Options) *prober {
 	return &prober{
 		clock:    o.Clock,
 		interval: o.ProbeInterval,
 		pause:    o.ProbePause,
 		probes:   make(map[clementineport.ServiceID]*probe),
+		futile:   make(map[clementineport.ServiceID]time.Time),
 	}
 }
 
--- a/cpsnapshot/cpsnapshot.go
+++ b/cpsnapshot/cpsnapshot.go
@@ -28,6 +28,8 @@
 	Single int
 	// Replicas is the number of pairs of shard and usable holder.
 	Replicas int
+	// Older is true when some target holds a newer version.
+	Older bool
 	// Probe is true when usable targets whose possession is unknown could raise the coverage.
 	Probe bool
 }
@@ -66,6 +68,7 @@
 	service *clementineport.ServiceTable, view clementineport.TargetView, now time.Time, avoid ...clementineport.Snapshot,
 ) (Choice, bool) {
 	var best Choice
+	var newest clementineport.IndexVersion
 	found, probe := false, false
 	for i := range service.Layouts {
 		var t tally
@@ -73,6 +76,7 @@
 		probe = probe || t.unknownShards > 0
 		for k := range t.candidates[:t.n] {
 			choice := t.choice(k)
+			newest = max(newest, choice.Snapshot.Version)
 			if !found || c.better(&service.Service, &choice, &best) {
 				best, found = choice, true
 			}
@@ -81,6 +85,7 @@
 	if !found {
 		best.Probe = probe
 	}
+	best.Older = best.Snapshot.Version < newest
 	return best, found
 }
 
