--- a/cplimit/advance.go
+++ b/cplimit/advance.go
@@ -56,7 +56,7 @@
 
 func (t *Target) probeAt() time.Time {
 	grace := t.opts.CancelGrace
-	if !t.ramp.warm() && t.ramp.saved == 0 {
+	if !t.ramp.Warm() && !t.ramp.Suspected() {
 		grace = t.opts.ColdCancelGrace
 	}
 	at := time.Time{}
@@ -143,7 +143,7 @@
 		return
 	}
 	t.service.Observe(res.Elapsed)
-	if t.ramp.warm() && !res.Signals.Cold && !t.ramp.isJump(res.Elapsed, t.warmTime.Value()) {
+	if t.ramp.Warm() && !res.Signals.Cold && !t.ramp.IsJump(res.Elapsed, t.warmTime.Value()) {
 		t.warmTime.Observe(res.Elapsed)
 	}
 }
--- a/cplimit/options.go
+++ b/cplimit/options.go
@@ -6,13 +6,14 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpramp"
 )
 
 // Options are the settings of a Limiter and of the state machine of each target.
 type Options struct {
 	Clock clementineport.Clock
 	Seed  uint64
-	Ramp  RampOptions
+	Ramp  cpramp.Options
 	// Handover is how long a new owner keeps to a part of the slots.
 	Handover time.Duration
 	// HandoverShare is that part; at least one call is allowed.
@@ -34,35 +35,15 @@
 	MinRetryAfter time.Duration
 }
 
-// RampOptions are the settings of the ramp of a cold target.
-type RampOptions struct {
-	// Off allows every slot from the first call.
-	Off bool
-	// Step is the number of good answers after which one more call at a time is allowed.
-	Step int
-	// BlindFactor multiplies Step while the time of a warm answer is not known.
-	BlindFactor int
-	// GoodFactor is how much slower than a warm answer a good answer may be.
-	GoodFactor float64
-	// JumpFactor is how much slower than a warm answer an answer is that counts as a latency jump.
-	JumpFactor float64
-	// Window is the number of answers over which a latency jump is judged.
-	Window int
-	// Burst is the number of refusals or failed connections in a row that make a target cold.
-	Burst int
-}
-
 // Option changes Options.
 type Option func(*Options)
 
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
 	o := Options{
-		Clock: clockwork.NewRealClock(),
-		Seed:  1,
-		Ramp: RampOptions{
-			Step: 8, BlindFactor: 4, GoodFactor: 1.5, JumpFactor: 4, Window: 8, Burst: 3,
-		},
+		Clock:           clockwork.NewRealClock(),
+		Seed:            1,
+		Ramp:            cpramp.NewOptions(),
 		Handover:        2 * time.Second,
 		HandoverShare:   0.5,
 		SharedTime:      time.Second,
@@ -91,4 +72,4 @@
 }
 
 // Ramp sets the ramp of a cold target.
-func Ramp(r RampOptions) Option { return func(o *Options) { o.Ramp = r } }
+func Ramp(r cpramp.Options) Option { return func(o *Options) { o.Ramp = r } }
--- a/cplimit/target.go
+++ b/cplimit/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpramp"
 )
 
 // Ticket numbers one call at one target.
@@ -42,9 +43,9 @@
 type Target struct {
 	opts *Options
 	rng  *rand.Rand
-	ramp ramp
+	ramp cpramp.Ramp
 	// warmTime is the time of a warm answer, shared by the targets of a group.
-	warmTime *Average
+	warmTime *cpramp.Average
 
 	slots, queueSize int
 	closed           clementineport.Fault
@@ -52,7 +53,7 @@
 	handover         time.Time
 	shared           int
 	sharedUntil      time.Time
-	service          Average
+	service          cpramp.Average
 	// answered is when the target last answered.
 	answered time.Time
 
@@ -63,11 +64,11 @@
 }
 
 // NewTarget returns the state of a target that this VM has just begun to own.
-func NewTarget(o *Options, seed uint64, g *clementineport.Group, warmTime *Average, now time.Time) *Target {
+func NewTarget(o *Options, seed uint64, g *clementineport.Group, warmTime *cpramp.Average, now time.Time) *Target {
 	return &Target{
 		opts:      o,
 		rng:       rand.New(rand.NewPCG(o.Seed, seed)),
-		ramp:      newRamp(o.Ramp, g.Slots),
+		ramp:      cpramp.New(o.Ramp, g.Slots),
 		warmTime:  warmTime,
 		slots:     g.Slots,
 		queueSize: g.Queue,
@@ -78,7 +79,7 @@
 // Resize changes the settings of the target.
 func (t *Target) Resize(now time.Time, slots, queue int) []Grant {
 	t.slots, t.queueSize = slots, queue
-	t.ramp.resize(slots)
+	t.ramp.Resize(slots)
 	return t.advance(now)
 }
 
@@ -95,11 +96,11 @@
 	}
 	t.closed = clementineport.FaultUnknown
 	t.handover = now.Add(t.opts.Handover)
-	t.ramp.suspect(now)
+	t.ramp.Suspect(now)
 }
 
 // Suspect allows one call at a time until an answer shows whether the target has restarted.
-func (t *Target) Suspect(now time.Time) { t.ramp.suspect(now) }
+func (t *Target) Suspect(now time.Time) { t.ramp.Suspect(now) }
 
 // Offer asks to start a call; without a grant for it in the result the call is queued.
 func (t *Target) Offer(now time.Time, w Waiter) []Grant {
@@ -167,7 +168,7 @@
 
 // shed refuses a call and spreads the times at which callers return.
 func (t *Target) shed(reason string, ahead int) error {
-	drain := t.serviceTime() * time.Duration(ahead+1) / time.Duration(max(t.ramp.allowance, 1))
+	drain := t.serviceTime() * time.Duration(ahead+1) / time.Duration(max(t.ramp.Allowance(), 1))
 	drain = max(drain, t.opts.MinRetryAfter)
 	return &clementineport.Error{
 		Fault:      clementineport.FaultShed,
@@ -189,9 +190,9 @@
 	}
 	t.observeTime(res)
 	t.confirm(call, res)
-	start := t.ramp.start
-	t.ramp.observe(now, call.started, res, inUse, t.warmTime.Value())
-	if start != "" && t.ramp.start != start {
+	start := t.ramp.Start()
+	t.ramp.Observe(now, call.started, res, inUse, t.warmTime.Value())
+	if start != "" && t.ramp.Start() != start {
 		t.lingering = t.lingering[:0]
 	}
 	if mayStillRun(res) && call.deadline.After(now) {
@@ -213,7 +214,7 @@
 
 // Limit returns the number of calls at a time that are allowed now.
 func (t *Target) Limit(now time.Time) int {
-	n := t.ramp.allowance
+	n := t.ramp.Allowance()
 	if !t.opts.Ramp.Off && now.Sub(t.answered) > t.opts.ConfirmAge {
 		return 1
 	}
@@ -239,4 +240,4 @@
 func (t *Target) Queued() int { return len(t.queue) }
 
 // Cold reports whether the target gets fewer calls at a time than it has slots.
-func (t *Target) Cold() bool { return !t.ramp.warm() }
+func (t *Target) Cold() bool { return !t.ramp.Warm() }
--- a/cplimit/average.go
+++ b/cpramp/average.go
@@ -1,4 +1,4 @@
-package cplimit
+package cpramp
 
 import (
 	"sync/atomic"
--- a/cplimit/ramp.go
+++ b/cpramp/cpramp.go
@@ -1,4 +1,7 @@
-package cplimit
+// Package cpramp decides how many calls at a time a target is allowed after a cold start.
+//
+// It goes by the answers of the target alone, reads no clock, queues no call and knows one target.
+package cpramp
 
 import (
 	"time"
@@ -6,10 +9,10 @@
 	"github.com/clementineport/clementineport"
 )
 
-// ramp decides how many calls at a time a target is allowed, from the answers alone.
+// Ramp decides how many calls at a time a target is allowed, from the answers alone.
 // A target starts with one call at a time and gets more only on evidence.
-type ramp struct {
-	opts  RampOptions
+type Ramp struct {
+	opts  Options
 	slots int
 	// allowance is the number of calls at a time; equal to slots when the target is warm.
 	allowance int
@@ -30,18 +33,30 @@
 	cut time.Time
 }
 
-func newRamp(o RampOptions, slots int) ramp {
-	r := ramp{opts: o, slots: slots, allowance: 1}
+// New returns the ramp of a target that may be cold.
+func New(o Options, slots int) Ramp {
+	r := Ramp{opts: o, slots: slots, allowance: 1}
 	if o.Off {
 		r.allowance = slots
 	}
 	return r
 }
 
-func (r *ramp) warm() bool { return r.allowance >= r.slots && r.saved == 0 }
+// Warm reports whether the target is allowed all its slots and no restart is suspected.
+func (r *Ramp) Warm() bool { return r.allowance >= r.slots && r.saved == 0 }
 
-func (r *ramp) resize(slots int) {
-	if r.warm() && slots > r.slots && !r.opts.Off {
+// Allowance returns the number of calls at a time that are allowed.
+func (r *Ramp) Allowance() int { return r.allowance }
+
+// Suspected reports whether a restart is suspected that no answer has dispelled.
+func (r *Ramp) Suspected() bool { return r.saved > 0 }
+
+// Start returns the start id of the last answer.
+func (r *Ramp) Start() clementineport.StartID { return r.start }
+
+// Resize changes the number of slots.
+func (r *Ramp) Resize(slots int) {
+	if r.Warm() && slots > r.slots && !r.opts.Off {
 		r.used = 0
 	}
 	if r.opts.Off {
@@ -52,8 +67,8 @@
 	r.saved = min(r.saved, slots)
 }
 
-// suspect allows one call at a time until an answer shows whether the target has restarted.
-func (r *ramp) suspect(now time.Time) {
+// Suspect allows one call at a time until an answer shows whether the target has restarted.
+func (r *Ramp) Suspect(now time.Time) {
 	if r.opts.Off {
 		return
 	}
@@ -64,7 +79,7 @@
 	r.allowance = 1
 }
 
-func (r *ramp) chill() {
+func (r *Ramp) chill() {
 	if r.opts.Off {
 		return
 	}
@@ -72,11 +87,11 @@
 	r.reset()
 }
 
-func (r *ramp) reset() { r.used, r.good, r.bad, r.jumps, r.seen = 0, 0, 0, 0, 0 }
+func (r *Ramp) reset() { r.used, r.good, r.bad, r.jumps, r.seen = 0, 0, 0, 0, 0 }
 
-// observe takes in the result of a call that started at started, while inUse calls were counted;
+// Observe takes in the result of a call that started at started, while inUse calls were counted;
 // warmTime is the time of a warm answer, or zero if it is not known.
-func (r *ramp) observe(now, started time.Time, res *clementineport.CallResult, inUse int, warmTime time.Duration) {
+func (r *Ramp) Observe(now, started time.Time, res *clementineport.CallResult, inUse int, warmTime time.Duration) {
 	if r.opts.Off {
 		return
 	}
@@ -101,7 +116,7 @@
 	r.answered(res, warmTime)
 }
 
-func (r *ramp) failed(now, started time.Time, f clementineport.Fault, elapsed, warmTime time.Duration) {
+func (r *Ramp) failed(now, started time.Time, f clementineport.Fault, elapsed, warmTime time.Duration) {
 	switch f {
 	case clementineport.FaultCold:
 		r.chill()
@@ -111,9 +126,9 @@
 	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultReset,
 		clementineport.FaultCut:
 		r.failures++
-		r.suspect(now)
+		r.Suspect(now)
 	case clementineport.FaultTimeout, clementineport.FaultCanceled:
-		if r.isJump(elapsed, warmTime) {
+		if r.IsJump(elapsed, warmTime) {
 			r.judge(false, true)
 		}
 		return
@@ -126,7 +141,7 @@
 }
 
 // lower halves the allowance once for all the calls that were in progress.
-func (r *ramp) lower(now, started time.Time) {
+func (r *Ramp) lower(now, started time.Time) {
 	if started.Before(r.cut) {
 		return
 	}
@@ -135,15 +150,16 @@
 	r.reset()
 }
 
-func (r *ramp) isJump(elapsed, warmTime time.Duration) bool {
+// IsJump reports whether an answer took so much longer than a warm one that the target may be cold.
+func (r *Ramp) IsJump(elapsed, warmTime time.Duration) bool {
 	return warmTime > 0 && float64(elapsed) > r.opts.JumpFactor*float64(warmTime)
 }
 
-func (r *ramp) answered(res *clementineport.CallResult, warmTime time.Duration) {
+func (r *Ramp) answered(res *clementineport.CallResult, warmTime time.Duration) {
 	good := !res.Signals.Cold &&
 		(warmTime == 0 || float64(res.Elapsed) <= r.opts.GoodFactor*float64(warmTime))
-	r.judge(good, r.isJump(res.Elapsed, warmTime))
-	if res.Signals.Cold && r.warm() && r.slots > 1 {
+	r.judge(good, r.IsJump(res.Elapsed, warmTime))
+	if res.Signals.Cold && r.Warm() && r.slots > 1 {
 		r.chill()
 		return
 	}
@@ -151,14 +167,14 @@
 	if warmTime == 0 {
 		step *= r.opts.BlindFactor
 	}
-	if !r.warm() && r.good >= step && r.used >= r.allowance && r.bad*4 <= r.good {
+	if !r.Warm() && r.good >= step && r.used >= r.allowance && r.bad*4 <= r.good {
 		r.allowance++
 		r.reset()
 	}
 }
 
 // judge counts one answer and lowers the allowance when most of a window are latency jumps.
-func (r *ramp) judge(good, jump bool) {
+func (r *Ramp) judge(good, jump bool) {
 	if good {
 		r.good++
 	} else {
