--- a/cpcli/status.go
+++ b/cpcli/status.go
@@ -13,7 +13,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
 	"github.com/clementineport/clementineport/cpcommand"
-	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // newStatusCommand returns the subcommand that shows what one VM knows of the fleet.
@@ -38,7 +38,7 @@
 		})
 }
 
-func printStatus(stdout io.Writer, s *cpcontrol.Status) error {
+func printStatus(stdout io.Writer, s *cpview.Status) error {
 	fmt.Fprintf(stdout, "revision %d in force, known to be the newest %s ago\n", s.Revision, s.Fresh.Round(time.Millisecond))
 	if s.Restored != 0 {
 		fmt.Fprintf(stdout, "the store answers with the older revision %d; it was restored\n", s.Restored)
--- a/cpcontrol/api.go
+++ b/cpcontrol/api.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Exchange answers a peer's exchange.
@@ -86,8 +87,8 @@
 }
 
 // Status returns what an operator sees of this VM's control state.
-func (c *Control) Status(ctx context.Context) (*Status, error) {
-	answer := make(chan *Status, 1)
+func (c *Control) Status(ctx context.Context) (*cpview.Status, error) {
+	answer := make(chan *cpview.Status, 1)
 	c.send(ctx, asked{answer: answer})
 	select {
 	case s := <-answer:
@@ -97,8 +98,8 @@
 	}
 }
 
-func (c *Control) row(m *clementineport.Member, now time.Time) Row {
-	r := Row{
+func (c *Control) row(m *clementineport.Member, now time.Time) cpview.Row {
+	r := cpview.Row{
 		VM:        m.VM,
 		Start:     m.Start,
 		State:     m.State,
--- a/cpcontrol/cpcontrol.go
+++ b/cpcontrol/cpcontrol.go
@@ -15,6 +15,7 @@
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpowner"
 	"github.com/clementineport/clementineport/cpspread"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // eventBacklog is the number of events that may wait for the loop.
@@ -24,7 +25,7 @@
 type Control struct {
 	options   Options
 	counters  counters
-	view      atomic.Pointer[View]
+	view      atomic.Pointer[cpview.View]
 	freshness *cpspread.Freshness
 	// newest is the highest revision that a peer has named, but for those that could not be compiled.
 	newest atomic.Uint64
@@ -81,7 +82,7 @@
 }
 
 // View returns the newest view.
-func (c *Control) View() *View { return c.view.Load() }
+func (c *Control) View() *cpview.View { return c.view.Load() }
 
 // MaySend returns nil when new work may be sent now, or a FaultStale error.
 // It is called just before each send, since the process may have been paused.
@@ -168,7 +169,7 @@
 	members := c.member.Members()
 	c.spread.SetMembers(members, c.listed)
 	c.freshness.SetAlone(c.spread.Alone())
-	v := &View{
+	v := &cpview.View{
 		Self:     c.options.Self.ID,
 		Members:  members,
 		Restored: c.spread.Restored(),
--- a/cpcontrol/cpcontrol_test.go
+++ b/cpcontrol/cpcontrol_test.go
@@ -13,6 +13,7 @@
 	"github.com/clementineport/clementineport/cpadvice"
 	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpspread"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // run starts eight VMs with the first revision in force and runs a test in virtual time.
@@ -234,7 +235,7 @@
 			f := newFleet(b, 0)
 			published := make(chan struct{}, 1)
 			n := f.start(vm(0), "s", cpcontrol.WithClock(clockwork.NewFakeClock()), cpcontrol.WithCompile(compile(3900)),
-				cpcontrol.WithOnView(func(*cpcontrol.View) {
+				cpcontrol.WithOnView(func(*cpview.View) {
 					select {
 					case published <- struct{}{}:
 					default:
--- a/cpcontrol/events.go
+++ b/cpcontrol/events.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpspread"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 type exchangeKind uint8
@@ -203,11 +204,11 @@
 
 // asked is a request for the status.
 type asked struct {
-	answer chan<- *Status
+	answer chan<- *cpview.Status
 }
 
 func (e asked) apply(_ context.Context, c *Control, now time.Time) {
-	s := &Status{
+	s := &cpview.Status{
 		Revision: c.spread.Revision(),
 		Fresh:    now.Sub(c.spread.Fresh()),
 		Contact:  c.freshness.Age(),
--- a/cpcontrol/metrics.go
+++ b/cpcontrol/metrics.go
@@ -33,7 +33,7 @@
 	set := c.options.Metrics
 	for s, name := range stateNames {
 		set.GetOrCreateGauge(fmt.Sprintf("clementineport_members{state=%q}", name), func() float64 {
-			return float64(c.View().count(clementineport.MemberState(s)))
+			return float64(c.View().Count(clementineport.MemberState(s)))
 		})
 	}
 	set.GetOrCreateGauge("clementineport_revision", func() float64 { return float64(c.View().Revision) })
@@ -58,16 +58,6 @@
 	}
 }
 
-func (v *View) count(s clementineport.MemberState) int {
-	n := 0
-	for i := range v.Members {
-		if v.Members[i].State == s {
-			n++
-		}
-	}
-	return n
-}
-
 func (c *Control) countSent(d *clementineport.Digest) {
 	c.counters.sentMessages.Inc()
 	c.counters.sentBytes.Add(c.options.Size(d))
--- a/cpcontrol/options.go
+++ b/cpcontrol/options.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport/cpadvice"
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpspread"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Options holds the ports and settings of the control loop.
@@ -27,7 +28,7 @@
 	// Compile checks a configuration and returns its table.
 	Compile func(*clementineport.Config) (*clementineport.Table, error)
 	// OnView is called by the loop with each new view; it does not block.
-	OnView func(*View)
+	OnView func(*cpview.View)
 	// Size returns the bytes that a digest takes in a message; it is used for metrics.
 	Size    func(*clementineport.Digest) int
 	Metrics *metrics.Set
@@ -67,7 +68,7 @@
 		ListPeriod:  5 * time.Second,
 		ListTimeout: 2 * time.Second,
 		ChaseFor:    10 * time.Second,
-		OnView:      func(*View) {},
+		OnView:      func(*cpview.View) {},
 	}
 	for _, o := range opts {
 		o(&options)
@@ -119,7 +120,7 @@
 }
 
 // WithOnView sets what is called with each new view.
-func WithOnView(f func(*View)) Option {
+func WithOnView(f func(*cpview.View)) Option {
 	return func(o *Options) { o.OnView = f }
 }
 
--- a/cpentry/baseline.go
+++ b/cpentry/baseline.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cprelay"
 	"github.com/clementineport/clementineport/cpscatter"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // BaselinePolicy is the name of the baseline policy in a query.
@@ -45,7 +45,7 @@
 
 // runBaseline runs a query under the baseline policy, which learns what targets hold from the main policy.
 func (e *Entry) runBaseline(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
 	b := e.opts.Baseline
 	if b == nil || b.view.Load() == nil {
--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -11,10 +11,10 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cpscatter"
 	"github.com/clementineport/clementineport/cpsnapshot"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Entry runs the queries of one VM.
@@ -127,7 +127,7 @@
 	return answer, nil
 }
 
-func lookup(view *cpcontrol.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
+func lookup(view *cpview.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
 	if view.Table == nil {
 		return nil, clementineport.Fail(clementineport.FaultUnavailable, "no configuration is known yet")
 	}
@@ -140,7 +140,7 @@
 
 // gather returns an answer beside the error when the answer covers too little to be given.
 func (e *Entry) gather(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
 	router := &router{control: e.opts.Control, peers: e.opts.Peers}
 	choice, err := e.choose(ctx, q, view, service, router)
@@ -167,7 +167,7 @@
 // choose chooses the snapshot. While nothing is known it asks targets first. A service that prefers coverage
 // also waits a little for what targets say when not every shard can be covered.
 func (e *Entry) choose(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable, router *router,
 ) (cpsnapshot.Choice, error) {
 	now := e.opts.Clock.Now()
 	choice, ok := e.snapshots.Choose(service, view.Targets, now)
--- a/cpentry/once_test.go
+++ b/cpentry/once_test.go
@@ -8,10 +8,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cponce"
 	"github.com/clementineport/clementineport/cptrace"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // TestRefusalOfAResend checks that a VM that refuses new queries says "not run" only of a request that has
@@ -25,7 +25,7 @@
 	assert.NilError(t, err)
 	e := cpentry.New(
 		cpentry.WithClock(clock), cpentry.WithOnce(once), cpentry.WithTracer(tracer),
-		cpentry.WithControl(&steady{&cpcontrol.View{}}),
+		cpentry.WithControl(&steady{&cpview.View{}}),
 		cpentry.WithAdmit(func() error { return leaving }),
 	)
 	query := func(id clementineport.RequestID, idempotent bool) (*clementineport.Answer, error) {
--- a/cpentry/options.go
+++ b/cpentry/options.go
@@ -6,11 +6,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cponce"
 	"github.com/clementineport/clementineport/cprelay"
 	"github.com/clementineport/clementineport/cptrace"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Defaults of Options.
@@ -28,7 +28,7 @@
 
 // Control is the part of the control state that queries use.
 type Control interface {
-	View() *cpcontrol.View
+	View() *cpview.View
 	MaySend() error
 	Seen(r clementineport.Revision, from clementineport.VMID)
 }
--- a/cpentry/probe.go
+++ b/cpentry/probe.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpsnapshot"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // prober runs at most one probe of a service at a time, and not too often.
@@ -68,7 +68,7 @@
 // probe asks targets for a snapshot that none holds; their refusals say what they do hold.
 // With again, targets that have not said that they hold the newest version are asked once more.
 func (e *Entry) probe(
-	q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router, again bool,
+	q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable, router *router, again bool,
 ) {
 	now := e.opts.Clock.Now()
 	targets := cpsnapshot.Ask(nil, service, view.Targets, now, e.opts.ProbeTargets)
--- a/cpentry/query_bench_test.go
+++ b/cpentry/query_bench_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cplimit"
@@ -29,6 +28,7 @@
 	"github.com/clementineport/clementineport/cptarget"
 	"github.com/clementineport/clementineport/cptarget/cphttp"
 	"github.com/clementineport/clementineport/cptrace"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 const (
@@ -58,9 +58,9 @@
 func (*instant) Close() error { return nil }
 
 // steady is a control state that does not change.
-type steady struct{ view *cpcontrol.View }
+type steady struct{ view *cpview.View }
 
-func (s *steady) View() *cpcontrol.View                           { return s.view }
+func (s *steady) View() *cpview.View                              { return s.view }
 func (*steady) MaySend() error                                    { return nil }
 func (*steady) Seen(clementineport.Revision, clementineport.VMID) {}
 func (*steady) Exchange(context.Context, *clementineport.Digest) (*clementineport.Digest, error) {
@@ -104,7 +104,7 @@
 	b testing.TB, self, owner clementineport.VMID, peer string, t *clementineport.Table, dial cprelay.Dial, opts ...cpentry.Option,
 ) *cpentry.Entry {
 	clock := clockwork.NewRealClock()
-	view := &cpcontrol.View{
+	view := &cpview.View{
 		Revision: t.Revision, Table: t, Self: self, Targets: cppick.New().View(t),
 		Members:  []clementineport.Member{{VM: clementineport.VM{ID: owner, Peer: peer}}},
 		Owners:   make([]int32, len(t.Targets)),
--- a/cpentry/router.go
+++ b/cpentry/router.go
@@ -6,8 +6,8 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadvice"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cprelay"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // router finds the VM that owns a target in the newest view, so that a query in progress follows a move.
@@ -99,6 +99,6 @@
 	}
 }
 
-func advise(view *cpcontrol.View, caller string, domain clementineport.FailureDomain, now time.Time) cpadvice.Advice {
+func advise(view *cpview.View, caller string, domain clementineport.FailureDomain, now time.Time) cpadvice.Advice {
 	return view.Adviser.Advise(cpadvice.Caller{Address: caller, Domain: domain}, now)
 }
--- a/cpfleet/fleet_test.go
+++ b/cpfleet/fleet_test.go
@@ -19,7 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 const (
@@ -211,7 +211,7 @@
 	eventually(f.t, "the entry VMs know each other", func() error {
 		for _, e := range f.entries {
 			out, fault, code := f.commandAt([]*entry{e}, "status")
-			var s cpcontrol.Status
+			var s cpview.Status
 			if code != 0 || json.Unmarshal([]byte(out), &s) != nil || s.Revision < f.revision {
 				return fmt.Errorf("%s: %s %s", e.name, out, fault)
 			}
--- a/cpfleet/operate_test.go
+++ b/cpfleet/operate_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpsearcher"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 var client = &http.Client{Timeout: 10 * time.Second}
@@ -119,7 +119,7 @@
 	return clementineport.Config{Revision: reply.Revision, Out: reply.Out, Changes: reply.Changes}
 }
 
-func (f *fleet) status() (s cpcontrol.Status) {
+func (f *fleet) status() (s cpview.Status) {
 	f.t.Helper()
 	f.must(&s, "status")
 	return s
--- a/cpnode/baseline.go
+++ b/cpnode/baseline.go
@@ -5,11 +5,11 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbudget"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cppick/cprandom"
 	"github.com/clementineport/clementineport/cprelay"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // baselineHedgeAfter is never reached, since the baseline has no budget for hedges.
@@ -31,7 +31,7 @@
 	return b
 }
 
-func (b *baseline) update(v *cpcontrol.View) {
+func (b *baseline) update(v *cpview.View) {
 	vms := max(1, len(v.Members))
 	b.pool.Update(v.Table, func(t clementineport.TargetIndex) int {
 		return max(1, v.Table.Targets[t].Group.Connections/vms)
--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cppick"
 	"github.com/clementineport/clementineport/cpshare"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 func (n *Node) newControl() {
@@ -33,7 +34,7 @@
 }
 
 // onView passes a new view to the parts that hold state for each target or VM.
-func (n *Node) onView(v *cpcontrol.View) {
+func (n *Node) onView(v *cpview.View) {
 	n.peers.Keep(v.Members)
 	n.drain.setTakenOut(v.SelfOut())
 	if v.Table == nil {
@@ -49,12 +50,12 @@
 }
 
 // connectionShare returns how many connections this VM may open to a target.
-func connectionShare(v *cpcontrol.View, t clementineport.TargetIndex) int {
+func connectionShare(v *cpview.View, t clementineport.TargetIndex) int {
 	return cpshare.Connections(v.Table.Targets[t].Group.Connections, role(v, t))
 }
 
 // role returns what this VM is for a target.
-func role(v *cpcontrol.View, t clementineport.TargetIndex) cpshare.Role {
+func role(v *cpview.View, t clementineport.TargetIndex) cpshare.Role {
 	if owner := v.Owner(t); owner != nil && owner.ID == v.Self {
 		return cpshare.Owner
 	}
--- a/cpoperator/cpoperatorclient/cpoperatorclient.go
+++ b/cpoperator/cpoperatorclient/cpoperatorclient.go
@@ -12,9 +12,9 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpattempt"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpoperator"
 	"github.com/clementineport/clementineport/cpsubmit"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Config is the configuration in force at an entry.
@@ -79,8 +79,8 @@
 }
 
 // Status returns what an entry knows of the fleet.
-func (c *Client) Status(ctx context.Context) (cpcontrol.Status, error) {
-	var reply cpcontrol.Status
+func (c *Client) Status(ctx context.Context) (cpview.Status, error) {
+	var reply cpview.Status
 	err := c.call(ctx, http.MethodGet, cpoperator.StatusPath, nil, &reply)
 	return reply, err
 }
@@ -120,7 +120,7 @@
 }
 
 // unconfirmed returns the live VMs that are not known to have a revision.
-func unconfirmed(s *cpcontrol.Status, revision clementineport.Revision) []clementineport.VMID {
+func unconfirmed(s *cpview.Status, revision clementineport.Revision) []clementineport.VMID {
 	var missing []clementineport.VMID
 	for i := range s.Rows {
 		if row := &s.Rows[i]; row.State != clementineport.MemberDead && row.Revision < revision {
--- a/cpcontrol/view.go
+++ b/cpview/cpview.go
@@ -1,4 +1,8 @@
-package cpcontrol
+// Package cpview holds what one VM knows of the fleet, as the query path and operators read it.
+//
+// A View is immutable: the control loop makes a new one for each change, and readers keep theirs as long as they
+// need it. The package looks up and decides nothing.
+package cpview
 
 import (
 	"slices"
@@ -62,6 +66,17 @@
 	return m != nil && v.Table != nil && cpowner.IsOut(&m.VM, &v.Table.Out)
 }
 
+// Count returns the number of members in a state.
+func (v *View) Count(s clementineport.MemberState) int {
+	n := 0
+	for i := range v.Members {
+		if v.Members[i].State == s {
+			n++
+		}
+	}
+	return n
+}
+
 // Row is what an operator sees of one VM.
 type Row struct {
 	VM       clementineport.VM
