--- a/cpcontrol/api.go
+++ b/cpcontrol/api.go
@@ -124,6 +124,6 @@
 	select {
 	case c.events <- e:
 	default:
-		c.counters.dropped.Inc()
+		c.metrics.Dropped.Inc()
 	}
 }
--- a/cpcontrol/calls.go
+++ b/cpcontrol/calls.go
@@ -14,9 +14,6 @@
 // startListShare is the share of ListPeriod between two reads of the list while no other VM is known.
 const startListShare = 10
 
-// unusedAfter is how long a peer is kept open without a call.
-const unusedAfter = 5 * time.Minute
-
 // withTimeout ends a context by the clock that the decisions use.
 func (c *Control) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -39,36 +36,6 @@
 	}
 }
 
-// dial returns the peer of a VM; a VM whose address has changed is dialed anew.
-func (c *Control) dial(vm clementineport.VM) clementineport.Peer {
-	now := c.options.Clock.Now()
-	d, known := c.peers[vm.ID]
-	if !known || d.vm.Peer != vm.Peer {
-		c.hangUp(vm.ID)
-		d = dialed{vm: vm, peer: c.options.Dial(vm)}
-	}
-	d.used = now
-	c.peers[vm.ID] = d
-	return d.peer
-}
-
-// hangUpUnused closes the peers that have not been called for a while.
-func (c *Control) hangUpUnused(now time.Time) {
-	for id, d := range c.peers {
-		if now.Sub(d.used) > unusedAfter {
-			c.hangUp(id)
-		}
-	}
-}
-
-// hangUp closes the peer of a VM, so that the next call uses a new connection.
-func (c *Control) hangUp(id clementineport.VMID) {
-	if d, known := c.peers[id]; known {
-		delete(c.peers, id)
-		go func() { _ = d.peer.Close() }()
-	}
-}
-
 // list reads the platform's list of VMs.
 func (c *Control) list(ctx context.Context, now time.Time) {
 	if c.listing || now.Before(c.nextList) || c.options.Directory == nil {
@@ -95,10 +62,10 @@
 
 // exchange swaps digests with a peer.
 func (c *Control) exchange(ctx context.Context, e exchanged, vm clementineport.VM) {
-	p := c.dial(vm)
+	p := c.peers.Get(c.options.Clock.Now(), vm)
 	d := c.member.Digest(vm.ID)
 	d.Fresh = c.options.Clock.Now().Sub(c.spread.Fresh())
-	c.countSent(d)
+	c.metrics.Sent(d)
 	go func() {
 		call, cancel := c.withTimeout(ctx, e.timeout)
 		defer cancel()
@@ -128,14 +95,14 @@
 		var item clementineport.Item
 		var err error
 		if a.Kind == cpspread.KindWatch {
-			c.counters.storeWatches.Inc()
+			c.metrics.StoreWatches.Inc()
 			item, err = c.options.Store.Watch(call, c.options.Key, a.Seen, a.Wait)
 		} else {
-			c.counters.storeReads.Inc()
+			c.metrics.StoreReads.Inc()
 			item, err = c.options.Store.Get(call, c.options.Key)
 		}
 		if err != nil {
-			c.counters.storeFailures.Inc()
+			c.metrics.StoreFailures.Inc()
 			c.send(ctx, stored{action: a, err: err})
 			return
 		}
@@ -173,9 +140,9 @@
 		c.spread.Failed(a.Began, a)
 		return
 	}
-	p := c.dial(m.VM)
+	p := c.peers.Get(c.options.Clock.Now(), m.VM)
 	have := c.View().Revision
-	c.counters.fetches.Inc()
+	c.metrics.Fetches.Inc()
 	go func() {
 		call, cancel := c.withTimeout(ctx, a.Timeout)
 		defer cancel()
--- a/cpcontrol/cpcontrol.go
+++ b/cpcontrol/cpcontrol.go
@@ -12,6 +12,8 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadvice"
+	"github.com/clementineport/clementineport/cpcontrol/cpmetrics"
+	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpowner"
 	"github.com/clementineport/clementineport/cpspread"
@@ -24,7 +26,7 @@
 // Control is the control state of one VM. Its exported methods are safe for concurrent use.
 type Control struct {
 	options   Options
-	counters  counters
+	metrics   *cpmetrics.Metrics
 	view      atomic.Pointer[cpview.View]
 	freshness *cpspread.Freshness
 	// newest is the highest revision that a peer has named, but for those that could not be compiled.
@@ -35,7 +37,7 @@
 	member     *cpmember.Membership
 	spread     *cpspread.Spread
 	owner      *cpowner.Assigner
-	peers      map[clementineport.VMID]dialed
+	peers      *cpdial.Peers
 	config     *clementineport.Config
 	table      *clementineport.Table
 	targets    clementineport.TargetView
@@ -46,14 +48,6 @@
 	listed     int
 	chaseUntil time.Time
 	nextChase  time.Time
-	states     map[clementineport.VMID]clementineport.MemberState
-}
-
-// dialed is a peer that the loop has dialed.
-type dialed struct {
-	vm   clementineport.VM
-	peer clementineport.Peer
-	used time.Time
 }
 
 // event is something that happened outside of the loop.
@@ -73,10 +67,9 @@
 		member:    cpmember.New(options.Self, member...),
 		spread:    cpspread.New(options.Self.ID, spread...),
 		owner:     cpowner.New(),
-		peers:     map[clementineport.VMID]dialed{},
-		states:    map[clementineport.VMID]clementineport.MemberState{},
+		peers:     cpdial.New(options.Dial),
 	}
-	c.counters = newCounters(c)
+	c.metrics = cpmetrics.New(options.Metrics, options.Log, c.View, c.freshness.Age, options.Size)
 	c.publish()
 	return c
 }
@@ -158,7 +151,7 @@
 		c.targets = c.options.Picker.View(table)
 	}
 	c.member.SetRevision(cfg.Revision)
-	c.logRevision(cfg)
+	c.metrics.Revision(cfg)
 	c.publish()
 }
 
@@ -186,7 +179,7 @@
 	}
 	v.Adviser = cpadvice.New(c.options.Self.ID, members, out, c.options.Advice...)
 	c.view.Store(v)
-	c.counters.publications.Inc()
-	c.logMembers(members)
+	c.metrics.Publications.Inc()
+	c.metrics.Members(members)
 	c.options.OnView(v)
 }
--- a/cpcontrol/events.go
+++ b/cpcontrol/events.go
@@ -28,12 +28,12 @@
 
 func (e exchanged) apply(ctx context.Context, c *Control, now time.Time) {
 	if e.err != nil {
-		c.counters.exchangeFailures.Inc()
-		c.hangUp(e.peer)
+		c.metrics.ExchangeFailures.Inc()
+		c.peers.HangUp(e.peer)
 		c.member.Failed(now, e.peer, e.began, clementineport.FaultOf(e.err))
 		return
 	}
-	c.countReceived(e.digest)
+	c.metrics.Received(e.digest)
 	c.member.Reached(now, e.peer, e.began, e.digest)
 	c.spread.Contacted(e.began)
 	c.spread.Freshness(e.began, e.digest.Revision, e.digest.Fresh)
@@ -65,7 +65,7 @@
 	if e.err != nil {
 		c.spread.Failed(now, e.action)
 		if e.version > 0 {
-			c.rejected(e.err)
+			c.metrics.Rejected(e.err)
 		}
 		return
 	}
@@ -79,7 +79,7 @@
 	c.Contacted(e.action.Began)
 	if c.spread.Lowered() != before {
 		c.dirty = true
-		c.logLowered()
+		c.metrics.Lowered(c.spread.Lowered(), c.spread.Restored(), c.spread.Revision())
 	}
 }
 
@@ -104,10 +104,10 @@
 
 func (e fetched) apply(ctx context.Context, c *Control, now time.Time) {
 	if e.err != nil {
-		c.counters.fetchFailures.Inc()
+		c.metrics.FetchFailures.Inc()
 		if e.rejected {
 			c.newest.Store(0)
-			c.rejected(e.err)
+			c.metrics.Rejected(e.err)
 		}
 		c.spread.Failed(now, e.action)
 		c.spreadTick(ctx, now)
@@ -129,9 +129,9 @@
 
 func (e listed) apply(_ context.Context, c *Control, now time.Time) {
 	c.listing = false
-	c.hangUpUnused(now)
+	c.peers.HangUpUnused(now)
 	if e.err != nil {
-		c.counters.listFailures.Inc()
+		c.metrics.ListFailures.Inc()
 		c.joinThroughSeeds(now)
 		return
 	}
@@ -165,10 +165,10 @@
 
 func (e heard) apply(ctx context.Context, c *Control, now time.Time) {
 	c.named(e.digest.Revision)
-	c.countReceived(e.digest)
+	c.metrics.Received(e.digest)
 	d := c.member.Heard(now, e.digest)
 	d.Fresh = now.Sub(c.spread.Fresh())
-	c.countSent(d)
+	c.metrics.Sent(d)
 	e.answer <- d
 	c.seen(ctx, now, e.digest.From.ID, e.digest.Revision)
 }
