--- a/cpentry/choose.go
+++ b/cpentry/choose.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpsnapshot"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // choose chooses the snapshot. While nothing is known it asks targets first. A service that prefers coverage
 // also waits a little for what targets say when not every shard can be covered.
 func (e *Entry) choose(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable, router *router,
 ) (cpsnapshot.Choice, error) {
 	now := e.opts.Clock.Now()
 	choice, ok := e.snapshots.Choose(service, view.Targets, now)
--- a/cpentry/cpentry.go
+++ b/cpentry/cpentry.go
@@ -12,10 +12,10 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpapi"
-	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cpscatter"
 	"github.com/clementineport/clementineport/cpsnapshot"
+	"github.com/clementineport/clementineport/cpview"
 )
 
 // Entry runs the queries of one VM.
@@ -128,7 +128,7 @@
 	return answer, nil
 }
 
-func lookup(view *cpcontrol.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
+func lookup(view *cpview.View, q *clementineport.Query) (*clementineport.ServiceTable, error) {
 	if view.Table == nil {
 		return nil, clementineport.Fail(clementineport.FaultUnavailable, "no configuration is known yet")
 	}
@@ -141,7 +141,7 @@
 
 // gather returns an answer beside the error when the answer covers too little to be given.
 func (e *Entry) gather(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable,
 ) (*clementineport.Answer, error) {
 	router := &router{control: e.opts.Control, peers: e.opts.Peers}
 	answer, err := e.gatherOnce(ctx, q, view, service, router)
@@ -171,7 +171,7 @@
 
 // gatherOnce chooses a snapshot and runs the query on it.
 func (e *Entry) gatherOnce(
-	ctx context.Context, q *clementineport.Query, view *cpcontrol.View, service *clementineport.ServiceTable, router *router,
+	ctx context.Context, q *clementineport.Query, view *cpview.View, service *clementineport.ServiceTable, router *router,
 ) (*clementineport.Answer, error) {
 	choice, err := e.choose(ctx, q, view, service, router)
 	if err != nil {
