Make the targets slow after the fleet of a shutdown test has warmed up

Cause: fleets now begin with a load, which targets of 7 s a call can't carry, so TestShutdownWaitsForQuery failed before it began. Change: the targets become slow by a command; the check is the same.

--- a/cpfleet/entries_test.go
+++ b/cpfleet/entries_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcaller"
+	"github.com/clementineport/clementineport/cpsearcher"
 )
 
 // TestKilledEntry proves that the sudden end of an entry VM loses no idempotent request, and that a
@@ -146,7 +147,9 @@
 // once, answers the query in flight before it ends.
 func TestShutdownWaitsForQuery(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "7s", "--spread", "0"}})
+	f := newFleet(t, fleetOptions{targetFlags: []string{"--service-time", "5ms", "--spread", "0"}})
+	slower := 1400.0 // 7 s
+	f.admin(cpsearcher.Command{Slow: &slower})
 	leaving := f.entries[0]
 	var list struct {
 		Entries []struct {
