--- a/cpfleet/store_test.go
+++ b/cpfleet/store_test.go
@@ -63,6 +63,24 @@
 	l.checkAlways(true, true)
 }
 
+// TestSlowStore proves that a store that takes half a second for each call holds up no query, and that a change is
+// accepted and in force as promised meanwhile.
+func TestSlowStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{})
+	l := f.load("")
+	l.answered(50)
+	slow := struct{ Mode, Delay string }{"slow", "500ms"}
+	assert.NilError(t, f.call(http.MethodPost, f.storeAt, "/admin/faults", slow, nil))
+	accepted := f.move("take-out", "c")
+	time.Sleep(time.Until(accepted.Add(promised + settleTime)))
+	report(t, "quiet", f.checkQuiet("c", accepted))
+	f.inForce(f.revision, 0)
+	f.ready(f.startEntry("vm-fresh", "a"))
+	l.answered(100)
+	l.checkAlways(true, true)
+}
+
 // TestFreshEntryFromPeers proves that an entry VM that starts while the store and the list of VMs are down gets
 // the configuration from the peers that its settings name, and serves.
 func TestFreshEntryFromPeers(t *testing.T) {
