--- a/cpdial/cpdial.go
+++ b/cpdial/cpdial.go
@@ -1,4 +1,5 @@
-// Package cpdial decides which connections to other VMs a control loop keeps. It makes no call and retries none.
+// Package cpdial decides which connections to other VMs are kept, for a control loop and for queries. It makes
+// no call and retries none.
 package cpdial
 
 import (
--- a/cpentry/options.go
+++ b/cpentry/options.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cponce"
 	"github.com/clementineport/clementineport/cprelay"
@@ -40,7 +41,7 @@
 	Control  Control
 	Sender   *cprelay.Sender
 	Owner    cprelay.Relayer
-	Peers    *Peers
+	Peers    *cpdial.Shared
 	Admitter clementineport.Admitter
 	Once     *cponce.Registry
 	Gather   cpgather.Options
@@ -80,7 +81,7 @@
 }
 
 // WithPeers sets the connections to other VMs.
-func WithPeers(p *Peers) Option { return func(o *Options) { o.Peers = p } }
+func WithPeers(p *cpdial.Shared) Option { return func(o *Options) { o.Peers = p } }
 
 // WithAdmitter sets what decides which queries start.
 func WithAdmitter(a clementineport.Admitter) Option { return func(o *Options) { o.Admitter = a } }
--- a/cpentry/query_bench_test.go
+++ b/cpentry/query_bench_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cpgather"
 	"github.com/clementineport/clementineport/cplimit"
@@ -128,7 +129,7 @@
 		cpentry.WithSelf(clementineport.VM{ID: self, Domain: "a"}),
 		cpentry.WithControl(control),
 		cpentry.WithRelay(cprelay.New(cprelay.WithSelf(self), cprelay.WithClock(clock), cprelay.WithLocal(local)), local),
-		cpentry.WithPeers(cpentry.NewPeers(func(vm clementineport.VM) clementineport.Peer {
+		cpentry.WithPeers(cpdial.NewShared(func(vm clementineport.VM) clementineport.Peer {
 			return cpconnect.New(cpconnect.WithAddress(vm.Peer), cpconnect.WithClock(clock),
 				cpconnect.WithToken(cpsecret.New("token")), cpconnect.WithSilence(time.Second, benchDeadline))
 		})),
--- a/cpnode/control.go
+++ b/cpnode/control.go
@@ -14,11 +14,11 @@
 )
 
 func (n *Node) newControl() {
-	self := clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}
 	n.control = cpcontrol.New(
-		cpcontrol.WithSelf(self),
+		cpcontrol.WithSelf(clementineport.Member{VM: n.self, Start: n.start, Ticket: n.once.Ticket(n.clock.Now())}),
 		cpcontrol.WithStore(n.store),
-		cpcontrol.WithDirectory(n.newDirectory(self)),
+		cpcontrol.WithDirectory(n.list),
+		cpcontrol.WithSeeds(n.settings.Peers...),
 		cpcontrol.WithDial(n.dialPeer),
 		cpcontrol.WithPicker(cppick.New(cppick.Seed(n.seed))),
 		cpcontrol.WithClock(n.clock),
--- a/cpnode/cpnode.go
+++ b/cpnode/cpnode.go
@@ -19,6 +19,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpcontrol"
+	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cplimit"
 	"github.com/clementineport/clementineport/cponce"
@@ -50,7 +51,7 @@
 	control  *cpcontrol.Control
 	limiter  *cplimit.Limiter
 	pool     *cprelay.Pool
-	peers    *cpentry.Peers
+	peers    *cpdial.Shared
 	admitter *cpadmit.Admitter
 	once     *cponce.Registry
 	entry    *cpentry.Entry
--- a/cpnode/traffic.go
+++ b/cpnode/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpbudget"
+	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpentry"
 	"github.com/clementineport/clementineport/cpestate"
 	"github.com/clementineport/clementineport/cpgather"
@@ -26,7 +27,7 @@
 func (n *Node) newTraffic() {
 	n.limiter = cplimit.New(cplimit.Clock(n.clock), cplimit.Seed(n.seed))
 	n.pool = cprelay.NewPool(n.dialTarget)
-	n.peers = cpentry.NewPeers(n.dialPeer)
+	n.peers = cpdial.NewShared(n.dialPeer)
 	n.admitter = cpadmit.New(cpadmit.WithClock(n.clock), cpadmit.WithSeed(n.seed), cpadmit.WithMetrics(n.metrics))
 }
 
