--- a/cpcontrol/options.go
+++ b/cpcontrol/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadvice"
+	"github.com/clementineport/clementineport/cpdigest"
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpspread"
 	"github.com/clementineport/clementineport/cpview"
@@ -62,7 +63,7 @@
 func NewOptions(opts ...Option) Options {
 	options := Options{
 		Log:         zap.NewNop(),
-		Size:        cpmember.Size,
+		Size:        cpdigest.Size,
 		Key:         DefaultKey,
 		TickPeriod:  100 * time.Millisecond,
 		ListPeriod:  5 * time.Second,
--- a/cpmember/cpmember.go
+++ b/cpmember/cpmember.go
@@ -7,8 +7,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +14,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cphealth"
+	"github.com/clementineport/clementineport/cproster"
 )
 
 // Action asks for an exchange with a peer. Its result is given to Reached or Failed.
@@ -34,12 +33,11 @@
 	health  *cphealth.Health
 	limiter *rate.Limiter // of urgent exchanges
 
-	peers   []*peer // sorted by id
-	byID    map[clementineport.VMID]*peer
-	changed []*peer // peers with tellings left
-	suspect []*peer
-	urgent  []*peer // to exchange with beyond the regular exchanges
-	claims  []*peer // to exchange with when nothing is urgent
+	roster  *cproster.Roster
+	changed []*cproster.Peer // peers with tellings left
+	suspect []*cproster.Peer
+	urgent  []*cproster.Peer // to exchange with beyond the regular exchanges
+	claims  []*cproster.Peer // to exchange with when nothing is urgent
 
 	partners []clementineport.VMID
 	rounds   int
@@ -54,26 +52,6 @@
 	version  uint64
 }
 
-// peer is another VM.
-type peer struct {
-	member clementineport.Member
-	hash   uint64
-	// known is false while the VM is only listed or claims to exist, and nobody has reached it.
-	known         bool
-	listed        bool
-	listedLeaving bool
-	failures      int
-	doubted       time.Time
-	answered      time.Time
-	deadline      time.Time
-	muted         time.Time
-	died          time.Time
-	tellings      int
-	// private is true when the state rests on failures that this VM itself may have caused;
-	// it is not told to others.
-	private bool
-}
-
 // New returns the membership of a VM that knows nobody yet.
 func New(self clementineport.Member, opts ...Option) *Membership {
 	options := NewOptions(opts...)
@@ -86,7 +64,7 @@
 		rand:    rand.New(rand.NewPCG(options.Seed, seed)),
 		health:  cphealth.New(options.HighestHealth),
 		limiter: rate.NewLimiter(rate.Limit(options.UrgentPerSecond), options.UrgentBurst),
-		byID:    map[clementineport.VMID]*peer{},
+		roster:  cproster.New(),
 		version: 1,
 	}
 }
@@ -105,34 +83,14 @@
 
 // Answered returns when the VM last answered an exchange of this VM, or the zero time.
 func (m *Membership) Answered(id clementineport.VMID) time.Time {
-	if p := m.byID[id]; p != nil {
-		return p.answered
+	if p := m.roster.Get(id); p != nil {
+		return p.Answered
 	}
 	return time.Time{}
 }
 
 // Members returns this VM and all others that are known, sorted by id.
-func (m *Membership) Members() []clementineport.Member {
-	members := make([]clementineport.Member, 0, len(m.peers)+1)
-	for _, p := range m.peers {
-		if p.known {
-			members = append(members, p.view())
-		}
-	}
-	at, _ := slices.BinarySearchFunc(members, m.self.ID, func(x clementineport.Member, id clementineport.VMID) int {
-		return strings.Compare(string(x.ID), string(id))
-	})
-	return slices.Insert(members, at, m.self)
-}
-
-// view returns the member as it is published: the platform's word that it leaves counts too.
-func (p *peer) view() clementineport.Member {
-	r := p.member
-	if p.listedLeaving && r.State <= clementineport.MemberSuspect {
-		r.State = clementineport.MemberLeaving
-	}
-	return r
-}
+func (m *Membership) Members() []clementineport.Member { return m.roster.Members(m.self) }
 
 // SetRevision records the revision in force at this VM.
 func (m *Membership) SetRevision(r clementineport.Revision) {
@@ -171,18 +129,18 @@
 
 // pushAll asks for exchanges with as many peers as the burst allows.
 func (m *Membership) pushAll() {
-	for _, p := range m.pick(m.options.UrgentBurst) {
+	for _, p := range m.roster.Pick(m.rand, m.options.UrgentBurst) {
 		m.push(p)
 	}
 }
 
 // Doubt asks for a probe of a VM that has failed to answer other calls.
 func (m *Membership) Doubt(now time.Time, id clementineport.VMID) {
-	p := m.byID[id]
-	if p == nil || now.Sub(p.doubted) < m.options.Period {
+	p := m.roster.Get(id)
+	if p == nil || now.Sub(p.Doubted) < m.options.Period {
 		return
 	}
-	p.doubted = now
+	p.Doubted = now
 	m.push(p)
 }
 
@@ -202,7 +160,7 @@
 		}
 		m.next = now.Add(m.jitter(period))
 		if p := m.regular(); p != nil {
-			actions = append(actions, m.action(p.member.VM, now))
+			actions = append(actions, m.action(p.Member.VM, now))
 		}
 	}
 	if !now.Before(m.nextDead) {
@@ -213,13 +171,13 @@
 		}
 	}
 	for p := m.nextUrgent(now); p != nil; p = m.nextUrgent(now) {
-		actions = append(actions, m.action(p.member.VM, now))
+		actions = append(actions, m.action(p.Member.VM, now))
 	}
 	return actions
 }
 
 // nextUrgent returns the next peer for which the limit has room.
-func (m *Membership) nextUrgent(now time.Time) *peer {
+func (m *Membership) nextUrgent(now time.Time) *cproster.Peer {
 	if len(m.urgent) > 0 && m.limiter.AllowN(now, 1) {
 		p := m.urgent[0]
 		m.urgent = m.urgent[1:]
@@ -254,7 +212,7 @@
 		m.rejoin()
 	}
 	for _, p := range m.suspect {
-		p.deadline = p.deadline.Add(gap)
+		p.Deadline = p.Deadline.Add(gap)
 	}
 }
 
@@ -262,10 +220,10 @@
 func (m *Membership) expire(now time.Time) {
 	for i := 0; i < len(m.suspect); {
 		p := m.suspect[i]
-		left := p.deadline.Sub(now)
+		left := p.Deadline.Sub(now)
 		if left > 0 {
-			if p.failures == 0 && left < m.options.SuspicionHeard/2 {
-				m.Doubt(now, p.member.ID)
+			if p.Failures == 0 && left < m.options.SuspicionHeard/2 {
+				m.Doubt(now, p.Member.ID)
 			}
 			i++
 			continue
@@ -289,16 +247,12 @@
 
 // forget drops dead VMs and claims that the platform does not list.
 func (m *Membership) forget(now time.Time) {
-	kept := m.peers[:0]
-	for _, p := range m.peers {
-		gone := !p.known || p.member.State == clementineport.MemberDead
-		if gone && !p.listed && now.Sub(p.died) > m.options.Forget {
-			delete(m.byID, p.member.ID)
-			m.version++
-			continue
+	m.roster.Forget(func(p *cproster.Peer) bool {
+		gone := !p.Known || p.Member.State == clementineport.MemberDead
+		if !gone || p.Listed || now.Sub(p.Died) <= m.options.Forget {
+			return false
 		}
-		kept = append(kept, p)
-	}
-	clear(m.peers[len(kept):])
-	m.peers = kept
+		m.version++
+		return true
+	})
 }
--- a/cpmember/digest.go
+++ b/cpmember/digest.go
@@ -3,18 +3,15 @@
 import (
 	"math/bits"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdigest"
+	"github.com/clementineport/clementineport/cproster"
 )
 
-const (
-	// memberBytes is the size of an encoded member without its strings.
-	memberBytes = 24
-	// tellFactor scales how often a change is told with the logarithm of the number of VMs.
-	tellFactor = 2
-)
+// tellFactor scales how often a change is told with the logarithm of the number of VMs.
+const tellFactor = 2
 
 // Digest returns what to send to a peer in an exchange.
 func (m *Membership) Digest(to clementineport.VMID) *clementineport.Digest {
@@ -39,7 +36,7 @@
 		if len(d.Members) > 0 {
 			after = d.Members[0].ID
 		}
-		response.Members = m.members(after)
+		response.Members = m.roster.Page(after, m.options.PageMembers)
 		return response
 	}
 	for i := range d.Members {
@@ -88,119 +85,54 @@
 	m.pushAll()
 }
 
-// members returns one page of the known members in order of id.
-func (m *Membership) members(after clementineport.VMID) []clementineport.Member {
-	at, found := slices.BinarySearchFunc(m.peers, after, comparePeer)
-	if found {
-		at++
-	}
-	var page []clementineport.Member
-	for _, p := range m.peers[at:] {
-		if len(page) == m.options.PageMembers {
-			break
-		}
-		if p.known && !p.private && p.member.State != clementineport.MemberDead {
-			page = append(page, p.member)
-		}
-	}
-	return page
-}
-
-func comparePeer(p *peer, id clementineport.VMID) int {
-	return strings.Compare(string(p.member.ID), string(id))
-}
-
 // fill adds members within the bytes of a digest: what the receiver is accused of, changes, and a sample.
 func (m *Membership) fill(d *clementineport.Digest, to clementineport.VMID) {
-	left := m.options.DigestBytes - size(&d.From)
-	if p := m.byID[to]; p != nil && p.known && !p.private && p.member.State != clementineport.MemberAlive {
-		left = add(d, p.brief(), left)
+	b := cpdigest.NewBuilder(d, m.options.DigestBytes)
+	if p := m.roster.Get(to); p != nil && p.Known && !p.Private && p.Member.State != clementineport.MemberAlive {
+		b.Add(p.Brief())
 	}
-	left = m.fillChanges(d, to, left)
-	m.fillSample(d, to, left)
+	m.fillChanges(b, to)
+	m.fillSample(b, to)
 }
 
-func (m *Membership) fillChanges(d *clementineport.Digest, to clementineport.VMID, left int) int {
-	slices.SortStableFunc(m.changed, compareNews)
+func (m *Membership) fillChanges(b *cpdigest.Builder, to clementineport.VMID) {
+	slices.SortStableFunc(m.changed, cproster.CompareNews)
 	kept := m.changed[:0]
 	for _, p := range m.changed {
-		if p.member.ID != to && !p.private {
-			if r := p.brief(); len(d.Members) == 0 || size(&r) <= left {
-				left = add(d, r, left)
-				p.tellings--
+		if p.Member.ID != to && !p.Private {
+			if r := p.Brief(); b.Fits(&r) {
+				b.Add(r)
+				p.Tellings--
 			}
 		}
-		if p.tellings > 0 {
+		if p.Tellings > 0 {
 			kept = append(kept, p)
 		}
 	}
 	clear(m.changed[len(kept):])
 	m.changed = kept
-	return left
-}
-
-// compareNews puts bad news first, and of equal news what has been told least.
-func compareNews(x, y *peer) int {
-	xAlive, yAlive := x.member.State == clementineport.MemberAlive, y.member.State == clementineport.MemberAlive
-	if xAlive != yAlive {
-		if yAlive {
-			return -1
-		}
-		return 1
-	}
-	return y.tellings - x.tellings
 }
 
 // fillSample adds one peer in turn, so that every difference between views is repaired in time.
-func (m *Membership) fillSample(d *clementineport.Digest, to clementineport.VMID, left int) {
-	for range m.peers {
-		m.sample = (m.sample + 1) % len(m.peers)
-		p := m.peers[m.sample]
-		if !p.known || p.member.ID == to || p.private || p.member.State == clementineport.MemberDead {
+func (m *Membership) fillSample(b *cpdigest.Builder, to clementineport.VMID) {
+	for range m.roster.All() {
+		m.sample = (m.sample + 1) % m.roster.Len()
+		p := m.roster.All()[m.sample]
+		if !p.Known || p.Member.ID == to || p.Private || p.Member.State == clementineport.MemberDead {
 			continue
 		}
-		if len(d.Members) == 0 || size(&p.member) <= left {
-			add(d, p.member, left)
+		if b.Fits(&p.Member) {
+			b.Add(p.Member)
 		}
 		return
 	}
 }
 
-func add(d *clementineport.Digest, r clementineport.Member, left int) int {
-	d.Members = append(d.Members, r)
-	return left - size(&r)
-}
-
-// brief returns the member without addresses when the receiver has no use for them.
-func (p *peer) brief() clementineport.Member {
-	r := p.member
-	if r.State != clementineport.MemberAlive {
-		r.VM = clementineport.VM{ID: r.ID}
-		r.Ticket = ""
-	}
-	return r
-}
-
-// Size returns about how many bytes a digest takes in a message.
-func Size(d *clementineport.Digest) int {
-	n := size(&d.From)
-	for i := range d.Members {
-		n += size(&d.Members[i])
-	}
-	return n
-}
-
-// size returns about how many bytes the member takes in a message.
-func size(r *clementineport.Member) int {
-	return memberBytes + len(r.ID) + len(r.Domain) + len(r.Caller) + len(r.Peer) + len(r.Operator) +
-		len(r.Start) + len(r.Ticket)
-}
-
 // tell schedules a change to be told to others.
-func (m *Membership) tell(p *peer) {
+func (m *Membership) tell(p *cproster.Peer) {
 	m.version++
-	if p.tellings == 0 {
+	if p.Tellings == 0 {
 		m.changed = append(m.changed, p)
 	}
-	p.tellings = tellFactor * bits.Len(uint(len(m.peers)+1))
+	p.Tellings = tellFactor * bits.Len(uint(m.roster.Len()+1))
 }
--- a/cpmember/records.go
+++ b/cpmember/records.go
@@ -4,10 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cproster"
 )
 
 // rank orders states of the same incarnation; a higher one replaces a lower one.
@@ -18,36 +17,20 @@
 	clementineport.MemberDead:    3,
 }
 
-// ensure returns the peer with the id, which it adds if need be.
-func (m *Membership) ensure(now time.Time, vm *clementineport.VM) *peer {
-	if p := m.byID[vm.ID]; p != nil {
-		return p
-	}
-	p := &peer{
-		member: clementineport.Member{VM: *vm},
-		hash:   xxhash.Sum64String(string(vm.ID)),
-		died:   now,
-	}
-	at, _ := slices.BinarySearchFunc(m.peers, vm.ID, comparePeer)
-	m.peers = slices.Insert(m.peers, at, p)
-	m.byID[vm.ID] = p
-	return p
-}
-
 // Listed takes the platform's list of VMs, which lags.
 func (m *Membership) Listed(now time.Time, vms []clementineport.VM) {
-	for _, p := range m.peers {
-		p.listed = false
+	for _, p := range m.roster.All() {
+		p.Listed = false
 	}
 	for i := range vms {
 		if vms[i].ID == m.self.ID {
 			continue
 		}
-		_, seen := m.byID[vms[i].ID]
-		p := m.ensure(now, &vms[i])
-		p.listed = true
-		if p.listedLeaving != vms[i].Leaving {
-			p.listedLeaving = vms[i].Leaving
+		seen := m.roster.Get(vms[i].ID) != nil
+		p := m.roster.Ensure(now, &vms[i])
+		p.Listed = true
+		if p.ListedLeaving != vms[i].Leaving {
+			p.ListedLeaving = vms[i].Leaving
 			m.version++
 		}
 		if !seen {
@@ -62,34 +45,34 @@
 	if from.ID == m.self.ID {
 		return
 	}
-	p := m.ensure(now, &from.VM)
+	p := m.roster.Ensure(now, &from.VM)
 	if m.options.TrustCallers {
 		m.reached(now, from)
 		return
 	}
-	if !p.known || p.member.Start != from.Start {
-		p.member.VM = from.VM
+	if !p.Known || p.Member.Start != from.Start {
+		p.Member.VM = from.VM
 		m.check(p)
 		return
 	}
 	m.refresh(p, from)
 	switch {
-	case from.State == clementineport.MemberLeaving && from.Incarnation > p.member.Incarnation:
-		p.member.Incarnation = from.Incarnation
+	case from.State == clementineport.MemberLeaving && from.Incarnation > p.Member.Incarnation:
+		p.Member.Incarnation = from.Incarnation
 		m.setState(p, clementineport.MemberLeaving, now)
-	case from.Incarnation > p.member.Incarnation || !p.answers():
+	case from.Incarnation > p.Member.Incarnation || !p.Answers():
 		m.check(p)
 	}
 }
 
 // refresh takes over what changes without a change of state.
-func (m *Membership) refresh(p *peer, r *clementineport.Member) {
-	if r.Revision > p.member.Revision {
-		p.member.Revision = r.Revision
+func (m *Membership) refresh(p *cproster.Peer, r *clementineport.Member) {
+	if r.Revision > p.Member.Revision {
+		p.Member.Revision = r.Revision
 		m.version++
 	}
-	if laterTicket(r.Ticket, p.member.Ticket) {
-		p.member.Ticket = r.Ticket
+	if laterTicket(r.Ticket, p.Member.Ticket) {
+		p.Member.Ticket = r.Ticket
 		m.version++
 	}
 }
@@ -104,21 +87,21 @@
 	if from.ID == m.self.ID {
 		return
 	}
-	p := m.ensure(now, &from.VM)
-	p.failures = 0
-	p.answered = now
-	news := !p.known || p.member.Start != from.Start || p.member.State != from.State ||
-		p.member.Incarnation < from.Incarnation
-	incarnation := max(p.member.Incarnation, from.Incarnation)
-	if p.member.VM != from.VM || p.member.Ticket != from.Ticket || p.member.Revision != from.Revision {
+	p := m.roster.Ensure(now, &from.VM)
+	p.Failures = 0
+	p.Answered = now
+	news := !p.Known || p.Member.Start != from.Start || p.Member.State != from.State ||
+		p.Member.Incarnation < from.Incarnation
+	incarnation := max(p.Member.Incarnation, from.Incarnation)
+	if p.Member.VM != from.VM || p.Member.Ticket != from.Ticket || p.Member.Revision != from.Revision {
 		m.version++
 	}
-	state := p.member.State
-	p.known = true
-	p.member = *from
-	p.member.Incarnation = incarnation
-	p.member.State = state
-	p.private = false
+	state := p.Member.State
+	p.Known = true
+	p.Member = *from
+	p.Member.Incarnation = incarnation
+	p.Member.State = state
+	p.Private = false
 	m.setState(p, from.State, now)
 	if from.State == clementineport.MemberSuspect {
 		m.hasten(now, p, m.options.SuspicionOwn)
@@ -134,34 +117,34 @@
 		m.refute(r)
 		return
 	}
-	p := m.byID[r.ID]
-	if p == nil || !p.known {
+	p := m.roster.Get(r.ID)
+	if p == nil || !p.Known {
 		m.learn(now, r)
 		return
 	}
-	if r.Start == p.member.Start {
+	if r.Start == p.Member.Start {
 		m.refresh(p, r)
 	}
-	newer := r.Incarnation > p.member.Incarnation || p.private && r.Incarnation == p.member.Incarnation
-	if !newer && (r.Incarnation < p.member.Incarnation || rank[r.State] <= rank[p.member.State]) {
+	newer := r.Incarnation > p.Member.Incarnation || p.Private && r.Incarnation == p.Member.Incarnation
+	if !newer && (r.Incarnation < p.Member.Incarnation || rank[r.State] <= rank[p.Member.State]) {
 		return
 	}
-	if r.Start != p.member.Start && r.Peer == "" && r.State != clementineport.MemberDead {
+	if r.Start != p.Member.Start && r.Peer == "" && r.State != clementineport.MemberDead {
 		return
 	}
 	if r.Peer != "" {
-		p.member.VM = r.VM
+		p.Member.VM = r.VM
 	}
-	if r.Start != p.member.Start {
-		p.member.Ticket = r.Ticket
+	if r.Start != p.Member.Start {
+		p.Member.Ticket = r.Ticket
 	}
-	if newer && r.State == clementineport.MemberAlive && p.failures > 0 {
-		p.failures = 0
-		p.muted = now.Add(m.options.Mute)
+	if newer && r.State == clementineport.MemberAlive && p.Failures > 0 {
+		p.Failures = 0
+		p.Muted = now.Add(m.options.Mute)
 	}
-	p.member.Start, p.member.Incarnation = r.Start, r.Incarnation
-	p.member.Revision = max(p.member.Revision, r.Revision)
-	p.private = false
+	p.Member.Start, p.Member.Incarnation = r.Start, r.Incarnation
+	p.Member.Revision = max(p.Member.Revision, r.Revision)
+	p.Private = false
 	m.setState(p, r.State, now)
 	m.tell(p)
 }
@@ -171,11 +154,11 @@
 	if r.Peer == "" || r.State == clementineport.MemberDead {
 		return
 	}
-	p := m.ensure(now, &r.VM)
-	p.known = true
-	m.claims = slices.DeleteFunc(m.claims, func(q *peer) bool { return q == p })
-	p.member = *r
-	p.member.State = clementineport.MemberAlive
+	p := m.roster.Ensure(now, &r.VM)
+	p.Known = true
+	m.claims = slices.DeleteFunc(m.claims, func(q *cproster.Peer) bool { return q == p })
+	p.Member = *r
+	p.Member.State = clementineport.MemberAlive
 	m.setState(p, r.State, now)
 	m.tell(p)
 }
@@ -202,17 +185,17 @@
 // While this VM may itself be the cause, it keeps what it believes to itself.
 func (m *Membership) Failed(now time.Time, id clementineport.VMID, began time.Time, fault clementineport.Fault) {
 	m.noticePause(now)
-	m.health.SetOthers(len(m.peers))
-	p := m.byID[id]
-	if !m.health.Failure(now, began, id) || p == nil || !p.known || now.Before(p.muted) {
-		if p != nil && !p.known {
-			p.failures++
+	m.health.SetOthers(m.roster.Len())
+	p := m.roster.Get(id)
+	if !m.health.Failure(now, began, id) || p == nil || !p.Known || now.Before(p.Muted) {
+		if p != nil && !p.Known {
+			p.Failures++
 		}
 		return
 	}
-	p.failures++
+	p.Failures++
 	m.keepPrivate()
-	if p.failures == 1 && fault != clementineport.FaultRefused {
+	if p.Failures == 1 && fault != clementineport.FaultRefused {
 		m.push(p)
 		return
 	}
@@ -228,20 +211,20 @@
 		return
 	}
 	for _, id := range m.health.Failed() {
-		if p := m.byID[id]; p != nil {
-			p.private = true
+		if p := m.roster.Get(id); p != nil {
+			p.Private = true
 		}
 	}
 }
 
-func (m *Membership) accuse(now time.Time, p *peer) {
-	switch p.member.State {
+func (m *Membership) accuse(now time.Time, p *cproster.Peer) {
+	switch p.Member.State {
 	case clementineport.MemberAlive:
 		m.setState(p, clementineport.MemberSuspect, now)
 		m.callWitnesses(p)
 	case clementineport.MemberLeaving:
-		if p.deadline.IsZero() {
-			p.deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
+		if p.Deadline.IsZero() {
+			p.Deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
 			m.suspect = append(m.suspect, p)
 		}
 	}
@@ -249,18 +232,18 @@
 }
 
 // hasten shortens the time of a suspect for which this VM has evidence of its own.
-func (m *Membership) hasten(now time.Time, p *peer, d time.Duration) {
+func (m *Membership) hasten(now time.Time, p *cproster.Peer, d time.Duration) {
 	deadline := now.Add(m.health.Patience(d))
-	if !p.deadline.IsZero() && deadline.Before(p.deadline) {
-		p.deadline = deadline
+	if !p.Deadline.IsZero() && deadline.Before(p.Deadline) {
+		p.Deadline = deadline
 	}
 }
 
 // witnesses returns the VMs that probe a suspect; every VM with the same view finds the same ones.
-func (m *Membership) witnesses(p *peer) []clementineport.Member {
+func (m *Membership) witnesses(p *cproster.Peer) []clementineport.Member {
 	members := m.Members()
 	var found []clementineport.Member
-	for _, i := range cpowner.Rank(string(p.member.ID), members, m.options.Witnesses, func(r *clementineport.Member) bool {
+	for _, i := range cpowner.Rank(string(p.Member.ID), members, m.options.Witnesses, func(r *clementineport.Member) bool {
 		return r.State == clementineport.MemberAlive
 	}) {
 		found = append(found, members[i])
@@ -269,41 +252,41 @@
 }
 
 // callWitnesses tells the witnesses of an accusation.
-func (m *Membership) callWitnesses(p *peer) {
+func (m *Membership) callWitnesses(p *cproster.Peer) {
 	for _, w := range m.witnesses(p) {
-		if q := m.byID[w.ID]; q != nil {
+		if q := m.roster.Get(w.ID); q != nil {
 			m.push(q)
 		}
 	}
 }
 
 // setState changes the state of a peer and keeps the list of suspects.
-func (m *Membership) setState(p *peer, s clementineport.MemberState, now time.Time) {
+func (m *Membership) setState(p *cproster.Peer, s clementineport.MemberState, now time.Time) {
 	if s == clementineport.MemberAlive || s == clementineport.MemberDead {
-		m.suspect = slices.DeleteFunc(m.suspect, func(q *peer) bool { return q == p })
-		p.deadline = time.Time{}
+		m.suspect = slices.DeleteFunc(m.suspect, func(q *cproster.Peer) bool { return q == p })
+		p.Deadline = time.Time{}
 	}
-	if p.member.State == s {
+	if p.Member.State == s {
 		return
 	}
-	refuted := s == clementineport.MemberAlive && p.member.State == clementineport.MemberSuspect
-	p.member.State = s
+	refuted := s == clementineport.MemberAlive && p.Member.State == clementineport.MemberSuspect
+	p.Member.State = s
 	m.tell(p)
 	if refuted || s != clementineport.MemberAlive {
 		m.spreadNews()
 	}
 	switch s {
 	case clementineport.MemberSuspect:
-		p.deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
+		p.Deadline = now.Add(m.health.Patience(m.options.SuspicionHeard))
 		m.suspect = append(m.suspect, p)
 		m.witness(p)
 	case clementineport.MemberDead:
-		p.died = now
+		p.Died = now
 	}
 }
 
 // witness probes a suspect if this VM is one of its witnesses.
-func (m *Membership) witness(p *peer) {
+func (m *Membership) witness(p *cproster.Peer) {
 	if slices.ContainsFunc(m.witnesses(p), func(w clementineport.Member) bool { return w.ID == m.self.ID }) {
 		m.push(p)
 	}
@@ -313,7 +296,7 @@
 const newsFanOut = 2
 
 func (m *Membership) spreadNews() {
-	for _, p := range m.pick(newsFanOut) {
+	for _, p := range m.roster.Pick(m.rand, newsFanOut) {
 		m.push(p)
 	}
 }
