--- a/cptarget/cphttp/generation.go
+++ b/cpconn/generation.go
@@ -1,4 +1,4 @@
-package cphttp
+package cpconn
 
 import (
 	"errors"
@@ -6,25 +6,32 @@
 	"sync/atomic"
 )
 
-var errProbing = errors.New("target closed a connection and has not answered on a new one yet")
+// ErrProbing is the error of a write while another connection finds out whether the target has restarted.
+var ErrProbing = errors.New("target closed a connection and has not answered on a new one yet")
 
-// generations tells the connections that were made before the target closed one from those made
+// Generations tells the connections that were made before the target closed one from those made
 // after. The target may have restarted cold in between, so only one call at a time is sent on new
 // connections until one of them has been answered.
-type generations struct {
+type Generations struct {
 	off       bool
 	current   atomic.Uint64
 	confirmed atomic.Uint64
 
 	mu    sync.Mutex
-	probe *conn
+	probe *Conn
 }
 
+// NewGenerations returns the first generation; off allows every write.
+func NewGenerations(off bool) *Generations { return &Generations{off: off} }
+
+// Current returns the present generation.
+func (g *Generations) Current() uint64 { return g.current.Load() }
+
 // closed begins a generation, since the target has closed a connection.
-func (g *generations) closed() { g.current.Add(1) }
+func (g *Generations) closed() { g.current.Add(1) }
 
 // allow reports whether a call may be sent on the connection.
-func (g *generations) allow(c *conn) bool {
+func (g *Generations) allow(c *Conn) bool {
 	if g.off || c.generation <= g.confirmed.Load() {
 		return true
 	}
@@ -37,7 +44,7 @@
 }
 
 // answered records a byte read from the connection.
-func (g *generations) answered(c *conn) {
+func (g *Generations) answered(c *Conn) {
 	if c.generation <= g.confirmed.Load() {
 		return
 	}
@@ -48,7 +55,7 @@
 }
 
 // gone lets another connection probe in place of one that was closed.
-func (g *generations) gone(c *conn) {
+func (g *Generations) gone(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.probe == c {
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -10,6 +10,7 @@
 	"github.com/mailru/easyjson"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpconn"
 )
 
 // cutError is a failure while the body of a response was read.
@@ -36,7 +37,7 @@
 		return clementineport.FaultTimeout
 	case ctx.Err() != nil:
 		return clementineport.FaultCanceled
-	case e.conn.isSilent():
+	case e.conn.Silent():
 		return clementineport.FaultTimeout
 	case errors.Is(err, errOversized), strings.Contains(err.Error(), "response headers exceeded"):
 		return clementineport.FaultOversized
@@ -55,7 +56,7 @@
 func (e *exchange) unsent() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn == nil || (!e.client.opts.HTTP2 && e.conn.seal(e.mark))
+	return e.conn == nil || (!e.client.opts.HTTP2 && e.conn.Seal(e.mark))
 }
 
 func (e *exchange) unsentFault(ctx context.Context, err error) clementineport.Fault {
@@ -66,9 +67,9 @@
 		return clementineport.FaultUnsent
 	case clementineport.FaultOf(err) == clementineport.FaultStale:
 		return clementineport.FaultStale
-	case errors.Is(err, errProbing):
+	case errors.Is(err, cpconn.ErrProbing):
 		return clementineport.FaultUnavailable
-	case errors.Is(err, errShare):
+	case errors.Is(err, cpconn.ErrShare):
 		return clementineport.FaultShed
 	case e.conn == nil:
 		return clementineport.FaultRefused
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -18,6 +18,7 @@
 	"github.com/mailru/easyjson"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpconn"
 )
 
 // maxHeaderBytes bounds the header of a response.
@@ -27,7 +28,7 @@
 type Client struct {
 	opts      Options
 	url       string
-	pool      *pool
+	pool      *cpconn.Pool
 	transport *http.Transport
 	// answered is the time of the last byte of any answer in nanoseconds since the epoch.
 	answered atomic.Int64
@@ -35,9 +36,9 @@
 	typical atomic.Int64
 	// streak counts the calls in a row that ended without a byte of answer.
 	streak      atomic.Int32
-	generations generations
+	generations *cpconn.Generations
 	// spare hands over a connection that was opened ahead of need.
-	spare     chan *conn
+	spare     chan *cpconn.Conn
 	refilling atomic.Bool
 	// epoch counts the times that unused connections were closed as possibly silent.
 	epoch atomic.Uint64
@@ -56,10 +57,10 @@
 	c := &Client{
 		opts:        o,
 		url:         "http://" + o.Address,
-		pool:        &pool{clock: o.Clock, closing: o.CloseTime, linger: o.Linger, share: o.Connections},
-		spare:       make(chan *conn),
+		pool:        cpconn.NewPool(o.Clock, o.Connections, o.CloseTime, o.Linger),
+		spare:       make(chan *cpconn.Conn),
 		waiting:     map[*exchange]struct{}{},
-		generations: generations{off: !o.Probe},
+		generations: cpconn.NewGenerations(!o.Probe),
 	}
 	c.transport = &http.Transport{
 		DialContext:            c.dial,
@@ -80,22 +81,13 @@
 
 // Resize sets the most connections that may be open; idle connections above it are closed.
 func (c *Client) Resize(connections int) {
-	c.pool.resize(connections)
-	c.pool.mu.Lock()
-	over := c.pool.open > connections
-	c.pool.mu.Unlock()
-	if over {
+	if c.pool.Resize(connections) {
 		c.transport.CloseIdleConnections()
 	}
 }
 
 // Open returns the connections that count as open and the most there have been.
-func (c *Client) Open() (n, peak int) {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	c.pool.expire()
-	return c.pool.open + len(c.pool.lingering), c.pool.peak
-}
+func (c *Client) Open() (n, peak int) { return c.pool.Open() }
 
 // Close closes the idle connections.
 func (c *Client) Close() error {
@@ -171,7 +163,7 @@
 	keep bool
 
 	mu   sync.Mutex
-	conn *conn
+	conn *cpconn.Conn
 	// mark and received are the bytes written to and read from the connection before this call.
 	mark     int64
 	received int64
@@ -195,13 +187,13 @@
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
-	cn, ok := info.Conn.(*conn)
+	cn, ok := info.Conn.(*cpconn.Conn)
 	if !ok {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.conn, e.mark, e.received = cn, cn.mark(), cn.received.Load()
+	e.conn, e.mark, e.received = cn, cn.Mark(), cn.Received()
 	e.sent = e.client.opts.Clock.Now()
 }
 
--- a/cptarget/cphttp/watch.go
+++ b/cptarget/cphttp/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/clementineport/clementineport/cpconn"
 )
 
 // typicalWeight is the inverse weight of one answer in the moving average.
@@ -38,7 +40,7 @@
 	}
 	if e.conn != nil && int(c.streak.Add(1)) >= c.opts.Silence.Streak {
 		c.streak.Store(0)
-		e.conn.markSilent()
+		e.conn.MarkSilent()
 		c.closeIdle()
 	}
 }
@@ -79,7 +81,7 @@
 func (c *Client) scan() {
 	now := c.opts.Clock.Now()
 	typical := time.Duration(c.typical.Load())
-	var silent []*conn
+	var silent []*cpconn.Conn
 	doubtful := false
 	c.mu.Lock()
 	for e := range c.waiting {
@@ -100,13 +102,13 @@
 }
 
 // drop closes silent connections, the unused ones first, so that no call moves on to one of them.
-func (c *Client) drop(silent []*conn) {
+func (c *Client) drop(silent []*cpconn.Conn) {
 	if len(silent) == 0 {
 		return
 	}
 	c.closeIdle()
 	for _, cn := range silent {
-		cn.markSilent()
+		cn.MarkSilent()
 		_ = cn.Close()
 	}
 }
@@ -114,7 +116,7 @@
 // closeIdle closes the connections that are not in use, since they may be silent too.
 func (c *Client) closeIdle() {
 	c.epoch.Add(1)
-	c.pool.suspecting(c.transport.CloseIdleConnections)
+	c.pool.Suspecting(c.transport.CloseIdleConnections)
 }
 
 // knock asks the health endpoint on a new connection. Any answer shows that the target is reachable, so
@@ -142,14 +144,14 @@
 }
 
 // wait returns the connection that the call waits on, if it has one.
-func (e *exchange) wait(answered int64) (*conn, Wait, bool) {
+func (e *exchange) wait(answered int64) (*cpconn.Conn, Wait, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conn == nil {
 		return nil, Wait{}, false
 	}
 	since := e.sent
-	if last := time.Unix(0, e.conn.last.Load()); last.After(since) {
+	if last := e.conn.Last(); last.After(since) {
 		since = last
 	}
 	return e.conn, Wait{Since: since, Answered: time.Unix(0, answered)}, true
@@ -159,5 +161,5 @@
 func (e *exchange) answered() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn != nil && e.conn.received.Load() > e.received
+	return e.conn != nil && e.conn.Received() > e.received
 }
