Do not block a target for half a second after a canceled call, nor lower admission without cause

Explanations of slow queries showed one target picked and hedged again and again: a canceled call blocked a target that had not reached all its slots for 500 ms, at low load for ever again, so hedges went there, the 5% budget ran dry and real stragglers got none. A target that is allowed more than one call at a time is now blocked for 50 ms.

--- a/cpadmit/limit.go
+++ b/cpadmit/limit.go
@@ -104,10 +104,10 @@
 		allowed *= l.opts.ClassQueue[l.class]
 	}
 	switch {
+	case !l.limited && float64(l.peak) < quietShare*l.value:
+		// The limit is not what lets the queries queue or be shed.
 	case float64(l.shed) > shedShare*float64(l.samples):
 		l.value *= shedCut
-	case l.delay > allowed && !l.limited && float64(l.peak) < quietShare*l.value:
-		// The limit is not what lets the queries queue.
 	case l.delay > allowed:
 		l.value *= max((service+allowed)/l.latency, maxCut)
 		l.delay, l.latency = allowed, service+allowed
--- a/cplimit/advance.go
+++ b/cplimit/advance.go
@@ -56,7 +56,7 @@
 
 func (t *Target) probeAt() time.Time {
 	grace := t.opts.CancelGrace
-	if !t.ramp.Warm() && !t.ramp.Suspected() {
+	if t.ramp.Allowance() <= 1 && !t.ramp.Suspected() {
 		grace = t.opts.ColdCancelGrace
 	}
 	at := time.Time{}
