Use one form of refusal for callers and one list of class names

cpapi wrote and cpcaller read the fields that cpjson.Refusal has, and cpapi had the last writeJSON beside the stand-ins'; cpadmit kept its own names of classes. Bodies, metrics and texts are the same.

--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -14,8 +14,6 @@
 	"github.com/clementineport/clementineport"
 )
 
-var classNames = [clementineport.NumClasses]string{"interactive", "standard", "batch"}
-
 // Admitter runs a Gate for many goroutines.
 type Admitter struct {
 	clock    clementineport.Clock
@@ -32,9 +30,9 @@
 func New(opts ...Option) *Admitter {
 	o := NewOptions(opts...)
 	a := &Admitter{clock: o.Clock, gate: NewGate(o), waiters: make(map[Ticket]chan struct{})}
-	for c, name := range classNames {
-		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_admitted_total{class=%q}`, name))
-		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_refused_total{class=%q}`, name))
+	for c := range clementineport.NumClasses {
+		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_admitted_total{class=%q}`, c))
+		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_refused_total{class=%q}`, c))
 	}
 	o.Metrics.GetOrCreateGauge("admit_limit", func() float64 { return float64(a.Limit()) })
 	o.Metrics.GetOrCreateGauge("admit_in_progress", func() float64 { return float64(a.InProgress()) })
@@ -70,7 +68,7 @@
 	}
 	if d.Kind == KindRefused {
 		a.refused[arrival.Class].Inc()
-		refusal := clementineport.Fail(clementineport.FaultShed, "overloaded; class %s", classNames[arrival.Class])
+		refusal := clementineport.Fail(clementineport.FaultShed, "overloaded; class %s", arrival.Class)
 		refusal.RetryAfter = d.RetryAfter
 		return nil, refusal
 	}
--- a/cpapi/cpapi.go
+++ b/cpapi/cpapi.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 )
 
 // Entry is an entry VM that a caller may use.
@@ -80,7 +81,7 @@
 		s.fail(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	cpjson.Write(w, http.StatusOK, answer)
 }
 
 func (s *server) answer(ctx context.Context, q *clementineport.Query, tooMany bool) (*clementineport.Answer, error) {
@@ -140,7 +141,7 @@
 func (s *server) entries(w http.ResponseWriter, r *http.Request) {
 	domain := clementineport.FailureDomain(r.URL.Query().Get("Domain"))
 	entries, life, revision := s.next.Entries(r.RemoteAddr, domain)
-	writeJSON(w, http.StatusOK, struct {
+	cpjson.Write(w, http.StatusOK, struct {
 		Entries     []Entry
 		LifeSeconds float64
 		Revision    clementineport.Revision
@@ -154,10 +155,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The status is sent; a caller that has gone away is noticed by its own connection.
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/cpapi/errors.go
+++ b/cpapi/errors.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 )
 
 // tooLarge is the refusal of a body above the limit.
@@ -54,17 +55,13 @@
 
 func (s *server) write(w http.ResponseWriter, status int, err error) {
 	var body struct {
-		Verdict          clementineport.Verdict
-		Fault            clementineport.Fault
-		Reason           string
+		cpjson.Refusal
 		RetryAfterMillis int64  `json:",omitempty"`
 		Entry            string `json:",omitempty"`
 	}
-	body.Verdict = clementineport.VerdictOf(err)
-	body.Fault = clementineport.FaultOf(err)
-	body.Reason = err.Error()
+	body.Refusal = cpjson.NewRefusal(clementineport.FaultOf(err), err.Error())
 	if large, ok := errors.AsType[*tooLarge](err); ok {
-		body.Verdict, body.Fault, body.Reason = clementineport.NotRun, clementineport.FaultInvalid, large.Error()
+		body.Refusal = cpjson.NewRefusal(clementineport.FaultInvalid, large.Error())
 		status = http.StatusRequestEntityTooLarge
 	}
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
@@ -74,7 +71,7 @@
 	if body.RetryAfterMillis > 0 {
 		w.Header().Set("Retry-After", retryAfterSeconds(time.Duration(body.RetryAfterMillis)*time.Millisecond))
 	}
-	writeJSON(w, status, body)
+	cpjson.Write(w, status, body)
 }
 
 func retryAfterSeconds(d time.Duration) string {
--- a/cpcaller/http.go
+++ b/cpcaller/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpresend"
 )
 
@@ -162,9 +163,7 @@
 // the body's verdict says the same.
 func refusal(status int, data []byte) *clementineport.Error {
 	var body struct {
-		Verdict          clementineport.Verdict
-		Fault            clementineport.Fault
-		Reason           string
+		cpjson.Refusal
 		RetryAfterMillis int64
 		Entry            string
 	}
