Run the process tests after the packages, with the machine to themselves

Cause: beside the packages under the race detector the process tests shared ten cores with dozens of test programs, and saw load averages of 20 and more that no VM of the users has.

--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -11,7 +11,7 @@
 
 // Defaults of admission.
 const (
-	DefaultMinLimit      = 16    // queries
+	DefaultMinLimit      = 16   // queries
 	DefaultInitialLimit  = 32   // queries
 	DefaultMaxLimit      = 8192 // queries
 	DefaultQueueShare    = 0.25 // of the latency without queueing
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Runs every test with the race detector. Tests named in KNOWN-RED.txt are printed and passed over.
+# Runs every test: the packages with the race detector, then the tests that run the built programs, which start
+# some dozens of processes and have the machine to themselves. Tests named in KNOWN-RED.txt are printed and
+# passed over.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 skip=()
@@ -9,4 +11,6 @@
 	grep -v '^#' KNOWN-RED.txt
 	skip=(-skip "^($(echo "$red" | paste -sd'|'))\$")
 fi
-go test -race -count=1 -timeout 15m "${skip[@]}" ./...
+mapfile -t packages < <(go list ./... | grep -v '/cpfleet$')
+go test -race -count=1 -timeout 15m "${skip[@]}" "${packages[@]}"
+go test -count=1 -timeout 20m "${skip[@]}" ./cpfleet
