--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -31,11 +31,11 @@
 	o := NewOptions(opts...)
 	a := &Admitter{clock: o.Clock, gate: NewGate(o), waiters: make(map[Ticket]chan struct{})}
 	for c := range clementineport.NumClasses {
-		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_admitted_total{class=%q}`, c))
-		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`admit_refused_total{class=%q}`, c))
+		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`clementineport_admit_admitted_total{class=%q}`, c))
+		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`clementineport_admit_refused_total{class=%q}`, c))
 	}
-	o.Metrics.GetOrCreateGauge("admit_limit", func() float64 { return float64(a.Limit()) })
-	o.Metrics.GetOrCreateGauge("admit_in_progress", func() float64 { return float64(a.InProgress()) })
+	o.Metrics.GetOrCreateGauge("clementineport_admit_limit", func() float64 { return float64(a.Limit()) })
+	o.Metrics.GetOrCreateGauge("clementineport_admit_in_progress", func() float64 { return float64(a.InProgress()) })
 	return a
 }
 
