End the wait for a probe when the caller of a query has gone

Cause, found on reading the change again: the loop that waits for what targets say did not look at the context. With a cancelled one its wait returned at once, so the query span on one core for up to a quarter of its deadline, and then recorded the wait as one that did not help. The loop now ends with the context and has one condition.

--- a/cpentry/choose.go
+++ b/cpentry/choose.go
@@ -27,16 +27,18 @@
 	if !whole {
 		until = e.prober.waitUntil(name, now, e.probeUntil(now, q, service, ok))
 	}
-	probed := e.prober.start(service, whole, ask)
-	for waits := now.Before(until); waits; {
-		e.wait(ctx, probed, until.Sub(now))
+	waits := now.Before(until)
+	if !waits {
+		e.prober.start(service, whole, ask)
+	}
+	for !whole && now.Before(until) && ctx.Err() == nil {
+		e.wait(ctx, e.prober.start(service, whole, ask), until.Sub(now))
 		now = e.opts.Clock.Now()
 		choice, ok = e.snapshots.Choose(service, view.Targets, now)
-		if whole = ok && choice.Covered == choice.Shards; whole || !now.Before(until) {
-			e.prober.waited(name, now, whole)
-			break
-		}
-		probed = e.prober.start(service, whole, ask)
+		whole = ok && choice.Covered == choice.Shards
+	}
+	if waits && ctx.Err() == nil {
+		e.prober.waited(name, now, whole)
 	}
 	if !ok {
 		return choice, &clementineport.Error{
--- /dev/null
+++ b/cpentry/choose_test.go
@@ -0,0 +1,52 @@
+package cpentry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpentry"
+	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cppick"
+	"github.com/clementineport/clementineport/cprelay"
+	"github.com/clementineport/clementineport/cptrace"
+	"github.com/clementineport/clementineport/cpview"
+)
+
+// TestCallerGoneWhileNothingIsKnown checks that a query ends as soon as its caller has gone, also while it waits
+// for targets to say what they hold. The clock stands still, so that the wait does not end by itself.
+func TestCallerGoneWhileNothingIsKnown(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := benchTable(1, func(int) string { return "" })
+	tracer, err := cptrace.New(t.Context())
+	assert.NilError(t, err)
+	e := cpentry.New(
+		cpentry.WithClock(clock), cpentry.WithTracer(tracer),
+		cpentry.WithAdmitter(cpadmit.New(cpadmit.WithClock(clock))),
+		cpentry.WithRelay(cprelay.New(cprelay.WithClock(clock)), nil),
+		cpentry.WithControl(&steady{&cpview.View{
+			Table: table, Targets: cppick.New().View(table),
+			Owners: []int32{cpowner.NoMember}, Deputies: []int32{cpowner.NoMember},
+		}}),
+	)
+	ctx, gone := context.WithCancel(t.Context())
+	gone()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := e.Query(ctx, &clementineport.Query{
+			Request: "r1", Service: "lookup", Idempotent: true, Deadline: clock.Now().Add(time.Second),
+		})
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.Equal(t, clementineport.VerdictOf(err), clementineport.NotRun)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the query waits for a caller that has gone")
+	}
+}
