--- /dev/null
+++ b/cpcatalog/cpcatalog.go
@@ -0,0 +1,248 @@
+// Package cpcatalog decides what a VM believes about routes, targets and failure domains from the news of the
+// platform's store. It makes no calls; news and the time are passed in. It is not safe for concurrent use.
+package cpcatalog
+
+import (
+	"maps"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Target is a registered target and what follows from its registration.
+type Target struct {
+	clementineport.Discovered
+	// ColdUntil is when the target is warm.
+	ColdUntil time.Time
+	// Unproven means that the target may be cold and has not said so yet.
+	Unproven bool
+	// provenBy is the number of the registration that tells whether an unproven target is cold.
+	provenBy int64
+	// lapses is when a target whose registration vanished is given up; zero while it is registered.
+	lapses time.Time
+}
+
+// Cold reports whether the target must be treated as cold.
+func (t *Target) Cold(now time.Time) bool { return t.Unproven || now.Before(t.ColdUntil) }
+
+// Catalog is what one VM believes.
+type Catalog struct {
+	options   Options
+	asOf      clementineport.Revision
+	confirmed time.Time
+	restored  time.Time
+	routes    *clementineport.RouteTable
+	out       map[clementineport.FailureDomain]bool
+	targets   map[clementineport.TargetID]*Target
+	vms       map[clementineport.VMID]clementineport.VM
+}
+
+// New returns a catalog that knows nothing.
+func New(opts ...Option) *Catalog {
+	return &Catalog{
+		options: NewOptions(opts...),
+		out:     map[clementineport.FailureDomain]bool{},
+		targets: map[clementineport.TargetID]*Target{},
+		vms:     map[clementineport.VMID]clementineport.VM{},
+	}
+}
+
+// AsOf returns the revision up to which the catalog is complete.
+func (c *Catalog) AsOf() clementineport.Revision { return c.asOf }
+
+// Confirmed returns the latest time at which the catalog was known to be complete.
+func (c *Catalog) Confirmed() time.Time { return c.confirmed }
+
+// Routes returns the newest version of the routes, or nil.
+func (c *Catalog) Routes() *clementineport.RouteTable { return c.routes }
+
+// Out reports whether a failure domain is out of service.
+func (c *Catalog) Out(d clementineport.FailureDomain) bool { return c.out[d] }
+
+// Targets returns the targets by id; the map is valid until the next change.
+func (c *Catalog) Targets() map[clementineport.TargetID]*Target { return c.targets }
+
+// VMs returns the registered VMs by id; the map is valid until the next change.
+func (c *Catalog) VMs() map[clementineport.VMID]clementineport.VM { return c.vms }
+
+// Apply takes news that was asked for at a time, and reports whether anything but confirmation changed.
+// News that is older than what is known is left out, so that nothing goes backwards.
+func (c *Catalog) Apply(now, asked time.Time, news *clementineport.FleetNews) (changed bool) {
+	if news.AsOf < c.asOf {
+		return false
+	}
+	c.confirm(asked.Add(-news.Age))
+	c.asOf = news.AsOf
+	if news.Routes != nil && (c.routes == nil || news.Routes.Version > c.routes.Version) {
+		c.routes = news.Routes
+		changed = true
+	}
+	changed = c.applyDomains(news) || changed
+	changed = c.applyVMs(news) || changed
+	for i := range news.Targets {
+		changed = c.register(now, &news.Targets[i]) || changed
+	}
+	for _, id := range news.Gone {
+		changed = c.vanish(now, id) || changed
+	}
+	if news.Whole {
+		changed = c.vanishUnnamed(now, news) || changed
+	}
+	return changed
+}
+
+// confirm records when the catalog was complete. After a gap, registrations may have lapsed only because the store
+// was away.
+func (c *Catalog) confirm(at time.Time) {
+	if !at.After(c.confirmed) {
+		return
+	}
+	if !c.confirmed.IsZero() && at.Sub(c.confirmed) > c.options.AwayAfter {
+		c.restored = at
+	}
+	c.confirmed = at
+}
+
+// applyDomains takes failure domains out of service and back.
+func (c *Catalog) applyDomains(news *clementineport.FleetNews) (changed bool) {
+	before := c.out
+	if news.Whole {
+		c.out = map[clementineport.FailureDomain]bool{}
+	} else {
+		c.out = maps.Clone(before)
+	}
+	for _, d := range news.Domains {
+		delete(c.out, d.Domain)
+		if d.Out {
+			c.out[d.Domain] = true
+		}
+	}
+	for d := range before {
+		if !c.out[d] {
+			c.doubtDomain(d)
+		}
+	}
+	return !maps.Equal(before, c.out)
+}
+
+// provingRegistrations is the number of registrations after which a target has said whether it is cold: the first
+// one may have been on its way already.
+const provingRegistrations = 2
+
+// doubtDomain treats the targets of a domain that has come back as cold until they register again: they may have
+// turned cold while they got nothing.
+func (c *Catalog) doubtDomain(d clementineport.FailureDomain) {
+	for _, t := range c.targets {
+		if t.Domain == d {
+			t.Unproven = true
+			t.provenBy = t.Seq + provingRegistrations
+		}
+	}
+}
+
+// applyVMs takes registrations of VMs.
+func (c *Catalog) applyVMs(news *clementineport.FleetNews) (changed bool) {
+	before := c.vms
+	if news.Whole {
+		c.vms = map[clementineport.VMID]clementineport.VM{}
+	} else {
+		c.vms = maps.Clone(before)
+	}
+	for _, vm := range news.VMs {
+		c.vms[vm.ID] = vm
+	}
+	for _, id := range news.GoneVMs {
+		delete(c.vms, id)
+	}
+	return !maps.Equal(before, c.vms)
+}
+
+// register takes a registration. One of an earlier start, or an earlier one of the same start, is left out.
+func (c *Catalog) register(now time.Time, d *clementineport.Discovered) (changed bool) {
+	old := c.targets[d.ID]
+	if old != nil && (d.Born < old.Born || (d.Born == old.Born && d.Seq < old.Seq)) {
+		return false
+	}
+	t := &Target{Discovered: *d}
+	if d.ColdLeft > 0 {
+		t.ColdUntil = now.Add(d.ColdLeft)
+	}
+	c.targets[d.ID] = t
+	if old == nil || old.Born != d.Born {
+		return true
+	}
+	// A target that is leaving does not come back in the same start.
+	t.Draining = t.Draining || old.Draining
+	t.Unproven, t.provenBy = old.Unproven && d.Seq < old.provenBy, old.provenBy
+	return !old.lapses.IsZero() || !sameUse(old, t)
+}
+
+// sameUse reports whether two registrations lead to the same use of a target. Cold times count only by whether
+// there is one, since they shrink with every registration.
+func sameUse(a, b *Target) bool {
+	x, y := a.Discovered, b.Discovered
+	x.Seq, y.Seq, x.ColdLeft, y.ColdLeft = 0, 0, 0, 0
+	return x == y && a.ColdUntil.IsZero() == b.ColdUntil.IsZero() && a.Unproven == b.Unproven
+}
+
+// vanish gives up a target whose registration is gone: at once, or after a while if the store was away.
+func (c *Catalog) vanish(now time.Time, id clementineport.TargetID) (changed bool) {
+	t := c.targets[id]
+	if t == nil {
+		return false
+	}
+	grace := c.restored.Add(c.options.LapseGrace)
+	if c.restored.IsZero() || !now.Before(grace) || t.Draining {
+		delete(c.targets, id)
+		return true
+	}
+	if t.lapses.IsZero() {
+		t.lapses = grace
+	}
+	return false
+}
+
+// vanishUnnamed gives up the targets that whole news does not name.
+func (c *Catalog) vanishUnnamed(now time.Time, news *clementineport.FleetNews) (changed bool) {
+	named := make(map[clementineport.TargetID]bool, len(news.Targets))
+	for i := range news.Targets {
+		named[news.Targets[i].ID] = true
+	}
+	for id := range c.targets {
+		if !named[id] {
+			changed = c.vanish(now, id) || changed
+		}
+	}
+	return changed
+}
+
+// Tick gives up the targets that did not register again in time, and reports whether there were any.
+func (c *Catalog) Tick(now time.Time) (changed bool) {
+	for id, t := range c.targets {
+		if !t.lapses.IsZero() && !now.Before(t.lapses) {
+			delete(c.targets, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// News returns everything, for another VM that cannot reach the store.
+func (c *Catalog) News(now time.Time) *clementineport.FleetNews {
+	news := &clementineport.FleetNews{AsOf: c.asOf, Whole: true, Age: now.Sub(c.confirmed), Routes: c.routes}
+	for d := range c.out {
+		news.Domains = append(news.Domains, clementineport.DomainOut{Domain: d, Out: true})
+	}
+	for _, t := range c.targets {
+		d := t.Discovered
+		d.ColdLeft = max(0, t.ColdUntil.Sub(now))
+		if t.Unproven {
+			d.ColdLeft = max(d.ColdLeft, c.options.UnprovenTime)
+		}
+		news.Targets = append(news.Targets, d)
+	}
+	for _, vm := range c.vms {
+		news.VMs = append(news.VMs, vm)
+	}
+	return news
+}
--- /dev/null
+++ b/cpcatalog/cpcatalog_test.go
@@ -0,0 +1,122 @@
+package cpcatalog_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcatalog"
+)
+
+var start = time.Unix(1000, 0)
+
+// target returns a registration.
+func target(id clementineport.TargetID, seq int64) clementineport.Discovered {
+	return clementineport.Discovered{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "a", Slots: 2, Born: 1, Seq: seq}
+}
+
+// at returns the time some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// apply gives news to a catalog that was asked for just before it came.
+func apply(c *cpcatalog.Catalog, ms int, news clementineport.FleetNews) bool {
+	return c.Apply(at(ms), at(ms), &news)
+}
+
+func has(c *cpcatalog.Catalog, id clementineport.TargetID) bool { return c.Targets()[id] != nil }
+
+func TestNothingGoesBackwards(t *testing.T) {
+	c := cpcatalog.New()
+	apply(c, 0, clementineport.FleetNews{AsOf: 10, Routes: &clementineport.RouteTable{Version: 7}})
+	assert.Assert(t, !apply(c, 10, clementineport.FleetNews{AsOf: 9, Whole: true, Routes: &clementineport.RouteTable{Version: 9}}))
+	assert.Assert(t, !apply(c, 20, clementineport.FleetNews{AsOf: 11, Routes: &clementineport.RouteTable{Version: 6}}))
+	assert.Equal(t, c.Routes().Version, clementineport.Revision(7))
+	assert.Equal(t, c.AsOf(), clementineport.Revision(11))
+}
+
+func TestATargetThatUnregistersIsGoneAtOnce(t *testing.T) {
+	c := cpcatalog.New()
+	apply(c, 0, clementineport.FleetNews{AsOf: 1, Targets: []clementineport.Discovered{target("x", 1)}})
+	apply(c, 500, clementineport.FleetNews{AsOf: 2, Gone: []clementineport.TargetID{"x"}})
+	assert.Assert(t, !has(c, "x"))
+}
+
+func TestTargetsThatLapsedWhileTheStoreWasAwayMayComeBack(t *testing.T) {
+	c := cpcatalog.New()
+	apply(c, 0, clementineport.FleetNews{AsOf: 1, Targets: []clementineport.Discovered{target("back", 1), target("dead", 1)}})
+	apply(c, 6000, clementineport.FleetNews{AsOf: 2, Gone: []clementineport.TargetID{"back", "dead"}})
+	assert.Assert(t, has(c, "back") && has(c, "dead"))
+	apply(c, 7000, clementineport.FleetNews{AsOf: 3, Targets: []clementineport.Discovered{target("back", 2)}})
+	c.Tick(at(8200))
+	assert.Assert(t, has(c, "dead"))
+	assert.Assert(t, c.Tick(at(8400)))
+	assert.Assert(t, has(c, "back") && !has(c, "dead"))
+}
+
+func TestALeavingTargetDoesNotComeBackByAnOldRegistration(t *testing.T) {
+	c := cpcatalog.New()
+	leaving := target("x", 5)
+	leaving.Draining = true
+	apply(c, 0, clementineport.FleetNews{AsOf: 1, Targets: []clementineport.Discovered{leaving}})
+	apply(c, 10, clementineport.FleetNews{AsOf: 2, Targets: []clementineport.Discovered{target("x", 4)}})
+	assert.Assert(t, c.Targets()["x"].Draining)
+	apply(c, 20, clementineport.FleetNews{AsOf: 3, Targets: []clementineport.Discovered{target("x", 6)}})
+	assert.Assert(t, c.Targets()["x"].Draining)
+	again := target("x", 1)
+	again.Born = 2
+	apply(c, 30, clementineport.FleetNews{AsOf: 4, Targets: []clementineport.Discovered{again}})
+	assert.Assert(t, !c.Targets()["x"].Draining)
+}
+
+func TestTargetsOfADomainThatIsBackAreColdUntilTheySayOtherwise(t *testing.T) {
+	c := cpcatalog.New()
+	apply(c, 0, clementineport.FleetNews{
+		AsOf: 1, Targets: []clementineport.Discovered{target("x", 1)},
+		Domains: []clementineport.DomainOut{{Domain: "a", Out: true}},
+	})
+	assert.Assert(t, c.Out("a"))
+	apply(c, 1000, clementineport.FleetNews{
+		AsOf: 2, Targets: []clementineport.Discovered{target("x", 2)},
+		Domains: []clementineport.DomainOut{{Domain: "a"}},
+	})
+	assert.Assert(t, !c.Out("a"))
+	assert.Assert(t, c.Targets()["x"].Cold(at(1000)))
+	apply(c, 2000, clementineport.FleetNews{AsOf: 3, Targets: []clementineport.Discovered{target("x", 3)}})
+	assert.Assert(t, !c.Targets()["x"].Cold(at(2000)))
+}
+
+func TestAColdTargetWarmsUp(t *testing.T) {
+	c := cpcatalog.New()
+	cold := target("x", 1)
+	cold.ColdLeft = 3 * time.Second
+	apply(c, 0, clementineport.FleetNews{AsOf: 1, Targets: []clementineport.Discovered{cold}})
+	assert.Assert(t, c.Targets()["x"].Cold(at(2900)))
+	assert.Assert(t, !c.Targets()["x"].Cold(at(3000)))
+	assert.Assert(t, apply(c, 4000, clementineport.FleetNews{AsOf: 2, Targets: []clementineport.Discovered{target("x", 2)}}))
+	again := target("x", 3)
+	again.ColdLeft = time.Second
+	assert.Assert(t, apply(c, 5000, clementineport.FleetNews{AsOf: 3, Targets: []clementineport.Discovered{again}}))
+	assert.Assert(t, c.Targets()["x"].Cold(at(5500)))
+}
+
+func TestNewsForAnotherVMBuildsTheSameCatalog(t *testing.T) {
+	c := cpcatalog.New()
+	cold := target("x", 1)
+	cold.ColdLeft = 3 * time.Second
+	apply(c, 0, clementineport.FleetNews{
+		AsOf: 5, Targets: []clementineport.Discovered{cold, target("y", 9)},
+		Domains: []clementineport.DomainOut{{Domain: "b", Out: true}},
+		VMs:     []clementineport.VM{{ID: "vm-1"}},
+		Routes:  &clementineport.RouteTable{Version: 3},
+	})
+	other := cpcatalog.New()
+	other.Apply(at(1000), at(1000), c.News(at(1000)))
+	assert.Equal(t, other.AsOf(), c.AsOf())
+	assert.Assert(t, other.Confirmed().Equal(at(0)))
+	assert.Assert(t, other.Out("b"))
+	assert.Assert(t, other.Targets()["x"].Cold(at(2900)) && !other.Targets()["x"].Cold(at(3000)))
+	assert.Equal(t, len(other.VMs()), 1)
+	assert.Equal(t, other.Routes().Version, clementineport.Revision(3))
+}
--- /dev/null
+++ b/cpchoice/target.go
@@ -0,0 +1,176 @@
+package cpchoice
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Bounds of what a target's responses show.
+const (
+	// slowGain is the weight of one answer in the slowness of a target.
+	slowGain = 0.25
+	// slowHalfLife is how soon a target that was slow is tried again.
+	slowHalfLife = 3 * time.Second
+	// leastSlow and mostSlow bound the slowness, a multiple of the usual time.
+	leastSlow = 0.5
+	mostSlow  = 30
+	// failGain is the weight of one answer in the share of failures.
+	failGain = 0.25
+	// failHalfLife is how soon a failing target is tried again.
+	failHalfLife = 2 * time.Second
+	// failCost is how many usual times a certain failure costs.
+	failCost = 12
+	// shedFailure is how much a refusal without running counts as a failure.
+	shedFailure = 0.5
+	// quietAfter is the multiple of the usual time after which a request without an answer makes a target doubtful.
+	quietAfter = 2
+	// firstBlock and longestBlock bound how long a target that refuses connections is left alone.
+	firstBlock   = 100 * time.Millisecond
+	longestBlock = 2 * time.Second
+	// unknownUsual stands for the usual time until answers show it.
+	unknownUsual = 20 * time.Millisecond
+)
+
+// Target is what one VM knows of a target from its responses. Its methods may be called from many goroutines.
+type Target struct {
+	// Discovered is how the target registered itself first.
+	clementineport.Discovered
+
+	mu sync.Mutex
+	// slow is how long the target takes, as a multiple of the usual time.
+	slow float64
+	// failing is the share of requests that fail.
+	failing   float64
+	updated   time.Time
+	sends     []time.Time
+	refusals  int
+	blocked   time.Time
+	misplaced bool
+}
+
+// NewTarget returns a target that nothing is known of.
+func NewTarget(d clementineport.Discovered) *Target { return &Target{Discovered: d, slow: 1} }
+
+// Sent records that a request is on its way; the same time is given to Done.
+func (t *Target) Sent(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sends = append(t.sends, now)
+}
+
+// Done records what became of the request that was sent at a time.
+func (t *Target) Done(now, sent time.Time, o *Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.finish(sent)
+	t.decay(now)
+	t.observeFailure(now, o)
+	t.observeTime(o)
+}
+
+// finish removes a request from those on their way.
+func (t *Target) finish(sent time.Time) {
+	for i := range t.sends {
+		if t.sends[i].Equal(sent) {
+			t.sends = append(t.sends[:i], t.sends[i+1:]...)
+			return
+		}
+	}
+}
+
+// decay moves what is known toward what is usual as it gets old.
+func (t *Target) decay(now time.Time) {
+	if elapsed := now.Sub(t.updated); elapsed > 0 && !t.updated.IsZero() {
+		t.slow = 1 + (t.slow-1)*math.Exp2(-float64(elapsed)/float64(slowHalfLife))
+		t.failing *= math.Exp2(-float64(elapsed) / float64(failHalfLife))
+	}
+	t.updated = now
+}
+
+// observeFailure counts an outcome in the share of failures.
+func (t *Target) observeFailure(now time.Time, o *Outcome) {
+	failed := 0.0
+	switch {
+	case o.OK:
+		t.refusals = 0
+		t.blocked = time.Time{}
+	case o.Failed:
+		failed = 1
+	case o.Fault == clementineport.FaultRefused:
+		failed = 1
+		t.refusals++
+		t.blocked = now.Add(min(longestBlock, firstBlock<<min(t.refusals, 8)))
+	case o.Fault == clementineport.FaultMisdirected:
+		t.misplaced = true
+	case o.Fault == clementineport.FaultShed:
+		failed = shedFailure
+	case o.Fault == clementineport.FaultCanceled, o.Fault == clementineport.FaultUnsent, o.Fault == clementineport.FaultDeadline:
+		return
+	default:
+		failed = 1
+	}
+	t.failing += failGain * (failed - t.failing)
+}
+
+// observeTime counts an outcome in the slowness. A request that was given up after a while took at least as long.
+func (t *Target) observeTime(o *Outcome) {
+	if o.Usual <= 0 {
+		return
+	}
+	ratio := min(float64(o.Elapsed)/float64(o.Usual), mostSlow)
+	switch {
+	case o.OK:
+	case o.Fault == clementineport.FaultCanceled, o.Fault == clementineport.FaultTimeout:
+		if ratio < t.slow {
+			return
+		}
+	default:
+		return
+	}
+	t.slow = max(leastSlow, t.slow+slowGain*(ratio-t.slow))
+}
+
+// Cost returns the time that the target is expected to take, as a multiple of the usual time; it is infinite while
+// the target must not be asked.
+func (t *Target) Cost(now time.Time, usual time.Duration, vms int) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.misplaced || now.Before(t.blocked) {
+		return math.Inf(1)
+	}
+	if usual <= 0 {
+		usual = unknownUsual
+	}
+	t.decay(now)
+	load := float64(len(t.sends)*max(vms, 1)) / float64(max(t.Slots, 1))
+	cost := t.slow*(1+load) + failCost*t.failing
+	if quiet := t.quiet(now); quiet > time.Duration(quietAfter*t.slow*float64(usual)) {
+		cost += float64(quiet) / float64(usual)
+	}
+	return cost
+}
+
+// quiet returns how long the oldest request on its way has waited.
+func (t *Target) quiet(now time.Time) time.Duration {
+	if len(t.sends) == 0 {
+		return 0
+	}
+	return now.Sub(t.sends[0])
+}
+
+// Misplaced reports that another process answers at the target's address.
+func (t *Target) Misplaced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.misplaced
+}
+
+// InFlight returns the number of requests on their way.
+func (t *Target) InFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sends)
+}
--- /dev/null
+++ b/cpfan/cpfan.go
@@ -0,0 +1,241 @@
+// Package cpfan decides the course of one forwarded request over its shards: which target is asked when, which calls
+// are sent again, and when the answer is closed. A request that one target answers alone has one shard.
+//
+// It is a pure state machine: results and the time in, actions out. It sends nothing and is not safe for concurrent
+// use.
+package cpfan
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+)
+
+// Availability says why no target was chosen.
+type Availability uint8
+
+const (
+	// Available means that a target was chosen.
+	Available Availability = iota
+	// Busy means that targets are usable but not at this moment.
+	Busy
+	// Absent means that no target is usable.
+	Absent
+)
+
+// Targets chooses targets.
+type Targets interface {
+	// Choose returns a target of a service that excluded does not report.
+	Choose(now time.Time, service clementineport.ServiceID, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
+	// MayRepeat takes one extra call to a service from the budget, or reports that there is none.
+	MayRepeat(service clementineport.ServiceID) bool
+}
+
+// Send asks for a call.
+type Send struct {
+	Shard   int
+	Attempt int
+	Target  *cpchoice.Target
+	// Extra is true for a call beyond the first one of its shard.
+	Extra bool
+}
+
+// Result is what became of a call.
+type Result struct {
+	Shard   int
+	Attempt int
+	// Part is the response, also one that reports a failure; nil with Fault set otherwise.
+	Part  *clementineport.Part
+	Fault clementineport.Fault
+}
+
+// Plan is what a request needs.
+type Plan struct {
+	Shards     []clementineport.ServiceID
+	Gathers    bool
+	Idempotent bool
+	// MaxAttempts bounds the targets of one shard.
+	MaxAttempts int
+	// Least is the number of shards from which on an answer is a success.
+	Least int
+	// Objective is when the answer is best closed, or zero; Deadline is when it must be.
+	Objective time.Time
+	Deadline  time.Time
+	// HedgeAfter is how long a call may take before another target is asked.
+	HedgeAfter time.Duration
+}
+
+// LeastParts returns the number of shards that make up a share of all, at least one.
+func LeastParts(share float64, shards int) int {
+	const rounding = 1e-9
+	return max(1, int(math.Ceil(share*float64(shards)-rounding)))
+}
+
+// Fan is the state of one request. Its zero value is not usable.
+type Fan struct {
+	options Options
+	plan    Plan
+	targets Targets
+	shards  []shard
+	covered int
+	failed  int
+	stats   clementineport.ForwardStats
+	ended   bool
+	sends   []Send
+}
+
+// New returns the state of a request that has not begun.
+func New(plan Plan, targets Targets, opts ...Option) *Fan {
+	f := &Fan{options: NewOptions(opts...), plan: plan, targets: targets, shards: make([]shard, len(plan.Shards))}
+	f.stats.Shards = len(plan.Shards)
+	return f
+}
+
+// Start returns the first calls. Nothing is sent when too few shards have a usable target.
+func (f *Fan) Start(now time.Time) []Send {
+	f.sends = f.sends[:0]
+	for i := range f.shards {
+		f.first(now, i)
+	}
+	if f.hopeless() {
+		f.withdraw()
+	}
+	f.close(now)
+	return f.sends
+}
+
+// withdraw takes back calls that are not sent yet.
+func (f *Fan) withdraw() {
+	f.sends = f.sends[:0]
+	for i := range f.shards {
+		f.shards[i].attempts = nil
+	}
+	f.stats.Sends = 0
+}
+
+// Done takes the result of a call and returns further calls.
+func (f *Fan) Done(now time.Time, r *Result) []Send {
+	f.sends = f.sends[:0]
+	if f.ended {
+		return nil
+	}
+	s := &f.shards[r.Shard]
+	a := &s.attempts[r.Attempt]
+	a.over = true
+	if s.state == open {
+		f.settle(now, r, s, a)
+		f.due(now, r.Shard)
+	}
+	f.close(now)
+	return f.sends
+}
+
+// Tick returns the calls that are due.
+func (f *Fan) Tick(now time.Time) []Send {
+	f.sends = f.sends[:0]
+	if f.ended {
+		return nil
+	}
+	for i := range f.shards {
+		f.due(now, i)
+	}
+	f.close(now)
+	return f.sends
+}
+
+// Wake returns when Tick is to be called next.
+func (f *Fan) Wake() time.Time {
+	wake := f.plan.Deadline
+	if o := f.plan.Objective; !o.IsZero() && f.covered >= f.plan.Least && o.Before(wake) {
+		wake = o
+	}
+	for i := range f.shards {
+		if at := f.shards[i].wake; f.shards[i].state == open && !at.IsZero() && at.Before(wake) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// Ended reports whether the answer is closed.
+func (f *Fan) Ended() bool { return f.ended }
+
+// close ends the request when waiting longer brings nothing better.
+func (f *Fan) close(now time.Time) {
+	switch {
+	case f.covered+f.failed == len(f.shards):
+	case f.hopeless():
+	case !now.Before(f.plan.Deadline):
+	case f.plan.Gathers && f.covered >= f.plan.Least && !f.plan.Objective.IsZero() && !now.Before(f.plan.Objective):
+	default:
+		return
+	}
+	f.ended = true
+	f.sends = f.sends[:0]
+}
+
+// hopeless reports that too few shards are left for a success.
+func (f *Fan) hopeless() bool { return len(f.shards)-f.failed < f.plan.Least }
+
+// Outcome returns the answer of an ended request.
+func (f *Fan) Outcome() Outcome {
+	o := Outcome{Stats: f.stats}
+	o.Stats.Covered = f.covered
+	if f.covered >= f.plan.Least {
+		o.Parts = f.parts()
+		o.Missing = len(f.shards) - f.covered
+		return o
+	}
+	o.Fault, o.Verdict = f.failure()
+	if !f.plan.Gathers {
+		o.Failure = f.shards[0].failure
+	}
+	return o
+}
+
+// Outcome is the answer to a request.
+type Outcome struct {
+	// Parts are the parts of a success.
+	Parts   []*clementineport.Part
+	Missing int
+	// Failure is the failed response of the target of a request with one shard, if there is one.
+	Failure *clementineport.Part
+	// Fault and Verdict are set without Parts.
+	Fault   clementineport.Fault
+	Verdict clementineport.Verdict
+	Stats   clementineport.ForwardStats
+}
+
+// parts returns the parts that are in.
+func (f *Fan) parts() []*clementineport.Part {
+	parts := make([]*clementineport.Part, 0, f.covered)
+	for i := range f.shards {
+		if f.shards[i].state == covered {
+			parts = append(parts, f.shards[i].part)
+		}
+	}
+	return parts
+}
+
+// failure returns why there is no success, and what that proves.
+func (f *Fan) failure() (clementineport.Fault, clementineport.Verdict) {
+	fault, verdict := clementineport.FaultUnavailable, clementineport.NotRun
+	for i := range f.shards {
+		s := &f.shards[i]
+		if s.mayHaveRun() {
+			verdict = clementineport.MayHaveRun
+		}
+		if s.fault != clementineport.FaultUnknown {
+			fault = s.fault
+		}
+	}
+	if verdict == clementineport.MayHaveRun && fault.Verdict() == clementineport.NotRun {
+		fault = clementineport.FaultTimeout
+		if f.plan.Gathers {
+			fault = clementineport.FaultCoverage
+		}
+	}
+	return fault, verdict
+}
--- /dev/null
+++ b/cpfan/options.go
@@ -0,0 +1,45 @@
+package cpfan
+
+import "time"
+
+// Defaults of Options.
+const (
+	// DefaultRecheck is about the time in which a call to a target ends.
+	DefaultRecheck = 8 * time.Millisecond
+	// DefaultBudgetRecheck is about the time in which other requests of a busy service earn an extra call.
+	DefaultBudgetRecheck = 15 * time.Millisecond
+	// DefaultRefusalDelay lets a full target finish some of its work.
+	DefaultRefusalDelay = 10 * time.Millisecond
+	// DefaultMaxSends bounds the calls of a shard to targets that refuse or cannot be reached.
+	DefaultMaxSends = 8
+)
+
+// Options are the settings of a Fan.
+type Options struct {
+	// Recheck is the delay after which a target is looked for again.
+	Recheck time.Duration
+	// BudgetRecheck is the delay after which an extra call that the budget did not allow is tried again.
+	BudgetRecheck time.Duration
+	// RefusalDelay is the delay before a shard is asked again after its second refusal, and grows with each.
+	RefusalDelay time.Duration
+	// MaxSends bounds the calls of a shard.
+	MaxSends int
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{
+		Recheck: DefaultRecheck, BudgetRecheck: DefaultBudgetRecheck, RefusalDelay: DefaultRefusalDelay,
+		MaxSends: DefaultMaxSends,
+	}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithMaxSends bounds the calls of a shard.
+func WithMaxSends(n int) Option { return func(o *Options) { o.MaxSends = n } }
--- /dev/null
+++ b/cpfan/shard.go
@@ -0,0 +1,277 @@
+package cpfan
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+)
+
+// shardState says whether a shard still waits for an answer.
+type shardState uint8
+
+const (
+	open shardState = iota
+	covered
+	failed
+)
+
+// attempt is one call to a target.
+type attempt struct {
+	target *cpchoice.Target
+	over   bool
+	// ran is false once it is proven that the target did not run the request.
+	ran bool
+	// refused is true when the target was reached and refused without running.
+	refused bool
+}
+
+// shard is the state of one shard of a request.
+type shard struct {
+	state    shardState
+	attempts []attempt
+	part     *clementineport.Part
+	// failure is the target's own failed response.
+	failure *clementineport.Part
+	fault   clementineport.Fault
+	// wake is when the next call is due, or zero.
+	wake time.Time
+	// refusals and waits count calls that proved not to have run, and looks for a target that found none.
+	refusals int
+	waits    int
+}
+
+// outstanding returns the number of calls without a result.
+func (s *shard) outstanding() (n int) {
+	for i := range s.attempts {
+		if !s.attempts[i].over {
+			n++
+		}
+	}
+	return n
+}
+
+// used returns the number of calls that may have run.
+func (s *shard) used() (n int) {
+	for i := range s.attempts {
+		if s.attempts[i].ran {
+			n++
+		}
+	}
+	return n
+}
+
+// mayHaveRun reports whether a call may have run.
+func (s *shard) mayHaveRun() bool { return s.used() > 0 }
+
+// reached returns the number of different targets that were reached.
+func (s *shard) reached() int {
+	n := 0
+	for i := range s.attempts {
+		a := &s.attempts[i]
+		if !a.ran && !a.refused || s.triedBefore(i) {
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// triedBefore reports whether an earlier attempt than i went to the same target.
+func (s *shard) triedBefore(i int) bool {
+	for j := range i {
+		if s.attempts[j].target == s.attempts[i].target {
+			return true
+		}
+	}
+	return false
+}
+
+// tried reports whether a target was asked.
+func (s *shard) tried(t *cpchoice.Target) bool {
+	for i := range s.attempts {
+		if s.attempts[i].target == t {
+			return true
+		}
+	}
+	return false
+}
+
+// mayAskAgain reports whether a target was asked and every call to it proved not to have run.
+func (s *shard) mayAskAgain(t *cpchoice.Target) bool {
+	asked := false
+	for i := range s.attempts {
+		if a := &s.attempts[i]; a.target == t {
+			if a.ran || !a.refused {
+				return false
+			}
+			asked = true
+		}
+	}
+	return asked
+}
+
+// first chooses the first target of a shard.
+func (f *Fan) first(now time.Time, i int) {
+	s := &f.shards[i]
+	target, availability := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+	if target != nil {
+		f.send(now, i, target, false)
+		return
+	}
+	f.wait(now, s, availability)
+}
+
+// wait looks for a target again soon, or gives the shard up when there is none.
+func (f *Fan) wait(now time.Time, s *shard, availability Availability) {
+	s.waits++
+	if availability == Absent && s.outstanding() == 0 {
+		f.fail(s, clementineport.FaultUnavailable)
+		return
+	}
+	s.wake = now.Add(f.options.Recheck)
+}
+
+// send adds a call.
+func (f *Fan) send(now time.Time, i int, target *cpchoice.Target, extra bool) {
+	s := &f.shards[i]
+	s.attempts = append(s.attempts, attempt{target: target, ran: true})
+	f.stats.Sends++
+	f.sends = append(f.sends, Send{Shard: i, Attempt: len(s.attempts) - 1, Target: target, Extra: extra})
+	s.wake = time.Time{}
+	if f.mayHedge(s) {
+		s.wake = now.Add(f.plan.HedgeAfter)
+	}
+}
+
+// mayHedge reports whether another target may be asked beside the one that was asked.
+func (f *Fan) mayHedge(s *shard) bool {
+	return f.plan.Idempotent && f.plan.HedgeAfter > 0 && s.outstanding() == 1 && s.used() < f.plan.MaxAttempts &&
+		s.reached() < f.plan.MaxAttempts
+}
+
+// fail gives a shard up.
+func (f *Fan) fail(s *shard, fault clementineport.Fault) {
+	if s.fault == clementineport.FaultUnknown {
+		s.fault = fault
+	}
+	s.state = failed
+	s.wake = time.Time{}
+	f.failed++
+}
+
+// due sends the call of a shard whose time has come.
+func (f *Fan) due(now time.Time, i int) {
+	s := &f.shards[i]
+	if s.state != open || s.wake.IsZero() || now.Before(s.wake) {
+		return
+	}
+	s.wake = time.Time{}
+	switch {
+	case s.outstanding() > 0:
+		f.hedge(now, i)
+	case len(s.attempts) == 0:
+		f.first(now, i)
+	default:
+		f.again(now, i)
+	}
+}
+
+// hedge asks another target beside one that is slow.
+func (f *Fan) hedge(now time.Time, i int) {
+	s := &f.shards[i]
+	if !f.mayHedge(s) {
+		return
+	}
+	target, _ := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i]) {
+		s.wake = now.Add(f.options.Recheck)
+		return
+	}
+	f.stats.Hedges++
+	f.send(now, i, target, true)
+}
+
+// again asks a target after all earlier calls of the shard have failed. A call that never reached its target costs
+// nothing there, so it needs no budget to be made elsewhere.
+func (f *Fan) again(now time.Time, i int) {
+	s := &f.shards[i]
+	target, availability := f.further(now, i)
+	if target == nil {
+		f.wait(now, s, availability)
+		return
+	}
+	extra := s.reached() > 0
+	if extra && !f.targets.MayRepeat(f.plan.Shards[i]) {
+		s.wake = now.Add(f.options.BudgetRecheck)
+		return
+	}
+	f.stats.Retries++
+	f.send(now, i, target, extra)
+}
+
+// further chooses a target that was not asked, or, when no further one may be reached or is usable, one that refused
+// without running.
+func (f *Fan) further(now time.Time, i int) (*cpchoice.Target, Availability) {
+	s := &f.shards[i]
+	if s.reached() < f.plan.MaxAttempts {
+		target, availability := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+		if availability != Absent {
+			return target, availability
+		}
+	}
+	return f.targets.Choose(now, f.plan.Shards[i], func(t *cpchoice.Target) bool { return !s.mayAskAgain(t) })
+}
+
+// settle takes the result of a call of an open shard.
+func (f *Fan) settle(now time.Time, r *Result, s *shard, a *attempt) {
+	switch {
+	case r.Part != nil && r.Part.Success():
+		s.state, s.part, s.wake = covered, r.Part, time.Time{}
+		f.covered++
+	case r.Part != nil:
+		s.failure, s.fault = r.Part, clementineport.FaultInternal
+		f.afterRun(now, s)
+	case r.Fault.Verdict() == clementineport.NotRun:
+		a.ran = false
+		a.refused = r.Fault == clementineport.FaultShed || r.Fault == clementineport.FaultMisdirected
+		f.afterRefusal(now, r.Fault, s)
+	default:
+		s.fault = r.Fault
+		f.afterRun(now, s)
+	}
+}
+
+// afterRun decides what follows a call that may have run and brought no answer.
+func (f *Fan) afterRun(now time.Time, s *shard) {
+	if s.outstanding() > 0 {
+		return
+	}
+	if !f.plan.Idempotent || s.used() >= f.plan.MaxAttempts {
+		f.fail(s, s.fault)
+		return
+	}
+	s.wake = now
+}
+
+// afterRefusal decides what follows a call that proved not to have run.
+func (f *Fan) afterRefusal(now time.Time, fault clementineport.Fault, s *shard) {
+	if fault == clementineport.FaultShed {
+		f.stats.Refused++
+		s.refusals++
+	}
+	if s.outstanding() > 0 {
+		return
+	}
+	if s.fault == clementineport.FaultUnknown {
+		s.fault = fault
+	}
+	if s.used() >= f.plan.MaxAttempts || len(s.attempts) >= f.options.MaxSends {
+		f.fail(s, fault)
+		return
+	}
+	s.wake = now
+	if s.refusals > 1 {
+		s.wake = now.Add(f.options.RefusalDelay * time.Duration(s.refusals-1))
+	}
+}
--- /dev/null
+++ b/cpfollow/cpfollow.go
@@ -0,0 +1,175 @@
+// Package cpfollow keeps a VM's view of the fleet current: the routes, the targets that registered themselves, the
+// failure domains that are out of service, and the other VMs.
+//
+// One goroutine owns the state and publishes it as an immutable View. The news comes from the platform's store or,
+// when this VM can't reach it, from other VMs. What follows from the news is decided in cpcatalog and cpmember; this
+// package only carries it out.
+package cpfollow
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcatalog"
+	"github.com/clementineport/clementineport/cpdial"
+	"github.com/clementineport/clementineport/cpmember"
+	"github.com/clementineport/clementineport/cpquota"
+)
+
+// eventBacklog is the number of events that may wait for the loop.
+const eventBacklog = 256
+
+// Follower is the control state of one VM. Its exported methods are safe for concurrent use.
+type Follower struct {
+	options Options
+	view    atomic.Pointer[View]
+	events  chan event
+	// confirmed is when the catalog was last known to be complete, as a time that traffic reads.
+	confirmed atomic.Pointer[time.Time]
+	// contacted is when another VM last answered.
+	contacted atomic.Pointer[time.Time]
+
+	// The fields below belong to the loop.
+	catalog   *cpcatalog.Catalog
+	member    *cpmember.Membership
+	peers     *cpdial.Peers
+	vms       cpquota.VMs
+	states    map[clementineport.TargetID]*ViewTarget
+	published uint64
+	divided   int
+	dirty     bool
+	catching  bool
+	nextCatch time.Time
+}
+
+// event is something that happened outside of the loop.
+type event func(ctx context.Context, f *Follower, now time.Time)
+
+// New returns a follower that knows nothing yet; Serve runs it.
+func New(opts ...Option) *Follower {
+	options := NewOptions(opts...)
+	f := &Follower{
+		options: options,
+		events:  make(chan event, eventBacklog),
+		catalog: cpcatalog.New(options.Catalog...),
+		member:  cpmember.New(options.Self, append([]cpmember.Option{cpmember.WithSeed(options.Seed)}, options.Member...)...),
+		peers:   cpdial.New(options.Dial),
+		states:  map[clementineport.TargetID]*ViewTarget{},
+	}
+	zero := time.Time{}
+	f.confirmed.Store(&zero)
+	f.contacted.Store(&zero)
+	f.publish(options.Clock.Now())
+	return f
+}
+
+// View returns the newest view.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Age returns how long ago the view was known to be complete.
+func (f *Follower) Age() time.Duration { return f.options.Clock.Now().Sub(*f.confirmed.Load()) }
+
+// Isolated reports whether this VM must not act on what it knows: it is too old, and no other VM has answered
+// lately either. In an outage of the store the other VMs answer, so that the fleet goes on with what it knows.
+func (f *Follower) Isolated() bool {
+	now := f.options.Clock.Now()
+	return now.Sub(*f.confirmed.Load()) > f.options.StaleAfter && now.Sub(*f.contacted.Load()) > f.options.AloneAfter
+}
+
+// Leave tells the other VMs that this VM is shutting down.
+func (f *Follower) Leave() {
+	f.events <- func(_ context.Context, f *Follower, _ time.Time) { f.member.Leave() }
+}
+
+// Serve runs the loop until ctx ends; it implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	go f.feed(ctx)
+	go f.register(ctx)
+	tick := f.options.Clock.After(f.options.TickPeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-f.events:
+			e(ctx, f, f.options.Clock.Now())
+		case <-tick:
+			f.step(ctx, f.options.Clock.Now())
+			tick = f.options.Clock.After(f.options.TickPeriod)
+		}
+		if f.dirty {
+			f.publish(f.options.Clock.Now())
+		}
+	}
+}
+
+// step carries out what is due.
+func (f *Follower) step(ctx context.Context, now time.Time) {
+	if f.catalog.Tick(now) {
+		f.dirty = true
+	}
+	for _, a := range f.member.Tick(now) {
+		f.exchange(ctx, a)
+	}
+	f.catchUp(ctx, now)
+	if f.member.Version() != f.published || f.vms.Seen(now, f.counted()) != f.divided {
+		f.dirty = true
+	}
+}
+
+// send gives an event to the loop.
+func (f *Follower) send(ctx context.Context, e event) {
+	select {
+	case f.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// heard takes news that was asked for at a time.
+func (f *Follower) heard(now, asked time.Time, news *clementineport.FleetNews, source string) {
+	before, version := f.catalog.AsOf(), f.routesVersion()
+	changed := f.catalog.Apply(now, asked, news)
+	confirmed := f.catalog.Confirmed()
+	f.confirmed.Store(&confirmed)
+	if len(news.Faults) > 0 {
+		f.options.Log.Warn("EntriesRejected", zap.Strings("Faults", news.Faults), zap.String("Source", source))
+	}
+	if !changed {
+		return
+	}
+	f.dirty = true
+	f.listed(now)
+	if f.routesVersion() != version {
+		f.options.Log.Info("RoutesChanged", zap.Uint64("Version", uint64(f.routesVersion())),
+			zap.Int("Routes", len(f.catalog.Routes().Routes)), zap.String("Source", source))
+	}
+	f.options.Log.Info("FleetChanged", zap.Uint64("From", uint64(before)), zap.Uint64("AsOf", uint64(f.catalog.AsOf())),
+		zap.Int("Targets", len(f.catalog.Targets())), zap.Int("VMs", len(f.catalog.VMs())),
+		zap.Int("Registered", len(news.Targets)), zap.Int("Gone", len(news.Gone)), zap.String("Source", source))
+}
+
+// routesVersion returns the version of the routes, or zero.
+func (f *Follower) routesVersion() clementineport.Revision {
+	if f.catalog.Routes() == nil {
+		return 0
+	}
+	return f.catalog.Routes().Version
+}
+
+// listed tells the membership which VMs the store lists.
+func (f *Follower) listed(now time.Time) {
+	registered := f.catalog.VMs()
+	vms := make([]clementineport.VM, 0, len(registered))
+	for _, vm := range registered {
+		vms = append(vms, vm)
+	}
+	f.member.Listed(now, vms)
+	for _, m := range f.member.Members() {
+		if _, ok := registered[m.ID]; !ok && m.State == clementineport.MemberAlive {
+			f.member.Doubt(now, m.ID)
+		}
+	}
+}
--- /dev/null
+++ b/cpfollow/feed.go
@@ -0,0 +1,157 @@
+package cpfollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+)
+
+// Bounds of the time between two failed calls to the store.
+const (
+	firstRetry   = 150 * time.Millisecond
+	longestRetry = 1500 * time.Millisecond
+)
+
+// newBackoff returns the delays between failed calls to the store.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstRetry, longestRetry
+	return b
+}
+
+// feed reads the store's news until ctx ends.
+func (f *Follower) feed(ctx context.Context) {
+	delays := newBackoff()
+	loaded, reached := false, true
+	var asOf clementineport.Revision
+	for ctx.Err() == nil {
+		asked := f.options.Clock.Now()
+		news, err := f.ask(ctx, loaded, asOf)
+		if err != nil {
+			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
+			if reached {
+				f.options.Log.Warn("StoreLost", zap.Error(err), zap.Uint64("AsOf", uint64(asOf)))
+			}
+			reached = false
+			f.pause(ctx, delays.NextBackOff())
+			continue
+		}
+		if !reached {
+			f.options.Log.Info("StoreRegained", zap.Uint64("AsOf", uint64(news.AsOf)))
+		}
+		loaded, reached, asOf = true, true, news.AsOf
+		delays.Reset()
+		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, asked, news, "Store") })
+		f.pause(ctx, f.options.FeedPeriod)
+	}
+}
+
+// ask reads everything, or what has changed.
+func (f *Follower) ask(ctx context.Context, loaded bool, asOf clementineport.Revision) (*clementineport.FleetNews, error) {
+	if !loaded {
+		return f.options.Feed.Load(ctx)
+	}
+	return f.options.Feed.Next(ctx, asOf, f.options.FeedWait)
+}
+
+// pause waits for a time.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.options.Clock.After(d):
+	}
+}
+
+// register keeps this VM registered in the store until ctx ends, from when it has routes.
+func (f *Follower) register(ctx context.Context) {
+	if f.options.Registrar == nil {
+		return
+	}
+	registered := false
+	delays := newBackoff()
+	for ctx.Err() == nil {
+		if f.View().Router == nil {
+			f.pause(ctx, f.options.TickPeriod)
+			continue
+		}
+		err := f.registration(ctx, registered)
+		if err == nil {
+			registered = true
+			delays.Reset()
+			f.pause(ctx, f.options.RenewPeriod)
+			continue
+		}
+		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
+		f.options.Log.Warn("RegistrationFailed", zap.Error(err), zap.Bool("Registered", registered))
+		f.pause(ctx, delays.NextBackOff())
+	}
+}
+
+// registration registers this VM, or renews that. A lease that is alive but has lost its entry is begun anew.
+func (f *Follower) registration(ctx context.Context, registered bool) error {
+	if registered && f.View().Listed {
+		return f.options.Registrar.Renew(ctx)
+	}
+	return f.options.Registrar.Register(ctx, f.options.Self.VM)
+}
+
+// catchUp asks another VM for its news while the store does not answer this one.
+func (f *Follower) catchUp(ctx context.Context, now time.Time) {
+	if f.catching || now.Before(f.nextCatch) || f.Age() < f.options.CatchUpAfter {
+		return
+	}
+	vm, ok := f.anyPeer()
+	if !ok {
+		return
+	}
+	f.catching = true
+	f.nextCatch = now.Add(f.options.CatchUpPeriod)
+	peer, asOf := f.peers.Get(now, vm), f.catalog.AsOf()
+	go func() {
+		call, cancel := context.WithTimeout(ctx, f.options.CatchUpTimeout)
+		defer cancel()
+		cfg, err := peer.Config(call, asOf)
+		f.send(ctx, func(_ context.Context, f *Follower, at time.Time) { f.caughtUp(at, now, vm.ID, cfg, err) })
+	}()
+}
+
+// caughtUp takes the answer of another VM.
+func (f *Follower) caughtUp(now, asked time.Time, from clementineport.VMID, cfg *clementineport.Config, err error) {
+	f.catching = false
+	var news *clementineport.FleetNews
+	if err == nil {
+		news, err = decodeNews(cfg)
+	}
+	if err != nil {
+		f.peers.HangUp(from)
+		f.options.Log.Info("CatchUpFailed", zap.String("VM", string(from)), zap.Error(err))
+		return
+	}
+	f.heard(now, asked, news, string(from))
+}
+
+// anyPeer returns a random VM that is expected to answer, or one of the seeds when none is known.
+func (f *Follower) anyPeer() (clementineport.VM, bool) {
+	var alive []clementineport.VM
+	for _, m := range f.member.Members() {
+		if m.ID != f.options.Self.ID && m.State == clementineport.MemberAlive && m.Peer != "" {
+			alive = append(alive, m.VM)
+		}
+	}
+	if len(alive) == 0 {
+		alive = f.options.Seeds
+	}
+	if len(alive) == 0 {
+		return clementineport.VM{}, false
+	}
+	return alive[rand.IntN(len(alive))], true
+}
+
+// errNoNews is the error of a VM that has no routes to tell.
+var errNoNews = errors.New("the VM has no news")
--- /dev/null
+++ b/cpfollow/options.go
@@ -0,0 +1,129 @@
+package cpfollow
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcatalog"
+	"github.com/clementineport/clementineport/cpmember"
+)
+
+// Defaults of Options.
+const (
+	// DefaultTickPeriod is short beside the times of the membership.
+	DefaultTickPeriod = 100 * time.Millisecond
+	// DefaultFeedPeriod bounds the calls to the store: targets register all the time, so a watch seldom waits.
+	DefaultFeedPeriod = 400 * time.Millisecond
+	// DefaultFeedWait keeps a quiet watch short enough to notice a connection that went silent.
+	DefaultFeedWait = time.Second
+	// DefaultRenewPeriod is a third of the shortest useful lease.
+	DefaultRenewPeriod = time.Second
+	// DefaultCatchUpAfter is longer than the usual time between two confirmations.
+	DefaultCatchUpAfter = 1500 * time.Millisecond
+	// DefaultCatchUpPeriod bounds what a VM without the store asks of the others.
+	DefaultCatchUpPeriod  = 500 * time.Millisecond
+	DefaultCatchUpTimeout = time.Second
+	// DefaultStaleAfter is the age from which a VM that reaches nobody stops acting on what it knows.
+	DefaultStaleAfter = 15 * time.Second
+	// DefaultAloneAfter is longer than the time between two exchanges with other VMs.
+	DefaultAloneAfter = 4 * time.Second
+)
+
+// Options are the settings of a Follower.
+type Options struct {
+	Self      clementineport.Member
+	Feed      clementineport.Feed
+	Registrar clementineport.Registrar
+	// Seeds are VMs that may be asked before any is known.
+	Seeds []clementineport.VM
+	// Dial returns the port to another VM; it does not block.
+	Dial func(clementineport.VM) clementineport.Peer
+	// NewPort returns the port to a target with a number of connections.
+	NewPort func(d clementineport.Discovered, connections int) clementineport.OpaqueTarget
+	Clock   clementineport.Clock
+	Log     *zap.Logger
+	Seed    uint64
+	Catalog []cpcatalog.Option
+	Member  []cpmember.Option
+	// TickPeriod is the time between two looks at what is due.
+	TickPeriod time.Duration
+	// FeedPeriod is the time between two answers of the store, FeedWait how long a watch may wait.
+	FeedPeriod time.Duration
+	FeedWait   time.Duration
+	// RenewPeriod is the time between two renewals of the registration.
+	RenewPeriod time.Duration
+	// CatchUpAfter is the age of the view from which other VMs are asked for news.
+	CatchUpAfter   time.Duration
+	CatchUpPeriod  time.Duration
+	CatchUpTimeout time.Duration
+	// StaleAfter and AloneAfter say when a VM is isolated.
+	StaleAfter time.Duration
+	AloneAfter time.Duration
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{
+		Clock:          clockwork.NewRealClock(),
+		Log:            zap.NewNop(),
+		Dial:           func(clementineport.VM) clementineport.Peer { return nil },
+		TickPeriod:     DefaultTickPeriod,
+		FeedPeriod:     DefaultFeedPeriod,
+		FeedWait:       DefaultFeedWait,
+		RenewPeriod:    DefaultRenewPeriod,
+		CatchUpAfter:   DefaultCatchUpAfter,
+		CatchUpPeriod:  DefaultCatchUpPeriod,
+		CatchUpTimeout: DefaultCatchUpTimeout,
+		StaleAfter:     DefaultStaleAfter,
+		AloneAfter:     DefaultAloneAfter,
+	}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithSelf sets what this VM says about itself.
+func WithSelf(m clementineport.Member) Option { return func(o *Options) { o.Self = m } }
+
+// WithFeed sets where news comes from.
+func WithFeed(f clementineport.Feed) Option { return func(o *Options) { o.Feed = f } }
+
+// WithRegistrar sets how this VM makes itself known.
+func WithRegistrar(r clementineport.Registrar) Option { return func(o *Options) { o.Registrar = r } }
+
+// WithSeeds sets VMs that may be asked before any is known.
+func WithSeeds(vms ...clementineport.VM) Option { return func(o *Options) { o.Seeds = vms } }
+
+// WithDial sets how other VMs are reached.
+func WithDial(dial func(clementineport.VM) clementineport.Peer) Option {
+	return func(o *Options) { o.Dial = dial }
+}
+
+// WithNewPort sets how targets are reached.
+func WithNewPort(f func(d clementineport.Discovered, connections int) clementineport.OpaqueTarget) Option {
+	return func(o *Options) { o.NewPort = f }
+}
+
+// WithClock sets the clock.
+func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithLog sets the log.
+func WithLog(l *zap.Logger) Option { return func(o *Options) { o.Log = l } }
+
+// WithSeed seeds the choice of peers.
+func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
+
+// WithStale sets when a VM is isolated.
+func WithStale(staleAfter, aloneAfter time.Duration) Option {
+	return func(o *Options) { o.StaleAfter, o.AloneAfter = staleAfter, aloneAfter }
+}
+
+// WithRenewPeriod sets the time between two renewals of the registration.
+func WithRenewPeriod(d time.Duration) Option { return func(o *Options) { o.RenewPeriod = d } }
--- /dev/null
+++ b/cpfollow/peers.go
@@ -0,0 +1,101 @@
+package cpfollow
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpmember"
+)
+
+// exchange swaps digests with another VM.
+func (f *Follower) exchange(ctx context.Context, a cpmember.Action) {
+	peer, digest := f.peers.Get(f.options.Clock.Now(), a.Peer), f.member.Digest(a.Peer.ID)
+	go func() {
+		call, cancel := context.WithTimeout(ctx, a.Timeout)
+		defer cancel()
+		answer, err := peer.Exchange(call, digest)
+		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.exchanged(now, a, answer, err) })
+	}()
+}
+
+// exchanged takes the result of an exchange that this VM began.
+func (f *Follower) exchanged(now time.Time, a cpmember.Action, answer *clementineport.Digest, err error) {
+	if err != nil {
+		f.peers.HangUp(a.Peer.ID)
+		f.member.Failed(now, a.Peer.ID, a.Began, clementineport.FaultOf(err))
+		f.options.Log.Info("PeerUnreached", zap.String("VM", string(a.Peer.ID)), zap.Error(err))
+		return
+	}
+	f.contacted.Store(&now)
+	f.member.Reached(now, a.Peer.ID, a.Began, answer)
+}
+
+// Exchange implements cppeer.Handler.
+func (f *Follower) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
+	answer := make(chan *clementineport.Digest, 1)
+	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { answer <- f.member.Heard(now, d) })
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "exchange given up: %v", ctx.Err())
+	}
+}
+
+// Config implements cppeer.Handler: it returns everything that this VM knows, if it has routes.
+func (f *Follower) Config(ctx context.Context, _ clementineport.Revision) (*clementineport.Config, error) {
+	answer := make(chan *clementineport.FleetNews, 1)
+	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { answer <- f.catalog.News(now) })
+	select {
+	case news := <-answer:
+		return encodeNews(news)
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "news given up: %v", ctx.Err())
+	}
+}
+
+// Relay implements cppeer.Handler; a follower calls no targets.
+func (f *Follower) Relay(context.Context, *clementineport.RelayRequest, func(clementineport.CallResult)) error {
+	return clementineport.Fail(clementineport.FaultNotOwner, "this VM relays nothing")
+}
+
+// Forward implements cppeer.Handler; a follower runs no queries.
+func (f *Follower) Forward(context.Context, *clementineport.Query) (*clementineport.Answer, error) {
+	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM runs no queries")
+}
+
+// encodeNews wraps news as the peers' message for a configuration.
+func encodeNews(news *clementineport.FleetNews) (*clementineport.Config, error) {
+	if news.Routes == nil {
+		return nil, nil
+	}
+	text, err := json.Marshal(news)
+	if err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultInternal, Reason: "encode news", Err: err}
+	}
+	return &clementineport.Config{Revision: news.AsOf, Text: text}, nil
+}
+
+// decodeNews reads news from the peers' message for a configuration.
+func decodeNews(cfg *clementineport.Config) (*clementineport.FleetNews, error) {
+	if cfg == nil {
+		return nil, errNoNews
+	}
+	news := &clementineport.FleetNews{}
+	if err := json.Unmarshal(cfg.Text, news); err != nil {
+		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Reason: "decode news", Err: err}
+	}
+	return news, nil
+}
+
+// EncodeMessage and DecodeMessage are the codec of the peers' message for a configuration.
+func EncodeMessage(cfg *clementineport.Config) ([]byte, error) { return cfg.Text, nil }
+
+// DecodeMessage reverses EncodeMessage.
+func DecodeMessage(text []byte) (*clementineport.Config, error) {
+	return &clementineport.Config{Text: text}, nil
+}
--- /dev/null
+++ b/cpfollow/view.go
@@ -0,0 +1,143 @@
+package cpfollow
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcatalog"
+	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cproute"
+)
+
+// ViewTarget is a target that may be asked.
+type ViewTarget struct {
+	State *cpchoice.Target
+	Port  clementineport.OpaqueTarget
+	// ColdUntil is when the target is warm; Unproven means that it has not said whether it is cold.
+	ColdUntil time.Time
+	Unproven  bool
+	// Owned is true when this VM is the one that asks the target while it is cold.
+	Owned bool
+	Near  bool
+}
+
+// Cold reports whether the target must be treated as cold.
+func (t *ViewTarget) Cold(now time.Time) bool { return t.Unproven || now.Before(t.ColdUntil) }
+
+// View is what a VM knows at one moment; it is immutable.
+type View struct {
+	// Router is nil until routes are known.
+	Router *cproute.Router
+	// Services lists the targets that may be asked now.
+	Services map[clementineport.ServiceID][]ViewTarget
+	Members  []clementineport.Member
+	// VMs is the number of VMs that bounds for all VMs are divided by.
+	VMs int
+	// Listed is true while the store lists this VM.
+	Listed bool
+}
+
+// publish makes a new view from the state of the loop.
+func (f *Follower) publish(now time.Time) {
+	f.dirty = false
+	f.published = f.member.Version()
+	f.divided = f.vms.Seen(now, f.counted())
+	view := &View{
+		Services: map[clementineport.ServiceID][]ViewTarget{},
+		Members:  f.member.Members(),
+		VMs:      f.divided,
+	}
+	_, view.Listed = f.catalog.VMs()[f.options.Self.ID]
+	f.route(view)
+	f.dropTargets()
+	for id, t := range f.catalog.Targets() {
+		if t.Draining || f.catalog.Out(t.Domain) {
+			continue
+		}
+		f.addTarget(view, id, t)
+	}
+	f.view.Store(view)
+}
+
+// route adds the router, and keeps the old one while the routes are the same.
+func (f *Follower) route(view *View) {
+	routes := f.catalog.Routes()
+	if routes == nil {
+		return
+	}
+	var old *cproute.Router
+	if last := f.view.Load(); last != nil {
+		old = last.Router
+	}
+	if old != nil && old.Table() == routes {
+		view.Router = old
+		return
+	}
+	view.Router = cproute.New(routes, old)
+}
+
+// counted returns the number of VMs that may use targets now.
+func (f *Follower) counted() (n int) {
+	for _, m := range f.member.Members() {
+		if m.State != clementineport.MemberDead {
+			n++
+		}
+	}
+	return n
+}
+
+// dropTargets closes the connections to targets that are gone or have started anew.
+func (f *Follower) dropTargets() {
+	for id, s := range f.states {
+		if t := f.catalog.Targets()[id]; t == nil || t.Born != s.State.Born || t.Address != s.State.Address {
+			s.Port.Close()
+			delete(f.states, id)
+		}
+	}
+}
+
+// addTarget adds a target to its service.
+func (f *Follower) addTarget(view *View, id clementineport.TargetID, t *cpcatalog.Target) {
+	share := cpquota.Connections(f.connections(t.Service), f.divided)
+	s := f.states[id]
+	if s == nil {
+		s = &ViewTarget{State: cpchoice.NewTarget(t.Discovered), Port: f.options.NewPort(t.Discovered, share)}
+		f.states[id] = s
+	}
+	s.Port.Resize(share)
+	s.ColdUntil, s.Unproven = t.ColdUntil, t.Unproven
+	s.Near = t.Domain == f.options.Self.Domain
+	s.Owned = f.owns(view, id)
+	view.Services[t.Service] = append(view.Services[t.Service], *s)
+}
+
+// connections returns the limit of a target of a service for all VMs together.
+func (f *Follower) connections(service clementineport.ServiceID) int {
+	if routes := f.catalog.Routes(); routes != nil {
+		if s, ok := routes.Services[service]; ok {
+			return s.Connections
+		}
+	}
+	return 1
+}
+
+// owns reports whether this VM is the one that asks a target while it is cold.
+func (f *Follower) owns(view *View, id clementineport.TargetID) bool {
+	ranked := cpowner.Rank(string(id), view.Members, 1, func(m *clementineport.Member) bool {
+		return m.State == clementineport.MemberAlive
+	})
+	return len(ranked) == 1 && view.Members[ranked[0]].ID == f.options.Self.ID
+}
+
+// Callers returns the addresses that callers may use, of the VMs that are alive and not leaving.
+func (v *View) Callers() []clementineport.Member {
+	var alive []clementineport.Member
+	for _, m := range v.Members {
+		if m.State == clementineport.MemberAlive && !m.Leaving && m.Caller != "" {
+			alive = append(alive, m)
+		}
+	}
+	return alive
+}
--- /dev/null
+++ b/cpforward/budgets.go
@@ -0,0 +1,50 @@
+package cpforward
+
+import (
+	"sync"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbudget"
+	"github.com/clementineport/clementineport/cpquota"
+)
+
+// budgets holds the budget of extra calls of each service.
+type budgets struct {
+	ratio float64
+	slack float64
+
+	mu       sync.Mutex
+	vms      int
+	services map[clementineport.ServiceID]*cpbudget.Bucket
+}
+
+func newBudgets(ratio, slack float64) *budgets {
+	return &budgets{ratio: ratio, slack: slack, services: map[clementineport.ServiceID]*cpbudget.Bucket{}}
+}
+
+// earn credits a request for a service. When the number of VMs changes, all budgets begin anew and empty, so that
+// what was saved as one of few VMs is not spent as one of many.
+func (b *budgets) earn(service clementineport.ServiceID, vms int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if vms != b.vms {
+		b.vms = vms
+		clear(b.services)
+	}
+	bucket := b.services[service]
+	if bucket == nil {
+		bucket = cpbudget.New(
+			cpbudget.WithShare(b.ratio*cpquota.RetryShare), cpbudget.WithBurst(cpquota.RetryBurst(b.slack, vms)),
+		)
+		b.services[service] = bucket
+	}
+	bucket.Earn(1)
+}
+
+// spend takes one extra call from the budget of a service, or reports that there is none.
+func (b *budgets) spend(service clementineport.ServiceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bucket := b.services[service]
+	return bucket != nil && bucket.Spend()
+}
--- /dev/null
+++ b/cpforward/cpforward.go
@@ -0,0 +1,277 @@
+// Package cpforward carries out forwarded requests: it runs the calls that cpfan asks for and gives the results back
+// to it. One goroutine runs a request, and one each of its calls.
+package cpforward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpfan"
+	"github.com/clementineport/clementineport/cplatency"
+)
+
+// Forwarder forwards requests. Its methods may be called from many goroutines.
+type Forwarder struct {
+	options Options
+	budgets *budgets
+
+	mu      sync.Mutex
+	chooser *cpchoice.Chooser
+	cold    map[clementineport.TargetID]time.Time
+	routes  map[clementineport.RouteID]*routeStats
+}
+
+// routeStats is what the requests of a route have shown.
+type routeStats struct {
+	latency *cplatency.Window
+	// patience is the longest time that a caller of the route has given, which is that of a first attempt.
+	patience time.Duration
+}
+
+// New returns a forwarder.
+func New(opts ...Option) *Forwarder {
+	options := NewOptions(opts...)
+	return &Forwarder{
+		options: options,
+		budgets: newBudgets(options.RetryRatio, options.RetrySlack),
+		chooser: cpchoice.New(cpchoice.WithSeed(options.Seed)),
+		cold:    map[clementineport.TargetID]time.Time{},
+		routes:  map[clementineport.RouteID]*routeStats{},
+	}
+}
+
+// Forward runs a request on a route and returns its answer. It returns at once when ctx ends.
+func (f *Forwarder) Forward(ctx context.Context, route *clementineport.Route, r *clementineport.Forward) *clementineport.Forwarded {
+	view := f.options.View()
+	shards := route.Shards
+	if !route.Gathers() {
+		shards = []clementineport.ServiceID{view.Router.Service(route)}
+	}
+	for _, s := range shards {
+		f.budgets.earn(s, view.VMs)
+	}
+	stats := f.stats(route.Name, r.Deadline.Sub(r.Arrived))
+	run := &run{
+		f: f, route: route, request: r, stats: stats, usual: stats.latency.Usual(),
+		results: make(chan callResult, len(shards)*2),
+	}
+	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	run.fan = cpfan.New(run.plan(shards), run, f.options.Fan...)
+	return run.run(ctx)
+}
+
+// stats returns what is known of a route, and remembers the longest time that its callers give.
+func (f *Forwarder) stats(name clementineport.RouteID, patience time.Duration) *routeStats {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.routes[name]
+	if s == nil {
+		s = &routeStats{latency: cplatency.New()}
+		f.routes[name] = s
+	}
+	s.patience = max(s.patience, patience)
+	return s
+}
+
+// Forget drops what is known of routes that are not in the table.
+func (f *Forwarder) Forget(table *clementineport.RouteTable) {
+	named := make(map[clementineport.RouteID]bool, len(table.Routes))
+	for i := range table.Routes {
+		named[table.Routes[i].Name] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.routes {
+		if !named[name] {
+			delete(f.routes, name)
+		}
+	}
+}
+
+// run is one request.
+type run struct {
+	f       *Forwarder
+	route   *clementineport.Route
+	request *clementineport.Forward
+	fan     *cpfan.Fan
+	stats   *routeStats
+	usual   time.Duration
+	results chan callResult
+	// calls is the context of the calls, which outlives the answer for a moment.
+	calls  context.Context
+	cancel context.CancelFunc
+	// running counts the calls without a result.
+	running int
+}
+
+// callResult is the end of one call.
+type callResult struct {
+	cpfan.Result
+	err error
+}
+
+// plan returns what the request needs.
+func (r *run) plan(shards []clementineport.ServiceID) cpfan.Plan {
+	plan := cpfan.Plan{
+		Shards: shards, Gathers: r.route.Gathers(), Idempotent: r.route.Idempotent, MaxAttempts: r.route.MaxAttempts,
+		Least: 1, Deadline: r.request.Deadline.Add(-r.f.options.AnswerMargin), HedgeAfter: r.hedgeAfter(),
+	}
+	if r.route.Gathers() {
+		plan.Least = cpfan.LeastParts(r.route.LeastCoverage, len(shards))
+		plan.Objective = r.objective()
+	}
+	return plan
+}
+
+// objective returns when the answer must leave to be in time. A caller that gives less time than others has used
+// the rest on earlier attempts.
+func (r *run) objective() time.Time {
+	o := r.route.Objective
+	used := r.stats.patience - r.request.Deadline.Sub(r.request.Arrived)
+	margin := r.f.options.ObjectiveMargin + time.Duration(float64(o)*r.f.options.ObjectiveShare)
+	at := r.request.Arrived.Add(o - used - margin)
+	if used >= o {
+		return time.Time{}
+	}
+	return at
+}
+
+// hedgeAfter returns how long a call may take before another target is asked.
+func (r *run) hedgeAfter() time.Duration {
+	high := r.stats.latency.High()
+	if high == 0 {
+		return time.Duration(float64(r.route.Objective) * r.f.options.FirstHedgeShare)
+	}
+	return max(time.Duration(float64(high)*r.f.options.HedgeFactor), r.f.options.LeastHedge)
+}
+
+// run runs the request until its answer is closed or its caller has gone.
+func (r *run) run(ctx context.Context) *clementineport.Forwarded {
+	timer := time.NewTimer(time.Until(r.request.Deadline))
+	defer timer.Stop()
+	r.send(r.fan.Start(r.now()))
+	for !r.fan.Ended() {
+		timer.Reset(max(0, r.fan.Wake().Sub(r.now())))
+		select {
+		case <-ctx.Done():
+			r.cancel()
+			r.drain(0)
+			return r.gone(ctx)
+		case result := <-r.results:
+			r.running--
+			r.send(r.fan.Done(r.now(), &result.Result))
+		case <-timer.C:
+			r.send(r.fan.Tick(r.now()))
+		}
+	}
+	r.drain(r.f.options.LoserTime)
+	return r.answer()
+}
+
+// gone returns the answer to a caller that has left.
+func (r *run) gone(ctx context.Context) *clementineport.Forwarded {
+	return &clementineport.Forwarded{Err: &clementineport.Error{
+		Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx),
+	}}
+}
+
+// drain lets the calls whose results are not needed end for a while, so that their connections can be kept, and
+// then cancels them.
+func (r *run) drain(d time.Duration) {
+	if r.running == 0 || d == 0 {
+		r.cancel()
+		return
+	}
+	time.AfterFunc(d, r.cancel)
+}
+
+// answer returns the final answer.
+func (r *run) answer() *clementineport.Forwarded {
+	o := r.fan.Outcome()
+	answer := &clementineport.Forwarded{Stats: o.Stats}
+	switch {
+	case len(o.Parts) > 0 && r.route.Gathers():
+		answer.Gathered = gather(o.Parts, o.Missing, r.route.TopRecords)
+	case len(o.Parts) > 0:
+		answer.Part = o.Parts[0]
+	case o.Failure != nil:
+		answer.Part = o.Failure
+	default:
+		answer.Err = r.failure(&o)
+	}
+	return answer
+}
+
+// failure returns the error of a request without an answer, and, if it has not run, when to come back.
+func (r *run) failure(o *cpfan.Outcome) *clementineport.Error {
+	e := clementineport.Fail(o.Fault, "%d of %d shards answered, %d are needed", o.Stats.Covered, o.Stats.Shards,
+		cpfan.LeastParts(r.route.LeastCoverage, o.Stats.Shards))
+	if o.Verdict == clementineport.NotRun {
+		e.RetryAfter = r.f.options.RetryAfter
+	}
+	return e
+}
+
+func (r *run) now() time.Time { return r.f.options.Clock.Now() }
+
+// send starts calls.
+func (r *run) send(sends []cpfan.Send) {
+	for _, s := range sends {
+		r.running++
+		sent := r.now()
+		s.Target.Sent(sent)
+		go r.call(s, sent)
+	}
+}
+
+// call makes one call and hands its result over; the channel has room for two results of each shard, and a call
+// beyond those gives up when the request has ended.
+func (r *run) call(s cpfan.Send, sent time.Time) {
+	result := callResult{Result: cpfan.Result{Shard: s.Shard, Attempt: s.Attempt}}
+	port := r.f.port(s.Target)
+	if port == nil {
+		result.Fault = clementineport.FaultUnsent
+	} else {
+		result.Part, result.err = port.Do(r.calls, r.request)
+	}
+	if result.err != nil {
+		result.Fault = clementineport.FaultOf(result.err)
+	}
+	r.observe(s, sent, &result)
+	select {
+	case r.results <- result:
+	case <-r.calls.Done():
+	}
+}
+
+// observe records what a call showed of its target.
+func (r *run) observe(s cpfan.Send, sent time.Time, result *callResult) {
+	now := r.now()
+	outcome := cpchoice.Outcome{Fault: result.Fault, Elapsed: now.Sub(sent), Usual: r.usual}
+	if result.Part != nil {
+		outcome.OK = result.Part.Success()
+		outcome.Failed = result.Part.Status >= 500
+	}
+	s.Target.Done(now, sent, &outcome)
+	if outcome.OK {
+		r.stats.latency.Add(now, outcome.Elapsed)
+	}
+	if result.err != nil && !errors.Is(result.err, context.Canceled) {
+		r.f.options.Failed(r.request.ID, s.Target.ID, result.err, outcome.Elapsed)
+	}
+}
+
+// port returns the port of a target that is still known, or nil.
+func (f *Forwarder) port(t *cpchoice.Target) clementineport.OpaqueTarget {
+	targets := f.options.View().Services[t.Service]
+	for i := range targets {
+		if targets[i].State == t {
+			return targets[i].Port
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cpforward/gather.go
@@ -0,0 +1,18 @@
+package cpforward
+
+import (
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpmerge"
+)
+
+// gather makes the answer of the parts of many shards.
+func gather(parts []*clementineport.Part, missing, top int) *clementineport.Gathered {
+	g := &clementineport.Gathered{Missing: missing, Signatures: make([]string, len(parts))}
+	bodies := make([][]byte, len(parts))
+	for i, p := range parts {
+		g.Signatures[i] = p.Signature
+		bodies[i] = p.Body
+	}
+	g.Body = cpmerge.Records(bodies, top)
+	return g
+}
--- /dev/null
+++ b/cplog/cplog.go
@@ -0,0 +1,136 @@
+// Package cplog makes the log of a process: JSON lines on a writer, bounded in volume for each kind of line, and
+// written without ever blocking the caller. Lines that are left out are counted.
+package cplog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Log is the log of one process.
+type Log struct {
+	*zap.Logger
+	sink *sink
+	// limited counts the lines that were left out because there were too many of their kind.
+	limited atomic.Uint64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// New returns a log that writes to w until Close.
+func New(w io.Writer, opts ...Option) *Log {
+	options := NewOptions(opts...)
+	l := &Log{sink: newSink(w, options.BufferBytes), stop: make(chan struct{}), done: make(chan struct{})}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder()), l.sink, options.Level)
+	l.Logger = zap.New(zapcore.NewSamplerWithOptions(core, time.Second, options.PerSecond, options.Thereafter,
+		zapcore.SamplerHook(l.sampled)))
+	go l.flush(options.FlushPeriod, options.ReportPeriod)
+	return l
+}
+
+// encoder returns how lines look: Pascal-case fields, times to the millisecond.
+func encoder() zapcore.EncoderConfig {
+	return zapcore.EncoderConfig{
+		TimeKey: "Time", LevelKey: "Level", MessageKey: "Event", NameKey: "Name",
+		EncodeTime:     zapcore.TimeEncoderOfLayout("2006-01-02T15:04:05.000Z07:00"),
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.MillisDurationEncoder,
+	}
+}
+
+// sampled counts what the sampler leaves out.
+func (l *Log) sampled(_ zapcore.Entry, d zapcore.SamplingDecision) {
+	if d&zapcore.LogDropped != 0 {
+		l.limited.Add(1)
+	}
+}
+
+// Omitted returns how many lines were left out: too many of their kind, and those that the writer did not take.
+func (l *Log) Omitted() (limited, full uint64) { return l.limited.Load(), l.sink.dropped.Load() }
+
+// flush writes what has gathered until Close.
+func (l *Log) flush(period, reportPeriod time.Duration) {
+	defer close(l.done)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	reported := time.Now()
+	for {
+		select {
+		case <-l.stop:
+			l.sink.flush()
+			return
+		case now := <-ticker.C:
+			if now.Sub(reported) >= reportPeriod {
+				reported = now
+				l.report()
+			}
+			l.sink.flush()
+		}
+	}
+}
+
+// report writes a line about the lines that were left out since the last one.
+func (l *Log) report() {
+	limited, full := l.limited.Swap(0), l.sink.dropped.Swap(0)
+	if limited+full > 0 {
+		l.Info("LinesOmitted", zap.Uint64("TooManyOfAKind", limited), zap.Uint64("WriterFull", full))
+	}
+}
+
+// Close writes what is left, for a bounded time, and ends the log.
+func (l *Log) Close() {
+	const longest = 200 * time.Millisecond // a reader that has stopped must not hold up the end of the process
+	l.report()
+	close(l.stop)
+	select {
+	case <-l.done:
+	case <-time.After(longest):
+	}
+}
+
+// sink gathers lines in memory.
+type sink struct {
+	w       io.Writer
+	limit   int
+	dropped atomic.Uint64
+
+	mu      sync.Mutex
+	pending []byte
+	writing []byte
+}
+
+func newSink(w io.Writer, limit int) *sink { return &sink{w: w, limit: limit} }
+
+// Write implements zapcore.WriteSyncer; a line that does not fit is left out and counted.
+func (s *sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending)+len(line) > s.limit {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	s.pending = append(s.pending, line...)
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer; lines are written soon anyway.
+func (s *sink) Sync() error { return nil }
+
+// flush writes the lines that have gathered. Only one goroutine calls it.
+func (s *sink) flush() {
+	s.mu.Lock()
+	s.pending, s.writing = s.writing[:0], s.pending
+	s.mu.Unlock()
+	if len(s.writing) == 0 {
+		return
+	}
+	if _, err := s.w.Write(s.writing); err != nil {
+		// There is no other place to report it to; the count says that lines are missing.
+		s.dropped.Add(1)
+	}
+}
--- /dev/null
+++ b/cpmerge/records.go
@@ -0,0 +1,26 @@
+package cpmerge
+
+import (
+	"bytes"
+	"slices"
+)
+
+// RecordBytes is the size of one record in the body of a part.
+const RecordBytes = 16
+
+// Records returns the greatest records of some bodies, greatest first, compared byte by byte. Equal records all
+// count. A remainder at the end of a body that is shorter than a record is left out.
+func Records(bodies [][]byte, top int) []byte {
+	total := 0
+	for _, b := range bodies {
+		total += len(b) / RecordBytes
+	}
+	records := make([][]byte, 0, total)
+	for _, b := range bodies {
+		for ; len(b) >= RecordBytes; b = b[RecordBytes:] {
+			records = append(records, b[:RecordBytes])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return bytes.Join(records[:min(top, len(records))], nil)
+}
--- /dev/null
+++ b/cpquota/cpquota.go
@@ -0,0 +1,62 @@
+// Package cpquota divides bounds that hold for all VMs together into the part of one VM, and keeps to it. It knows
+// the number of VMs only as it is told, and assumes that views of that number differ.
+package cpquota
+
+import (
+	"math"
+	"time"
+)
+
+// vmsMemory is how long a number of VMs counts after it has fallen: a VM that vanished may come back, and may still
+// hold connections.
+const vmsMemory = 20 * time.Second
+
+// spareVMs is the number of VMs that may have joined without this VM knowing.
+const spareVMs = 1
+
+// VMs remembers how many VMs there may be. It is not safe for concurrent use.
+type VMs struct {
+	peaks []peak
+}
+
+// peak is a number of VMs and when it was seen last.
+type peak struct {
+	n  int
+	at time.Time
+}
+
+// Seen records the number of VMs that are known now, and returns the number to divide by.
+func (v *VMs) Seen(now time.Time, n int) int {
+	n = max(n, 1)
+	for len(v.peaks) > 0 && v.peaks[len(v.peaks)-1].n <= n {
+		v.peaks = v.peaks[:len(v.peaks)-1]
+	}
+	v.peaks = append(v.peaks, peak{n, now})
+	for len(v.peaks) > 1 && now.Sub(v.peaks[0].at) > vmsMemory {
+		v.peaks = v.peaks[1:]
+	}
+	return v.peaks[0].n
+}
+
+// Connections returns how many connections one of n VMs may open to a target.
+func Connections(limit, n int) int { return max(1, limit/(n+spareVMs)) }
+
+// RetryShare is the part of the allowed ratio of extra requests that is used; the rest covers requests that are
+// counted in one window here and in the next one at the target.
+const RetryShare = 0.9
+
+// RetryBurst returns how many extra requests one of n VMs may save up for a service, of a number for all VMs.
+func RetryBurst(slack float64, n int) int {
+	return int(math.Floor(slack * RetryShare / float64(n+spareVMs)))
+}
+
+// coldShare is the part of what a cold target bears that its owner sends; two VMs may both believe that they own it.
+const coldShare = 0.45
+
+// ColdInterval returns the time between two requests to a cold target that bears a number of requests a second.
+func ColdInterval(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(float64(time.Second) / (perSecond * coldShare))
+}
--- /dev/null
+++ b/discover.go
@@ -0,0 +1,77 @@
+package clementineport
+
+import (
+	"context"
+	"time"
+)
+
+// Discovered is one start of a target that registered itself.
+type Discovered struct {
+	// ID names this start of the target; a request names it, so that another process at the address refuses.
+	ID      TargetID
+	Service ServiceID
+	Address string
+	Domain  FailureDomain
+	// Slots is the number of requests that the target works on at once.
+	Slots    int
+	Draining bool
+	// ColdLeft is how long the target was to stay cold when it registered.
+	ColdLeft time.Duration
+	// Born is when the target started, as it says itself, in Unix milliseconds.
+	Born int64
+	// Seq counts the registrations of one start.
+	Seq int64
+}
+
+// DomainOut says whether operators have taken a failure domain out of service.
+type DomainOut struct {
+	Domain FailureDomain
+	Out    bool
+}
+
+// FleetNews is a change of what the platform's store holds for the fleet.
+type FleetNews struct {
+	// AsOf is the revision of the store up to which the news is complete.
+	AsOf Revision
+	// Whole means that the news holds everything, and that what it does not name is gone.
+	Whole bool
+	// Age is how long ago the news was known to be complete.
+	Age time.Duration
+	// Routes is the newest version of the routes, or nil.
+	Routes  *RouteTable
+	Domains []DomainOut
+	Targets []Discovered
+	Gone    []TargetID
+	VMs     []VM
+	GoneVMs []VMID
+	// Faults names entries that could not be read; they name no target.
+	Faults []string
+}
+
+// OpaqueTarget is the port to one target for requests that are passed on unchanged.
+type OpaqueTarget interface {
+	// Do sends the request once; the error is an *Error whose verdict says whether it may have run.
+	Do(ctx context.Context, f *Forward) (*Part, error)
+	// Resize sets the most connections that may be open.
+	Resize(connections int)
+	Close()
+}
+
+// Feed is the port to where the news of the fleet comes from.
+type Feed interface {
+	// Load returns everything.
+	Load(ctx context.Context) (*FleetNews, error)
+	// Next returns what changed after a revision, at the latest after wait.
+	// A FaultHistory error means that the changes are no longer kept, and that Load is needed.
+	Next(ctx context.Context, after Revision, wait time.Duration) (*FleetNews, error)
+}
+
+// Registrar is the port through which a VM makes itself known to the others.
+type Registrar interface {
+	// Register publishes the VM until its lease runs out.
+	Register(ctx context.Context, vm VM) error
+	// Renew extends the lease; a FaultNotFound error means that it has ended.
+	Renew(ctx context.Context) error
+	// Withdraw ends the lease.
+	Withdraw(ctx context.Context) error
+}
--- /dev/null
+++ b/forward.go
@@ -0,0 +1,60 @@
+package clementineport
+
+import (
+	"net/http"
+	"time"
+)
+
+// Forward is a request that is passed on to targets unchanged.
+type Forward struct {
+	ID     RequestID
+	Method string
+	Host   string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Header http.Header
+	Body   []byte
+	// Arrived is when the request was read, and Deadline when its caller gives up.
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// Part is a whole response of one target.
+type Part struct {
+	Target TargetID
+	Status int
+	Header http.Header
+	Body   []byte
+	// Signature proves which target made the response and for which request.
+	Signature string
+}
+
+// Success reports whether the target answered the request.
+func (p *Part) Success() bool { return p.Status >= 200 && p.Status < 300 }
+
+// Gathered is an answer made of the parts of many shards.
+type Gathered struct {
+	Signatures []string
+	Missing    int
+	Body       []byte
+}
+
+// Forwarded is the final answer to a Forward. Exactly one of Part, Gathered and Err is set.
+type Forwarded struct {
+	// Part is the response of a target, returned unchanged.
+	Part     *Part
+	Gathered *Gathered
+	// Err is an *Error; its verdict says whether the request may have run.
+	Err   *Error
+	Stats ForwardStats
+}
+
+// ForwardStats says what one request cost.
+type ForwardStats struct {
+	Shards  int
+	Covered int
+	Sends   int
+	Hedges  int
+	Retries int
+	Refused int
+}
--- a/verdict.go
+++ b/verdict.go
@@ -93,6 +93,10 @@
 	FaultCoverage
 	// FaultNotFound means that the service asked for does not exist.
 	FaultNotFound
+	// FaultHistory means that the changes asked for are no longer kept.
+	FaultHistory
+	// FaultMisdirected means that another process answers at the target's address.
+	FaultMisdirected
 	numFaults
 )
 
@@ -128,6 +132,8 @@
 	FaultUnauthorized: {"unauthorized", NotRun},
 	FaultNotFound:     {"not-found", NotRun},
 	FaultCoverage:     {"coverage", MayHaveRun},
+	FaultHistory:      {"history", NotRun},
+	FaultMisdirected:  {"misdirected", NotRun},
 }
 
 // Faults returns every fault.
--- a/verdict_test.go
+++ b/verdict_test.go
@@ -27,6 +27,8 @@
 		clementineport.FaultConflict:     true,
 		clementineport.FaultUnauthorized: true,
 		clementineport.FaultNotFound:     true,
+		clementineport.FaultHistory:      true,
+		clementineport.FaultMisdirected:  true,
 	}
 	for _, f := range clementineport.Faults() {
 		t.Run(f.String(), func(t *testing.T) {
