--- /dev/null
+++ b/cpchoice/cpchoice_test.go
@@ -0,0 +1,166 @@
+package cpchoice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+)
+
+const usual = 20 * time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+// scene is a service with some targets that a test drives in virtual time.
+type scene struct {
+	chooser    *cpchoice.Chooser
+	candidates []cpchoice.Candidate
+	now        time.Time
+}
+
+func newScene(targets int) *scene {
+	s := &scene{chooser: cpchoice.New(cpchoice.WithSeed(1)), now: start}
+	for i := range targets {
+		d := clementineport.Discovered{ID: clementineport.TargetID(fmt.Sprint(i)), Slots: 6}
+		s.candidates = append(s.candidates, cpchoice.Candidate{Target: cpchoice.NewTarget(d), Near: true})
+	}
+	return s
+}
+
+// choose returns the index of the chosen target, or -1.
+func (s *scene) choose() int {
+	t := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{Usual: usual, VMs: 6})
+	for i := range s.candidates {
+		if s.candidates[i].Target == t {
+			return i
+		}
+	}
+	return -1
+}
+
+// serve makes requests one after the other; outcome tells what becomes of a request at a target.
+func (s *scene) serve(requests int, outcome func(target int) cpchoice.Outcome) (counts map[int]int) {
+	counts = map[int]int{}
+	for range requests {
+		i := s.choose()
+		counts[i]++
+		if i < 0 {
+			s.now = s.now.Add(usual)
+			continue
+		}
+		sent := s.now
+		s.candidates[i].Target.Sent(sent)
+		o := outcome(i)
+		o.Usual = usual
+		s.now = s.now.Add(5 * time.Millisecond)
+		s.candidates[i].Target.Done(sent.Add(o.Elapsed), sent, &o)
+	}
+	return counts
+}
+
+func ok(elapsed time.Duration) cpchoice.Outcome { return cpchoice.Outcome{OK: true, Elapsed: elapsed} }
+
+func TestEqualTargetsShareTheWork(t *testing.T) {
+	counts := newScene(3).serve(3000, func(int) cpchoice.Outcome { return ok(usual) })
+	for i := range 3 {
+		assert.Assert(t, counts[i] > 800, "target %d got %d of 3000", i, counts[i])
+	}
+}
+
+func TestASlowCopyIsLeftWithinAFewRequests(t *testing.T) {
+	s := newScene(3)
+	counts := s.serve(300, func(i int) cpchoice.Outcome {
+		if i == 0 {
+			return ok(8 * usual)
+		}
+		return ok(usual)
+	})
+	assert.Assert(t, counts[0] < 20, "the slow target got %d of 300", counts[0])
+}
+
+func TestASlowCopyThatRecoversIsUsedAgain(t *testing.T) {
+	s := newScene(3)
+	s.serve(100, func(i int) cpchoice.Outcome {
+		if i == 0 {
+			return ok(8 * usual)
+		}
+		return ok(usual)
+	})
+	s.now = s.now.Add(10 * time.Second)
+	counts := s.serve(300, func(int) cpchoice.Outcome { return ok(usual) })
+	assert.Assert(t, counts[0] > 50, "the recovered target got %d of 300", counts[0])
+}
+
+func TestATargetThatStandsStillGetsNothingMore(t *testing.T) {
+	s := newScene(3)
+	s.serve(30, func(int) cpchoice.Outcome { return ok(usual) })
+	s.candidates[0].Target.Sent(s.now)
+	s.now = s.now.Add(100 * time.Millisecond)
+	chosen := 0
+	for range 300 {
+		if s.choose() == 0 {
+			chosen++
+		}
+	}
+	assert.Assert(t, chosen < 10, "the silent target was chosen %d times of 300", chosen)
+}
+
+func TestATargetThatFailsPartOfItsRequestsIsAskedLess(t *testing.T) {
+	s := newScene(3)
+	n := 0
+	counts := s.serve(600, func(i int) cpchoice.Outcome {
+		if n++; i == 0 && n%2 == 0 {
+			return cpchoice.Outcome{Failed: true, Elapsed: usual}
+		}
+		return ok(usual)
+	})
+	assert.Assert(t, counts[0] < 100, "the failing target got %d of 600", counts[0])
+}
+
+func TestATargetThatRefusesConnectionsIsLeftAloneAndTriedAgain(t *testing.T) {
+	s := newScene(1)
+	counts := s.serve(500, func(int) cpchoice.Outcome { return cpchoice.Outcome{Fault: clementineport.FaultRefused} })
+	assert.Assert(t, counts[0] < 20, "the dead target got %d", counts[0])
+	assert.Assert(t, counts[0] > 3, "the dead target got %d", counts[0])
+}
+
+func TestATargetWhoseAddressBelongsToAnotherIsNotAskedAgain(t *testing.T) {
+	s := newScene(2)
+	counts := s.serve(100, func(i int) cpchoice.Outcome {
+		if i == 0 {
+			return cpchoice.Outcome{Fault: clementineport.FaultMisdirected}
+		}
+		return ok(usual)
+	})
+	assert.Assert(t, counts[0] <= 1)
+	assert.Assert(t, s.candidates[0].Target.Misplaced())
+}
+
+func TestNearTargetsArePreferredWhileTheyAreNotBusier(t *testing.T) {
+	s := newScene(2)
+	s.candidates[1].Near = false
+	counts := s.serve(2000, func(int) cpchoice.Outcome { return ok(usual) })
+	assert.Assert(t, counts[0] > counts[1])
+	for range 3 {
+		s.candidates[0].Target.Sent(s.now)
+	}
+	far := 0
+	for range 100 {
+		if s.choose() == 1 {
+			far++
+		}
+	}
+	assert.Assert(t, far > 90)
+}
+
+func TestExcludedTargetsAreNotChosen(t *testing.T) {
+	s := newScene(2)
+	chosen := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{
+		Usual: usual, Excluded: func(*cpchoice.Target) bool { return true },
+	})
+	assert.Assert(t, chosen == nil)
+}
--- /dev/null
+++ b/cpfan/cpfan_test.go
@@ -0,0 +1,354 @@
+package cpfan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpfan"
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns the time some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// fleet offers three targets of each service.
+type fleet struct {
+	targets map[clementineport.ServiceID][]*cpchoice.Target
+	absent  map[clementineport.ServiceID]bool
+	busy    bool
+	budget  int
+	spent   int
+}
+
+func newFleet(shards int) *fleet {
+	f := &fleet{
+		targets: map[clementineport.ServiceID][]*cpchoice.Target{},
+		absent:  map[clementineport.ServiceID]bool{},
+		budget:  100,
+	}
+	for _, s := range services(shards) {
+		for n := range 3 {
+			id := clementineport.TargetID(fmt.Sprintf("%s-%d", s, n))
+			f.targets[s] = append(f.targets[s], cpchoice.NewTarget(clementineport.Discovered{ID: id, Service: s, Slots: 1}))
+		}
+	}
+	return f
+}
+
+func services(n int) (all []clementineport.ServiceID) {
+	for i := range n {
+		all = append(all, clementineport.ServiceID(fmt.Sprintf("s%d", i)))
+	}
+	return all
+}
+
+// Choose implements cpfan.Targets.
+func (f *fleet) Choose(_ time.Time, s clementineport.ServiceID, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+	if f.busy {
+		return nil, cpfan.Busy
+	}
+	if f.absent[s] {
+		return nil, cpfan.Absent
+	}
+	for _, t := range f.targets[s] {
+		if !excluded(t) {
+			return t, cpfan.Available
+		}
+	}
+	return nil, cpfan.Absent
+}
+
+// MayRepeat implements cpfan.Targets.
+func (f *fleet) MayRepeat(clementineport.ServiceID) bool {
+	if f.spent >= f.budget {
+		return false
+	}
+	f.spent++
+	return true
+}
+
+// gatherPlan is a request over some shards that is best closed after 100 ms and ends after 500 ms.
+func gatherPlan(shards int, share float64) cpfan.Plan {
+	return cpfan.Plan{
+		Shards: services(shards), Gathers: true, Idempotent: true, MaxAttempts: 2, Least: cpfan.LeastParts(share, shards),
+		Objective: at(100), Deadline: at(500), HedgeAfter: 20 * time.Millisecond,
+	}
+}
+
+// singlePlan is a request that one target answers alone.
+func singlePlan(idempotent bool) cpfan.Plan {
+	return cpfan.Plan{
+		Shards: services(1), Idempotent: idempotent, MaxAttempts: 2, Least: 1, Deadline: at(500),
+		HedgeAfter: 20 * time.Millisecond,
+	}
+}
+
+// answered is the result of a call that its target answered.
+func answered(s cpfan.Send) *cpfan.Result {
+	return &cpfan.Result{Shard: s.Shard, Attempt: s.Attempt, Part: &clementineport.Part{
+		Target: s.Target.ID, Status: 200, Signature: string(s.Target.ID),
+	}}
+}
+
+// failed is the result of a call that failed.
+func failed(s cpfan.Send, fault clementineport.Fault) *cpfan.Result {
+	return &cpfan.Result{Shard: s.Shard, Attempt: s.Attempt, Fault: fault}
+}
+
+// begin starts a request and returns a copy of its first calls.
+func begin(f *cpfan.Fan) []cpfan.Send { return append([]cpfan.Send(nil), f.Start(start)...) }
+
+func TestEachShardIsAskedOnceAndTheAnswerIsWhole(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), newFleet(10))
+	sends := begin(fan)
+	assert.Equal(t, len(sends), 10)
+	for i, s := range sends {
+		assert.Assert(t, !fan.Ended())
+		assert.Equal(t, len(fan.Done(at(10+i), answered(s))), 0)
+	}
+	assert.Assert(t, fan.Ended())
+	o := fan.Outcome()
+	assert.Equal(t, len(o.Parts), 10)
+	assert.Equal(t, o.Missing, 0)
+	assert.Equal(t, o.Stats.Sends, 10)
+}
+
+func TestATargetThatPausesIsHedged(t *testing.T) {
+	fleet := newFleet(10)
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	sends := begin(fan)
+	for _, s := range sends[1:] {
+		fan.Done(at(10), answered(s))
+	}
+	assert.Assert(t, fan.Wake().Equal(at(20)))
+	hedges := fan.Tick(at(20))
+	assert.Equal(t, len(hedges), 1)
+	assert.Equal(t, hedges[0].Shard, 0)
+	assert.Assert(t, hedges[0].Extra)
+	assert.Assert(t, hedges[0].Target != sends[0].Target)
+	fan.Done(at(30), answered(hedges[0]))
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fleet.spent, 1)
+	assert.Equal(t, len(fan.Outcome().Parts), 10)
+}
+
+func TestAHedgeWaitsForTheBudget(t *testing.T) {
+	fleet := newFleet(1)
+	fleet.budget = 0
+	fan := cpfan.New(singlePlan(true), fleet)
+	begin(fan)
+	assert.Equal(t, len(fan.Tick(at(20))), 0)
+	fleet.budget = 1
+	assert.Equal(t, len(fan.Tick(fan.Wake())), 1)
+}
+
+func TestARequestThatIsNotIdempotentIsNotHedged(t *testing.T) {
+	fan := cpfan.New(singlePlan(false), newFleet(1))
+	begin(fan)
+	for ms := range 499 {
+		assert.Equal(t, len(fan.Tick(at(ms))), 0)
+	}
+}
+
+func TestARequestThatIsNotIdempotentIsNotSentAgainOnceItMayHaveRun(t *testing.T) {
+	for _, fault := range []clementineport.Fault{
+		clementineport.FaultReset, clementineport.FaultCut, clementineport.FaultTimeout, clementineport.FaultMismatched,
+		clementineport.FaultMalformed, clementineport.FaultCanceled,
+	} {
+		t.Run(fault.String(), func(t *testing.T) {
+			fan := cpfan.New(singlePlan(false), newFleet(1))
+			sends := begin(fan)
+			assert.Equal(t, len(fan.Done(at(5), failed(sends[0], fault))), 0)
+			assert.Assert(t, fan.Ended())
+			assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+		})
+	}
+}
+
+func TestARequestThatIsNotIdempotentIsSentAgainAfterItWasRefused(t *testing.T) {
+	for _, fault := range []clementineport.Fault{
+		clementineport.FaultShed, clementineport.FaultMisdirected, clementineport.FaultRefused, clementineport.FaultUnsent,
+	} {
+		t.Run(fault.String(), func(t *testing.T) {
+			fan := cpfan.New(singlePlan(false), newFleet(1))
+			sends := begin(fan)
+			again := fan.Done(at(5), failed(sends[0], fault))
+			assert.Equal(t, len(again), 1)
+			assert.Assert(t, again[0].Target != sends[0].Target)
+			fan.Done(at(9), answered(again[0]))
+			assert.Assert(t, fan.Ended())
+			assert.Equal(t, len(fan.Outcome().Parts), 1)
+		})
+	}
+}
+
+func TestTargetsThatAllRefuseAreAskedAgainAndNoFurtherOneIs(t *testing.T) {
+	fan := cpfan.New(singlePlan(true), newFleet(1))
+	sends := begin(fan)
+	asked := map[clementineport.TargetID]int{sends[0].Target.ID: 1}
+	for ms := 5; !fan.Ended() && ms < 500; ms += 5 {
+		for _, s := range sends {
+			next := fan.Done(at(ms), failed(s, clementineport.FaultShed))
+			sends = append([]cpfan.Send(nil), next...)
+		}
+		if len(sends) == 0 {
+			sends = append(sends, fan.Tick(at(ms))...)
+		}
+		for _, s := range sends {
+			asked[s.Target.ID]++
+		}
+	}
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, len(asked), 2)
+	assert.Equal(t, fan.Outcome().Verdict, clementineport.NotRun)
+}
+
+func TestAShardWithoutTargetsIsLeftOut(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.absent["s3"] = true
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	sends := begin(fan)
+	assert.Equal(t, len(sends), 9)
+	for _, s := range sends {
+		fan.Done(at(10), answered(s))
+	}
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Missing, 1)
+}
+
+func TestARequestThatCannotReachItsLeastShareIsRefusedBeforeAnythingIsSent(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.absent["s3"], fleet.absent["s9"] = true, true
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	assert.Equal(t, len(fan.Start(start)), 0)
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Verdict, clementineport.NotRun)
+}
+
+func TestAnAnswerIsClosedAtItsObjectiveFromTheLeastShareOn(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.8), newFleet(10))
+	sends := begin(fan)
+	for _, s := range sends[2:] {
+		fan.Done(at(50), answered(s))
+	}
+	fan.Tick(at(99))
+	assert.Assert(t, !fan.Ended())
+	fan.Tick(at(100))
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Missing, 2)
+}
+
+func TestAnAnswerBelowTheLeastShareWaitsBeyondItsObjective(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), newFleet(10))
+	sends := begin(fan)
+	for _, s := range sends[2:] {
+		fan.Done(at(50), answered(s))
+	}
+	fan.Tick(at(100))
+	assert.Assert(t, !fan.Ended())
+	fan.Done(at(150), answered(sends[0]))
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Missing, 1)
+}
+
+func TestARequestEndsAtItsDeadline(t *testing.T) {
+	fan := cpfan.New(gatherPlan(3, 1), newFleet(3))
+	begin(fan)
+	fan.Tick(at(499))
+	assert.Assert(t, !fan.Ended())
+	fan.Tick(at(500))
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+}
+
+func TestTheFailureOfATargetIsReturnedWhenThereIsNothingBetter(t *testing.T) {
+	fan := cpfan.New(singlePlan(true), newFleet(1))
+	sends := begin(fan)
+	bad := &clementineport.Part{Status: 500, Signature: "x"}
+	again := fan.Done(at(5), &cpfan.Result{Part: bad})
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Target != sends[0].Target)
+	fan.Done(at(9), &cpfan.Result{Attempt: 1, Part: bad})
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Failure, bad)
+}
+
+// course runs a request with random results, and records what was sent.
+type course struct {
+	fan     *cpfan.Fan
+	plan    cpfan.Plan
+	pending []cpfan.Send
+	// mayRun counts the calls of each shard that were not proven not to have run.
+	mayRun map[int]int
+	proved int
+	sent   int
+}
+
+func (c *course) take(sends []cpfan.Send) {
+	for _, s := range sends {
+		c.pending = append(c.pending, s)
+		c.mayRun[s.Shard]++
+		c.sent++
+	}
+}
+
+// finish ends a random pending call with a random result.
+func (c *course) finish(t *rapid.T, now time.Time) {
+	i := rapid.IntRange(0, len(c.pending)-1).Draw(t, "call")
+	s := c.pending[i]
+	c.pending = append(c.pending[:i:i], c.pending[i+1:]...)
+	r := answered(s)
+	if rapid.IntRange(0, 2).Draw(t, "outcome") > 0 {
+		r = failed(s, rapid.SampledFrom([]clementineport.Fault{
+			clementineport.FaultReset, clementineport.FaultShed, clementineport.FaultRefused, clementineport.FaultMisdirected,
+			clementineport.FaultCut, clementineport.FaultUnsent,
+		}).Draw(t, "fault"))
+	}
+	if r.Part == nil && r.Fault.Verdict() == clementineport.NotRun {
+		c.mayRun[s.Shard]--
+		c.proved++
+	}
+	c.take(c.fan.Done(now, r))
+}
+
+func TestAnyCourseKeepsTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 5).Draw(t, "shards")
+		plan := gatherPlan(shards, rapid.Float64Range(0, 1).Draw(t, "share"))
+		if shards == 1 && rapid.Bool().Draw(t, "single") {
+			plan = singlePlan(rapid.Bool().Draw(t, "idempotent"))
+		}
+		c := &course{fan: cpfan.New(plan, newFleet(shards)), plan: plan, mayRun: map[int]int{}}
+		c.take(c.fan.Start(start))
+		for ms := 1; !c.fan.Ended(); ms += rapid.IntRange(1, 40).Draw(t, "step") {
+			now := at(min(ms, 500))
+			if len(c.pending) > 0 && rapid.Bool().Draw(t, "result") {
+				c.finish(t, now)
+			} else {
+				c.take(c.fan.Tick(now))
+			}
+			for shard, n := range c.mayRun {
+				limit := plan.MaxAttempts
+				if !plan.Idempotent {
+					limit = 1
+				}
+				assert.Assert(t, n <= limit, "shard %d may have run %d times", shard, n)
+			}
+		}
+		o := c.fan.Outcome()
+		if len(o.Parts) == 0 && o.Verdict == clementineport.NotRun {
+			assert.Equal(t, c.sent, c.proved)
+		}
+		if len(o.Parts) > 0 {
+			assert.Assert(t, len(o.Parts) >= plan.Least)
+			assert.Equal(t, len(o.Parts)+o.Missing, shards)
+		}
+	})
+}
--- a/cplog/cplog.go
+++ b/cplog/cplog.go
@@ -18,8 +18,10 @@
 	sink *sink
 	// limited counts the lines that were left out because there were too many of their kind.
 	limited atomic.Uint64
-	stop    chan struct{}
-	done    chan struct{}
+	// reported are the counts of the last line about lines left out.
+	reported struct{ limited, full uint64 }
+	stop     chan struct{}
+	done     chan struct{}
 }
 
 // New returns a log that writes to w until Close.
@@ -39,10 +41,15 @@
 		TimeKey: "Time", LevelKey: "Level", MessageKey: "Event", NameKey: "Name",
 		EncodeTime:     zapcore.TimeEncoderOfLayout("2006-01-02T15:04:05.000Z07:00"),
 		EncodeLevel:    zapcore.LowercaseLevelEncoder,
-		EncodeDuration: zapcore.MillisDurationEncoder,
+		EncodeDuration: milliseconds,
 	}
 }
 
+// milliseconds writes a duration in milliseconds, to the microsecond.
+func milliseconds(d time.Duration, enc zapcore.PrimitiveArrayEncoder) {
+	enc.AppendFloat64(float64(d.Round(time.Microsecond)) / float64(time.Millisecond))
+}
+
 // sampled counts what the sampler leaves out.
 func (l *Log) sampled(_ zapcore.Entry, d zapcore.SamplingDecision) {
 	if d&zapcore.LogDropped != 0 {
@@ -62,6 +69,7 @@
 	for {
 		select {
 		case <-l.stop:
+			l.report()
 			l.sink.flush()
 			return
 		case now := <-ticker.C:
@@ -76,16 +84,17 @@
 
 // report writes a line about the lines that were left out since the last one.
 func (l *Log) report() {
-	limited, full := l.limited.Swap(0), l.sink.dropped.Swap(0)
-	if limited+full > 0 {
-		l.Info("LinesOmitted", zap.Uint64("TooManyOfAKind", limited), zap.Uint64("WriterFull", full))
+	limited, full := l.Omitted()
+	last := l.reported
+	l.reported.limited, l.reported.full = limited, full
+	if limited > last.limited || full > last.full {
+		l.Info("LinesOmitted", zap.Uint64("TooManyOfAKind", limited-last.limited), zap.Uint64("WriterFull", full-last.full))
 	}
 }
 
 // Close writes what is left, for a bounded time, and ends the log.
 func (l *Log) Close() {
 	const longest = 200 * time.Millisecond // a reader that has stopped must not hold up the end of the process
-	l.report()
 	close(l.stop)
 	select {
 	case <-l.done:
