Tell how patient a caller is by what it says, not by the route's timeout

Ruled out by the new LeftOut field of the log: the shards left out changed from request to request and had calls under way.

Change: the patience of a caller is what its request states. Also bounded here: requests on their way from one VM to a target (two times its slots over all VMs), and calls beyond the first one of a shard go to the best target.

--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -15,6 +15,8 @@
 	Target *Target
 	// Near is true when the target is in the failure domain of this VM.
 	Near bool
+	// Limit is the number of requests that this VM may have on their way to the target.
+	Limit int
 }
 
 // Chooser chooses among the targets of a service. It is not safe for concurrent use; the targets are.
@@ -38,54 +40,59 @@
 	VMs int
 	// Excluded reports targets that must not be chosen.
 	Excluded func(*Target) bool
+	// Best takes the target that is expected to answer soonest. It is for calls beyond the first one, of which
+	// there are too few to find out about targets with them.
+	Best bool
 }
 
-// Choose returns a target, or nil when none is usable now. Targets that are expected to answer sooner are chosen
-// more often, by a power of the expected time, so that a slow one is still asked now and then.
-func (c *Chooser) Choose(now time.Time, candidates []Candidate, r *Request) *Target {
+// Choose returns a target, or nil when none is usable now; busy tells that one is usable but for its limit. Targets
+// that are expected to answer sooner are chosen more often, by a power of the expected time, so that a slow one is
+// still asked now and then.
+func (c *Chooser) Choose(now time.Time, candidates []Candidate, r *Request) (_ *Target, busy bool) {
 	c.weights = c.weights[:0]
-	total := 0.0
+	total, best := 0.0, -1
 	for i := range candidates {
-		w := c.weight(now, &candidates[i], r)
+		w, full := c.weight(now, &candidates[i], r)
+		busy = busy || full
 		total += w
 		c.weights = append(c.weights, w)
+		if w > 0 && (best < 0 || w > c.weights[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, busy
 	}
-	if total <= 0 {
-		return nil
+	if r.Best {
+		return candidates[best].Target, false
 	}
 	point := c.random.Float64() * total
 	for i, w := range c.weights {
 		if point -= w; point < 0 {
-			return candidates[i].Target
+			return candidates[i].Target, false
 		}
 	}
-	return c.last(candidates)
+	return candidates[best].Target, false // rounding left the point beyond all weights
 }
 
-// last returns the last candidate that may be chosen, when rounding left the point beyond all weights.
-func (c *Chooser) last(candidates []Candidate) *Target {
-	for i := len(candidates) - 1; i >= 0; i-- {
-		if c.weights[i] > 0 {
-			return candidates[i].Target
-		}
-	}
-	return nil
-}
-
-// weight returns how often a candidate is chosen in proportion to others; zero means never.
-func (c *Chooser) weight(now time.Time, candidate *Candidate, r *Request) float64 {
+// weight returns how often a candidate is chosen in proportion to others; zero means never. A candidate that is full
+// could be chosen but for its limit.
+func (c *Chooser) weight(now time.Time, candidate *Candidate, r *Request) (_ float64, full bool) {
 	t := candidate.Target
 	if r.Excluded != nil && r.Excluded(t) {
-		return 0
+		return 0, false
 	}
 	cost := t.Cost(now, r.Usual, r.VMs)
 	if math.IsInf(cost, 1) {
-		return 0
+		return 0, false
+	}
+	if candidate.Limit > 0 && t.InFlight() >= candidate.Limit {
+		return 0, true
 	}
 	if !candidate.Near {
 		cost *= c.options.FarCost
 	}
-	return math.Pow(cost, -c.options.Sharpness)
+	return math.Pow(cost, -c.options.Sharpness), false
 }
 
 // Outcome is what became of one request at a target.
--- a/cpchoice/cpchoice_test.go
+++ b/cpchoice/cpchoice_test.go
@@ -33,7 +33,7 @@
 
 // choose returns the index of the chosen target, or -1.
 func (s *scene) choose() int {
-	t := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{Usual: usual, VMs: 6})
+	t, _ := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{Usual: usual, VMs: 6})
 	for i := range s.candidates {
 		if s.candidates[i].Target == t {
 			return i
@@ -159,8 +159,28 @@
 
 func TestExcludedTargetsAreNotChosen(t *testing.T) {
 	s := newScene(2)
-	chosen := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{
+	chosen, busy := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{
 		Usual: usual, Excluded: func(*cpchoice.Target) bool { return true },
 	})
-	assert.Assert(t, chosen == nil)
+	assert.Assert(t, chosen == nil && !busy)
+}
+
+func TestATargetAtItsLimitIsBusy(t *testing.T) {
+	s := newScene(1)
+	s.candidates[0].Limit = 1
+	request := &cpchoice.Request{Usual: usual}
+	chosen, busy := s.chooser.Choose(s.now, s.candidates, request)
+	assert.Assert(t, chosen != nil && !busy)
+	chosen.Sent(s.now)
+	chosen, busy = s.chooser.Choose(s.now, s.candidates, request)
+	assert.Assert(t, chosen == nil && busy)
+}
+
+func TestCallsBeyondTheFirstGoToTheBestTarget(t *testing.T) {
+	s := newScene(3)
+	s.serve(30, func(i int) cpchoice.Outcome { return ok(time.Duration(2-i) * usual) })
+	for range 100 {
+		chosen, _ := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{Usual: usual, Best: true})
+		assert.Assert(t, chosen == s.candidates[2].Target)
+	}
 }
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -27,8 +27,9 @@
 
 // Targets chooses targets.
 type Targets interface {
-	// Choose returns a target of a service that excluded does not report.
-	Choose(now time.Time, service clementineport.ServiceID, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
+	// Choose returns a target of a service that excluded does not report; extra tells that it is for a call beyond
+	// the first one of its shard.
+	Choose(now time.Time, service clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
 	// MayRepeat takes one extra call to a service from the budget, or reports that there is none.
 	MayRepeat(service clementineport.ServiceID) bool
 }
@@ -183,6 +184,7 @@
 func (f *Fan) Outcome() Outcome {
 	o := Outcome{Stats: f.stats}
 	o.Stats.Covered = f.covered
+	o.Stats.LeftOut = f.leftOut()
 	if f.covered >= f.plan.Least {
 		o.Parts = f.parts()
 		o.Missing = len(f.shards) - f.covered
@@ -219,6 +221,24 @@
 	return parts
 }
 
+// leftOut returns the shards without a part, and why.
+func (f *Fan) leftOut() (all []clementineport.LeftOut) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		if s.state == covered {
+			continue
+		}
+		l := clementineport.LeftOut{
+			Service: f.plan.Shards[i], Sends: len(s.attempts), Waiting: s.outstanding(), Fault: s.fault,
+		}
+		for j := range s.attempts {
+			l.Targets = append(l.Targets, s.attempts[j].target.ID)
+		}
+		all = append(all, l)
+	}
+	return all
+}
+
 // failure returns why there is no success, and what that proves.
 func (f *Fan) failure() (clementineport.Fault, clementineport.Verdict) {
 	fault, verdict := clementineport.FaultUnavailable, clementineport.NotRun
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -114,7 +114,7 @@
 // first chooses the first target of a shard.
 func (f *Fan) first(now time.Time, i int) {
 	s := &f.shards[i]
-	target, availability := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+	target, availability := f.targets.Choose(now, f.plan.Shards[i], false, s.tried)
 	if target != nil {
 		f.send(now, i, target, false)
 		return
@@ -183,7 +183,7 @@
 	if !f.mayHedge(s) {
 		return
 	}
-	target, _ := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+	target, _ := f.targets.Choose(now, f.plan.Shards[i], true, s.tried)
 	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i]) {
 		s.wake = now.Add(f.options.Recheck)
 		return
@@ -215,12 +215,12 @@
 func (f *Fan) further(now time.Time, i int) (*cpchoice.Target, Availability) {
 	s := &f.shards[i]
 	if s.reached() < f.plan.MaxAttempts {
-		target, availability := f.targets.Choose(now, f.plan.Shards[i], s.tried)
+		target, availability := f.targets.Choose(now, f.plan.Shards[i], true, s.tried)
 		if availability != Absent {
 			return target, availability
 		}
 	}
-	return f.targets.Choose(now, f.plan.Shards[i], func(t *cpchoice.Target) bool { return !s.mayAskAgain(t) })
+	return f.targets.Choose(now, f.plan.Shards[i], true, func(t *cpchoice.Target) bool { return !s.mayAskAgain(t) })
 }
 
 // settle takes the result of a call of an open shard.
--- a/cpfollow/view.go
+++ b/cpfollow/view.go
@@ -21,6 +21,8 @@
 	// Owned is true when this VM is the one that asks the target while it is cold.
 	Owned bool
 	Near  bool
+	// Limit is the number of requests that this VM may have on their way to the target.
+	Limit int
 }
 
 // Cold reports whether the target must be treated as cold.
@@ -109,6 +111,7 @@
 	s.Port.Resize(share)
 	s.ColdUntil, s.Unproven = t.ColdUntil, t.Unproven
 	s.Near = t.Domain == f.options.Self.Domain
+	s.Limit = min(share, cpquota.InFlight(t.Slots, f.divided))
 	s.Owned = f.owns(view, id)
 	view.Services[t.Service] = append(view.Services[t.Service], *s)
 }
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -12,15 +12,19 @@
 
 // Choose implements cpfan.Targets. It reads the newest view each time, so that a target that is leaving gets nothing
 // more, not even a call that was planned before.
-func (r *run) Choose(now time.Time, service clementineport.ServiceID, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+func (r *run) Choose(now time.Time, service clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
-	request := &cpchoice.Request{Usual: r.usual, VMs: view.VMs, Excluded: excluded}
+	request := &cpchoice.Request{Usual: r.usual, VMs: view.VMs, Excluded: excluded, Best: extra}
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
-	if target := r.f.chooser.Choose(now, warm, request); target != nil {
+	target, busy := r.f.chooser.Choose(now, warm, request)
+	if target != nil {
 		return target, cpfan.Available
 	}
+	if busy {
+		return nil, cpfan.Busy
+	}
 	return r.f.chooseCold(now, view, cold, request)
 }
 
@@ -33,7 +37,7 @@
 			cold = append(cold, t)
 			continue
 		}
-		warm = append(warm, cpchoice.Candidate{Target: t.State, Near: t.Near})
+		warm = append(warm, cpchoice.Candidate{Target: t.State, Near: t.Near, Limit: t.Limit})
 	}
 	return warm, cold
 }
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -54,7 +54,7 @@
 	for _, s := range shards {
 		f.budgets.earn(s, view.VMs)
 	}
-	stats := f.stats(route.Name, r.Deadline.Sub(r.Arrived))
+	stats := f.stats(route.Name, r.Patience)
 	run := &run{
 		f: f, route: route, request: r, stats: stats, usual: stats.latency.Usual(),
 		results: make(chan callResult, len(shards)*2),
@@ -131,7 +131,10 @@
 // the rest on earlier attempts.
 func (r *run) objective() time.Time {
 	o := r.route.Objective
-	used := r.stats.patience - r.request.Deadline.Sub(r.request.Arrived)
+	used := time.Duration(0)
+	if r.request.Patience > 0 {
+		used = r.stats.patience - r.request.Patience
+	}
 	margin := r.f.options.ObjectiveMargin + time.Duration(float64(o)*r.f.options.ObjectiveShare)
 	at := r.request.Arrived.Add(o - used - margin)
 	if used >= o {
--- /dev/null
+++ b/cpforward/cpforward_test.go
@@ -0,0 +1,252 @@
+package cpforward_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpfollow"
+	"github.com/clementineport/clementineport/cpforward"
+	"github.com/clementineport/clementineport/cproute"
+)
+
+// port is a target whose answers a test decides.
+type port struct {
+	id    clementineport.TargetID
+	serve func(ctx context.Context, f *clementineport.Forward) (*clementineport.Part, error)
+
+	mu    sync.Mutex
+	calls int
+}
+
+// Do implements clementineport.OpaqueTarget.
+func (p *port) Do(ctx context.Context, f *clementineport.Forward) (*clementineport.Part, error) {
+	p.mu.Lock()
+	p.calls++
+	p.mu.Unlock()
+	return p.serve(ctx, f)
+}
+
+// Resize implements clementineport.OpaqueTarget.
+func (p *port) Resize(int) {}
+
+// Close implements clementineport.OpaqueTarget.
+func (p *port) Close() {}
+
+// count returns the number of calls so far.
+func (p *port) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// fleet is a view with two targets of each service.
+type fleet struct {
+	mu    sync.Mutex
+	view  *cpfollow.View
+	ports map[clementineport.ServiceID][]*port
+}
+
+func newFleet(services ...clementineport.ServiceID) *fleet {
+	f := &fleet{ports: map[clementineport.ServiceID][]*port{}}
+	f.view = &cpfollow.View{
+		Router:   cproute.New(&clementineport.RouteTable{Services: map[clementineport.ServiceID]clementineport.TargetService{}}, nil),
+		Services: map[clementineport.ServiceID][]cpfollow.ViewTarget{}, VMs: 1,
+	}
+	for _, s := range services {
+		for n := range 2 {
+			p := &port{id: clementineport.TargetID(fmt.Sprintf("%s-%d", s, n))}
+			p.serve = func(context.Context, *clementineport.Forward) (*clementineport.Part, error) { return part(p.id), nil }
+			f.ports[s] = append(f.ports[s], p)
+			state := cpchoice.NewTarget(clementineport.Discovered{ID: p.id, Service: s, Slots: 2})
+			f.view.Services[s] = append(f.view.Services[s], cpfollow.ViewTarget{State: state, Port: p, Limit: 10})
+		}
+	}
+	return f
+}
+
+// part is a success of a target.
+func part(id clementineport.TargetID) *clementineport.Part {
+	return &clementineport.Part{Target: id, Status: 200, Signature: string(id), Body: []byte("0123456789abcdef")}
+}
+
+// hang waits until the call is canceled.
+func hang(ctx context.Context, _ *clementineport.Forward) (*clementineport.Part, error) {
+	<-ctx.Done()
+	return nil, clementineport.Fail(clementineport.FaultCanceled, "canceled")
+}
+
+// get returns the view; a test may replace it.
+func (f *fleet) get() *cpfollow.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+// drain takes all targets of a service out of the view.
+func (f *fleet) drain(s clementineport.ServiceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view := *f.view
+	view.Services = map[clementineport.ServiceID][]cpfollow.ViewTarget{}
+	for name, targets := range f.view.Services {
+		if name != s {
+			view.Services[name] = targets
+		}
+	}
+	f.view = &view
+}
+
+func (f *fleet) forwarder(opts ...cpforward.Option) *cpforward.Forwarder {
+	return cpforward.New(append([]cpforward.Option{
+		cpforward.WithView(f.get), cpforward.WithSeed(1), cpforward.WithRetries(0.5, 20), cpforward.WithCold(1, 5),
+	}, opts...)...)
+}
+
+func gatherRoute(objective time.Duration, share float64, shards ...clementineport.ServiceID) *clementineport.Route {
+	return &clementineport.Route{
+		Name: "gather", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: objective, Shards: shards,
+		TopRecords: 10, LeastCoverage: share,
+	}
+}
+
+func singleRoute(idempotent bool) *clementineport.Route {
+	return &clementineport.Route{
+		Name: "single", Idempotent: idempotent, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: time.Second,
+		Services: []clementineport.WeightedService{{Service: "a", Weight: 1}},
+	}
+}
+
+func request(left, patience time.Duration) *clementineport.Forward {
+	now := time.Now()
+	return &clementineport.Forward{ID: "r", Method: "GET", URI: "/", Arrived: now, Deadline: now.Add(left), Patience: patience}
+}
+
+func TestAGatherIsMadeOfOnePartFromEachShard(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	answer := f.forwarder().Forward(context.Background(), gatherRoute(time.Second, 1, "a", "b", "c"), request(time.Second, time.Second))
+	assert.Assert(t, answer.Gathered != nil, "%v", answer.Err)
+	assert.Equal(t, len(answer.Gathered.Signatures), 3)
+	assert.Equal(t, len(answer.Gathered.Body), 48)
+	assert.Equal(t, answer.Gathered.Missing, 0)
+}
+
+func TestAShorterTimeoutDoesNotMakeAnAnswerCloseEarly(t *testing.T) {
+	f := newFleet("a", "b")
+	fw := f.forwarder()
+	route := gatherRoute(400*time.Millisecond, 0.5, "a", "b")
+	fw.Forward(context.Background(), route, request(2*time.Second, 2*time.Second))
+	slow := func(context.Context, *clementineport.Forward) (*clementineport.Part, error) {
+		time.Sleep(100 * time.Millisecond)
+		return part("b"), nil
+	}
+	f.ports["b"][0].serve, f.ports["b"][1].serve = slow, slow
+	// The operators have cut the timeout by 350 ms; the caller is as patient as before.
+	answer := fw.Forward(context.Background(), route, request(1650*time.Millisecond, 2*time.Second))
+	assert.Assert(t, answer.Gathered != nil)
+	assert.Equal(t, answer.Gathered.Missing, 0)
+}
+
+func TestACallerThatHasUsedItsTimeElsewhereGetsItsAnswerSooner(t *testing.T) {
+	f := newFleet("a", "b")
+	fw := f.forwarder()
+	route := gatherRoute(8*time.Second, 0.5, "a", "b")
+	fw.Forward(context.Background(), route, request(20*time.Second, 20*time.Second))
+	f.ports["b"][0].serve, f.ports["b"][1].serve = hang, hang
+	began := time.Now()
+	answer := fw.Forward(context.Background(), route, request(12500*time.Millisecond, 12500*time.Millisecond))
+	assert.Assert(t, answer.Gathered != nil)
+	assert.Equal(t, answer.Gathered.Missing, 1)
+	assert.Assert(t, time.Since(began) < 7*time.Second)
+}
+
+func TestATargetThatLeavesGetsNothingMoreNotEvenAHedge(t *testing.T) {
+	f := newFleet("a")
+	for _, p := range f.ports["a"] {
+		p.serve = hang
+	}
+	route := singleRoute(true)
+	route.Objective = 100 * time.Millisecond
+	done := make(chan *clementineport.Forwarded, 1)
+	go func() { done <- f.forwarder().Forward(context.Background(), route, request(300*time.Millisecond, 0)) }()
+	for f.ports["a"][0].count()+f.ports["a"][1].count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.drain("a")
+	answer := <-done
+	assert.Assert(t, answer.Err != nil)
+	assert.Equal(t, f.ports["a"][0].count()+f.ports["a"][1].count(), 1)
+}
+
+func TestACallerThatLeavesEndsTheWorkAtTheTargets(t *testing.T) {
+	f := newFleet("a")
+	canceled := make(chan struct{}, 2)
+	for _, p := range f.ports["a"] {
+		p.serve = func(ctx context.Context, r *clementineport.Forward) (*clementineport.Part, error) {
+			part, err := hang(ctx, r)
+			canceled <- struct{}{}
+			return part, err
+		}
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan *clementineport.Forwarded, 1)
+	go func() { done <- f.forwarder().Forward(ctx, singleRoute(false), request(10*time.Second, 0)) }()
+	for f.ports["a"][0].count()+f.ports["a"][1].count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call goes on")
+	}
+	assert.Assert(t, (<-done).Err != nil)
+}
+
+func TestARequestThatIsNotIdempotentIsSentOnceUnlessItWasRefused(t *testing.T) {
+	f := newFleet("a")
+	for _, p := range f.ports["a"] {
+		p.serve = func(context.Context, *clementineport.Forward) (*clementineport.Part, error) {
+			return nil, clementineport.Fail(clementineport.FaultReset, "reset")
+		}
+	}
+	answer := f.forwarder().Forward(context.Background(), singleRoute(false), request(time.Second, 0))
+	assert.Assert(t, answer.Err != nil)
+	assert.Equal(t, answer.Err.Verdict(), clementineport.MayHaveRun)
+	assert.Equal(t, f.ports["a"][0].count()+f.ports["a"][1].count(), 1)
+}
+
+func TestAServiceWithoutTargetsIsRefusedAtOnce(t *testing.T) {
+	f := newFleet("a")
+	f.drain("a")
+	began := time.Now()
+	answer := f.forwarder().Forward(context.Background(), singleRoute(true), request(5*time.Second, 0))
+	assert.Assert(t, answer.Err != nil)
+	assert.Equal(t, answer.Err.Verdict(), clementineport.NotRun)
+	assert.Assert(t, answer.Err.RetryAfter > 0)
+	assert.Assert(t, time.Since(began) < 4*time.Second)
+}
+
+func TestOnlyTheOwnerSendsToAColdTargetAndSlowly(t *testing.T) {
+	f := newFleet("a")
+	for i := range f.view.Services["a"] {
+		f.view.Services["a"][i].Unproven = true
+	}
+	answer := f.forwarder().Forward(context.Background(), singleRoute(true), request(100*time.Millisecond, 0))
+	assert.Assert(t, answer.Err != nil)
+	assert.Equal(t, f.ports["a"][0].count()+f.ports["a"][1].count(), 0)
+	f.view.Services["a"][0].Owned = true
+	fw := f.forwarder()
+	for range 20 {
+		fw.Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0))
+	}
+	assert.Assert(t, f.ports["a"][0].count() >= 1)
+	assert.Assert(t, f.ports["a"][0].count() <= 4, "%d calls in a second", f.ports["a"][0].count())
+	assert.Equal(t, f.ports["a"][1].count(), 0)
+}
--- a/cpquota/cpquota.go
+++ b/cpquota/cpquota.go
@@ -41,6 +41,18 @@
 // Connections returns how many connections one of n VMs may open to a target.
 func Connections(limit, n int) int { return max(1, limit/(n+spareVMs)) }
 
+// Bounds of the requests on their way from one VM to a target.
+const (
+	// queueFactor is the multiple of a target's slots that all VMs together may have on their way: enough to keep
+	// the slots in use, and little enough that what waits is ordered here and not at the target.
+	queueFactor = 2
+	// leastInFlight lets a VM go on while its first request meets a pause.
+	leastInFlight = 2
+)
+
+// InFlight returns how many requests one of n VMs may have on their way to a target with a number of slots.
+func InFlight(slots, n int) int { return max(leastInFlight, (queueFactor*slots+n-1)/n) }
+
 // RetryShare is the part of the allowed ratio of extra requests that is used; the rest covers requests that are
 // counted in one window here and in the next one at the target.
 const RetryShare = 0.9
--- a/forward.go
+++ b/forward.go
@@ -14,9 +14,11 @@
 	URI    string
 	Header http.Header
 	Body   []byte
-	// Arrived is when the request was read, and Deadline when its caller gives up.
+	// Arrived is when the request was read, and Deadline when it must have an answer.
 	Arrived  time.Time
 	Deadline time.Time
+	// Patience is how long the caller waits, as it says itself; zero if it does not.
+	Patience time.Duration
 }
 
 // Part is a whole response of one target.
@@ -49,6 +51,18 @@
 	Stats ForwardStats
 }
 
+// LeftOut is a shard without a part in an answer.
+type LeftOut struct {
+	Service ServiceID
+	// Sends is the number of calls for the shard, and Waiting of those that had no result yet.
+	Sends   int
+	Waiting int
+	// Fault is why earlier calls failed, if any has.
+	Fault Fault
+	// Targets are those that were asked.
+	Targets []TargetID
+}
+
 // ForwardStats says what one request cost.
 type ForwardStats struct {
 	Shards  int
@@ -57,4 +71,5 @@
 	Hedges  int
 	Retries int
 	Refused int
+	LeftOut []LeftOut
 }
