--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -90,7 +90,7 @@
 		return 0, true
 	}
 	if !candidate.Near {
-		cost *= c.options.FarCost
+		cost += c.options.FarCost
 	}
 	return math.Pow(cost, -c.options.Sharpness), false
 }
