Spend extra calls where they decide an answer, and end requests that get none

Ruled out: a lack of targets (most refusals came from a part of each shard).

Change: a call's value is the square of the share that it adds or, below the least share, that of the least share over the number of calls that lack. Calls of less value leave a part of the budget. A shard that is denied five times in a row with nothing under way is given up.

--- a/cpbudget/cpbudget.go
+++ b/cpbudget/cpbudget.go
@@ -84,6 +84,15 @@
 	return true
 }
 
+// SpendAbove takes one extra call from the budget if a share of the burst would still be left for more important
+// calls, or reports that there is none.
+func (b *Bucket) SpendAbove(reserve float64) bool {
+	if b.level.Load()-microsPerCall < int64(reserve*float64(b.burst)) {
+		return false
+	}
+	return b.Spend()
+}
+
 // charge takes one call that another budget has granted; the debt is bounded by the burst.
 func (b *Bucket) charge() {
 	for {
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -30,8 +30,9 @@
 	// Choose returns a target of a service that excluded does not report; extra tells that it is for a call beyond
 	// the first one of its shard.
 	Choose(now time.Time, service clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
-	// MayRepeat takes one extra call to a service from the budget, or reports that there is none.
-	MayRepeat(service clementineport.ServiceID) bool
+	// MayRepeat takes one extra call to a service from the budget, or reports that there is none. The value of the
+	// call is between 0 and 1.
+	MayRepeat(service clementineport.ServiceID, value float64) bool
 }
 
 // Send asks for a call.
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -25,6 +25,7 @@
 	busy    bool
 	budget  int
 	spent   int
+	values  []float64
 }
 
 func newFleet(shards int) *fleet {
@@ -66,7 +67,8 @@
 }
 
 // MayRepeat implements cpfan.Targets.
-func (f *fleet) MayRepeat(clementineport.ServiceID) bool {
+func (f *fleet) MayRepeat(_ clementineport.ServiceID, value float64) bool {
+	f.values = append(f.values, value)
 	if f.spent >= f.budget {
 		return false
 	}
@@ -352,3 +354,43 @@
 		}
 	})
 }
+
+func TestAnExtraCallIsWorthMostWhenItAloneDecidesTheAnswer(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		failed int
+		share  float64
+		least  float64
+		most   float64
+	}{
+		{"one decides", 1, 1, 0.99, 1},
+		{"two decide", 2, 1, 0.49, 0.51},
+		{"above the least share", 1, 0.5, 0.18, 0.2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			fleet := newFleet(10)
+			fleet.budget = 0
+			fan := cpfan.New(gatherPlan(10, row.share), fleet)
+			sends := begin(fan)
+			for _, s := range sends[:row.failed] {
+				fan.Done(at(5), failed(s, clementineport.FaultReset))
+			}
+			value := fleet.values[len(fleet.values)-1]
+			assert.Assert(t, value >= row.least && value <= row.most, "%v", value)
+		})
+	}
+}
+
+func TestARequestThatGetsNoFurtherCallIsNotHeldToItsDeadline(t *testing.T) {
+	fleet := newFleet(2)
+	fleet.budget = 0
+	fan := cpfan.New(gatherPlan(2, 1), fleet)
+	sends := begin(fan)
+	fan.Done(at(5), answered(sends[0]))
+	fan.Done(at(5), failed(sends[1], clementineport.FaultReset))
+	for now := fan.Wake(); !fan.Ended() && now.Before(at(200)); now = fan.Wake() {
+		fan.Tick(now)
+	}
+	assert.Assert(t, fan.Ended())
+	assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+}
--- a/cpfan/options.go
+++ b/cpfan/options.go
@@ -10,6 +10,8 @@
 	DefaultBudgetRecheck = 15 * time.Millisecond
 	// DefaultRefusalDelay lets a full target finish some of its work.
 	DefaultRefusalDelay = 10 * time.Millisecond
+	// DefaultMaxDenials times the delay before is about the time in which a busy service earns an extra call.
+	DefaultMaxDenials = 4
 	// DefaultMaxSends bounds the calls of a shard to targets that refuse or cannot be reached.
 	DefaultMaxSends = 8
 )
@@ -22,6 +24,8 @@
 	BudgetRecheck time.Duration
 	// RefusalDelay is the delay before a shard is asked again after its second refusal, and grows with each.
 	RefusalDelay time.Duration
+	// MaxDenials bounds how often an extra call that the budget did not allow is tried again.
+	MaxDenials int
 	// MaxSends bounds the calls of a shard.
 	MaxSends int
 }
@@ -33,7 +37,7 @@
 func NewOptions(opts ...Option) Options {
 	options := Options{
 		Recheck: DefaultRecheck, BudgetRecheck: DefaultBudgetRecheck, RefusalDelay: DefaultRefusalDelay,
-		MaxSends: DefaultMaxSends,
+		MaxDenials: DefaultMaxDenials, MaxSends: DefaultMaxSends,
 	}
 	for _, o := range opts {
 		o(&options)
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -39,6 +39,8 @@
 	// refusals and waits count calls that proved not to have run, and looks for a target that found none.
 	refusals int
 	waits    int
+	// denials counts the calls that the budget did not allow.
+	denials int
 }
 
 // outstanding returns the number of calls without a result.
@@ -184,7 +186,7 @@
 		return
 	}
 	target, _ := f.targets.Choose(now, f.plan.Shards[i], true, s.tried)
-	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i]) {
+	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i], f.value(i)) {
 		s.wake = now.Add(f.options.Recheck)
 		return
 	}
@@ -202,14 +204,42 @@
 		return
 	}
 	extra := s.reached() > 0
-	if extra && !f.targets.MayRepeat(f.plan.Shards[i]) {
-		s.wake = now.Add(f.options.BudgetRecheck)
+	if extra && !f.targets.MayRepeat(f.plan.Shards[i], f.value(i)) {
+		f.denied(now, s)
 		return
 	}
 	f.stats.Retries++
 	f.send(now, i, target, extra)
 }
 
+// denied tries again soon, a few times. A shard that has nothing under way and gets no further call is given up, so
+// that the caller is not held for an answer that will not come.
+func (f *Fan) denied(now time.Time, s *shard) {
+	s.denials++
+	if s.denials > f.options.MaxDenials {
+		f.fail(s, s.fault)
+		return
+	}
+	s.wake = now.Add(f.options.BudgetRecheck)
+}
+
+// value returns what one more call for a shard is worth to the answer, as a share of a whole answer. An answer is
+// worth the square of the share of its shards, and nothing below the least share; a shard counts as certain if a call
+// for it is under way.
+func (f *Fan) value(i int) float64 {
+	certain := f.covered
+	for j := range f.shards {
+		if s := &f.shards[j]; j != i && s.state == open && s.outstanding() > 0 {
+			certain++
+		}
+	}
+	all, least := float64(len(f.shards)), float64(f.plan.Least)
+	if lacking := f.plan.Least - certain; lacking > 0 {
+		return least * least / (all * all) / float64(lacking)
+	}
+	return float64(2*certain+1) / (all * all)
+}
+
 // further chooses a target that was not asked, or, when no further one may be reached or is usable, one that refused
 // without running.
 func (f *Fan) further(now time.Time, i int) (*cpchoice.Target, Availability) {
--- a/cpforward/budgets.go
+++ b/cpforward/budgets.go
@@ -41,10 +41,21 @@
 	bucket.Earn(1)
 }
 
-// spend takes one extra call from the budget of a service, or reports that there is none.
-func (b *budgets) spend(service clementineport.ServiceID) bool {
+// spend takes one extra call from the budget of a service, or reports that there is none. Calls that are worth less
+// leave a part of the budget to those that are worth more.
+func (b *budgets) spend(service clementineport.ServiceID, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket := b.services[service]
-	return bucket != nil && bucket.Spend()
+	return bucket != nil && bucket.SpendAbove(reserve(value))
+}
+
+// mostReserve is the share of a budget that is kept from calls that are worth nothing.
+const mostReserve = 0.6
+
+// reserve returns the share of a budget that a call of a value must leave. It rises slowly at first, since an answer
+// that is incomplete without the call is worth nearly as much as one that fails without it.
+func reserve(value float64) float64 {
+	lacking := 1 - min(max(value, 0), 1)
+	return mostReserve * lacking * lacking
 }
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -66,4 +66,6 @@
 }
 
 // MayRepeat implements cpfan.Targets.
-func (r *run) MayRepeat(service clementineport.ServiceID) bool { return r.f.budgets.spend(service) }
+func (r *run) MayRepeat(service clementineport.ServiceID, value float64) bool {
+	return r.f.budgets.spend(service, value)
+}
