--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint format generate run bench
+.PHONY: build test lint format generate run run-platform bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,5 +27,8 @@
 run: build
 	@./scripts/run.sh
 
+run-platform: build
+	@./scripts/run-platform.sh
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
