--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -16,13 +16,13 @@
 	// DefaultTickPeriod is short beside the times of the membership.
 	DefaultTickPeriod = 100 * time.Millisecond
 	// DefaultFeedPeriod bounds the calls to the store: targets register all the time, so a watch seldom waits.
-	DefaultFeedPeriod = 400 * time.Millisecond
+	DefaultFeedPeriod = 900 * time.Millisecond
 	// DefaultFeedWait keeps a quiet watch short enough to notice a connection that went silent.
 	DefaultFeedWait = time.Second
 	// DefaultRenewPeriod is a third of the shortest useful lease.
 	DefaultRenewPeriod = time.Second
 	// DefaultCatchUpAfter is longer than the usual time between two confirmations.
-	DefaultCatchUpAfter = 1500 * time.Millisecond
+	DefaultCatchUpAfter = 2000 * time.Millisecond
 	// DefaultCatchUpPeriod bounds what a VM without the store asks of the others.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
