--- a/cpbudget/cpbudget.go
+++ b/cpbudget/cpbudget.go
@@ -84,6 +84,9 @@
 	return true
 }
 
+// Level returns the number of extra calls that the budget holds.
+func (b *Bucket) Level() float64 { return float64(b.level.Load()) / microsPerCall }
+
 // SpendAbove takes one extra call from the budget if a share of the burst would still be left for more important
 // calls, or reports that there is none.
 func (b *Bucket) SpendAbove(reserve float64) bool {
--- /dev/null
+++ b/cpcli/explainlogs.go
@@ -0,0 +1,44 @@
+package cpcli
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/clementineport/clementineport/cpcommand"
+	"github.com/clementineport/clementineport/cpexplain"
+)
+
+// explainLogs tells what became of a request by the logs of any number of VMs.
+func explainLogs(stdout, stderr io.Writer, files []string, id string, asJSON bool) error {
+	var lines []cpexplain.Line
+	for _, file := range files {
+		more, err := readLog(stderr, file)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	stories := cpexplain.Explain(lines, id)
+	if asJSON {
+		return json.NewEncoder(stdout).Encode(stories)
+	}
+	return cpexplain.Tell(stdout, id, stories)
+}
+
+// readLog reads one log.
+func readLog(stderr io.Writer, file string) ([]cpexplain.Line, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, cpcommand.Usagef("%v", err)
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	lines, skipped, err := cpexplain.Read(f, file)
+	if err != nil {
+		return nil, cpexplain.Error.New("%s: %w", file, err)
+	}
+	if skipped > 0 {
+		_, err = io.WriteString(stderr, file+": lines that are no log lines were passed over\n")
+	}
+	return lines, err
+}
--- a/cpcli/status.go
+++ b/cpcli/status.go
@@ -58,10 +58,15 @@
 	fs := cpcommand.NewFlagSet("explain", stderr)
 	var f operatorFlags
 	f.register(fs)
-	return newCommand(fs, "REQUEST-ID [flags]", "Show the attempts of a recent query.",
+	logs := fs.String("logs", "", "log of a VM; more logs may follow before the request's id")
+	return newCommand(fs, "[--logs FILE [FILE...]] REQUEST-ID [flags]", "Show what became of a request.",
 		func(ctx context.Context, args []string) error {
+			if *logs != "" && len(args) > 0 {
+				files := append([]string{*logs}, args[:len(args)-1]...)
+				return explainLogs(stdout, stderr, files, args[len(args)-1], f.json)
+			}
 			if len(args) != 1 {
-				return cpcommand.Usagef("usage: clementineport explain REQUEST-ID [flags]")
+				return cpcommand.Usagef("usage: clementineport explain [--logs FILE [FILE...]] REQUEST-ID [flags]")
 			}
 			client, err := f.client()
 			if err != nil {
--- /dev/null
+++ b/cpevent/cpevent.go
@@ -0,0 +1,97 @@
+// Package cpevent names the kinds of log lines and their fields, so that they stay the same for those who search logs.
+// docs/OPERATIONS.md has them as a table.
+package cpevent
+
+// Name is the name of a kind of line; it is the line's Event field.
+type Name string
+
+// The kinds of lines.
+const (
+	Started            Name = "Started"
+	Stopped            Name = "Stopped"
+	Signaled           Name = "Signaled"
+	DrainState         Name = "DrainState"
+	WithdrawFailed     Name = "WithdrawFailed"
+	SettingsReloaded   Name = "SettingsReloaded"
+	SettingsRejected   Name = "SettingsRejected"
+	ServiceFailed      Name = "ServiceFailed"
+	ServiceStopped     Name = "ServiceStopped"
+	StoreLost          Name = "StoreLost"
+	StoreRegained      Name = "StoreRegained"
+	RegistrationFailed Name = "RegistrationFailed"
+	CatchUpFailed      Name = "CatchUpFailed"
+	PeerUnreached      Name = "PeerUnreached"
+	EntriesRejected    Name = "EntriesRejected"
+	RoutesChanged      Name = "RoutesChanged"
+	FleetChanged       Name = "FleetChanged"
+	RequestServed      Name = "RequestServed"
+	RequestRepeated    Name = "RequestRepeated"
+	RequestIncomplete  Name = "RequestIncomplete"
+	RequestRefused     Name = "RequestRefused"
+	RequestFailed      Name = "RequestFailed"
+	CallFailed         Name = "CallFailed"
+	LinesOmitted       Name = "LinesOmitted"
+)
+
+// Names of fields that several packages use.
+const (
+	FieldTime  = "Time"
+	FieldLevel = "Level"
+	FieldEvent = "Event"
+	FieldID    = "ID"
+	FieldVM    = "VM"
+)
+
+// Kind describes a kind of line.
+type Kind struct {
+	Name Name
+	// Fields are those beside the time, the level and the event; a line may leave out those that are empty.
+	Fields  []string
+	Meaning string
+}
+
+// requestFields are the fields of lines about a request that has ended.
+var requestFields = []string{
+	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
+	"Refused", "Target", "LeftOut", "Verdict", "Reason", "WriteError",
+}
+
+var kinds = []Kind{
+	{Started, []string{FieldVM, "Domain", "Start", "Caller", "Peer"}, "the process runs; Start names this run"},
+	{Stopped, []string{"InFlight"}, "the process ends; InFlight requests were given up"},
+	{Signaled, []string{"Signal"}, "a signal to shut down came"},
+	{DrainState, []string{"State", "InFlight"}, "the shutdown has reached its next step"},
+	{WithdrawFailed, []string{"Error"}, "the registration could not be withdrawn; it ends with its lease"},
+	{SettingsReloaded, []string{"Cause"}, "the settings file was read again"},
+	{SettingsRejected, []string{"Cause", "Error"}, "the settings file has faults; the earlier settings hold"},
+	{ServiceFailed, []string{"Detail"}, "a part of the process failed and is started again"},
+	{ServiceStopped, []string{"Detail"}, "a part of the process did not end in time"},
+	{StoreLost, []string{"Error", "AsOf"}, "the platform's store does not answer; what is known is as of that revision"},
+	{StoreRegained, []string{"AsOf"}, "the platform's store answers again"},
+	{RegistrationFailed, []string{"Error", "Registered"}, "this VM could not register or renew its registration"},
+	{CatchUpFailed, []string{FieldVM, "Error"}, "another VM could not be asked for news while the store is away"},
+	{PeerUnreached, []string{FieldVM, "Error"}, "another VM did not answer"},
+	{EntriesRejected, []string{"Faults", "Source"}, "entries of the store that cannot be read; they name no target"},
+	{RoutesChanged, []string{"Version", "Routes", "Source"}, "a new version of the routes is in force here"},
+	{FleetChanged, []string{"From", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
+	{RequestServed, requestFields, "a request was answered with one call for each shard"},
+	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
+	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
+	{RequestRefused, requestFields, "a request was refused and has not run"},
+	{RequestFailed, requestFields, "a request got no success, or its answer did not reach the caller"},
+	{CallFailed, []string{FieldID, "Target", "Fault", "Elapsed", "Reason"}, "a call to a target for a request failed"},
+	{LinesOmitted, []string{"TooManyOfAKind", "WriterFull"}, "lines were left out since the last such line"},
+}
+
+// Kinds returns every kind of line.
+func Kinds() []Kind { return kinds }
+
+// Find returns a kind by its name.
+func Find(name Name) (Kind, bool) {
+	for _, k := range kinds {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
--- /dev/null
+++ b/cpexplain/tell.go
@@ -0,0 +1,137 @@
+package cpexplain
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/clementineport/clementineport/cpevent"
+)
+
+// mostBefore bounds the changes that are told of one VM; the latest count most.
+const mostBefore = 12
+
+// Tell writes the stories of a request in plain words.
+func Tell(w io.Writer, id string, stories []Story) error {
+	var b strings.Builder
+	if len(stories) == 0 {
+		fmt.Fprintf(&b, "No line names request %s. Plain requests are logged only in part, and lines may have been left out.\n", id)
+	}
+	for i := range stories {
+		stories[i].tell(&b, id)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// tell writes one story.
+func (s *Story) tell(b *strings.Builder, id string) {
+	if s.End == nil {
+		fmt.Fprintf(b, "%s: calls of request %s failed here, but there is no line about its end.\n", s.VM, id)
+	} else {
+		s.tellEnd(b, id)
+	}
+	for i := range s.Calls {
+		l := &s.Calls[i]
+		fmt.Fprintf(b, "  %s a call to %s failed after %v: %s (%s)\n", stamp(l), l.text("Target"), l.millis("Elapsed"),
+			l.text("Fault"), l.text("Reason"))
+	}
+	s.tellBefore(b)
+	if s.Omitted > 0 {
+		fmt.Fprintf(b, "  %d lines of this VM were left out around this time, so calls may be missing here.\n", s.Omitted)
+	}
+}
+
+func stamp(l *Line) string { return l.Time.Format("15:04:05.000") }
+
+// tellEnd writes what the caller got and what the VM believed.
+func (s *Story) tellEnd(b *strings.Builder, id string) {
+	l := s.End
+	fmt.Fprintf(b, "%s at %s: request %s %s.\n", s.VM, stamp(l), id, ending(l))
+	fmt.Fprintf(b, "  It took %v of the %v that the caller gave; status %.0f on route %q.\n", l.millis("Elapsed"),
+		l.millis("Left"), l.number("Status"), l.text("Route"))
+	fmt.Fprintf(b, "  The VM knew version %.0f of the routes; it had last been sure of what it knew %v before.\n",
+		l.number("Version"), l.millis("ViewAge"))
+	if l.number("Sends") > 0 {
+		fmt.Fprintf(b, "  %.0f of %.0f shards answered, with %.0f calls: %.0f hedges, %.0f retries, %.0f refused by targets.\n",
+			l.number("Covered"), l.number("Shards"), l.number("Sends"), l.number("Hedges"), l.number("Retries"), l.number("Refused"))
+	}
+	if target := l.text("Target"); target != "" {
+		fmt.Fprintf(b, "  The response is that of target %s.\n", target)
+	}
+	tellLeftOut(b, l)
+	if reason := l.text("Reason"); reason != "" {
+		fmt.Fprintf(b, "  Reason: %s. The request is %s.\n", reason, l.text("Verdict"))
+	}
+	if err := l.text("WriteError"); err != "" {
+		fmt.Fprintf(b, "  The answer did not reach the caller: %s.\n", err)
+	}
+}
+
+// ending says in a few words how a request ended.
+func ending(l *Line) string {
+	switch l.Event {
+	case cpevent.RequestServed:
+		return "was answered"
+	case cpevent.RequestRepeated:
+		return "was answered after hedges or retries"
+	case cpevent.RequestIncomplete:
+		return "was answered without some shards"
+	case cpevent.RequestRefused:
+		return "was refused and has not run"
+	default:
+		return "failed"
+	}
+}
+
+// tellLeftOut writes why each shard without a part has none.
+func tellLeftOut(b *strings.Builder, l *Line) {
+	shards, _ := l.Fields["LeftOut"].([]any)
+	for _, s := range shards {
+		shard, _ := s.(map[string]any)
+		sub := Line{Fields: shard}
+		var why string
+		switch fault := sub.text("Fault"); {
+		case sub.number("Sends") == 0 && fault == "unavailable":
+			why = "no target was usable"
+		case sub.number("Sends") == 0:
+			why = "all targets were busy and none was asked"
+		case sub.number("Waiting") > 0:
+			why = fmt.Sprintf("%.0f of %.0f calls had no answer yet", sub.number("Waiting"), sub.number("Sends"))
+		default:
+			why = fmt.Sprintf("all %.0f calls failed, first with %q", sub.number("Sends"), fault)
+		}
+		fmt.Fprintf(b, "  Left out %s: %s%s.\n", sub.text("Service"), why, asked(shard))
+	}
+}
+
+// asked names the targets of a shard.
+func asked(shard map[string]any) string {
+	targets, _ := shard["Targets"].([]any)
+	if len(targets) == 0 {
+		return ""
+	}
+	var names []string
+	for _, t := range targets {
+		names = append(names, fmt.Sprint(t))
+	}
+	return " (asked " + strings.Join(names, ", ") + ")"
+}
+
+// tellBefore writes what changed at the VM shortly before.
+func (s *Story) tellBefore(b *strings.Builder) {
+	if len(s.Before) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "  What changed at this VM in the %v before:\n", contextTime)
+	for _, l := range s.Before[max(0, len(s.Before)-mostBefore):] {
+		kind, _ := cpevent.Find(l.Event)
+		var details []string
+		for _, name := range kind.Fields {
+			if v, ok := l.Fields[name]; ok {
+				details = append(details, fmt.Sprintf("%s %v", name, v))
+			}
+		}
+		fmt.Fprintf(b, "    %s %s: %s (%s)\n", stamp(&l), l.Event, kind.Meaning, strings.Join(details, ", "))
+	}
+}
--- a/cpfollow/cpfollow.go
+++ b/cpfollow/cpfollow.go
@@ -16,6 +16,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpdial"
+	"github.com/clementineport/clementineport/cpevent"
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpquota"
 )
@@ -135,7 +136,7 @@
 	confirmed := f.catalog.Confirmed()
 	f.confirmed.Store(&confirmed)
 	if len(news.Faults) > 0 {
-		f.options.Log.Warn("EntriesRejected", zap.Strings("Faults", news.Faults), zap.String("Source", source))
+		f.options.Log.Warn(string(cpevent.EntriesRejected), zap.Strings("Faults", news.Faults), zap.String("Source", source))
 	}
 	if !changed {
 		return
@@ -143,10 +144,10 @@
 	f.dirty = true
 	f.listed(now)
 	if f.routesVersion() != version {
-		f.options.Log.Info("RoutesChanged", zap.Uint64("Version", uint64(f.routesVersion())),
+		f.options.Log.Info(string(cpevent.RoutesChanged), zap.Uint64("Version", uint64(f.routesVersion())),
 			zap.Int("Routes", len(f.catalog.Routes().Routes)), zap.String("Source", source))
 	}
-	f.options.Log.Info("FleetChanged", zap.Uint64("From", uint64(before)), zap.Uint64("AsOf", uint64(f.catalog.AsOf())),
+	f.options.Log.Info(string(cpevent.FleetChanged), zap.Uint64("From", uint64(before)), zap.Uint64("AsOf", uint64(f.catalog.AsOf())),
 		zap.Int("Targets", len(f.catalog.Targets())), zap.Int("VMs", len(f.catalog.VMs())),
 		zap.Int("Registered", len(news.Targets)), zap.Int("Gone", len(news.Gone)), zap.String("Source", source))
 }
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpevent"
 )
 
 // Bounds of the time between two failed calls to the store.
@@ -36,14 +37,14 @@
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
 			if reached {
-				f.options.Log.Warn("StoreLost", zap.Error(err), zap.Uint64("AsOf", uint64(asOf)))
+				f.options.Log.Warn(string(cpevent.StoreLost), zap.NamedError("Error", err), zap.Uint64("AsOf", uint64(asOf)))
 			}
 			reached = false
 			f.pause(ctx, delays.NextBackOff())
 			continue
 		}
 		if !reached {
-			f.options.Log.Info("StoreRegained", zap.Uint64("AsOf", uint64(news.AsOf)))
+			f.options.Log.Info(string(cpevent.StoreRegained), zap.Uint64("AsOf", uint64(news.AsOf)))
 		}
 		loaded, reached, asOf = true, true, news.AsOf
 		delays.Reset()
@@ -88,7 +89,7 @@
 			continue
 		}
 		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
-		f.options.Log.Warn("RegistrationFailed", zap.Error(err), zap.Bool("Registered", registered))
+		f.options.Log.Warn(string(cpevent.RegistrationFailed), zap.NamedError("Error", err), zap.Bool("Registered", registered))
 		f.pause(ctx, delays.NextBackOff())
 	}
 }
@@ -124,13 +125,16 @@
 // caughtUp takes the answer of another VM.
 func (f *Follower) caughtUp(now, asked time.Time, from clementineport.VMID, cfg *clementineport.Config, err error) {
 	f.catching = false
+	if err == nil {
+		f.contacted.Store(&now)
+	}
 	var news *clementineport.FleetNews
 	if err == nil {
 		news, err = decodeNews(cfg)
 	}
 	if err != nil {
 		f.peers.HangUp(from)
-		f.options.Log.Info("CatchUpFailed", zap.String("VM", string(from)), zap.Error(err))
+		f.options.Log.Info(string(cpevent.CatchUpFailed), zap.String("VM", string(from)), zap.NamedError("Error", err))
 		return
 	}
 	f.heard(now, asked, news, string(from))
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -43,11 +43,13 @@
 	Dial func(clementineport.VM) clementineport.Peer
 	// NewPort returns the port to a target with a number of connections.
 	NewPort func(d clementineport.Discovered, connections int) clementineport.OpaqueTarget
-	Clock   clementineport.Clock
-	Log     *zap.Logger
-	Seed    uint64
-	Catalog []cpcatalog.Option
-	Member  []cpmember.Option
+	// OnRoutes is told of each new version of the routes.
+	OnRoutes func(*clementineport.RouteTable)
+	Clock    clementineport.Clock
+	Log      *zap.Logger
+	Seed     uint64
+	Catalog  []cpcatalog.Option
+	Member   []cpmember.Option
 	// TickPeriod is the time between two looks at what is due.
 	TickPeriod time.Duration
 	// FeedPeriod is the time between two answers of the store, FeedWait how long a watch may wait.
@@ -73,6 +75,7 @@
 		Clock:          clockwork.NewRealClock(),
 		Log:            zap.NewNop(),
 		Dial:           func(clementineport.VM) clementineport.Peer { return nil },
+		OnRoutes:       func(*clementineport.RouteTable) {},
 		TickPeriod:     DefaultTickPeriod,
 		FeedPeriod:     DefaultFeedPeriod,
 		FeedWait:       DefaultFeedWait,
@@ -127,3 +130,16 @@
 
 // WithRenewPeriod sets the time between two renewals of the registration.
 func WithRenewPeriod(d time.Duration) Option { return func(o *Options) { o.RenewPeriod = d } }
+
+// WithOnRoutes sets what is told of each new version of the routes.
+func WithOnRoutes(f func(*clementineport.RouteTable)) Option {
+	return func(o *Options) { o.OnRoutes = f }
+}
+
+// WithFeedPeriod sets the time between two answers of the store.
+func WithFeedPeriod(d time.Duration) Option { return func(o *Options) { o.FeedPeriod = d } }
+
+// WithCatchUp sets the age of the view from which other VMs are asked for news, and how often.
+func WithCatchUp(after, period time.Duration) Option {
+	return func(o *Options) { o.CatchUpAfter, o.CatchUpPeriod = after, period }
+}
--- a/cpfollow/peers.go
+++ b/cpfollow/peers.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpevent"
 	"github.com/clementineport/clementineport/cpmember"
 )
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		f.peers.HangUp(a.Peer.ID)
 		f.member.Failed(now, a.Peer.ID, a.Began, clementineport.FaultOf(err))
-		f.options.Log.Info("PeerUnreached", zap.String("VM", string(a.Peer.ID)), zap.Error(err))
+		f.options.Log.Info(string(cpevent.PeerUnreached), zap.String("VM", string(a.Peer.ID)), zap.NamedError("Error", err))
 		return
 	}
 	f.contacted.Store(&now)
@@ -37,7 +38,10 @@
 // Exchange implements cppeer.Handler.
 func (f *Follower) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
 	answer := make(chan *clementineport.Digest, 1)
-	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { answer <- f.member.Heard(now, d) })
+	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) {
+		f.contacted.Store(&now)
+		answer <- f.member.Heard(now, d)
+	})
 	select {
 	case r := <-answer:
 		return r, nil
--- a/cpfollow/view.go
+++ b/cpfollow/view.go
@@ -1,6 +1,8 @@
 package cpfollow
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -78,6 +80,7 @@
 		return
 	}
 	view.Router = cproute.New(routes, old)
+	f.options.OnRoutes(routes)
 }
 
 // counted returns the number of VMs that may use targets now.
@@ -134,6 +137,37 @@
 	return len(ranked) == 1 && view.Members[ranked[0]].ID == f.options.Self.ID
 }
 
+// Totals is what a view shows of the targets of one service.
+type Totals struct {
+	Service  clementineport.ServiceID
+	Targets  int
+	Cold     int
+	InFlight int
+	// Open is the number of connections, and Opened how many were opened to the present targets in all.
+	Open   int
+	Opened uint64
+}
+
+// Totals returns what the view shows of each service.
+func (v *View) Totals(now time.Time) []Totals {
+	all := make([]Totals, 0, len(v.Services))
+	for service, targets := range v.Services {
+		t := Totals{Service: service, Targets: len(targets)}
+		for i := range targets {
+			if targets[i].Cold(now) {
+				t.Cold++
+			}
+			t.InFlight += targets[i].State.InFlight()
+			open, opened := targets[i].Port.Open()
+			t.Open += open
+			t.Opened += opened
+		}
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b Totals) int { return strings.Compare(string(a.Service), string(b.Service)) })
+	return all
+}
+
 // Callers returns the addresses that callers may use, of the VMs that are alive and not leaving.
 func (v *View) Callers() []clementineport.Member {
 	var alive []clementineport.Member
--- a/cpforward/budgets.go
+++ b/cpforward/budgets.go
@@ -50,6 +50,17 @@
 	return bucket != nil && bucket.SpendAbove(reserve(value))
 }
 
+// levels returns how many extra calls the budget of each service holds.
+func (b *budgets) levels() map[clementineport.ServiceID]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	levels := make(map[clementineport.ServiceID]float64, len(b.services))
+	for service, bucket := range b.services {
+		levels[service] = bucket.Level()
+	}
+	return levels
+}
+
 // mostReserve is the share of a budget that is kept from calls that are worth nothing.
 const mostReserve = 0.6
 
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -77,6 +77,9 @@
 	return s
 }
 
+// Budgets returns how many extra calls the budget of each service holds.
+func (f *Forwarder) Budgets() map[clementineport.ServiceID]float64 { return f.budgets.levels() }
+
 // Forget drops what is known of routes that are not in the table.
 func (f *Forwarder) Forget(table *clementineport.RouteTable) {
 	named := make(map[clementineport.RouteID]bool, len(table.Routes))
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -36,6 +36,9 @@
 // Resize implements clementineport.OpaqueTarget.
 func (p *port) Resize(int) {}
 
+// Open implements clementineport.OpaqueTarget.
+func (p *port) Open() (int, uint64) { return 0, 0 }
+
 // Close implements clementineport.OpaqueTarget.
 func (p *port) Close() {}
 
--- a/cplog/cplog.go
+++ b/cplog/cplog.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/clementineport/clementineport/cpevent"
 )
 
 // Log is the log of one process.
@@ -28,17 +30,27 @@
 func New(w io.Writer, opts ...Option) *Log {
 	options := NewOptions(opts...)
 	l := &Log{sink: newSink(w, options.BufferBytes), stop: make(chan struct{}), done: make(chan struct{})}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder()), l.sink, options.Level)
-	l.Logger = zap.New(zapcore.NewSamplerWithOptions(core, time.Second, options.PerSecond, options.Thereafter,
-		zapcore.SamplerHook(l.sampled)))
+	plain := l.core(options.PerSecond, options.Thereafter, func(v zapcore.Level) bool {
+		return v >= options.Level && v < zapcore.WarnLevel
+	})
+	grave := l.core(options.GravePerSecond, options.Thereafter, func(v zapcore.Level) bool {
+		return v >= options.Level && v >= zapcore.WarnLevel
+	})
+	l.Logger = zap.New(zapcore.NewTee(plain, grave))
 	go l.flush(options.FlushPeriod, options.ReportPeriod)
 	return l
 }
 
+// core returns a core for the levels that enabled reports, with a bound on the lines of each kind.
+func (l *Log) core(perSecond, thereafter int, enabled zap.LevelEnablerFunc) zapcore.Core {
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder()), l.sink, enabled)
+	return zapcore.NewSamplerWithOptions(core, time.Second, perSecond, thereafter, zapcore.SamplerHook(l.sampled))
+}
+
 // encoder returns how lines look: Pascal-case fields, times to the millisecond.
 func encoder() zapcore.EncoderConfig {
 	return zapcore.EncoderConfig{
-		TimeKey: "Time", LevelKey: "Level", MessageKey: "Event", NameKey: "Name",
+		TimeKey: cpevent.FieldTime, LevelKey: cpevent.FieldLevel, MessageKey: cpevent.FieldEvent, NameKey: zapcore.OmitKey,
 		EncodeTime:     zapcore.TimeEncoderOfLayout("2006-01-02T15:04:05.000Z07:00"),
 		EncodeLevel:    zapcore.LowercaseLevelEncoder,
 		EncodeDuration: milliseconds,
@@ -88,7 +100,7 @@
 	last := l.reported
 	l.reported.limited, l.reported.full = limited, full
 	if limited > last.limited || full > last.full {
-		l.Info("LinesOmitted", zap.Uint64("TooManyOfAKind", limited-last.limited), zap.Uint64("WriterFull", full-last.full))
+		l.Info(string(cpevent.LinesOmitted), zap.Uint64("TooManyOfAKind", limited-last.limited), zap.Uint64("WriterFull", full-last.full))
 	}
 }
 
--- a/discover.go
+++ b/discover.go
@@ -54,6 +54,8 @@
 	Do(ctx context.Context, f *Forward) (*Part, error)
 	// Resize sets the most connections that may be open.
 	Resize(connections int)
+	// Open returns the number of open connections and how many were opened in all.
+	Open() (open int, opened uint64)
 	Close()
 }
 
