--- a/cpfollow/cpfollow_test.go
+++ b/cpfollow/cpfollow_test.go
@@ -104,7 +104,9 @@
 }
 
 // Do implements clementineport.OpaqueTarget.
-func (p *port) Do(context.Context, *clementineport.Forward) (*clementineport.Part, error) { return nil, nil }
+func (p *port) Do(context.Context, *clementineport.Forward) (*clementineport.Part, error) {
+	return nil, nil
+}
 
 // Open implements clementineport.OpaqueTarget.
 func (p *port) Open() (int, uint64) { return 0, 0 }
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpevent"
+	"github.com/clementineport/clementineport/cplog"
 )
 
 // Bounds of the time between two failed calls to the store.
@@ -37,7 +38,7 @@
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
 			if reached {
-				f.options.Log.Warn(string(cpevent.StoreLost), zap.NamedError("Error", err), zap.Uint64("AsOf", uint64(asOf)))
+				f.options.Log.Warn(string(cpevent.StoreLost), cplog.Cause("Error", err), zap.Uint64("AsOf", uint64(asOf)))
 			}
 			reached = false
 			f.pause(ctx, delays.NextBackOff())
@@ -89,7 +90,7 @@
 			continue
 		}
 		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
-		f.options.Log.Warn(string(cpevent.RegistrationFailed), zap.NamedError("Error", err), zap.Bool("Registered", registered))
+		f.options.Log.Warn(string(cpevent.RegistrationFailed), cplog.Cause("Error", err), zap.Bool("Registered", registered))
 		f.pause(ctx, delays.NextBackOff())
 	}
 }
@@ -134,7 +135,7 @@
 	}
 	if err != nil {
 		f.peers.HangUp(from)
-		f.options.Log.Info(string(cpevent.CatchUpFailed), zap.String("VM", string(from)), zap.NamedError("Error", err))
+		f.options.Log.Info(string(cpevent.CatchUpFailed), zap.String("VM", string(from)), cplog.Cause("Error", err))
 		return
 	}
 	f.heard(now, asked, news, string(from))
--- a/cpfollow/peers.go
+++ b/cpfollow/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpevent"
+	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cpmember"
 )
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		f.peers.HangUp(a.Peer.ID)
 		f.member.Failed(now, a.Peer.ID, a.Began, clementineport.FaultOf(err))
-		f.options.Log.Info(string(cpevent.PeerUnreached), zap.String("VM", string(a.Peer.ID)), zap.NamedError("Error", err))
+		f.options.Log.Info(string(cpevent.PeerUnreached), zap.String("VM", string(a.Peer.ID)), cplog.Cause("Error", err))
 		return
 	}
 	f.contacted.Store(&now)
--- a/cplog/cplog.go
+++ b/cplog/cplog.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// Cause returns a field with an error's text, without the trace that some errors carry.
+func Cause(name string, err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String(name, err.Error())
+}
+
 // Omitted returns how many lines were left out: too many of their kind, and those that the writer did not take.
 func (l *Log) Omitted() (limited, full uint64) { return l.limited.Load(), l.sink.dropped.Load() }
 
