Admit requests by pool of targets, and model searchers and callers in virtual time

Ruled out: hedges (2% of calls) and a lack of connections.

Change: requests that need the same targets wait for each other by class and objective in a gate (cpadmit, as for the product's own path), whose limit follows the time that the shards a request needs waited for room. A caller that comes back in time goes first, one whose objective has passed goes last. cpplan holds what was decided in cpforward; cpmodel runs the same decisions in virtual time; clementineport model compares policies on named patterns.

--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -66,6 +66,11 @@
 	return func(o *Options) { o.QueueShare, o.MinQueue = share, least }
 }
 
+// WithWaitShare sets the share of its time left that a query may wait for its start.
+func WithWaitShare(share float64) Option {
+	return func(o *Options) { o.WaitShare = share }
+}
+
 // WithoutLimit admits every query at once.
 func WithoutLimit() Option {
 	return func(o *Options) { o.Unlimited = true }
--- a/cpcli/cpcli.go
+++ b/cpcli/cpcli.go
@@ -20,6 +20,7 @@
 		newStatusCommand(stdout, stderr),
 		newExplainCommand(stdout, stderr),
 		newLoadCommand(stdout, stderr),
+		newModelCommand(stdout, stderr),
 		newPlotCommand(stdout, stderr),
 		newCheckCommand(stdout, stderr),
 		newGenerateCommand(stdout, stderr),
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -84,6 +85,7 @@
 	covered int
 	failed  int
 	stats   clementineport.ForwardStats
+	began   time.Time
 	ended   bool
 	sends   []Send
 }
@@ -98,6 +100,7 @@
 // Start returns the first calls. Nothing is sent when too few shards have a usable target.
 func (f *Fan) Start(now time.Time) []Send {
 	f.sends = f.sends[:0]
+	f.began = now
 	for i := range f.shards {
 		f.first(now, i)
 	}
@@ -182,10 +185,11 @@
 func (f *Fan) hopeless() bool { return len(f.shards)-f.failed < f.plan.Least }
 
 // Outcome returns the answer of an ended request.
-func (f *Fan) Outcome() Outcome {
+func (f *Fan) Outcome(now time.Time) Outcome {
 	o := Outcome{Stats: f.stats}
 	o.Stats.Covered = f.covered
 	o.Stats.LeftOut = f.leftOut()
+	o.Stats.Queued = f.queued(now)
 	if f.covered >= f.plan.Least {
 		o.Parts = f.parts()
 		o.Missing = len(f.shards) - f.covered
@@ -222,6 +226,20 @@
 	return parts
 }
 
+// queued returns how long the request waited for targets with room: the time after which as many shards as it needs
+// had been asked. Shards beyond those may be busy without holding it up.
+func (f *Fan) queued(now time.Time) time.Duration {
+	waits := make([]time.Duration, len(f.shards))
+	for i := range f.shards {
+		waits[i] = f.shards[i].waited
+		if len(f.shards[i].attempts) == 0 && f.shards[i].state == open {
+			waits[i] = now.Sub(f.began)
+		}
+	}
+	slices.Sort(waits)
+	return waits[f.plan.Least-1]
+}
+
 // leftOut returns the shards without a part, and why.
 func (f *Fan) leftOut() (all []clementineport.LeftOut) {
 	for i := range f.shards {
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -116,7 +116,7 @@
 		assert.Equal(t, len(fan.Done(at(10+i), answered(s))), 0)
 	}
 	assert.Assert(t, fan.Ended())
-	o := fan.Outcome()
+	o := fan.Outcome(at(500))
 	assert.Equal(t, len(o.Parts), 10)
 	assert.Equal(t, o.Missing, 0)
 	assert.Equal(t, o.Stats.Sends, 10)
@@ -138,7 +138,7 @@
 	fan.Done(at(30), answered(hedges[0]))
 	assert.Assert(t, fan.Ended())
 	assert.Equal(t, fleet.spent, 1)
-	assert.Equal(t, len(fan.Outcome().Parts), 10)
+	assert.Equal(t, len(fan.Outcome(at(500)).Parts), 10)
 }
 
 func TestAHedgeWaitsForTheBudget(t *testing.T) {
@@ -169,7 +169,7 @@
 			sends := begin(fan)
 			assert.Equal(t, len(fan.Done(at(5), failed(sends[0], fault))), 0)
 			assert.Assert(t, fan.Ended())
-			assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+			assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.MayHaveRun)
 		})
 	}
 }
@@ -186,7 +186,7 @@
 			assert.Assert(t, again[0].Target != sends[0].Target)
 			fan.Done(at(9), answered(again[0]))
 			assert.Assert(t, fan.Ended())
-			assert.Equal(t, len(fan.Outcome().Parts), 1)
+			assert.Equal(t, len(fan.Outcome(at(500)).Parts), 1)
 		})
 	}
 }
@@ -209,7 +209,7 @@
 	}
 	assert.Assert(t, fan.Ended())
 	assert.Equal(t, len(asked), 2)
-	assert.Equal(t, fan.Outcome().Verdict, clementineport.NotRun)
+	assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.NotRun)
 }
 
 func TestAShardWithoutTargetsIsLeftOut(t *testing.T) {
@@ -222,7 +222,7 @@
 		fan.Done(at(10), answered(s))
 	}
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Missing, 1)
+	assert.Equal(t, fan.Outcome(at(500)).Missing, 1)
 }
 
 func TestARequestThatCannotReachItsLeastShareIsRefusedBeforeAnythingIsSent(t *testing.T) {
@@ -231,7 +231,7 @@
 	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
 	assert.Equal(t, len(fan.Start(start)), 0)
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Verdict, clementineport.NotRun)
+	assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.NotRun)
 }
 
 func TestAnAnswerIsClosedAtItsObjectiveFromTheLeastShareOn(t *testing.T) {
@@ -244,7 +244,7 @@
 	assert.Assert(t, !fan.Ended())
 	fan.Tick(at(100))
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Missing, 2)
+	assert.Equal(t, fan.Outcome(at(500)).Missing, 2)
 }
 
 func TestAnAnswerBelowTheLeastShareWaitsBeyondItsObjective(t *testing.T) {
@@ -257,7 +257,7 @@
 	assert.Assert(t, !fan.Ended())
 	fan.Done(at(150), answered(sends[0]))
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Missing, 1)
+	assert.Equal(t, fan.Outcome(at(500)).Missing, 1)
 }
 
 func TestARequestEndsAtItsDeadline(t *testing.T) {
@@ -267,7 +267,7 @@
 	assert.Assert(t, !fan.Ended())
 	fan.Tick(at(500))
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+	assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.MayHaveRun)
 }
 
 func TestTheFailureOfATargetIsReturnedWhenThereIsNothingBetter(t *testing.T) {
@@ -279,7 +279,7 @@
 	assert.Assert(t, again[0].Target != sends[0].Target)
 	fan.Done(at(9), &cpfan.Result{Attempt: 1, Part: bad})
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Failure, bad)
+	assert.Equal(t, fan.Outcome(at(500)).Failure, bad)
 }
 
 // course runs a request with random results, and records what was sent.
@@ -344,7 +344,7 @@
 				assert.Assert(t, n <= limit, "shard %d may have run %d times", shard, n)
 			}
 		}
-		o := c.fan.Outcome()
+		o := c.fan.Outcome(at(500))
 		if len(o.Parts) == 0 && o.Verdict == clementineport.NotRun {
 			assert.Equal(t, c.sent, c.proved)
 		}
@@ -392,5 +392,5 @@
 		fan.Tick(now)
 	}
 	assert.Assert(t, fan.Ended())
-	assert.Equal(t, fan.Outcome().Verdict, clementineport.MayHaveRun)
+	assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.MayHaveRun)
 }
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -36,6 +36,8 @@
 	fault   clementineport.Fault
 	// wake is when the next call is due, or zero.
 	wake time.Time
+	// waited is the time to the first call.
+	waited time.Duration
 	// refusals and waits count calls that proved not to have run, and looks for a target that found none.
 	refusals int
 	waits    int
@@ -139,6 +141,9 @@
 	s := &f.shards[i]
 	s.attempts = append(s.attempts, attempt{target: target, ran: true})
 	f.stats.Sends++
+	if !extra && len(s.attempts) == 1 {
+		s.waited = now.Sub(f.began)
+	}
 	f.sends = append(f.sends, Send{Shard: i, Attempt: len(s.attempts) - 1, Target: target, Extra: extra})
 	s.wake = time.Time{}
 	if f.mayHedge(s) {
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -9,20 +9,24 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpchoice"
 	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cplatency"
+	"github.com/clementineport/clementineport/cpplan"
+	"github.com/clementineport/clementineport/cpquota"
 )
 
 // Forwarder forwards requests. Its methods may be called from many goroutines.
 type Forwarder struct {
 	options Options
-	budgets *budgets
+	budgets *cpquota.Budgets
 
 	mu      sync.Mutex
 	chooser *cpchoice.Chooser
 	cold    map[clementineport.TargetID]time.Time
 	routes  map[clementineport.RouteID]*routeStats
+	pools   *pools
 }
 
 // routeStats is what the requests of a route have shown.
@@ -32,15 +36,21 @@
 	patience time.Duration
 }
 
+// seen returns what plans are made by.
+func (s *routeStats) seen() cpplan.Seen {
+	return cpplan.Seen{High: s.latency.High(), Patience: s.patience}
+}
+
 // New returns a forwarder.
 func New(opts ...Option) *Forwarder {
 	options := NewOptions(opts...)
 	return &Forwarder{
 		options: options,
-		budgets: newBudgets(options.RetryRatio, options.RetrySlack),
+		budgets: cpquota.NewBudgets(options.RetryRatio, options.RetrySlack),
 		chooser: cpchoice.New(cpchoice.WithSeed(options.Seed)),
 		cold:    map[clementineport.TargetID]time.Time{},
 		routes:  map[clementineport.RouteID]*routeStats{},
+		pools:   newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
 	}
 }
 
@@ -51,17 +61,23 @@
 	if !route.Gathers() {
 		shards = []clementineport.ServiceID{view.Router.Service(route)}
 	}
-	for _, s := range shards {
-		f.budgets.earn(s, view.VMs)
-	}
 	stats := f.stats(route.Name, r.Patience)
 	run := &run{
 		f: f, route: route, request: r, stats: stats, usual: stats.latency.Usual(),
 		results: make(chan callResult, len(shards)*2),
 	}
+	done, refusal := f.admit(ctx, run, shards)
+	if refusal != nil {
+		return &clementineport.Forwarded{Err: refusal}
+	}
+	for _, s := range shards {
+		f.budgets.Earn(s, view.VMs)
+	}
 	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
-	run.fan = cpfan.New(run.plan(shards), run, f.options.Fan...)
-	return run.run(ctx)
+	run.fan = cpfan.New(f.options.Planner.Plan(route, shards, r, stats.seen()), run, f.options.Fan...)
+	answer := run.run(ctx)
+	done(&clementineport.Answer{Stats: clementineport.GatherStats{Queued: answer.Stats.Queued}})
+	return answer
 }
 
 // stats returns what is known of a route, and remembers the longest time that its callers give.
@@ -78,16 +94,18 @@
 }
 
 // Budgets returns how many extra calls the budget of each service holds.
-func (f *Forwarder) Budgets() map[clementineport.ServiceID]float64 { return f.budgets.levels() }
+func (f *Forwarder) Budgets() map[clementineport.ServiceID]float64 { return f.budgets.Levels() }
 
-// Forget drops what is known of routes that are not in the table.
-func (f *Forwarder) Forget(table *clementineport.RouteTable) {
+// SetRoutes takes the order of priorities from a new version of the routes, and drops what is known of routes that are
+// not in it.
+func (f *Forwarder) SetRoutes(table *clementineport.RouteTable) {
 	named := make(map[clementineport.RouteID]bool, len(table.Routes))
 	for i := range table.Routes {
 		named[table.Routes[i].Name] = true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.pools.setRoutes(table)
 	for name := range f.routes {
 		if !named[name] {
 			delete(f.routes, name)
@@ -117,44 +135,6 @@
 	err error
 }
 
-// plan returns what the request needs.
-func (r *run) plan(shards []clementineport.ServiceID) cpfan.Plan {
-	plan := cpfan.Plan{
-		Shards: shards, Gathers: r.route.Gathers(), Idempotent: r.route.Idempotent, MaxAttempts: r.route.MaxAttempts,
-		Least: 1, Deadline: r.request.Deadline.Add(-r.f.options.AnswerMargin), HedgeAfter: r.hedgeAfter(),
-	}
-	if r.route.Gathers() {
-		plan.Least = cpfan.LeastParts(r.route.LeastCoverage, len(shards))
-		plan.Objective = r.objective()
-	}
-	return plan
-}
-
-// objective returns when the answer must leave to be in time. A caller that gives less time than others has used
-// the rest on earlier attempts.
-func (r *run) objective() time.Time {
-	o := r.route.Objective
-	used := time.Duration(0)
-	if r.request.Patience > 0 {
-		used = r.stats.patience - r.request.Patience
-	}
-	margin := r.f.options.ObjectiveMargin + time.Duration(float64(o)*r.f.options.ObjectiveShare)
-	at := r.request.Arrived.Add(o - used - margin)
-	if used >= o {
-		return time.Time{}
-	}
-	return at
-}
-
-// hedgeAfter returns how long a call may take before another target is asked.
-func (r *run) hedgeAfter() time.Duration {
-	high := r.stats.latency.High()
-	if high == 0 {
-		return time.Duration(float64(r.route.Objective) * r.f.options.FirstHedgeShare)
-	}
-	return max(time.Duration(float64(high)*r.f.options.HedgeFactor), r.f.options.LeastHedge)
-}
-
 // run runs the request until its answer is closed or its caller has gone.
 func (r *run) run(ctx context.Context) *clementineport.Forwarded {
 	timer := time.NewTimer(time.Until(r.request.Deadline))
@@ -197,7 +177,7 @@
 
 // answer returns the final answer.
 func (r *run) answer() *clementineport.Forwarded {
-	o := r.fan.Outcome()
+	o := r.fan.Outcome(r.now())
 	answer := &clementineport.Forwarded{Stats: o.Stats}
 	switch {
 	case len(o.Parts) > 0 && r.route.Gathers():
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -6,24 +6,14 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cpfollow"
+	"github.com/clementineport/clementineport/cpplan"
 )
 
 // Defaults of Options.
 const (
-	// DefaultAnswerMargin is the time that an answer needs to reach a caller nearby before its deadline.
-	DefaultAnswerMargin = 15 * time.Millisecond
-	// DefaultObjectiveMargin covers the way between caller and VM, both ways, and the merge.
-	DefaultObjectiveMargin = 9 * time.Millisecond
-	// DefaultObjectiveShare covers what grows with the time of a request, such as late timers under load.
-	DefaultObjectiveShare = 0.02
-	// DefaultHedgeFactor places hedges behind most answers, so that they cost a small share of extra calls.
-	DefaultHedgeFactor = 1.15
-	// DefaultLeastHedge is below what a second call could win.
-	DefaultLeastHedge = 4 * time.Millisecond
-	// DefaultFirstHedgeShare stands for the latency that is not known yet.
-	DefaultFirstHedgeShare = 0.35
 	// DefaultLoserTime is how long most calls take that were hedged just before their answer came.
 	DefaultLoserTime = 150 * time.Millisecond
 	// DefaultRetryAfter is when a caller may come back whose request found no target.
@@ -42,20 +32,12 @@
 	// ColdOverrun and ColdSlack bound the requests a second to a cold target, beyond what it bears.
 	ColdOverrun float64
 	ColdSlack   float64
-	// AnswerMargin is how long before the deadline a request without an answer is ended.
-	AnswerMargin time.Duration
-	// ObjectiveMargin and ObjectiveShare say how long before its objective an answer is closed.
-	ObjectiveMargin time.Duration
-	ObjectiveShare  float64
-	// HedgeFactor is the multiple of a high latency after which another target is asked.
-	HedgeFactor float64
-	LeastHedge  time.Duration
-	// FirstHedgeShare is the share of the objective after which that is done before latencies are known.
-	FirstHedgeShare float64
+	Planner     *cpplan.Planner
 	// LoserTime is how long calls that are not needed any more may go on.
 	LoserTime  time.Duration
 	RetryAfter time.Duration
 	Fan        []cpfan.Option
+	Admit      []cpadmit.Option
 	// Failed is told of calls that failed.
 	Failed func(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration)
 }
@@ -66,16 +48,12 @@
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
 	options := Options{
-		Clock:           clockwork.NewRealClock(),
-		AnswerMargin:    DefaultAnswerMargin,
-		ObjectiveMargin: DefaultObjectiveMargin,
-		ObjectiveShare:  DefaultObjectiveShare,
-		HedgeFactor:     DefaultHedgeFactor,
-		LeastHedge:      DefaultLeastHedge,
-		FirstHedgeShare: DefaultFirstHedgeShare,
-		LoserTime:       DefaultLoserTime,
-		RetryAfter:      DefaultRetryAfter,
-		Failed:          func(clementineport.RequestID, clementineport.TargetID, error, time.Duration) {},
+		Clock:      clockwork.NewRealClock(),
+		Planner:    cpplan.New(),
+		LoserTime:  DefaultLoserTime,
+		RetryAfter: DefaultRetryAfter,
+		Admit:      cpplan.Admission(),
+		Failed:     func(clementineport.RequestID, clementineport.TargetID, error, time.Duration) {},
 	}
 	for _, o := range opts {
 		o(&options)
--- /dev/null
+++ b/cpmodel/cpmodel_test.go
@@ -0,0 +1,120 @@
+package cpmodel_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport/cpmodel"
+)
+
+const (
+	urgent = "urgent"
+	short  = "short"
+)
+
+// calm is the deployment without trouble.
+func calm() cpmodel.Config { return cpmodel.Today() }
+
+// run runs a model and returns its results by kind.
+func run(t *testing.T, cfg cpmodel.Config) map[string]*cpmodel.Result {
+	t.Helper()
+	results := map[string]*cpmodel.Result{}
+	for _, r := range cpmodel.Run(cfg) {
+		t.Logf("%-8s asked %d, in time %d, late %d, refused %d, failed %d; worth %.3f; extra calls %.3f",
+			r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.Failed, r.Worth(), float64(r.Extra)/float64(max(r.Calls, 1)))
+		results[r.Kind] = &r
+	}
+	return results
+}
+
+// each checks that every kind is worth at least a share of a perfect day.
+func each(t *testing.T, results map[string]*cpmodel.Result, least float64) {
+	t.Helper()
+	for name, r := range results {
+		assert.Assert(t, r.Worth() >= least, "%s is worth %.3f of %.3f", name, r.Worth(), least)
+	}
+}
+
+func always(t cpmodel.Trouble) []cpmodel.Trouble {
+	t.From, t.To = 4*time.Second, 20*time.Second
+	return []cpmodel.Trouble{t}
+}
+
+func TestPausesOfTargetsDoNotReachCallers(t *testing.T) {
+	hedged := run(t, calm())
+	each(t, hedged, 0.98)
+	plain := calm()
+	plain.NoHedges = true
+	assert.Assert(t, run(t, plain)[urgent].Worth() < hedged[urgent].Worth()-0.02, "the pauses do not matter in this model")
+}
+
+func TestOneSlowCopyOfEachShard(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Slow: 8})
+	each(t, run(t, cfg), 0.96)
+}
+
+func TestAThirdOfEachShardDark(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Dark: true})
+	each(t, run(t, cfg), 0.95)
+}
+
+func TestOneShardGoneAltogether(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: func(shard, _ int) bool { return shard == 0 }, Dark: true})
+	each(t, run(t, cfg), 0.8)
+}
+
+func TestACopyThatRefusesHalfOfItsCalls(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Refuse: 0.5})
+	each(t, run(t, cfg), 0.96)
+}
+
+func TestMostTargetsRefuseHalfOfTheirCalls(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: func(shard, n int) bool { return (shard+n)%3 > 0 }, Refuse: 0.5})
+	each(t, run(t, cfg), 0.6)
+}
+
+func TestACopyThatLosesAnswers(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Reset: 0.4})
+	each(t, run(t, cfg), 0.96)
+}
+
+func TestAFloodOfOneKindIsServedInPartAndStarvesNobody(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = []cpmodel.Trouble{{From: 5 * time.Second, To: 15 * time.Second, Kind: urgent, Flood: 4.8}}
+	results := run(t, cfg)
+	each(t, results, 0.6)
+	open := cfg
+	open.NoAdmission = true
+	without := run(t, open)
+	assert.Assert(t, results[urgent].Worth() > without[urgent].Worth()+0.1, "admission wins nothing")
+	served := float64(results[short].InTime+results[short].Late) / float64(results[short].Asked)
+	assert.Assert(t, served > 0.25, "only %.2f of the short requests are served", served)
+}
+
+func TestExtraCallsStayWithinTheBudgetOfAllVMs(t *testing.T) {
+	for name, trouble := range map[string]cpmodel.Trouble{
+		"slow":   {Hits: cpmodel.FirstCopy, Slow: 8},
+		"dark":   {Hits: cpmodel.FirstCopy, Dark: true},
+		"refuse": {Hits: func(int, int) bool { return true }, Refuse: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := calm()
+			cfg.Troubles = always(trouble)
+			extra, calls := 0, 0
+			for _, r := range run(t, cfg) {
+				extra += r.Extra
+				calls += r.Calls
+			}
+			bound := cfg.RetryRatio*float64(calls) + cfg.RetrySlack*float64(cfg.Targets.Shards)
+			assert.Assert(t, float64(extra) <= bound, "%d extra calls, %v allowed", extra, bound)
+		})
+	}
+}
--- /dev/null
+++ b/cpmodel/patterns.go
@@ -0,0 +1,53 @@
+package cpmodel
+
+import "time"
+
+// Today returns a deployment of the size of today's users at an ordinary load: ten shards of three targets, which stand
+// still for a moment every few seconds, and two kinds of request, of which the shorter one is less urgent.
+func Today() Config {
+	return Config{
+		Seed: 1, VMs: 6, Duration: 20 * time.Second, Way: 1500 * time.Microsecond, RetryRatio: 0.2, RetrySlack: 52,
+		Targets: Targets{
+			Shards: 10, Copies: 3, Slots: 6, Queue: 36, Pause: 250 * time.Millisecond, PauseEvery: 6 * time.Second,
+		},
+		Kinds: []Kind{
+			{
+				Name: "urgent", Priority: 0, PerSecond: 135, Work: 28 * time.Millisecond, Objective: 200 * time.Millisecond,
+				Deadline: 1200 * time.Millisecond, Least: 0.89,
+			},
+			{
+				Name: "short", Priority: 1, PerSecond: 45, Work: 9 * time.Millisecond, Objective: 80 * time.Millisecond,
+				Deadline: 500 * time.Millisecond, Least: 0.75,
+			},
+		},
+	}
+}
+
+// FirstCopy hits one copy of each shard.
+func FirstCopy(_, n int) bool { return n == 0 }
+
+// Pattern is a named load or trouble.
+type Pattern struct {
+	Name     string
+	Troubles []Trouble
+}
+
+// Patterns returns the patterns that policies are compared on.
+func Patterns() []Pattern {
+	from, to := 4*time.Second, 16*time.Second
+	copies := func(t Trouble) []Trouble {
+		t.From, t.To, t.Hits = from, to, FirstCopy
+		return []Trouble{t}
+	}
+	return []Pattern{
+		{"calm", nil},
+		{"slow copy", copies(Trouble{Slow: 8})},
+		{"dark copy", copies(Trouble{Dark: true})},
+		{"refusing copy", copies(Trouble{Refuse: 0.5})},
+		{"copy that loses answers", copies(Trouble{Reset: 0.4})},
+		{"shard gone", []Trouble{{From: from, To: to, Hits: func(shard, _ int) bool { return shard == 0 }, Dark: true}}},
+		{"most targets refuse", []Trouble{{From: from, To: to, Hits: func(shard, n int) bool { return (shard+n)%3 > 0 }, Refuse: 0.5}}},
+		{"flood of one kind", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4.8}}},
+		{"flood of all", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4}, {From: from, To: to, Kind: "short", Flood: 4}}},
+	}
+}
--- /dev/null
+++ b/cpmodel/vm.go
@@ -0,0 +1,250 @@
+package cpmodel
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpfan"
+	"github.com/clementineport/clementineport/cplatency"
+	"github.com/clementineport/clementineport/cpplan"
+	"github.com/clementineport/clementineport/cpquota"
+)
+
+// loserTime is how long calls that are not needed any more go on.
+const loserTime = 150 * time.Millisecond
+
+// vm is one VM with what it knows.
+type vm struct {
+	m          *Model
+	gate       *cpadmit.Gate
+	chooser    *cpchoice.Chooser
+	budgets    *cpquota.Budgets
+	candidates map[clementineport.ServiceID][]cpchoice.Candidate
+	targets    map[*cpchoice.Target]*target
+	seen       []*seen
+	waiting    map[cpadmit.Ticket]func()
+}
+
+// seen is what the requests of a kind have shown.
+type seen struct {
+	latency  *cplatency.Window
+	patience time.Duration
+}
+
+func newVM(m *Model, n int) *vm {
+	v := &vm{
+		m: m, gate: m.gate(), chooser: cpchoice.New(cpchoice.WithSeed(m.cfg.Seed + uint64(n))),
+		budgets:    cpquota.NewBudgets(m.cfg.RetryRatio, m.cfg.RetrySlack),
+		candidates: map[clementineport.ServiceID][]cpchoice.Candidate{}, targets: map[*cpchoice.Target]*target{},
+		waiting: map[cpadmit.Ticket]func(){},
+	}
+	for shard, copies := range m.targets {
+		for i, t := range copies {
+			state := cpchoice.NewTarget(clementineport.Discovered{Service: service(shard), Slots: m.cfg.Targets.Slots})
+			v.targets[state] = t
+			v.candidates[service(shard)] = append(v.candidates[service(shard)], cpchoice.Candidate{
+				Target: state, Near: i == n%len(copies), Limit: m.limit(),
+			})
+		}
+	}
+	for range m.cfg.Kinds {
+		v.seen = append(v.seen, &seen{latency: cplatency.New()})
+	}
+	return v
+}
+
+// request is one attempt of a caller at a VM.
+type request struct {
+	v       *vm
+	kind    int
+	route   *clementineport.Route
+	forward *clementineport.Forward
+	fan     *cpfan.Fan
+	ticket  cpadmit.Ticket
+	calls   map[*call]pending
+	woken   int
+	// reply gets the answer once.
+	reply func(reply)
+}
+
+// pending is a call without a result.
+type pending struct {
+	at    *target
+	state *cpchoice.Target
+	sent  time.Time
+}
+
+// reply is what a caller gets.
+type reply struct {
+	ok bool
+	// share is the share of shards in a success.
+	share   float64
+	refused bool
+	after   time.Duration
+}
+
+// receive takes a request.
+func (v *vm) receive(kind int, f *clementineport.Forward, answer func(reply)) {
+	s := v.seen[kind]
+	s.patience = max(s.patience, f.Patience)
+	r := &request{v: v, kind: kind, route: v.m.route(kind), forward: f, calls: map[*call]pending{}, reply: answer}
+	sn := v.known(kind)
+	arrival := cpadmit.Arrival{
+		Service:  clementineport.ServiceID(r.route.Name),
+		Class:    cpplan.Class(r.route, clementineport.Class(min(r.route.Priority, int(clementineport.NumClasses)-1)), f, sn),
+		Deadline: v.m.planner.BestBefore(r.route, f, sn),
+	}
+	d := v.gate.Offer(v.m.now, arrival)
+	r.ticket = d.Ticket
+	switch d.Kind {
+	case cpadmit.KindAdmitted:
+		r.start()
+	case cpadmit.KindRefused:
+		answer(reply{refused: true, after: d.RetryAfter})
+	default:
+		v.waiting[d.Ticket] = r.start
+		v.m.at(d.Until, func() { r.expire(arrival) })
+	}
+}
+
+// expire ends the wait of a request that could not start.
+func (r *request) expire(arrival cpadmit.Arrival) {
+	if _, waits := r.v.waiting[r.ticket]; !waits {
+		return
+	}
+	delete(r.v.waiting, r.ticket)
+	d := r.v.gate.Withdraw(r.ticket, arrival)
+	r.reply(reply{refused: true, after: d.RetryAfter})
+}
+
+// known returns what plans are made by.
+func (v *vm) known(kind int) cpplan.Seen {
+	s := v.seen[kind]
+	return cpplan.Seen{High: s.latency.High(), Patience: s.patience}
+}
+
+// start begins a request.
+func (r *request) start() {
+	delete(r.v.waiting, r.ticket)
+	for _, s := range r.route.Shards {
+		r.v.budgets.Earn(s, r.v.m.cfg.VMs)
+	}
+	plan := r.v.m.planner.Plan(r.route, r.route.Shards, r.forward, r.v.known(r.kind))
+	if r.v.m.cfg.NoHedges {
+		plan.HedgeAfter = 0
+	}
+	r.fan = cpfan.New(plan, r)
+	r.step(r.fan.Start(r.v.m.now))
+}
+
+// step makes calls, and waits for the next thing to happen.
+func (r *request) step(sends []cpfan.Send) {
+	for _, s := range append([]cpfan.Send(nil), sends...) {
+		r.send(s)
+	}
+	if r.fan.Ended() {
+		r.end()
+		return
+	}
+	r.woken++
+	mark := r.woken
+	r.v.m.at(r.fan.Wake(), func() {
+		if mark == r.woken && !r.fan.Ended() {
+			r.step(r.fan.Tick(r.v.m.now))
+		}
+	})
+}
+
+// send makes one call.
+func (r *request) send(s cpfan.Send) {
+	m, t := r.v.m, r.v.targets[s.Target]
+	c := &call{work: m.cfg.Kinds[r.kind].Work}
+	sent := m.now
+	s.Target.Sent(sent)
+	r.calls[c] = pending{at: t, state: s.Target, sent: sent}
+	c.done = func(o outcome) { m.after(m.cfg.Way, func() { r.done(s, c, sent, o) }) }
+	m.after(m.cfg.Way, func() {
+		if c.done != nil {
+			t.receive(c)
+		}
+	})
+}
+
+// done takes the end of a call.
+func (r *request) done(s cpfan.Send, c *call, sent time.Time, o outcome) {
+	if _, mine := r.calls[c]; !mine {
+		return
+	}
+	delete(r.calls, c)
+	now, window := r.v.m.now, r.v.seen[r.kind].latency
+	result := &cpfan.Result{Shard: s.Shard, Attempt: s.Attempt}
+	observed := cpchoice.Outcome{Elapsed: now.Sub(sent), Usual: window.Usual()}
+	switch o {
+	case answered:
+		result.Part = &clementineport.Part{Status: 200}
+		observed.OK = true
+		window.Add(now, observed.Elapsed)
+	case refused:
+		result.Fault = clementineport.FaultShed
+	default:
+		result.Fault = clementineport.FaultReset
+	}
+	observed.Fault = result.Fault
+	s.Target.Done(now, sent, &observed)
+	if !r.fan.Ended() {
+		r.step(r.fan.Done(now, result))
+	}
+}
+
+// end answers the caller, and gives the calls up that are left after a while.
+func (r *request) end() {
+	m := r.v.m
+	o := r.fan.Outcome(m.now)
+	m.after(loserTime, r.cancel)
+	for _, ticket := range r.v.gate.Done(m.now, r.ticket, cpadmit.Outcome{Queued: o.Stats.Queued}) {
+		if start, waits := r.v.waiting[ticket]; waits {
+			start()
+		}
+	}
+	m.results[r.kind].Extra += o.Stats.Hedges + o.Stats.Retries
+	m.results[r.kind].Calls += o.Stats.Sends
+	if len(o.Parts) == 0 {
+		r.reply(reply{})
+		return
+	}
+	r.reply(reply{ok: true, share: float64(len(o.Parts)) / float64(o.Stats.Shards)})
+}
+
+// cancel gives the calls up that are left.
+func (r *request) cancel() {
+	now := r.v.m.now
+	for c, p := range r.calls {
+		p.at.cancel(c)
+		p.state.Done(now, p.sent, &cpchoice.Outcome{
+			Fault: clementineport.FaultCanceled, Elapsed: now.Sub(p.sent), Usual: r.v.seen[r.kind].latency.Usual(),
+		})
+	}
+	clear(r.calls)
+}
+
+// Choose implements cpfan.Targets.
+func (r *request) Choose(now time.Time, s clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+	t, busy := r.v.chooser.Choose(now, r.v.candidates[s], &cpchoice.Request{
+		Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs, Excluded: excluded, Best: extra,
+	})
+	switch {
+	case t != nil:
+		return t, cpfan.Available
+	case busy:
+		return nil, cpfan.Busy
+	default:
+		return nil, cpfan.Absent
+	}
+}
+
+// MayRepeat implements cpfan.Targets.
+func (r *request) MayRepeat(s clementineport.ServiceID, value float64) bool {
+	return r.v.budgets.Spend(s, value)
+}
--- /dev/null
+++ b/cpplan/cpplan.go
@@ -0,0 +1,87 @@
+// Package cpplan decides how a request is run: by when its answer must leave, when its calls are hedged, and who may
+// start first. It is pure: what routes have shown and the request are passed in.
+package cpplan
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfan"
+)
+
+// Seen is what the requests of a route have shown.
+type Seen struct {
+	// High is the time within which most calls were answered, or zero if there were none.
+	High time.Duration
+	// Patience is the longest time that a caller of the route has given, which is that of a first attempt.
+	Patience time.Duration
+}
+
+// Planner makes plans.
+type Planner struct {
+	options Options
+}
+
+// New returns a planner.
+func New(opts ...Option) *Planner { return &Planner{options: NewOptions(opts...)} }
+
+// Plan returns what a request on a route needs of some services: of all of them, or of the one that takes it.
+func (p *Planner) Plan(route *clementineport.Route, services []clementineport.ServiceID, f *clementineport.Forward, s Seen) cpfan.Plan {
+	plan := cpfan.Plan{
+		Shards: services, Gathers: route.Gathers(), Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, Least: 1,
+		Deadline: f.Deadline.Add(-p.options.AnswerMargin), HedgeAfter: p.hedgeAfter(route, s),
+	}
+	if route.Gathers() {
+		plan.Least = cpfan.LeastParts(route.LeastCoverage, len(services))
+		plan.Objective = p.Objective(route, f, s)
+	}
+	return plan
+}
+
+// Used returns how much of its time a caller has spent on earlier attempts: one that gives less time than others has
+// used the rest.
+func Used(f *clementineport.Forward, s Seen) time.Duration {
+	if f.Patience == 0 {
+		return 0
+	}
+	return max(0, s.Patience-f.Patience)
+}
+
+// Objective returns when the answer must leave to be in time, or the zero time when that has passed.
+func (p *Planner) Objective(route *clementineport.Route, f *clementineport.Forward, s Seen) time.Time {
+	used := Used(f, s)
+	if used >= route.Objective {
+		return time.Time{}
+	}
+	margin := p.options.ObjectiveMargin + time.Duration(float64(route.Objective)*p.options.ObjectiveShare)
+	return f.Arrived.Add(route.Objective - used - margin)
+}
+
+// BestBefore returns when the answer is best given: at the objective, or at the deadline of a request that is late.
+func (p *Planner) BestBefore(route *clementineport.Route, f *clementineport.Forward, s Seen) time.Time {
+	if o := p.Objective(route, f, s); !o.IsZero() && o.Before(f.Deadline) {
+		return o
+	}
+	return f.Deadline
+}
+
+// Class returns the class in which a request waits for its start: that of its route, but a caller that comes back in
+// time goes first, so that it is not refused again, and one whose objective has passed goes last.
+func Class(route *clementineport.Route, own clementineport.Class, f *clementineport.Forward, s Seen) clementineport.Class {
+	switch used := Used(f, s); {
+	case used >= route.Objective && used > 0:
+		return clementineport.NumClasses - 1
+	case used > 0:
+		return clementineport.ClassInteractive
+	default:
+		return own
+	}
+}
+
+// hedgeAfter returns how long a call may take before another target is asked.
+func (p *Planner) hedgeAfter(route *clementineport.Route, s Seen) time.Duration {
+	if s.High == 0 {
+		return time.Duration(float64(route.Objective) * p.options.FirstHedgeShare)
+	}
+	return max(time.Duration(float64(s.High)*p.options.HedgeFactor), p.options.LeastHedge)
+}
--- /dev/null
+++ b/cpplan/options.go
@@ -0,0 +1,76 @@
+package cpplan
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport/cpadmit"
+)
+
+// Defaults of Options.
+const (
+	// DefaultAnswerMargin is the time that an answer needs to reach a caller nearby before its deadline.
+	DefaultAnswerMargin = 15 * time.Millisecond
+	// DefaultObjectiveMargin covers the way between caller and VM, both ways, and the merge.
+	DefaultObjectiveMargin = 9 * time.Millisecond
+	// DefaultObjectiveShare covers what grows with the time of a request, such as late timers under load.
+	DefaultObjectiveShare = 0.02
+	// DefaultHedgeFactor places hedges behind most answers, so that they cost a small share of extra calls.
+	DefaultHedgeFactor = 1.15
+	// DefaultLeastHedge is below what a second call could win.
+	DefaultLeastHedge = 4 * time.Millisecond
+	// DefaultFirstHedgeShare stands for the latency that is not known yet.
+	DefaultFirstHedgeShare = 0.35
+)
+
+// Bounds of admission.
+const (
+	// leastInProgress keeps a VM going while some of its targets stand still.
+	leastInProgress = 4 // requests
+	// firstInProgress is above what a VM has in progress unless its targets are overloaded.
+	firstInProgress = 16 // requests
+	// waitShare is the part of the time to its objective for which a request may wait for its start.
+	waitShare = 0.15
+)
+
+// Admission returns the settings of admission for requests that need the same targets.
+func Admission() []cpadmit.Option {
+	return []cpadmit.Option{
+		cpadmit.WithLimits(leastInProgress, firstInProgress, cpadmit.DefaultMaxLimit), cpadmit.WithWaitShare(waitShare),
+	}
+}
+
+// Options are the settings of a Planner.
+type Options struct {
+	// AnswerMargin is how long before the deadline a request without an answer is ended.
+	AnswerMargin time.Duration
+	// ObjectiveMargin and ObjectiveShare say how long before its objective an answer is closed.
+	ObjectiveMargin time.Duration
+	ObjectiveShare  float64
+	// HedgeFactor is the multiple of a high latency after which another target is asked.
+	HedgeFactor float64
+	LeastHedge  time.Duration
+	// FirstHedgeShare is the share of the objective after which that is done before latencies are known.
+	FirstHedgeShare float64
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{
+		AnswerMargin:    DefaultAnswerMargin,
+		ObjectiveMargin: DefaultObjectiveMargin,
+		ObjectiveShare:  DefaultObjectiveShare,
+		HedgeFactor:     DefaultHedgeFactor,
+		LeastHedge:      DefaultLeastHedge,
+		FirstHedgeShare: DefaultFirstHedgeShare,
+	}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithHedgeFactor sets the multiple of a high latency after which another target is asked.
+func WithHedgeFactor(f float64) Option { return func(o *Options) { o.HedgeFactor = f } }
--- a/cpforward/budgets.go
+++ b/cpquota/budgets.go
@@ -1,15 +1,14 @@
-package cpforward
+package cpquota
 
 import (
 	"sync"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbudget"
-	"github.com/clementineport/clementineport/cpquota"
 )
 
-// budgets holds the budget of extra calls of each service.
-type budgets struct {
+// Budgets holds the budget of extra calls of each service. Its methods may be called from many goroutines.
+type Budgets struct {
 	ratio float64
 	slack float64
 
@@ -18,13 +17,14 @@
 	services map[clementineport.ServiceID]*cpbudget.Bucket
 }
 
-func newBudgets(ratio, slack float64) *budgets {
-	return &budgets{ratio: ratio, slack: slack, services: map[clementineport.ServiceID]*cpbudget.Bucket{}}
+// NewBudgets returns empty budgets under a bound for all VMs: a share of the requests and a number beyond.
+func NewBudgets(ratio, slack float64) *Budgets {
+	return &Budgets{ratio: ratio, slack: slack, services: map[clementineport.ServiceID]*cpbudget.Bucket{}}
 }
 
-// earn credits a request for a service. When the number of VMs changes, all budgets begin anew and empty, so that
+// Earn credits a request for a service. When the number of VMs changes, all budgets begin anew and empty, so that
 // what was saved as one of few VMs is not spent as one of many.
-func (b *budgets) earn(service clementineport.ServiceID, vms int) {
+func (b *Budgets) Earn(service clementineport.ServiceID, vms int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if vms != b.vms {
@@ -34,24 +34,24 @@
 	bucket := b.services[service]
 	if bucket == nil {
 		bucket = cpbudget.New(
-			cpbudget.WithShare(b.ratio*cpquota.RetryShare), cpbudget.WithBurst(cpquota.RetryBurst(b.slack, vms)),
+			cpbudget.WithShare(b.ratio*RetryShare), cpbudget.WithBurst(RetryBurst(b.slack, vms)),
 		)
 		b.services[service] = bucket
 	}
 	bucket.Earn(1)
 }
 
-// spend takes one extra call from the budget of a service, or reports that there is none. Calls that are worth less
+// Spend takes one extra call from the budget of a service, or reports that there is none. Calls that are worth less
 // leave a part of the budget to those that are worth more.
-func (b *budgets) spend(service clementineport.ServiceID, value float64) bool {
+func (b *Budgets) Spend(service clementineport.ServiceID, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket := b.services[service]
 	return bucket != nil && bucket.SpendAbove(reserve(value))
 }
 
-// levels returns how many extra calls the budget of each service holds.
-func (b *budgets) levels() map[clementineport.ServiceID]float64 {
+// Levels returns how many extra calls the budget of each service holds.
+func (b *Budgets) Levels() map[clementineport.ServiceID]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	levels := make(map[clementineport.ServiceID]float64, len(b.services))
--- a/forward.go
+++ b/forward.go
@@ -71,5 +71,7 @@
 	Hedges  int
 	Retries int
 	Refused int
+	// Queued is how long the request waited for targets with room.
+	Queued  time.Duration
 	LeftOut []LeftOut
 }
