Hedge only where slots are free, and let requests wait a little longer for targets with room

Change: a hedge goes only to a target whose slots are not in use by this VM's share; the wait that counts as overload is 0.6 of a request's time (0.25, 0.6 and 1.0 and waits for a start of 0.15 and 0.4 were compared: clementineport model).

--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -43,6 +43,9 @@
 	// Best takes the target that is expected to answer soonest. It is for calls beyond the first one, of which
 	// there are too few to find out about targets with them.
 	Best bool
+	// Spare leaves out targets whose slots are in use, as far as the requests of this VM tell: a second call beside one
+	// that is slow would make others wait.
+	Spare bool
 }
 
 // Choose returns a target, or nil when none is usable now; busy tells that one is usable but for its limit. Targets
@@ -86,7 +89,8 @@
 	if math.IsInf(cost, 1) {
 		return 0, false
 	}
-	if candidate.Limit > 0 && t.InFlight() >= candidate.Limit {
+	inFlight := t.InFlight()
+	if candidate.Limit > 0 && inFlight >= candidate.Limit || r.Spare && inFlight*max(r.VMs, 1) >= max(t.Slots, 1) {
 		return 0, true
 	}
 	if !candidate.Near {
--- a/cpchoice/cpchoice_test.go
+++ b/cpchoice/cpchoice_test.go
@@ -184,3 +184,16 @@
 		assert.Assert(t, chosen == s.candidates[2].Target)
 	}
 }
+
+func TestAHedgeGoesOnlyWhereSlotsAreFree(t *testing.T) {
+	s := newScene(1)
+	hedge := &cpchoice.Request{Usual: usual, VMs: 6, Spare: true}
+	chosen, _ := s.chooser.Choose(s.now, s.candidates, hedge)
+	assert.Assert(t, chosen != nil)
+	chosen.Sent(s.now)
+	chosen, busy := s.chooser.Choose(s.now, s.candidates, hedge)
+	assert.Assert(t, chosen == nil && busy)
+	hedge.VMs = 2
+	chosen, _ = s.chooser.Choose(s.now, s.candidates, hedge)
+	assert.Assert(t, chosen != nil)
+}
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -26,11 +26,22 @@
 	Absent
 )
 
+// Purpose says what a call is for.
+type Purpose uint8
+
+const (
+	// First is the first call of a shard.
+	First Purpose = iota
+	// Hedge is a call beside one that is slow.
+	Hedge
+	// Retry is a call after all earlier ones have failed.
+	Retry
+)
+
 // Targets chooses targets.
 type Targets interface {
-	// Choose returns a target of a service that excluded does not report; extra tells that it is for a call beyond
-	// the first one of its shard.
-	Choose(now time.Time, service clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
+	// Choose returns a target of a service that excluded does not report.
+	Choose(now time.Time, service clementineport.ServiceID, purpose Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, Availability)
 	// MayRepeat takes one extra call to a service from the budget, or reports that there is none. The value of the
 	// call is between 0 and 1.
 	MayRepeat(service clementineport.ServiceID, value float64) bool
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -51,7 +51,7 @@
 }
 
 // Choose implements cpfan.Targets.
-func (f *fleet) Choose(_ time.Time, s clementineport.ServiceID, _ bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+func (f *fleet) Choose(_ time.Time, s clementineport.ServiceID, _ cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
 	if f.busy {
 		return nil, cpfan.Busy
 	}
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -118,7 +118,7 @@
 // first chooses the first target of a shard.
 func (f *Fan) first(now time.Time, i int) {
 	s := &f.shards[i]
-	target, availability := f.targets.Choose(now, f.plan.Shards[i], false, s.tried)
+	target, availability := f.targets.Choose(now, f.plan.Shards[i], First, s.tried)
 	if target != nil {
 		f.send(now, i, target, false)
 		return
@@ -190,7 +190,7 @@
 	if !f.mayHedge(s) {
 		return
 	}
-	target, _ := f.targets.Choose(now, f.plan.Shards[i], true, s.tried)
+	target, _ := f.targets.Choose(now, f.plan.Shards[i], Hedge, s.tried)
 	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i], f.value(i)) {
 		s.wake = now.Add(f.options.Recheck)
 		return
@@ -250,12 +250,12 @@
 func (f *Fan) further(now time.Time, i int) (*cpchoice.Target, Availability) {
 	s := &f.shards[i]
 	if s.reached() < f.plan.MaxAttempts {
-		target, availability := f.targets.Choose(now, f.plan.Shards[i], true, s.tried)
+		target, availability := f.targets.Choose(now, f.plan.Shards[i], Retry, s.tried)
 		if availability != Absent {
 			return target, availability
 		}
 	}
-	return f.targets.Choose(now, f.plan.Shards[i], true, func(t *cpchoice.Target) bool { return !s.mayAskAgain(t) })
+	return f.targets.Choose(now, f.plan.Shards[i], Retry, func(t *cpchoice.Target) bool { return !s.mayAskAgain(t) })
 }
 
 // settle takes the result of a call of an open shard.
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -12,10 +12,12 @@
 
 // Choose implements cpfan.Targets. It reads the newest view each time, so that a target that is leaving gets nothing
 // more, not even a call that was planned before.
-func (r *run) Choose(now time.Time, service clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+func (r *run) Choose(now time.Time, service clementineport.ServiceID, purpose cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
-	request := &cpchoice.Request{Usual: r.usual, VMs: view.VMs, Excluded: excluded, Best: extra}
+	request := &cpchoice.Request{
+		Usual: r.usual, VMs: view.VMs, Excluded: excluded, Best: purpose != cpfan.First, Spare: purpose == cpfan.Hedge,
+	}
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
 	target, busy := r.f.chooser.Choose(now, warm, request)
--- a/cpmodel/vm.go
+++ b/cpmodel/vm.go
@@ -230,9 +230,10 @@
 }
 
 // Choose implements cpfan.Targets.
-func (r *request) Choose(now time.Time, s clementineport.ServiceID, extra bool, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+func (r *request) Choose(now time.Time, s clementineport.ServiceID, purpose cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
 	t, busy := r.v.chooser.Choose(now, r.v.candidates[s], &cpchoice.Request{
-		Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs, Excluded: excluded, Best: extra,
+		Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs, Excluded: excluded,
+		Best: purpose != cpfan.First, Spare: purpose == cpfan.Hedge,
 	})
 	switch {
 	case t != nil:
--- a/cpplan/options.go
+++ b/cpplan/options.go
@@ -30,12 +30,17 @@
 	firstInProgress = 16 // requests
 	// waitShare is the part of the time to its objective for which a request may wait for its start.
 	waitShare = 0.15
+	// queueShare and leastQueue are the wait for targets with room above which fewer requests are let in, as a share of
+	// the time of a request without it: objectives are a few times that long.
+	queueShare = 0.6
+	leastQueue = 20 * time.Millisecond
 )
 
 // Admission returns the settings of admission for requests that need the same targets.
 func Admission() []cpadmit.Option {
 	return []cpadmit.Option{
 		cpadmit.WithLimits(leastInProgress, firstInProgress, cpadmit.DefaultMaxLimit), cpadmit.WithWaitShare(waitShare),
+		cpadmit.WithQueueing(queueShare, leastQueue),
 	}
 }
 
