Warm targets of a domain that is back by time, and let a quiet watch wait

A quiet watch now waits 1.2 s and confirms up to its answer. A request that arrives without time is refused as not run instead of ending as one that may have run.

--- a/cpcatalog/options.go
+++ b/cpcatalog/options.go
@@ -10,8 +10,8 @@
 	// DefaultLapseGrace is how soon live targets have registered again after the store is back, by the platform's
 	// promise of about two seconds, and a little more.
 	DefaultLapseGrace = 2300 * time.Millisecond
-	// DefaultUnprovenTime covers the time until a target registers again.
-	DefaultUnprovenTime = 1500 * time.Millisecond
+	// DefaultUnprovenTime covers two registrations of a target and the way to this VM.
+	DefaultUnprovenTime = 3500 * time.Millisecond
 )
 
 // Options are the settings of a Catalog.
@@ -20,7 +20,7 @@
 	AwayAfter time.Duration
 	// LapseGrace is how long after the store is back vanished registrations may come again.
 	LapseGrace time.Duration
-	// UnprovenTime is how long a target that has not said whether it is cold is told to other VMs as cold.
+	// UnprovenTime is how long a target that may have turned cold has to say so.
 	UnprovenTime time.Duration
 }
 
@@ -41,3 +41,6 @@
 
 // WithLapseGrace sets how long after the store is back vanished registrations may come again.
 func WithLapseGrace(d time.Duration) Option { return func(o *Options) { o.LapseGrace = d } }
+
+// WithUnprovenTime sets how long a target that may have turned cold has to say so.
+func WithUnprovenTime(d time.Duration) Option { return func(o *Options) { o.UnprovenTime = d } }
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -115,18 +115,22 @@
 	for i := range f.shards {
 		f.first(now, i)
 	}
-	if f.hopeless() {
-		f.withdraw()
+	late := !now.Before(f.plan.Deadline)
+	if late || f.hopeless() {
+		f.withdraw(late)
 	}
 	f.close(now)
 	return f.sends
 }
 
 // withdraw takes back calls that are not sent yet.
-func (f *Fan) withdraw() {
+func (f *Fan) withdraw(late bool) {
 	f.sends = f.sends[:0]
 	for i := range f.shards {
 		f.shards[i].attempts = nil
+		if late {
+			f.shards[i].fault = clementineport.FaultDeadline
+		}
 	}
 	f.stats.Sends = 0
 }
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -394,3 +394,15 @@
 	assert.Assert(t, fan.Ended())
 	assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.MayHaveRun)
 }
+
+func TestARequestWithoutTimeIsNotSent(t *testing.T) {
+	for name, plan := range map[string]cpfan.Plan{"gather": gatherPlan(3, 1), "single": singlePlan(true)} {
+		t.Run(name, func(t *testing.T) {
+			fan := cpfan.New(plan, newFleet(3))
+			assert.Equal(t, len(fan.Start(at(500))), 0)
+			assert.Assert(t, fan.Ended())
+			assert.Equal(t, fan.Outcome(at(500)).Verdict, clementineport.NotRun)
+			assert.Equal(t, fan.Outcome(at(500)).Fault, clementineport.FaultDeadline)
+		})
+	}
+}
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -47,10 +47,15 @@
 		if !reached {
 			f.options.Log.Info(string(cpevent.StoreRegained), zap.Uint64("AsOf", uint64(news.AsOf)))
 		}
+		took := f.options.Clock.Now().Sub(asked)
+		known := asked
+		if loaded && !news.Changes() && took >= f.options.FeedWait {
+			known = asked.Add(f.options.FeedWait) // nothing had changed until the store answered
+		}
 		loaded, reached, asOf = true, true, news.AsOf
 		delays.Reset()
-		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, asked, news, "Store") })
-		f.pause(ctx, f.options.FeedPeriod)
+		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, known, news, "Store") })
+		f.pause(ctx, f.options.FeedPeriod-took)
 	}
 }
 
@@ -64,6 +69,9 @@
 
 // pause waits for a time.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-f.options.Clock.After(d):
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -15,10 +15,10 @@
 const (
 	// DefaultTickPeriod is short beside the times of the membership.
 	DefaultTickPeriod = 100 * time.Millisecond
-	// DefaultFeedPeriod bounds the calls to the store: targets register all the time, so a watch seldom waits.
+	// DefaultFeedPeriod bounds the calls to the store while much changes, and how late a change is known.
 	DefaultFeedPeriod = 900 * time.Millisecond
-	// DefaultFeedWait keeps a quiet watch short enough to notice a connection that went silent.
-	DefaultFeedWait = time.Second
+	// DefaultFeedWait keeps a quiet watch short enough to know soon that a connection went silent.
+	DefaultFeedWait = 1200 * time.Millisecond
 	// DefaultRenewPeriod is a third of the shortest useful lease.
 	DefaultRenewPeriod = time.Second
 	// DefaultCatchUpAfter is longer than the usual time between two confirmations.
@@ -52,7 +52,7 @@
 	Member   []cpmember.Option
 	// TickPeriod is the time between two looks at what is due.
 	TickPeriod time.Duration
-	// FeedPeriod is the time between two answers of the store, FeedWait how long a watch may wait.
+	// FeedPeriod is the least time between two calls to the store, FeedWait how long a watch may wait.
 	FeedPeriod time.Duration
 	FeedWait   time.Duration
 	// RenewPeriod is the time between two renewals of the registration.
@@ -143,3 +143,6 @@
 func WithCatchUp(after, period time.Duration) Option {
 	return func(o *Options) { o.CatchUpAfter, o.CatchUpPeriod = after, period }
 }
+
+// WithCatalog sets options of the catalog.
+func WithCatalog(opts ...cpcatalog.Option) Option { return func(o *Options) { o.Catalog = opts } }
--- a/cpfollow/view.go
+++ b/cpfollow/view.go
@@ -17,9 +17,8 @@
 type ViewTarget struct {
 	State *cpchoice.Target
 	Port  clementineport.OpaqueTarget
-	// ColdUntil is when the target is warm; Unproven means that it has not said whether it is cold.
-	ColdUntil time.Time
-	Unproven  bool
+	// WarmAt is when the target is warm.
+	WarmAt time.Time
 	// Owned is true when this VM is the one that asks the target while it is cold.
 	Owned bool
 	Near  bool
@@ -28,7 +27,7 @@
 }
 
 // Cold reports whether the target must be treated as cold.
-func (t *ViewTarget) Cold(now time.Time) bool { return t.Unproven || now.Before(t.ColdUntil) }
+func (t *ViewTarget) Cold(now time.Time) bool { return now.Before(t.WarmAt) }
 
 // View is what a VM knows at one moment; it is immutable.
 type View struct {
@@ -112,7 +111,7 @@
 		f.states[id] = s
 	}
 	s.Port.Resize(share)
-	s.ColdUntil, s.Unproven = t.ColdUntil, t.Unproven
+	s.WarmAt = t.WarmAt()
 	s.Near = t.Domain == f.options.Self.Domain
 	s.Limit = min(share, cpquota.InFlight(t.Slots, f.divided))
 	s.Owned = f.owns(view, id)
--- a/discover.go
+++ b/discover.go
@@ -48,6 +48,11 @@
 	Faults []string
 }
 
+// Changes reports whether the news tells anything but that nothing has changed.
+func (n *FleetNews) Changes() bool {
+	return n.Whole || n.Routes != nil || len(n.Domains)+len(n.Targets)+len(n.Gone)+len(n.VMs)+len(n.GoneVMs)+len(n.Faults) > 0
+}
+
 // OpaqueTarget is the port to one target for requests that are passed on unchanged.
 type OpaqueTarget interface {
 	// Do sends the request once; the error is an *Error whose verdict says whether it may have run.
