--- a/cpchoice/cpchoice_test.go
+++ b/cpchoice/cpchoice_test.go
@@ -197,3 +197,37 @@
 	chosen, _ = s.chooser.Choose(s.now, s.candidates, hedge)
 	assert.Assert(t, chosen != nil)
 }
+
+func TestADarkTargetIsLeftAloneAndAskedOneCallAtATime(t *testing.T) {
+	s := newScene(1)
+	target := s.candidates[0].Target
+	counts := 0
+	for range 1000 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		if s.choose() < 0 {
+			continue
+		}
+		counts++
+		sent := s.now
+		target.Sent(sent)
+		s.now = s.now.Add(100 * time.Millisecond)
+		target.Done(s.now, sent, &cpchoice.Outcome{Fault: clementineport.FaultCanceled, Elapsed: 100 * time.Millisecond, Usual: usual})
+	}
+	assert.Assert(t, counts > 8 && counts < 30, "the dark target got %d calls", counts)
+	sent := s.now
+	target.Sent(sent)
+	target.Done(s.now, sent, &cpchoice.Outcome{OK: true, Elapsed: usual, Usual: usual})
+	assert.Equal(t, s.choose(), 0)
+}
+
+func TestATargetThatStandsStillForAMomentIsNotDark(t *testing.T) {
+	s := newScene(1)
+	target := s.candidates[0].Target
+	for range 5 {
+		sent := s.now
+		target.Sent(sent)
+		s.now = s.now.Add(50 * time.Millisecond)
+		target.Done(s.now, sent, &cpchoice.Outcome{Fault: clementineport.FaultCanceled, Elapsed: 50 * time.Millisecond, Usual: usual})
+	}
+	assert.Equal(t, s.choose(), 0)
+}
--- a/cpchoice/target.go
+++ b/cpchoice/target.go
@@ -30,6 +30,14 @@
 	// firstBlock and longestBlock bound how long a target that refuses connections is left alone.
 	firstBlock   = 100 * time.Millisecond
 	longestBlock = 2 * time.Second
+	// darkAfter is how long a target may leave all calls without an answer before it counts as dark: a multiple of the
+	// moments for which targets stand still.
+	darkAfter = 600 * time.Millisecond
+	// darkCalls is the number of calls without an answer that make a target dark.
+	darkCalls = 3
+	// firstProbe and longestProbe bound the time between two calls to a dark target.
+	firstProbe   = 300 * time.Millisecond
+	longestProbe = 2 * time.Second
 	// unknownUsual stands for the usual time until answers show it.
 	unknownUsual = 20 * time.Millisecond
 )
@@ -43,11 +51,17 @@
 	// slow is how long the target takes, as a multiple of the usual time.
 	slow float64
 	// failing is the share of requests that fail.
-	failing   float64
-	updated   time.Time
-	sends     []time.Time
-	refusals  int
-	blocked   time.Time
+	failing  float64
+	updated  time.Time
+	sends    []time.Time
+	refusals int
+	blocked  time.Time
+	// silent is when the first of the latest calls without an answer was sent, and unanswered their number.
+	silent     time.Time
+	unanswered int
+	// probe is when a dark target is asked again, and probeWait the time to the call after that.
+	probe     time.Time
+	probeWait time.Duration
 	misplaced bool
 }
 
@@ -67,10 +81,38 @@
 	defer t.mu.Unlock()
 	t.finish(sent)
 	t.decay(now)
+	t.observeSilence(now, sent, o)
 	t.observeFailure(now, o)
 	t.observeTime(o)
 }
 
+// observeSilence counts calls without any answer.
+func (t *Target) observeSilence(now, sent time.Time, o *Outcome) {
+	switch o.Fault {
+	case clementineport.FaultCanceled, clementineport.FaultTimeout:
+		if o.OK || o.Failed {
+			break
+		}
+		if t.unanswered == 0 || sent.Before(t.silent) {
+			t.silent = sent
+		}
+		t.unanswered++
+		if t.dark(now) {
+			t.probeWait = min(max(firstProbe, 2*t.probeWait), longestProbe)
+			t.probe = now.Add(t.probeWait)
+		}
+		return
+	case clementineport.FaultRefused, clementineport.FaultUnsent, clementineport.FaultDeadline:
+		return
+	}
+	t.unanswered, t.probeWait, t.probe = 0, 0, time.Time{}
+}
+
+// dark reports whether the target has answered nothing for a while.
+func (t *Target) dark(now time.Time) bool {
+	return t.unanswered >= darkCalls && now.Sub(t.silent) >= darkAfter
+}
+
 // finish removes a request from those on their way.
 func (t *Target) finish(sent time.Time) {
 	for i := range t.sends {
@@ -141,6 +183,9 @@
 	if t.misplaced || now.Before(t.blocked) {
 		return math.Inf(1)
 	}
+	if t.dark(now) && (now.Before(t.probe) || len(t.sends) > 0) {
+		return math.Inf(1)
+	}
 	if usual <= 0 {
 		usual = unknownUsual
 	}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -32,13 +33,14 @@
 // routeStats is what the requests of a route have shown.
 type routeStats struct {
 	latency *cplatency.Window
-	// patience is the longest time that a caller of the route has given, which is that of a first attempt.
-	patience time.Duration
+	// patience is the longest time in nanoseconds that a caller of the route has given, which is that of a first
+	// attempt.
+	patience atomic.Int64
 }
 
 // seen returns what plans are made by.
 func (s *routeStats) seen() cpplan.Seen {
-	return cpplan.Seen{High: s.latency.High(), Patience: s.patience}
+	return cpplan.Seen{High: s.latency.High(), Patience: time.Duration(s.patience.Load())}
 }
 
 // New returns a forwarder.
@@ -89,7 +91,7 @@
 		s = &routeStats{latency: cplatency.New()}
 		f.routes[name] = s
 	}
-	s.patience = max(s.patience, patience)
+	s.patience.Store(max(s.patience.Load(), int64(patience)))
 	return s
 }
 
