--- a/cpevent/cpevent.go
+++ b/cpevent/cpevent.go
@@ -19,6 +19,7 @@
 	StoreLost          Name = "StoreLost"
 	StoreRegained      Name = "StoreRegained"
 	RegistrationFailed Name = "RegistrationFailed"
+	Registered         Name = "Registered"
 	CatchUpFailed      Name = "CatchUpFailed"
 	PeerUnreached      Name = "PeerUnreached"
 	EntriesRejected    Name = "EntriesRejected"
@@ -68,7 +69,8 @@
 	{ServiceStopped, []string{"Detail"}, "a part of the process did not end in time"},
 	{StoreLost, []string{"Error", "AsOf"}, "the platform's store does not answer; what is known is as of that revision"},
 	{StoreRegained, []string{"AsOf"}, "the platform's store answers again"},
-	{RegistrationFailed, []string{"Error", "Registered"}, "this VM could not register or renew its registration"},
+	{RegistrationFailed, []string{"Error"}, "this VM could not register or renew its registration; it goes on trying"},
+	{Registered, nil, "this VM is registered in the store, or again"},
 	{CatchUpFailed, []string{FieldVM, "Error"}, "another VM could not be asked for news while the store is away"},
 	{PeerUnreached, []string{FieldVM, "Error"}, "another VM did not answer"},
 	{EntriesRejected, []string{"Faults", "Source"}, "entries of the store that cannot be read; they name no target"},
--- a/cpevent/cpevent_test.go
+++ b/cpevent/cpevent_test.go
@@ -25,9 +25,9 @@
 		if !strings.HasPrefix(line, "| ") {
 			break
 		}
-		cells := strings.Split(strings.Trim(line, "| "), " | ")
-		assert.Equal(t, len(cells), 3, line)
-		rows[cpevent.Name(cells[0])] = [2]string{cells[1], cells[2]}
+		cells := strings.Split(line, "|")
+		assert.Equal(t, len(cells), 5, line)
+		rows[cpevent.Name(strings.TrimSpace(cells[1]))] = [2]string{strings.TrimSpace(cells[2]), strings.TrimSpace(cells[3])}
 	}
 	return rows
 }
--- a/cpexplain/cpexplain.go
+++ b/cpexplain/cpexplain.go
@@ -179,3 +179,29 @@
 	slices.SortStableFunc(s.Before, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	slices.SortStableFunc(s.Calls, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
+
+// Crash is the end of a process without a line about it.
+type Crash struct {
+	VM string
+	// Last is the time of the last line before, and Started that of the next start.
+	Last    time.Time
+	Started time.Time
+}
+
+// Crashes returns the ends of processes that the logs show only by the next start. Requests under way at one have no
+// line.
+func Crashes(lines []Line) (crashes []Crash) {
+	last := map[string]*Line{}
+	for i := range lines {
+		l := &lines[i]
+		if l.Event == cpevent.LinesOmitted {
+			continue // the log itself ends with it
+		}
+		before := last[l.VM]
+		if l.Event == cpevent.Started && before != nil && before.Event != cpevent.Stopped {
+			crashes = append(crashes, Crash{VM: l.VM, Last: before.Time, Started: l.Time})
+		}
+		last[l.VM] = l
+	}
+	return crashes
+}
--- a/cpexplain/cpexplain_test.go
+++ b/cpexplain/cpexplain_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,7 +45,7 @@
 
 func TestAStoryIsToldInPlainWords(t *testing.T) {
 	var b strings.Builder
-	assert.NilError(t, cpexplain.Tell(&b, "r1", cpexplain.Explain(read(t), "r1")))
+	assert.NilError(t, cpexplain.Tell(&b, "r1", cpexplain.Explain(read(t), "r1"), nil))
 	for _, want := range []string{
 		"vm-1 at 01:02:27.000: request r1 failed.",
 		"It took 485ms of the 500ms that the caller gave; status 504",
@@ -65,6 +66,11 @@
 
 func TestARequestThatNoLineNames(t *testing.T) {
 	var b strings.Builder
-	assert.NilError(t, cpexplain.Tell(&b, "r9", cpexplain.Explain(read(t), "r9")))
+	lines := read(t)
+	again := lines[0]
+	again.Time = again.Time.Add(time.Minute)
+	lines = append(lines, again)
+	assert.NilError(t, cpexplain.Tell(&b, "r9", cpexplain.Explain(lines, "r9"), cpexplain.Crashes(lines)))
 	assert.Assert(t, strings.Contains(b.String(), "No line names request r9"))
+	assert.Assert(t, strings.Contains(b.String(), "vm-1: last line at 01:02:29.000, started again at 01:03:20.000"), b.String())
 }
--- a/cpexplain/tell.go
+++ b/cpexplain/tell.go
@@ -12,10 +12,11 @@
 const mostBefore = 12
 
 // Tell writes the stories of a request in plain words.
-func Tell(w io.Writer, id string, stories []Story) error {
+func Tell(w io.Writer, id string, stories []Story, crashes []Crash) error {
 	var b strings.Builder
 	if len(stories) == 0 {
 		fmt.Fprintf(&b, "No line names request %s. Plain requests are logged only in part, and lines may have been left out.\n", id)
+		tellCrashes(&b, crashes)
 	}
 	for i := range stories {
 		stories[i].tell(&b, id)
@@ -24,6 +25,21 @@
 	return err
 }
 
+// tellCrashes writes where a request without a line may have been lost.
+func tellCrashes(b *strings.Builder, crashes []Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	b.WriteString("Requests that were under way when a process was killed or lost power have no line. That happened here:\n")
+	for i := range crashes {
+		c := &crashes[i]
+		fmt.Fprintf(b, "  %s: last line at %s, started again at %s\n", c.VM, c.Last.Format(clock), c.Started.Format(clock))
+	}
+}
+
+// clock is how times are written.
+const clock = "15:04:05.000"
+
 // tell writes one story.
 func (s *Story) tell(b *strings.Builder, id string) {
 	if s.End == nil {
@@ -42,7 +58,7 @@
 	}
 }
 
-func stamp(l *Line) string { return l.Time.Format("15:04:05.000") }
+func stamp(l *Line) string { return l.Time.Format(clock) }
 
 // tellEnd writes what the caller got and what the VM believed.
 func (s *Story) tellEnd(b *strings.Builder, id string) {
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -83,7 +83,7 @@
 	if f.options.Registrar == nil {
 		return
 	}
-	registered := false
+	registered, failing := false, false
 	delays := newBackoff()
 	for ctx.Err() == nil {
 		if f.View().Router == nil {
@@ -92,13 +92,19 @@
 		}
 		err := f.registration(ctx, registered)
 		if err == nil {
-			registered = true
+			if !registered || failing {
+				f.options.Log.Info(string(cpevent.Registered))
+			}
+			registered, failing = true, false
 			delays.Reset()
 			f.pause(ctx, f.options.RenewPeriod)
 			continue
 		}
+		if !failing {
+			f.options.Log.Warn(string(cpevent.RegistrationFailed), cplog.Cause("Error", err))
+		}
+		failing = true
 		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
-		f.options.Log.Warn(string(cpevent.RegistrationFailed), cplog.Cause("Error", err), zap.Bool("Registered", registered))
 		f.pause(ctx, delays.NextBackOff())
 	}
 }
