Replace idle connections to a target when kept ones go silent

Cause: a state between the two ends that is lost for one connection is lost for all old ones, while new ones work. Each silent connection of a VM cost a call of its own until the deadline or a hedge found it, and the target could count as dark although it answers on new connections (TestConnectionsThatGoSilentAreReplaced: four of four calls failed before, two after).

--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -72,6 +72,7 @@
 		keep = 0
 	}
 	c.pool.put(conn, keep)
+	c.pool.observe(conn, err)
 	if err != nil && ctx.Err() != nil {
 		return nil, canceled(ctx, conn)
 	}
--- a/cptarget/cpopaque/cpopaque_test.go
+++ b/cptarget/cpopaque/cpopaque_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -394,3 +395,51 @@
 	_, err := client(address).Do(context.Background(), f)
 	assert.Equal(t, clementineport.VerdictOf(err), clementineport.NotRun)
 }
+
+func TestConnectionsThatGoSilentAreReplaced(t *testing.T) {
+	silent := make(chan struct{})
+	var together sync.WaitGroup
+	together.Add(4)
+	address, accepted := target(t, func(c *connection) {
+		for first := true; ; first = false {
+			r, _, err := c.read()
+			if err != nil {
+				return
+			}
+			select {
+			case <-silent:
+				if c.number <= 4 {
+					<-make(chan struct{}) // nothing passes on old connections any more
+				}
+			default:
+			}
+			if first && c.number <= 4 {
+				together.Done()
+				together.Wait()
+			}
+			c.answer(r.Header.Get("X-Request"), "x")
+		}
+	})
+	c := client(address)
+	results := make(chan error, 4)
+	for i := range 4 {
+		go func() {
+			_, err := c.Do(context.Background(), request(fmt.Sprint(i)))
+			results <- err
+		}()
+	}
+	for range 4 {
+		assert.NilError(t, <-results)
+	}
+	assert.Equal(t, accepted.Load(), int64(4))
+	close(silent)
+	failed := 0
+	for i := range 4 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if _, err := c.Do(ctx, request(fmt.Sprint("again-", i))); err != nil {
+			failed++
+		}
+		cancel()
+	}
+	assert.Equal(t, failed, 2)
+}
--- a/cptarget/cpopaque/pool.go
+++ b/cptarget/cpopaque/pool.go
@@ -30,6 +30,31 @@
 	opened uint64
 	idle   []*conn
 	closed bool
+	// silent counts the exchanges in a row that brought no byte on a kept connection.
+	silent int
+}
+
+// silentExchanges is the number of such exchanges after which the idle connections are not trusted any more: whatever
+// lost track of one has probably lost track of all, while new ones work.
+const silentExchanges = 2
+
+// observe closes the idle connections when kept ones have gone silent.
+func (p *pool) observe(c *conn, err error) {
+	p.mu.Lock()
+	switch {
+	case c.received.Load() > 0 || err == nil:
+		p.silent = 0
+	case c.kept:
+		p.silent++
+	}
+	var idle []*conn
+	if p.silent >= silentExchanges {
+		idle, p.idle, p.silent = p.idle, nil, 0
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
 }
 
 func newPool(options *Options) *pool { return &pool{options: options, limit: options.Connections} }
@@ -46,6 +71,7 @@
 		}
 		if c.sound(p.options.Clock.Now()) {
 			c.restart()
+			c.kept = true
 			return c, nil
 		}
 		p.discard(c)
@@ -148,6 +174,8 @@
 	raw     net.Conn
 	reader  *bufio.Reader
 	expires time.Time
+	// kept is true from the second exchange on.
+	kept bool
 	// offered and received count the bytes of the current exchange.
 	offered  atomic.Int64
 	received atomic.Int64
