--- a/cpcli/cpcli.go
+++ b/cpcli/cpcli.go
@@ -9,14 +9,14 @@
 
 	"github.com/clementineport/clementineport/cpcommand"
 	"github.com/clementineport/clementineport/cpsubmit"
-	"github.com/clementineport/clementineport/platform/cpplatform"
+	"github.com/clementineport/clementineport/cpvm"
 )
 
 // Run executes the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	return cpcommand.Run("clementineport", []*ffcli.Command{
 		newEntryCommand(stdout, stderr),
-		cpplatform.NewCommand(stdout, stderr),
+		cpvm.NewCommand(stdout, stderr),
 		newStatusCommand(stdout, stderr),
 		newExplainCommand(stdout, stderr),
 		newLoadCommand(stdout, stderr),
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -95,7 +95,7 @@
 	shards  []shard
 	covered int
 	failed  int
-	stats   clementineport.ForwardStats
+	stats   Stats
 	began   time.Time
 	ended   bool
 	sends   []Send
@@ -227,7 +227,7 @@
 	// Fault and Verdict are set without Parts.
 	Fault   clementineport.Fault
 	Verdict clementineport.Verdict
-	Stats   clementineport.ForwardStats
+	Stats   Stats
 }
 
 // parts returns the parts that are in.
@@ -256,13 +256,13 @@
 }
 
 // leftOut returns the shards without a part, and why.
-func (f *Fan) leftOut() (all []clementineport.LeftOut) {
+func (f *Fan) leftOut() (all []LeftOut) {
 	for i := range f.shards {
 		s := &f.shards[i]
 		if s.state == covered {
 			continue
 		}
-		l := clementineport.LeftOut{
+		l := LeftOut{
 			Service: f.plan.Shards[i], Sends: len(s.attempts), Waiting: s.outstanding(), Fault: s.fault,
 		}
 		for j := range s.attempts {
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -57,7 +57,7 @@
 }
 
 // Forward runs a request on a route and returns its answer. It returns at once when ctx ends.
-func (f *Forwarder) Forward(ctx context.Context, route *clementineport.Route, r *clementineport.Forward) *clementineport.Forwarded {
+func (f *Forwarder) Forward(ctx context.Context, route *clementineport.Route, r *clementineport.Forward) *Forwarded {
 	view := f.options.View()
 	shards := route.Shards
 	if !route.Gathers() {
@@ -70,7 +70,7 @@
 	}
 	done, refusal := f.admit(ctx, run, shards)
 	if refusal != nil {
-		return &clementineport.Forwarded{Err: refusal}
+		return &Forwarded{Err: refusal}
 	}
 	for _, s := range shards {
 		f.budgets.Earn(s, view.VMs)
@@ -138,7 +138,7 @@
 }
 
 // run runs the request until its answer is closed or its caller has gone.
-func (r *run) run(ctx context.Context) *clementineport.Forwarded {
+func (r *run) run(ctx context.Context) *Forwarded {
 	timer := time.NewTimer(time.Until(r.request.Deadline))
 	defer timer.Stop()
 	r.send(r.fan.Start(r.now()))
@@ -161,8 +161,8 @@
 }
 
 // gone returns the answer to a caller that has left.
-func (r *run) gone(ctx context.Context) *clementineport.Forwarded {
-	return &clementineport.Forwarded{Err: &clementineport.Error{
+func (r *run) gone(ctx context.Context) *Forwarded {
+	return &Forwarded{Err: &clementineport.Error{
 		Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx),
 	}}
 }
@@ -178,9 +178,9 @@
 }
 
 // answer returns the final answer.
-func (r *run) answer() *clementineport.Forwarded {
+func (r *run) answer() *Forwarded {
 	o := r.fan.Outcome(r.now())
-	answer := &clementineport.Forwarded{Stats: o.Stats}
+	answer := &Forwarded{Stats: o.Stats}
 	switch {
 	case len(o.Parts) > 0 && r.route.Gathers():
 		answer.Gathered = gather(o.Parts, o.Missing, r.route.TopRecords)
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -176,7 +176,7 @@
 	}
 	route := singleRoute(true)
 	route.Objective = 100 * time.Millisecond
-	done := make(chan *clementineport.Forwarded, 1)
+	done := make(chan *cpforward.Forwarded, 1)
 	go func() { done <- f.forwarder().Forward(context.Background(), route, request(300*time.Millisecond, 0)) }()
 	for f.ports["a"][0].count()+f.ports["a"][1].count() == 0 {
 		time.Sleep(time.Millisecond)
@@ -198,7 +198,7 @@
 		}
 	}
 	ctx, leave := context.WithCancel(context.Background())
-	done := make(chan *clementineport.Forwarded, 1)
+	done := make(chan *cpforward.Forwarded, 1)
 	go func() { done <- f.forwarder().Forward(ctx, singleRoute(false), request(10*time.Second, 0)) }()
 	for f.ports["a"][0].count()+f.ports["a"][1].count() == 0 {
 		time.Sleep(time.Millisecond)
--- a/cpforward/gather.go
+++ b/cpforward/gather.go
@@ -6,8 +6,8 @@
 )
 
 // gather makes the answer of the parts of many shards.
-func gather(parts []*clementineport.Part, missing, top int) *clementineport.Gathered {
-	g := &clementineport.Gathered{Missing: missing, Signatures: make([]string, len(parts))}
+func gather(parts []*clementineport.Part, missing, top int) *Gathered {
+	g := &Gathered{Missing: missing, Signatures: make([]string, len(parts))}
 	bodies := make([][]byte, len(parts))
 	for i, p := range parts {
 		g.Signatures[i] = p.Signature
--- a/cpmodel/cpmodel.go
+++ b/cpmodel/cpmodel.go
@@ -46,7 +46,7 @@
 	From time.Duration
 	To   time.Duration
 	// Hits reports whether it concerns a copy of a shard; nil concerns none.
-	Hits func(shard, copy int) bool
+	Hits func(shard, n int) bool
 	// Slow multiplies the work of targets.
 	Slow float64
 	// Dark targets answer nothing.
--- a/cpmodel/target.go
+++ b/cpmodel/target.go
@@ -28,15 +28,15 @@
 
 // target is one modelled target.
 type target struct {
-	m           *Model
-	shard, copy int
-	phase       time.Duration
-	busy        int
-	waiting     []*call
+	m             *Model
+	shard, number int
+	phase         time.Duration
+	busy          int
+	waiting       []*call
 }
 
 func newTarget(m *Model, shard, n int) *target {
-	t := &target{m: m, shard: shard, copy: n}
+	t := &target{m: m, shard: shard, number: n}
 	if every := m.cfg.Targets.PauseEvery; every > 0 {
 		t.phase = time.Duration(m.random.Int64N(int64(every)))
 	}
@@ -66,7 +66,7 @@
 // troubled calls f with the troubles of this target at this moment.
 func (t *target) troubled(f func(*Trouble)) {
 	t.m.troubles(func(tr *Trouble) {
-		if tr.Hits != nil && tr.Hits(t.shard, t.copy) {
+		if tr.Hits != nil && tr.Hits(t.shard, t.number) {
 			f(tr)
 		}
 	})
@@ -101,11 +101,11 @@
 			at = at.Add(pause - into)
 			into = pause
 		}
-		if left := every - into; work <= left {
+		left := every - into
+		if work <= left {
 			return at.Add(work)
-		} else {
-			at, work = at.Add(left), work-left
 		}
+		at, work = at.Add(left), work-left
 	}
 }
 
--- a/platform/cpfront/server.go
+++ b/cpserver/limited.go
@@ -1,4 +1,4 @@
-package cpfront
+package cpserver
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"github.com/clementineport/clementineport"
 )
 
-// Server serves callers on one listener with the limits in force. When the limits change, new connections get an
+// Limited serves callers on one listener with the limits in force. When the limits change, new connections get an
 // HTTP server with the new ones, and open connections keep theirs.
-type Server struct {
+type Limited struct {
 	handler http.Handler
 	limits  func() clementineport.CallerLimits
 	grace   time.Duration
@@ -24,9 +24,9 @@
 	wg      sync.WaitGroup
 }
 
-// NewServer returns a server of a handler; requests in progress may take grace at the end.
-func NewServer(handler http.Handler, limits func() clementineport.CallerLimits, grace time.Duration) *Server {
-	return &Server{handler: handler, limits: limits, grace: grace}
+// NewLimited returns a server of a handler; requests in progress may take grace at the end.
+func NewLimited(handler http.Handler, limits func() clementineport.CallerLimits, grace time.Duration) *Limited {
+	return &Limited{handler: handler, limits: limits, grace: grace}
 }
 
 // generation is an HTTP server with one set of limits, and the listener that it takes connections from.
@@ -37,7 +37,7 @@
 }
 
 // Serve accepts connections until ctx ends, and then waits for the requests in progress.
-func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+func (s *Limited) Serve(ctx context.Context, ln net.Listener) error {
 	// Closing the listener ends Accept; an error of the close changes nothing.
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
@@ -55,7 +55,7 @@
 }
 
 // generation returns the HTTP server for the limits in force.
-func (s *Server) generation(addr net.Addr) *generation {
+func (s *Limited) generation(addr net.Addr) *generation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limits := s.limits()
@@ -77,7 +77,7 @@
 }
 
 // shutDown ends all generations after their requests in progress.
-func (s *Server) shutDown() {
+func (s *Limited) shutDown() {
 	ctx, cancel := context.WithTimeout(context.Background(), s.grace)
 	defer cancel()
 	s.mu.Lock()
--- a/cpstandin/cpstandin.go
+++ b/cpstandin/cpstandin.go
@@ -8,7 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/clementineport/clementineport/cpcommand"
-	"github.com/clementineport/clementineport/platform/cpfake"
+	"github.com/clementineport/clementineport/platform/cpfakesite"
 )
 
 // Run executes the command line and returns the exit code.
@@ -16,7 +16,7 @@
 	return cpcommand.Run("clementineport-standin", []*ffcli.Command{
 		newStoreCommand(stdout, stderr),
 		newTargetCommand(stdout, stderr),
-		cpfake.NewSiteCommand(stdout, stderr),
-		cpfake.NewCallersCommand(stdout, stderr),
+		cpfakesite.NewSiteCommand(stdout, stderr),
+		cpfakesite.NewCallersCommand(stdout, stderr),
 	}, args, stderr)
 }
--- a/cptarget/cpopaque/cpopaque_test.go
+++ b/cptarget/cpopaque/cpopaque_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -119,6 +120,9 @@
 		assert.Equal(t, part.Signature, fmt.Sprintf("s-id-%d", i))
 	}
 	assert.Equal(t, accepted.Load(), int64(1))
+	left, err := strconv.Atoi(seen.Header.Get("X-Left"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 5000, "%d ms are left of 5 s", left)
 	assert.Equal(t, seen.RequestURI, "/a%2Fb/?q=1")
 	assert.Equal(t, seen.Host, "search.example")
 	assert.Equal(t, seen.Header.Get("X-Extra"), "kept")
--- a/platform/cpplatform/cpplatform.go
+++ b/cpvm/cpvm.go
@@ -1,6 +1,6 @@
-// Package cpplatform assembles the process of one entry VM on the users' platform: it connects the product's parts
+// Package cpvm assembles the process of one entry VM on the users' platform: it connects the product's parts
 // with the adapters and runs them under one supervisor. It holds no decision of its own.
-package cpplatform
+package cpvm
 
 import (
 	"context"
--- a/platform/cpplatform/observe.go
+++ b/cpvm/observe.go
@@ -1,4 +1,4 @@
-package cpplatform
+package cpvm
 
 import (
 	"strconv"
@@ -10,6 +10,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpevent"
+	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/platform/cpfront"
 )
@@ -59,7 +60,7 @@
 }
 
 // leftOut writes the shards without a part.
-type leftOut []clementineport.LeftOut
+type leftOut []cpfan.LeftOut
 
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (all leftOut) MarshalLogArray(enc zapcore.ArrayEncoder) error {
@@ -72,7 +73,7 @@
 }
 
 // leftOutShard writes one shard without a part.
-type leftOutShard clementineport.LeftOut
+type leftOutShard cpfan.LeftOut
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (l *leftOutShard) MarshalLogObject(enc zapcore.ObjectEncoder) error {
--- a/platform/cpplatform/reload.go
+++ b/cpvm/reload.go
@@ -1,4 +1,4 @@
-package cpplatform
+package cpvm
 
 import (
 	"context"
--- a/platform/cpplatform/services.go
+++ b/cpvm/services.go
@@ -1,4 +1,4 @@
-package cpplatform
+package cpvm
 
 import (
 	"context"
@@ -48,12 +48,12 @@
 
 // callers is the listener of callers as a supervised service.
 type callers struct {
-	*cpfront.Server
+	*cpserver.Limited
 	listener net.Listener
 }
 
 // Serve implements suture.Service.
-func (c *callers) Serve(ctx context.Context) error { return c.Server.Serve(ctx, c.listener) }
+func (c *callers) Serve(ctx context.Context) error { return c.Limited.Serve(ctx, c.listener) }
 
 // services opens all listeners.
 func (p *Process) services() ([]suture.Service, error) {
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return append(services, &callers{cpfront.NewServer(p.front, p.limits, closeTime), listener}), nil
+	return append(services, &callers{cpserver.NewLimited(p.front, p.limits, closeTime), listener}), nil
 }
 
 // httpServer returns a server of short requests.
