Let budgets of many VMs grant what requests have earned, and take the times of the feed from settings

Change: what a call must leave is a share of what the budget holds beyond that call, and a budget holds at least one. The times between calls to the store follow from the time in which a configuration must be in force.

--- a/cpbudget/cpbudget.go
+++ b/cpbudget/cpbudget.go
@@ -87,10 +87,10 @@
 // Level returns the number of extra calls that the budget holds.
 func (b *Bucket) Level() float64 { return float64(b.level.Load()) / microsPerCall }
 
-// SpendAbove takes one extra call from the budget if a share of the burst would still be left for more important
-// calls, or reports that there is none.
+// SpendAbove takes one extra call from the budget if a share of what it can hold beyond that call would still be left
+// for more important ones, or reports that there is none. A full budget always grants one.
 func (b *Bucket) SpendAbove(reserve float64) bool {
-	if b.level.Load()-microsPerCall < int64(reserve*float64(b.burst)) {
+	if b.level.Load()-microsPerCall < int64(reserve*float64(b.burst-microsPerCall)) {
 		return false
 	}
 	return b.Spend()
--- a/cpbudget/cpbudget_test.go
+++ b/cpbudget/cpbudget_test.go
@@ -49,6 +49,20 @@
 	return steps
 }
 
+func TestAFullBudgetGrantsACallOfLittleValue(t *testing.T) {
+	for _, burst := range []int{1, 2, 7, 50} {
+		b := cpbudget.New(cpbudget.WithShare(0.5), cpbudget.WithBurst(burst), cpbudget.WithStart(burst))
+		assert.Assert(t, b.SpendAbove(0.6), "burst %d", burst)
+	}
+	b := cpbudget.New(cpbudget.WithShare(0.5), cpbudget.WithBurst(10), cpbudget.WithStart(10))
+	granted := 0
+	for b.SpendAbove(0.6) {
+		granted++
+	}
+	assert.Equal(t, granted, 4)
+	assert.Assert(t, b.SpendAbove(0))
+}
+
 func TestExtraCallsStayWithinTheShareOfAnyWindow(t *testing.T) {
 	broken := false
 	rapid.Check(t, func(t *rapid.T) {
--- a/cpfollow/cpfollow_test.go
+++ b/cpfollow/cpfollow_test.go
@@ -133,7 +133,7 @@
 			VM: clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)}, Start: clementineport.StartID(id),
 		}),
 		cpfollow.WithNewPort(func(clementineport.Discovered, int) clementineport.OpaqueTarget { return &port{} }),
-		cpfollow.WithFeedPeriod(10 * time.Millisecond),
+		cpfollow.WithFeedTimes(10*time.Millisecond, 50*time.Millisecond),
 		cpfollow.WithCatchUp(50*time.Millisecond, 20*time.Millisecond),
 	}, opts...)...)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -136,8 +136,10 @@
 	return func(o *Options) { o.OnRoutes = f }
 }
 
-// WithFeedPeriod sets the time between two answers of the store.
-func WithFeedPeriod(d time.Duration) Option { return func(o *Options) { o.FeedPeriod = d } }
+// WithFeedTimes sets the least time between two calls to the store, and how long a watch may wait.
+func WithFeedTimes(period, wait time.Duration) Option {
+	return func(o *Options) { o.FeedPeriod, o.FeedWait = period, wait }
+}
 
 // WithCatchUp sets the age of the view from which other VMs are asked for news, and how often.
 func WithCatchUp(after, period time.Duration) Option {
--- a/cpquota/cpquota.go
+++ b/cpquota/cpquota.go
@@ -57,9 +57,11 @@
 // counted in one window here and in the next one at the target.
 const RetryShare = 0.9
 
-// RetryBurst returns how many extra requests one of n VMs may save up for a service, of a number for all VMs.
+// RetryBurst returns how many extra requests one of n VMs may save up for a service, of a number for all VMs. It is at
+// least one, since a budget that can hold none never grants what requests have earned; beyond that number of VMs the
+// rest of the ratio has to cover the difference.
 func RetryBurst(slack float64, n int) int {
-	return int(math.Floor(slack * RetryShare / float64(n+spareVMs)))
+	return max(1, int(math.Floor(slack*RetryShare/float64(n+spareVMs))))
 }
 
 // coldShare is the part of what a cold target bears that its owner sends; two VMs may both believe that they own it.
--- a/cpvm/cpvm.go
+++ b/cpvm/cpvm.go
@@ -81,6 +81,21 @@
 // leaseFactor is the number of renewals that fit into a registration's lease.
 const leaseFactor = 3
 
+// Shares of the time in which a new configuration must be in force.
+const (
+	// feedPeriodShare spaces the calls to the store while much changes.
+	feedPeriodShare = 0.3
+	// feedWaitShare bounds a watch that brings nothing, so that a connection that went silent is known in time.
+	feedWaitShare = 0.4
+	// catchUpShare is the age from which other VMs are asked: more than a period and a wait need in quiet times.
+	catchUpShare = 0.67
+	// currentShare is the age up to which the routes are taken to be the newest.
+	currentShare = 0.67
+)
+
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
 // unprovenBeats is the number of registrations within which a target that turned cold says so: the first one may have
 // been on its way already.
 const unprovenBeats = 2
@@ -88,6 +103,7 @@
 // connect builds the parts from the inside out.
 func (p *Process) connect(s *cpconf.Settings) {
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
+	apply := s.Bounds.ConfigApply
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.LeastLease, leaseFactor*cpfollow.DefaultRenewPeriod))
 	p.follower = cpfollow.New(
 		cpfollow.WithSelf(p.self),
@@ -99,8 +115,13 @@
 		cpfollow.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
 		cpfollow.WithLog(p.log.Logger),
 		cpfollow.WithSeed(rand.Uint64()),
-		cpfollow.WithCatalog(cpcatalog.WithUnprovenTime(unprovenBeats*s.Heartbeat+cpfollow.DefaultFeedPeriod)),
-		cpfollow.WithStale(s.Bounds.ConfigApply+s.Bounds.ConfigOutage, s.Bounds.Contact),
+		cpfollow.WithFeedTimes(share(apply, feedPeriodShare), share(apply, feedWaitShare)),
+		cpfollow.WithCatchUp(share(apply, catchUpShare), cpfollow.DefaultCatchUpPeriod),
+		cpfollow.WithCatalog(
+			cpcatalog.WithUnprovenTime(unprovenBeats*s.Heartbeat+share(apply, feedPeriodShare)),
+			cpcatalog.WithAwayAfter(share(apply, catchUpShare)),
+		),
+		cpfollow.WithStale(apply+s.Bounds.ConfigOutage, s.Bounds.Contact),
 	)
 	p.forwarder = cpforward.New(
 		cpforward.WithView(p.follower.View),
@@ -114,6 +135,7 @@
 		cpfront.WithAdmit(p.admit),
 		cpfront.WithForward(p.forwarder.Forward),
 		cpfront.WithAnswered(p.answered),
+		cpfront.WithCurrentAge(share(apply, currentShare)),
 	)
 }
 
