--- a/cpchoice/options.go
+++ b/cpchoice/options.go
@@ -5,7 +5,7 @@
 	// DefaultSharpness gives a target that takes twice as long one request in 17.
 	DefaultSharpness = 4
 	// DefaultFarCost outweighs small differences in load by the bytes sent between failure domains.
-	DefaultFarCost = 0.7
+	DefaultFarCost = 1.2
 )
 
 // Options are the settings of a Chooser.
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -18,6 +18,8 @@
 const (
 	firstRetry   = 150 * time.Millisecond
 	longestRetry = 1500 * time.Millisecond
+	// longestFirstRetry bounds it for a VM that has no routes yet and can serve nothing without them.
+	longestFirstRetry = 500 * time.Millisecond
 )
 
 // newBackoff returns the delays between failed calls to the store.
@@ -41,7 +43,7 @@
 				f.options.Log.Warn(string(cpevent.StoreLost), cplog.Cause("Error", err), zap.Uint64("AsOf", uint64(asOf)))
 			}
 			reached = false
-			f.pause(ctx, delays.NextBackOff())
+			f.pause(ctx, f.retryDelay(delays))
 			continue
 		}
 		if !reached {
@@ -59,6 +61,15 @@
 	}
 }
 
+// retryDelay returns the time until the store is called again.
+func (f *Follower) retryDelay(delays *backoff.ExponentialBackOff) time.Duration {
+	d := delays.NextBackOff()
+	if f.View().Router == nil {
+		return min(d, longestFirstRetry)
+	}
+	return d
+}
+
 // ask reads everything, or what has changed.
 func (f *Follower) ask(ctx context.Context, loaded bool, asOf clementineport.Revision) (*clementineport.FleetNews, error) {
 	if !loaded {
