--- a/cpnode/servers.go
+++ b/cpnode/servers.go
@@ -29,24 +29,6 @@
 	acceptedTimeout = 2 * time.Second
 )
 
-// server is one listener as a supervised service.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-// Serve implements suture.Service. It returns when the requests that are still being read or answered have ended.
-func (s *server) Serve(ctx context.Context) error {
-	if err := cpserver.Serve(ctx, s.http, s.listener, closeTimeout); err != nil {
-		return Error.New("%s listener: %v", s.name, err)
-	}
-	return ctx.Err()
-}
-
-// String names the service in the supervisor's events.
-func (s *server) String() string { return s.name }
-
 // listen opens the listeners of callers, peers and operators.
 func (n *Node) listen() ([]suture.Service, error) {
 	var services []suture.Service
@@ -64,7 +46,7 @@
 			return nil, Error.Wrap(err)
 		}
 		listener = netutil.LimitListener(listener, n.settings.Limits.Connections)
-		services = append(services, &server{l.name, listener, n.httpServer(l.name, l.handler)})
+		services = append(services, cpserver.NewService(l.name, listener, n.httpServer(l.name, l.handler), closeTimeout))
 	}
 	return services, nil
 }
--- a/cpvm/services.go
+++ b/cpvm/services.go
@@ -28,24 +28,6 @@
 	adviceLife = 2 * time.Second
 )
 
-// server is one listener as a supervised service.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-// Serve implements suture.Service.
-func (s *server) Serve(ctx context.Context) error {
-	if err := cpserver.Serve(ctx, s.http, s.listener, closeTime); err != nil {
-		return Error.New("%s listener: %v", s.name, err)
-	}
-	return ctx.Err()
-}
-
-// String names the service in the supervisor's events.
-func (s *server) String() string { return s.name }
-
 // callers is the listener of callers as a supervised service.
 type callers struct {
 	*cpserver.Limited
@@ -76,7 +58,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		services = append(services, &server{l.name, listener, httpServer(l.handler, l.peers)})
+		services = append(services, cpserver.NewService(l.name, listener, httpServer(l.handler, l.peers), closeTime))
 	}
 	listener, err := net.Listen("tcp", s.Caller)
 	if err != nil {
