Do not bring targets that are gone back by another VM's news, nor take a quiet store for a lost one

Two faults together. In quiet times 2.1 s lie between two confirmations (a period of 0.9 s and a wait of 1.2 s), and a gap of 2.0 s counted as a store that had been away: registrations that ended were kept for 2.3 s (some VMs show 127 targets and others 121 after the same revision), and other VMs were asked for news. Their news named the targets that they kept, and the same revision was taken again, so that a target on its way out came back for good.

Change: the same revision tells nothing new; news for other VMs leaves out what is gone; a view counts as lost only after 1.3 times a period and a wait. TestATargetThatIsGoneIsNotBroughtBackByAnotherVM and TestAQuietStoreIsNotALostOne failed before.

--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -78,6 +78,9 @@
 		return false
 	}
 	c.confirm(asked.Add(-news.Age))
+	if news.AsOf == c.asOf {
+		return false // the same revision tells nothing new, and must not bring back what is on its way out
+	}
 	c.asOf = news.AsOf
 	if news.Routes != nil && (c.routes == nil || news.Routes.Version > c.routes.Version) {
 		c.routes = news.Routes
@@ -228,13 +231,17 @@
 	return changed
 }
 
-// News returns everything, for another VM that cannot reach the store.
+// News returns everything, for another VM that cannot reach the store. Targets whose registrations are gone are left
+// out.
 func (c *Catalog) News(now time.Time) *clementineport.FleetNews {
 	news := &clementineport.FleetNews{AsOf: c.asOf, Whole: true, Age: now.Sub(c.confirmed), Routes: c.routes}
 	for d := range c.out {
 		news.Domains = append(news.Domains, clementineport.DomainOut{Domain: d, Out: true})
 	}
 	for _, t := range c.targets {
+		if !t.lapses.IsZero() {
+			continue
+		}
 		d := t.Discovered
 		d.ColdLeft = max(0, t.WarmAt().Sub(now))
 		news.Targets = append(news.Targets, d)
--- a/cpcatalog/cpcatalog_test.go
+++ b/cpcatalog/cpcatalog_test.go
@@ -130,3 +130,19 @@
 	assert.Equal(t, len(other.VMs()), 1)
 	assert.Equal(t, other.Routes().Version, clementineport.Revision(3))
 }
+
+func TestATargetThatIsGoneIsNotBroughtBackByAnotherVM(t *testing.T) {
+	lapsed := func() *cpcatalog.Catalog {
+		c := cpcatalog.New()
+		apply(c, 0, clementineport.FleetNews{AsOf: 1, Targets: []clementineport.Discovered{target("x", 1)}})
+		apply(c, 6000, clementineport.FleetNews{AsOf: 2, Gone: []clementineport.TargetID{"x"}})
+		assert.Assert(t, has(c, "x"), "it may have lapsed only because the store was away")
+		return c
+	}
+	one, other := lapsed(), lapsed()
+	assert.Equal(t, len(other.News(at(6500)).Targets), 0)
+	// A VM of an earlier version, or one that has not heard yet, may still name it.
+	one.Apply(at(6500), at(6500), &clementineport.FleetNews{AsOf: 2, Whole: true, Targets: []clementineport.Discovered{target("x", 1)}})
+	one.Tick(at(8400))
+	assert.Assert(t, !has(one, "x"))
+}
--- a/cpcatalog/options.go
+++ b/cpcatalog/options.go
@@ -4,9 +4,9 @@
 
 // Defaults of Options.
 const (
-	// DefaultAwayAfter is longer than the usual time between two confirmations and shorter than the life of a
-	// registration.
-	DefaultAwayAfter = 2 * time.Second
+	// DefaultAwayAfter is longer than the time between two confirmations in quiet times and shorter than the life of
+	// a registration.
+	DefaultAwayAfter = 2700 * time.Millisecond
 	// DefaultLapseGrace is how soon live targets have registered again after the store is back, by the platform's
 	// promise of about two seconds, and a little more.
 	DefaultLapseGrace = 2300 * time.Millisecond
--- a/cpfollow/cpfollow.go
+++ b/cpfollow/cpfollow.go
@@ -56,7 +56,7 @@
 	f := &Follower{
 		options: options,
 		events:  make(chan event, eventBacklog),
-		catalog: cpcatalog.New(options.Catalog...),
+		catalog: cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithAwayAfter(options.LostAfter())}, options.Catalog...)...),
 		member:  cpmember.New(options.Self, append([]cpmember.Option{cpmember.WithSeed(options.Seed)}, options.Member...)...),
 		peers:   cpdial.New(options.Dial),
 		states:  map[clementineport.TargetID]*ViewTarget{},
--- a/cpfollow/cpfollow_test.go
+++ b/cpfollow/cpfollow_test.go
@@ -134,7 +134,7 @@
 		}),
 		cpfollow.WithNewPort(func(clementineport.Discovered, int) clementineport.OpaqueTarget { return &port{} }),
 		cpfollow.WithFeedTimes(10*time.Millisecond, 50*time.Millisecond),
-		cpfollow.WithCatchUp(50*time.Millisecond, 20*time.Millisecond),
+		cpfollow.WithCatchUpPeriod(20 * time.Millisecond),
 	}, opts...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -235,3 +235,13 @@
 	await(t, "what it knows is old", func() bool { return withPeer.Age() > 400*time.Millisecond })
 	assert.Assert(t, !withPeer.Isolated())
 }
+
+func TestAQuietStoreIsNotALostOne(t *testing.T) {
+	for _, times := range [][2]time.Duration{
+		{cpfollow.DefaultFeedPeriod, cpfollow.DefaultFeedWait}, {1500 * time.Millisecond, 2 * time.Second},
+	} {
+		o := cpfollow.NewOptions(cpfollow.WithFeedTimes(times[0], times[1]))
+		const slowAnswer = 400 * time.Millisecond
+		assert.Assert(t, o.LostAfter() > times[0]+times[1]+slowAnswer)
+	}
+}
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -130,7 +130,7 @@
 
 // catchUp asks another VM for its news while the store does not answer this one.
 func (f *Follower) catchUp(ctx context.Context, now time.Time) {
-	if f.catching || now.Before(f.nextCatch) || f.Age() < f.options.CatchUpAfter {
+	if f.catching || now.Before(f.nextCatch) || f.Age() < f.options.LostAfter() {
 		return
 	}
 	vm, ok := f.anyPeer()
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -21,8 +21,9 @@
 	DefaultFeedWait = 1200 * time.Millisecond
 	// DefaultRenewPeriod is a third of the shortest useful lease.
 	DefaultRenewPeriod = time.Second
-	// DefaultCatchUpAfter is longer than the usual time between two confirmations.
-	DefaultCatchUpAfter = 2000 * time.Millisecond
+	// quietFactor times a period and a wait of the feed is longer than what lies between two confirmations in quiet
+	// times, also while the store answers slowly. A view that is older has lost the store.
+	quietFactor = 1.3
 	// DefaultCatchUpPeriod bounds what a VM without the store asks of the others.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
@@ -57,8 +58,7 @@
 	FeedWait   time.Duration
 	// RenewPeriod is the time between two renewals of the registration.
 	RenewPeriod time.Duration
-	// CatchUpAfter is the age of the view from which other VMs are asked for news.
-	CatchUpAfter   time.Duration
+	// CatchUpPeriod is the time between two questions to other VMs while the store does not answer.
 	CatchUpPeriod  time.Duration
 	CatchUpTimeout time.Duration
 	// StaleAfter and AloneAfter say when a VM is isolated.
@@ -80,7 +80,6 @@
 		FeedPeriod:     DefaultFeedPeriod,
 		FeedWait:       DefaultFeedWait,
 		RenewPeriod:    DefaultRenewPeriod,
-		CatchUpAfter:   DefaultCatchUpAfter,
 		CatchUpPeriod:  DefaultCatchUpPeriod,
 		CatchUpTimeout: DefaultCatchUpTimeout,
 		StaleAfter:     DefaultStaleAfter,
@@ -92,6 +91,12 @@
 	return options
 }
 
+// LostAfter returns the age of a view that has lost the store: from then on other VMs are asked, and registrations that
+// are gone at its return may only have lapsed.
+func (o *Options) LostAfter() time.Duration {
+	return time.Duration(quietFactor * float64(o.FeedPeriod+o.FeedWait))
+}
+
 // WithSelf sets what this VM says about itself.
 func WithSelf(m clementineport.Member) Option { return func(o *Options) { o.Self = m } }
 
@@ -141,10 +146,8 @@
 	return func(o *Options) { o.FeedPeriod, o.FeedWait = period, wait }
 }
 
-// WithCatchUp sets the age of the view from which other VMs are asked for news, and how often.
-func WithCatchUp(after, period time.Duration) Option {
-	return func(o *Options) { o.CatchUpAfter, o.CatchUpPeriod = after, period }
-}
+// WithCatchUpPeriod sets the time between two questions to other VMs while the store does not answer.
+func WithCatchUpPeriod(d time.Duration) Option { return func(o *Options) { o.CatchUpPeriod = d } }
 
 // WithCatalog sets options of the catalog.
 func WithCatalog(opts ...cpcatalog.Option) Option { return func(o *Options) { o.Catalog = opts } }
--- a/cpvm/cpvm.go
+++ b/cpvm/cpvm.go
@@ -87,10 +87,8 @@
 	feedPeriodShare = 0.3
 	// feedWaitShare bounds a watch that brings nothing, so that a connection that went silent is known in time.
 	feedWaitShare = 0.4
-	// catchUpShare is the age from which other VMs are asked: more than a period and a wait need in quiet times.
-	catchUpShare = 0.67
 	// currentShare is the age up to which the routes are taken to be the newest.
-	currentShare = 0.67
+	currentShare = 0.75
 )
 
 // share returns a part of a time.
@@ -116,11 +114,7 @@
 		cpfollow.WithLog(p.log.Logger),
 		cpfollow.WithSeed(rand.Uint64()),
 		cpfollow.WithFeedTimes(share(apply, feedPeriodShare), share(apply, feedWaitShare)),
-		cpfollow.WithCatchUp(share(apply, catchUpShare), cpfollow.DefaultCatchUpPeriod),
-		cpfollow.WithCatalog(
-			cpcatalog.WithUnprovenTime(unprovenBeats*s.Heartbeat+share(apply, feedPeriodShare)),
-			cpcatalog.WithAwayAfter(share(apply, catchUpShare)),
-		),
+		cpfollow.WithCatalog(cpcatalog.WithUnprovenTime(unprovenBeats*s.Heartbeat+share(apply, feedPeriodShare))),
 		cpfollow.WithStale(apply+s.Bounds.ConfigOutage, s.Bounds.Contact),
 	)
 	p.forwarder = cpforward.New(
