End with exit code 0 when help was asked for

Cause: the help of a subcommand, of the program, and after an argument ended with 2, the code of wrong use, so that a script could not tell them apart. A command line without a subcommand prints the help too and still ends with 2. TestExitCodes has a row for each code; the three rows of help failed before.

--- a/cpcommand/cpcommand.go
+++ b/cpcommand/cpcommand.go
@@ -37,6 +37,9 @@
 // Error implements error.
 func (e *usageError) Error() string { return e.text }
 
+// errNoSubcommand is the error of a command line without a subcommand; the help is printed for it too.
+var errNoSubcommand = fmt.Errorf("no subcommand: %w", flag.ErrHelp)
+
 // Run executes one of the subcommands until it ends or the process is told to stop, and returns the exit code.
 func Run(name string, subcommands []*ffcli.Command, args []string, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -46,7 +49,7 @@
 		ShortUsage:  name + " <subcommand> [flags]",
 		FlagSet:     NewFlagSet(name, stderr),
 		Subcommands: subcommands,
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Exec:        func(context.Context, []string) error { return errNoSubcommand },
 	}
 	err := root.Parse(args)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
@@ -63,9 +66,12 @@
 
 // ExitCode returns the exit code for the error of a subcommand.
 func ExitCode(err error) int {
-	if _, ok := errors.AsType[*usageError](err); ok || errors.Is(err, flag.ErrHelp) {
+	if _, ok := errors.AsType[*usageError](err); ok || errors.Is(err, errNoSubcommand) {
 		return ExitUsage
 	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK // the help was asked for and has been printed
+	}
 	if _, ok := errors.AsType[*clementineport.Error](err); !ok {
 		if err == nil {
 			return ExitOK
@@ -94,7 +100,11 @@
 	var positional []string
 	for len(args) > 0 {
 		positional = append(positional, args[0])
-		if err := fs.Parse(args[1:]); err != nil {
+		err := fs.Parse(args[1:])
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, err
+		}
+		if err != nil {
 			return nil, Usagef("%v", err)
 		}
 		args = fs.Args()
--- /dev/null
+++ b/cpcommand/cpcommand_test.go
@@ -0,0 +1,62 @@
+package cpcommand_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpcommand"
+)
+
+// run runs a command line with one subcommand, which ends with an error.
+func run(end error, args ...string) (code int, stderr string) {
+	var b strings.Builder
+	fs := cpcommand.NewFlagSet("do", &b)
+	fs.Int("n", 0, "a number")
+	code = cpcommand.Run("program", []*ffcli.Command{{
+		Name: "do", ShortUsage: "program do [flags]", FlagSet: fs,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				if _, err := cpcommand.ParseMixed(cpcommand.NewFlagSet("do", io.Discard), args); err != nil {
+					return err
+				}
+			}
+			return end
+		},
+	}}, args, &b)
+	return code, b.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		end   error
+		args  []string
+		code  int
+		print string
+	}{
+		{"done", nil, []string{"do"}, cpcommand.ExitOK, ""},
+		{"help of a subcommand", nil, []string{"do", "--help"}, cpcommand.ExitOK, "program do [flags]"},
+		{"help after an argument", nil, []string{"do", "x", "--help"}, cpcommand.ExitOK, ""},
+		{"help of the program", nil, []string{"--help"}, cpcommand.ExitOK, "program <subcommand>"},
+		{"no subcommand", nil, nil, cpcommand.ExitUsage, "program <subcommand>"},
+		{"an unknown flag", nil, []string{"do", "--wrong"}, cpcommand.ExitUsage, "wrong"},
+		{"a wrong value", nil, []string{"do", "-n", "x"}, cpcommand.ExitUsage, "invalid value"},
+		{"wrong use", cpcommand.Usagef("one argument"), []string{"do"}, cpcommand.ExitUsage, "one argument"},
+		{"refused", clementineport.Fail(clementineport.FaultConflict, "no"), []string{"do"}, cpcommand.ExitRefused, "no"},
+		{"unreachable", clementineport.Fail(clementineport.FaultRefused, "no"), []string{"do"}, cpcommand.ExitUnreachable, "no"},
+		{"unknown", clementineport.Fail(clementineport.FaultTimeout, "no"), []string{"do"}, cpcommand.ExitUnknown, "no"},
+		{"failed", io.EOF, []string{"do"}, cpcommand.ExitFailed, "EOF"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			code, stderr := run(row.end, row.args...)
+			assert.Equal(t, code, row.code, stderr)
+			assert.Assert(t, strings.Contains(stderr, row.print), stderr)
+		})
+	}
+}
