Let budgets of extra calls fill by time and survive a change of the number of VMs

Each change of the number of VMs that a VM knows emptied all its budgets, and with 59 VMs that number changes all the time while they find each other; what a VM may save up of the slack (two calls) could then be used once only.

Ruled out: the ratio itself (a VM with two requests a second earns 0.36 calls a second, hedges cost 0.08), the reserve for calls of more value (a full budget grants a call of any value), the limit of calls on their way.

Change: a VM's share of the slack is split: six tenths may be saved up, the rest comes in evenly over the window of the bound. Budgets start empty when the process starts and fill from then on, so that VMs that start anew within a window do not spend twice; a new number of VMs changes what may be saved up and nothing else.

--- a/cpbudget/cpbudget.go
+++ b/cpbudget/cpbudget.go
@@ -24,7 +24,7 @@
 // Over any run of calls it grants at most the share of the ordinary calls plus the burst.
 type Bucket struct {
 	perCall int64
-	burst   int64
+	burst   atomic.Int64
 	charged *Bucket
 	level   atomic.Int64
 }
@@ -35,12 +35,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	b := &Bucket{
-		perCall: int64(o.Share * microsPerCall),
-		burst:   int64(o.Burst) * microsPerCall,
-		charged: o.Charged,
-	}
-	b.level.Store(min(int64(o.Start)*microsPerCall, b.burst))
+	b := &Bucket{perCall: int64(o.Share * microsPerCall), charged: o.Charged}
+	b.burst.Store(int64(o.Burst) * microsPerCall)
+	b.level.Store(min(int64(o.Start)*microsPerCall, b.burst.Load()))
 	return b
 }
 
@@ -56,11 +53,23 @@
 }
 
 // Earn implements clementineport.Budget.
-func (b *Bucket) Earn(calls int) {
-	earned := int64(calls) * b.perCall
+func (b *Bucket) Earn(calls int) { b.add(int64(calls) * b.perCall) }
+
+// Credit adds extra calls, or parts of one, that no ordinary call has paid for.
+func (b *Bucket) Credit(calls float64) { b.add(int64(calls * microsPerCall)) }
+
+// Resize sets the largest number of extra calls that can be saved up, which may be broken. What is saved beyond it is
+// lost.
+func (b *Bucket) Resize(burst float64) {
+	b.burst.Store(int64(burst * microsPerCall))
+	b.add(0)
+}
+
+// add raises the level up to the burst.
+func (b *Bucket) add(micros int64) {
 	for {
 		level := b.level.Load()
-		next := min(level+earned, b.burst)
+		next := min(level+micros, b.burst.Load())
 		if next == level || b.level.CompareAndSwap(level, next) {
 			return
 		}
@@ -90,7 +99,7 @@
 // SpendAbove takes one extra call from the budget if a share of what it can hold beyond that call would still be left
 // for more important ones, or reports that there is none. A full budget always grants one.
 func (b *Bucket) SpendAbove(reserve float64) bool {
-	if b.level.Load()-microsPerCall < int64(reserve*float64(b.burst-microsPerCall)) {
+	if b.level.Load()-microsPerCall < int64(reserve*float64(b.burst.Load()-microsPerCall)) {
 		return false
 	}
 	return b.Spend()
@@ -100,7 +109,7 @@
 func (b *Bucket) charge() {
 	for {
 		level := b.level.Load()
-		next := max(level-microsPerCall, -b.burst)
+		next := max(level-microsPerCall, -b.burst.Load())
 		if next == level || b.level.CompareAndSwap(level, next) {
 			return
 		}
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -69,5 +69,5 @@
 
 // MayRepeat implements cpfan.Targets.
 func (r *run) MayRepeat(service clementineport.ServiceID, value float64) bool {
-	return r.f.budgets.Spend(service, value)
+	return r.f.budgets.Spend(r.now(), service, value)
 }
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -48,7 +48,7 @@
 	options := NewOptions(opts...)
 	return &Forwarder{
 		options: options,
-		budgets: cpquota.NewBudgets(options.RetryRatio, options.RetrySlack),
+		budgets: cpquota.NewBudgets(options.Clock.Now(), options.Retries),
 		chooser: cpchoice.New(cpchoice.WithSeed(options.Seed)),
 		cold:    map[clementineport.TargetID]time.Time{},
 		routes:  map[clementineport.RouteID]*routeStats{},
@@ -73,7 +73,7 @@
 		return &Forwarded{Err: refusal}
 	}
 	for _, s := range shards {
-		f.budgets.Earn(s, view.VMs)
+		f.budgets.Earn(run.now(), s, view.VMs)
 	}
 	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	run.fan = cpfan.New(f.options.Planner.Plan(route, shards, r, stats.seen()), run, f.options.Fan...)
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cpfollow"
 	"github.com/clementineport/clementineport/cpplan"
+	"github.com/clementineport/clementineport/cpquota"
 )
 
 // Defaults of Options.
@@ -25,10 +26,8 @@
 	Clock clementineport.Clock
 	View  func() *cpfollow.View
 	Seed  uint64
-	// RetryRatio and RetrySlack bound the extra calls to a service, as a share of its requests and a number beyond,
-	// of all VMs together.
-	RetryRatio float64
-	RetrySlack float64
+	// Retries bounds the extra calls of all VMs to a service.
+	Retries cpquota.RetryBound
 	// ColdOverrun and ColdSlack bound the requests a second to a cold target, beyond what it bears.
 	ColdOverrun float64
 	ColdSlack   float64
@@ -67,10 +66,8 @@
 // WithSeed seeds the choice of targets.
 func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
 
-// WithRetries sets the bound on extra calls of all VMs together.
-func WithRetries(ratio, slack float64) Option {
-	return func(o *Options) { o.RetryRatio, o.RetrySlack = ratio, slack }
-}
+// WithRetries sets the bound on the extra calls of all VMs to a service.
+func WithRetries(bound cpquota.RetryBound) Option { return func(o *Options) { o.Retries = bound } }
 
 // WithCold sets the bound on requests to cold targets.
 func WithCold(overrun, slack float64) Option {
--- a/cpmodel/vm.go
+++ b/cpmodel/vm.go
@@ -37,7 +37,7 @@
 func newVM(m *Model, n int) *vm {
 	v := &vm{
 		m: m, gate: m.gate(), chooser: cpchoice.New(cpchoice.WithSeed(m.cfg.Seed + uint64(n))),
-		budgets:    cpquota.NewBudgets(m.cfg.RetryRatio, m.cfg.RetrySlack),
+		budgets:    cpquota.NewBudgets(m.now, m.cfg.Retries),
 		candidates: map[clementineport.ServiceID][]cpchoice.Candidate{}, targets: map[*cpchoice.Target]*target{},
 		waiting: map[cpadmit.Ticket]func(){},
 	}
@@ -132,7 +132,7 @@
 func (r *request) start() {
 	delete(r.v.waiting, r.ticket)
 	for _, s := range r.route.Shards {
-		r.v.budgets.Earn(s, r.v.m.cfg.VMs)
+		r.v.budgets.Earn(r.v.m.now, s, r.v.m.cfg.VMs)
 	}
 	plan := r.v.m.planner.Plan(r.route, r.route.Shards, r.forward, r.v.known(r.kind))
 	if r.v.m.cfg.NoHedges {
@@ -251,5 +251,5 @@
 
 // MayRepeat implements cpfan.Targets.
 func (r *request) MayRepeat(s clementineport.ServiceID, value float64) bool {
-	return r.v.budgets.Spend(s, value)
+	return r.v.budgets.Spend(r.v.m.now, s, value)
 }
--- a/cpquota/budgets.go
+++ b/cpquota/budgets.go
@@ -2,52 +2,88 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbudget"
 )
 
-// Budgets holds the budget of extra calls of each service. Its methods may be called from many goroutines.
+// RetryBound bounds the extra requests of all VMs to a service in any span of a length: a share of the requests for
+// it and a number beyond.
+type RetryBound struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Budgets holds one VM's budget of extra calls for each service. Its methods may be called from many goroutines.
 type Budgets struct {
-	ratio float64
-	slack float64
+	bound RetryBound
 
 	mu       sync.Mutex
-	vms      int
-	services map[clementineport.ServiceID]*cpbudget.Bucket
+	began    time.Time
+	slack    slackShare
+	services map[clementineport.ServiceID]*serviceBudget
+}
+
+// serviceBudget is the budget of one service.
+type serviceBudget struct {
+	bucket *cpbudget.Bucket
+	// credited is up to when the bucket got its share of the slack.
+	credited time.Time
 }
 
-// NewBudgets returns empty budgets under a bound for all VMs: a share of the requests and a number beyond.
-func NewBudgets(ratio, slack float64) *Budgets {
-	return &Budgets{ratio: ratio, slack: slack, services: map[clementineport.ServiceID]*cpbudget.Bucket{}}
+// NewBudgets returns budgets that are empty and fill from a time on.
+func NewBudgets(now time.Time, bound RetryBound) *Budgets {
+	return &Budgets{bound: bound, began: now, slack: shareSlack(bound, 1), services: map[clementineport.ServiceID]*serviceBudget{}}
 }
 
-// Earn credits a request for a service. When the number of VMs changes, all budgets begin anew and empty, so that
-// what was saved as one of few VMs is not spent as one of many.
-func (b *Budgets) Earn(service clementineport.ServiceID, vms int) {
+// Earn credits a request for a service, as one of a number of VMs.
+func (b *Budgets) Earn(now time.Time, service clementineport.ServiceID, vms int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if vms != b.vms {
-		b.vms = vms
-		clear(b.services)
+	b.resize(vms)
+	s := b.services[service]
+	if s == nil {
+		s = &serviceBudget{bucket: cpbudget.New(cpbudget.WithShare(b.bound.Ratio * RetryShare)), credited: b.began}
+		s.bucket.Resize(b.slack.saved)
+		b.services[service] = s
 	}
-	bucket := b.services[service]
-	if bucket == nil {
-		bucket = cpbudget.New(
-			cpbudget.WithShare(b.ratio*RetryShare), cpbudget.WithBurst(RetryBurst(b.slack, vms)),
-		)
-		b.services[service] = bucket
+	b.credit(now, s)
+	s.bucket.Earn(1)
+}
+
+// resize takes a new number of VMs to share the slack with. What was saved beyond the new share is lost.
+func (b *Budgets) resize(vms int) {
+	slack := shareSlack(b.bound, vms)
+	if slack == b.slack {
+		return
+	}
+	b.slack = slack
+	for _, s := range b.services {
+		s.bucket.Resize(slack.saved)
+	}
+}
+
+// credit adds the slack of the time that has passed.
+func (b *Budgets) credit(now time.Time, s *serviceBudget) {
+	if elapsed := now.Sub(s.credited); elapsed > 0 {
+		s.bucket.Credit(elapsed.Seconds() * b.slack.perSecond)
+		s.credited = now
 	}
-	bucket.Earn(1)
 }
 
 // Spend takes one extra call from the budget of a service, or reports that there is none. Calls that are worth less
 // leave a part of the budget to those that are worth more.
-func (b *Budgets) Spend(service clementineport.ServiceID, value float64) bool {
+func (b *Budgets) Spend(now time.Time, service clementineport.ServiceID, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bucket := b.services[service]
-	return bucket != nil && bucket.SpendAbove(reserve(value))
+	s := b.services[service]
+	if s == nil {
+		return false
+	}
+	b.credit(now, s)
+	return s.bucket.SpendAbove(reserve(value))
 }
 
 // Levels returns how many extra calls the budget of each service holds.
@@ -55,8 +91,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	levels := make(map[clementineport.ServiceID]float64, len(b.services))
-	for service, bucket := range b.services {
-		levels[service] = bucket.Level()
+	for service, s := range b.services {
+		levels[service] = s.bucket.Level()
 	}
 	return levels
 }
--- a/cpquota/cpquota.go
+++ b/cpquota/cpquota.go
@@ -57,11 +57,26 @@
 // counted in one window here and in the next one at the target.
 const RetryShare = 0.9
 
-// RetryBurst returns how many extra requests one of n VMs may save up for a service, of a number for all VMs. It is at
-// least one, since a budget that can hold none never grants what requests have earned; beyond that number of VMs the
-// rest of the ratio has to cover the difference.
-func RetryBurst(slack float64, n int) int {
-	return max(1, int(math.Floor(slack*RetryShare/float64(n+spareVMs))))
+// savedShare is the part of its slack that a VM may save up; the rest comes in evenly, so that it can also be used by
+// VMs that get too few requests to earn much.
+const savedShare = 0.6
+
+// slackShare is the part of one VM in the extra requests to a service that no request has earned.
+type slackShare struct {
+	// saved is the most that the VM may save up. It is at least one, since a budget that can hold none never grants
+	// what requests have earned; beyond that number of VMs the unused part of the ratio covers the difference.
+	saved     float64
+	perSecond float64
+}
+
+// shareSlack returns the part of one of n VMs.
+func shareSlack(bound RetryBound, n int) slackShare {
+	own := bound.Slack * RetryShare / float64(max(n, 1)+spareVMs)
+	saved := max(1, own*savedShare)
+	if own <= saved || bound.Window <= 0 {
+		return slackShare{saved: saved}
+	}
+	return slackShare{saved: saved, perSecond: (own - saved) / bound.Window.Seconds()}
 }
 
 // coldShare is the part of what a cold target bears that its owner sends; two VMs may both believe that they own it.
--- a/cpvm/cpvm.go
+++ b/cpvm/cpvm.go
@@ -24,6 +24,7 @@
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cpsecret"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/platform/cpconf"
@@ -120,7 +121,9 @@
 	p.forwarder = cpforward.New(
 		cpforward.WithView(p.follower.View),
 		cpforward.WithSeed(rand.Uint64()),
-		cpforward.WithRetries(s.Bounds.RetryRatio, s.Bounds.RetrySlack),
+		cpforward.WithRetries(cpquota.RetryBound{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
+		}),
 		cpforward.WithCold(s.Bounds.ColdOverrun, s.Bounds.ColdSlack),
 		cpforward.WithFailed(p.callFailed),
 	)
