Leave shards out whose targets would be late where an answer can do without them

Ruled out: choice of targets (one is left), hedges (no second target), admission (requests start at once; what waits is one call of ten).

Change: before a shard is asked, its targets' expected time is compared with six tenths of the time to the objective. Shards that would be late, and whose targets have no free slot as far as this VM's requests tell, are held back as long as the answer can do without: by chance, weighted by the expected time, so that requests share them. They are asked once another shard fails or is overdue. An answer that waits for held shards only is closed at once. Log lines and explain say which shards were held.

--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -78,6 +78,18 @@
 	return candidates[best].Target, false // rounding left the point beyond all weights
 }
 
+// Expected returns how long the candidate that would probably answer first takes. It is zero when one has free slots, as
+// far as the requests of this VM tell, or none may be asked.
+func Expected(now time.Time, candidates []Candidate, r *Request) time.Duration {
+	least, found := time.Duration(0), false
+	for i := range candidates {
+		if expected, ok := candidates[i].Target.expected(now, r.Usual, r.VMs); ok && (!found || expected < least) {
+			least, found = expected, true
+		}
+	}
+	return least
+}
+
 // weight returns how often a candidate is chosen in proportion to others; zero means never. A candidate that is full
 // could be chosen but for its limit.
 func (c *Chooser) weight(now time.Time, candidate *Candidate, r *Request) (_ float64, full bool) {
--- a/cpchoice/target.go
+++ b/cpchoice/target.go
@@ -180,10 +180,7 @@
 func (t *Target) Cost(now time.Time, usual time.Duration, vms int) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.misplaced || now.Before(t.blocked) {
-		return math.Inf(1)
-	}
-	if t.dark(now) && (now.Before(t.probe) || len(t.sends) > 0) {
+	if !t.usable(now) {
 		return math.Inf(1)
 	}
 	if usual <= 0 {
@@ -198,6 +195,29 @@
 	return cost
 }
 
+// expected returns how long the target probably takes to answer, which is zero while it has free slots as far as the
+// requests of one of some VMs tell, and false while it must not be asked.
+func (t *Target) expected(now time.Time, usual time.Duration, vms int) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.usable(now) {
+		return 0, false
+	}
+	if len(t.sends)*max(vms, 1) < t.Slots {
+		return 0, true
+	}
+	t.decay(now)
+	return max(time.Duration(t.slow*float64(usual)), t.quiet(now)), true
+}
+
+// usable reports whether the target may be asked.
+func (t *Target) usable(now time.Time) bool {
+	if t.misplaced || now.Before(t.blocked) {
+		return false
+	}
+	return !t.dark(now) || !now.Before(t.probe) && len(t.sends) == 0
+}
+
 // quiet returns how long the oldest request on its way has waited.
 func (t *Target) quiet(now time.Time) time.Duration {
 	if len(t.sends) == 0 {
--- a/cpexplain/cpexplain.go
+++ b/cpexplain/cpexplain.go
@@ -95,6 +95,12 @@
 	return n
 }
 
+// flag returns a field that is true or false; a missing one is false.
+func (l *Line) flag(field string) bool {
+	is, _ := l.Fields[field].(bool)
+	return is
+}
+
 // millis returns a field that is a duration in milliseconds.
 func (l *Line) millis(field string) time.Duration {
 	return time.Duration(l.number(field) * float64(time.Millisecond)).Round(100 * time.Microsecond)
--- a/cpexplain/cpexplain_test.go
+++ b/cpexplain/cpexplain_test.go
@@ -14,7 +14,7 @@
 {"Level":"info","Time":"2026-03-31T01:02:20.000Z","Event":"Started","VM":"vm-1","Domain":"a"}
 {"Level":"warn","Time":"2026-03-31T01:02:25.000Z","Event":"StoreLost","Error":"timeout","AsOf":41}
 {"Level":"warn","Time":"2026-03-31T01:02:26.900Z","Event":"CallFailed","ID":"r1","Target":"t-3","Fault":"reset","Elapsed":3.5,"Reason":"reset: EOF"}
-{"Level":"warn","Time":"2026-03-31T01:02:27.000Z","Event":"RequestFailed","ID":"r1","Route":"all","Status":504,"Elapsed":485,"Left":500,"Version":7,"ViewAge":2100.5,"Shards":10,"Covered":8,"Sends":12,"Hedges":1,"Retries":1,"Refused":0,"LeftOut":[{"Service":"s1","Sends":2,"Waiting":1,"Fault":"reset","Targets":["t-3","t-4"]},{"Service":"s2","Sends":0,"Waiting":0,"Fault":"unavailable","Targets":[]}],"Verdict":"may-have-run","Reason":"coverage: 8 of 10 shards answered, 9 are needed"}
+{"Level":"warn","Time":"2026-03-31T01:02:27.000Z","Event":"RequestFailed","ID":"r1","Route":"all","Status":504,"Elapsed":485,"Left":500,"Version":7,"ViewAge":2100.5,"Shards":10,"Covered":8,"Sends":12,"Hedges":1,"Retries":1,"Refused":0,"LeftOut":[{"Service":"s1","Sends":2,"Waiting":1,"Fault":"reset","Targets":["t-3","t-4"]},{"Service":"s2","Sends":0,"Waiting":0,"Fault":"unavailable","Targets":[]},{"Service":"s3","Sends":0,"Waiting":0,"Held":true,"Fault":"unknown","Targets":[]}],"Verdict":"may-have-run","Reason":"coverage: 8 of 10 shards answered, 9 are needed"}
 {"Level":"info","Time":"2026-03-31T01:02:28.000Z","Event":"LinesOmitted","TooManyOfAKind":30,"WriterFull":1}
 {"Level":"info","Time":"2026-03-31T01:02:29.000Z","Event":"StoreRegained","AsOf":44}
 `
@@ -53,6 +53,7 @@
 		"8 of 10 shards answered, with 12 calls: 1 hedges, 1 retries",
 		"Left out s1: 1 of 2 calls had no answer yet (asked t-3, t-4).",
 		"Left out s2: no target was usable.",
+		"Left out s3: its targets were loaded and would have answered too late, so none was asked.",
 		"a call to t-3 failed after 3.5ms: reset",
 		"StoreLost: the platform's store does not answer",
 		"31 lines of this VM were left out",
--- a/cpexplain/tell.go
+++ b/cpexplain/tell.go
@@ -110,6 +110,8 @@
 		switch fault := sub.text("Fault"); {
 		case sub.number("Sends") == 0 && fault == "unavailable":
 			why = "no target was usable"
+		case sub.flag("Held"):
+			why = "its targets were loaded and would have answered too late, so none was asked"
 		case sub.number("Sends") == 0:
 			why = "all targets were busy and none was asked"
 		case sub.number("Waiting") > 0:
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -45,6 +45,9 @@
 	// MayRepeat takes one extra call to a service from the budget, or reports that there is none. The value of the
 	// call is between 0 and 1.
 	MayRepeat(service clementineport.ServiceID, value float64) bool
+	// Expected returns how long the target of a service that would probably answer first takes. It is zero when one
+	// has room, as far as is known, or none is usable.
+	Expected(now time.Time, service clementineport.ServiceID) time.Duration
 }
 
 // Send asks for a call.
@@ -112,6 +115,7 @@
 func (f *Fan) Start(now time.Time) []Send {
 	f.sends = f.sends[:0]
 	f.began = now
+	f.hold(now)
 	for i := range f.shards {
 		f.first(now, i)
 	}
@@ -146,6 +150,7 @@
 	a.over = true
 	if s.state == open {
 		f.settle(now, r, s, a)
+		f.release(now)
 		f.due(now, r.Shard)
 	}
 	f.close(now)
@@ -158,6 +163,7 @@
 	if f.ended {
 		return nil
 	}
+	f.hold(now)
 	for i := range f.shards {
 		f.due(now, i)
 	}
@@ -186,6 +192,7 @@
 func (f *Fan) close(now time.Time) {
 	switch {
 	case f.covered+f.failed == len(f.shards):
+	case f.covered >= f.plan.Least && f.covered+f.failed+f.held() == len(f.shards):
 	case f.hopeless():
 	case !now.Before(f.plan.Deadline):
 	case f.plan.Gathers && f.covered >= f.plan.Least && !f.plan.Objective.IsZero() && !now.Before(f.plan.Objective):
@@ -264,6 +271,7 @@
 		}
 		l := LeftOut{
 			Service: f.plan.Shards[i], Sends: len(s.attempts), Waiting: s.outstanding(), Fault: s.fault,
+			Held: s.held && len(s.attempts) == 0,
 		}
 		for j := range s.attempts {
 			l.Targets = append(l.Targets, s.attempts[j].target.ID)
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -26,6 +26,8 @@
 	budget  int
 	spent   int
 	values  []float64
+	// expected is how long the targets of a service take; others answer at once.
+	expected map[clementineport.ServiceID]time.Duration
 }
 
 func newFleet(shards int) *fleet {
@@ -66,6 +68,9 @@
 	return nil, cpfan.Absent
 }
 
+// Expected implements cpfan.Targets.
+func (f *fleet) Expected(_ time.Time, s clementineport.ServiceID) time.Duration { return f.expected[s] }
+
 // MayRepeat implements cpfan.Targets.
 func (f *fleet) MayRepeat(_ clementineport.ServiceID, value float64) bool {
 	f.values = append(f.values, value)
--- /dev/null
+++ b/cpfan/hold_test.go
@@ -0,0 +1,107 @@
+package cpfan_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfan"
+)
+
+// loaded returns a fleet in which the targets of some services have no room and take a time to answer.
+func loaded(shards int, expected map[clementineport.ServiceID]time.Duration) *fleet {
+	f := newFleet(shards)
+	f.expected = expected
+	return f
+}
+
+// asked returns the shards of some calls.
+func asked(sends []cpfan.Send) map[int]bool {
+	shards := map[int]bool{}
+	for _, s := range sends {
+		shards[s.Shard] = true
+	}
+	return shards
+}
+
+func TestAnOverloadedShardIsNotAskedWhenItWouldBeLate(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{"s4": 90 * time.Millisecond}))
+	sends := begin(fan)
+	assert.Equal(t, len(sends), 9)
+	assert.Assert(t, !asked(sends)[4])
+	for _, s := range sends {
+		fan.Done(at(10), answered(s))
+	}
+	assert.Assert(t, fan.Ended(), "nothing is to be waited for")
+	o := fan.Outcome(at(10))
+	assert.Equal(t, o.Missing, 1)
+	assert.Assert(t, o.Stats.LeftOut[0].Held)
+}
+
+func TestAnOverloadedShardIsAskedWhenItWouldBeInTime(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{"s4": 40 * time.Millisecond}))
+	assert.Equal(t, len(begin(fan)), 10)
+}
+
+func TestOverloadedShardsAreSharedAmongRequests(t *testing.T) {
+	counts := map[int]int{}
+	for range 400 {
+		fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{
+			"s2": 90 * time.Millisecond, "s7": 100 * time.Millisecond,
+		}))
+		sends := asked(begin(fan))
+		assert.Equal(t, len(sends), 9)
+		for _, shard := range []int{2, 7} {
+			if sends[shard] {
+				counts[shard]++
+			}
+		}
+	}
+	assert.Assert(t, counts[2] > 130 && counts[7] > 130, "asked %v times of 400", counts)
+	assert.Assert(t, counts[2] > counts[7], "the slower one is asked more often: %v", counts)
+}
+
+func TestAShardThatWasLeftOutIsAskedOnceAnotherFails(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{"s4": 90 * time.Millisecond}))
+	sends := begin(fan)
+	more := fan.Done(at(5), failed(sends[0], clementineport.FaultShed))
+	assert.Assert(t, asked(more)[4])
+}
+
+func TestAShardThatWasLeftOutIsAskedOnceAnotherIsOverdue(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{"s4": 90 * time.Millisecond}))
+	sends := begin(fan)
+	for _, s := range sends[1:] {
+		fan.Done(at(10), answered(s))
+	}
+	assert.Assert(t, !fan.Ended())
+	var more []cpfan.Send
+	for ms := 11; ms < 50; ms++ {
+		if !at(ms).Before(fan.Wake()) {
+			more = append(more, fan.Tick(at(ms))...)
+		}
+	}
+	assert.Assert(t, asked(more)[4])
+}
+
+func TestARequestThatIsLateDoesNotAddToTheLoadOfFurtherShards(t *testing.T) {
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, map[clementineport.ServiceID]time.Duration{
+		"s2": 90 * time.Millisecond, "s7": 90 * time.Millisecond,
+	}))
+	sends := begin(fan)
+	assert.Equal(t, len(sends), 9)
+	for _, s := range sends {
+		if s.Shard != 2 && s.Shard != 7 {
+			fan.Done(at(10), answered(s))
+		}
+	}
+	for ms := 11; ms < 170; ms++ {
+		if !at(ms).Before(fan.Wake()) {
+			for _, s := range fan.Tick(at(ms)) {
+				assert.Assert(t, s.Extra, "shard %d is asked as well after %d ms", s.Shard, ms)
+			}
+		}
+	}
+}
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -36,11 +36,15 @@
 	fault   clementineport.Fault
 	// wake is when the next call is due, or zero.
 	wake time.Time
-	// waited is the time to the first call.
+	// asked is when the first call was made, and waited how long that took.
+	asked  time.Time
 	waited time.Duration
-	// refusals and waits count calls that proved not to have run, and looks for a target that found none.
+	// expected is how long the answer to the first call would take, as far as that was known.
+	expected time.Duration
+	// held is true while the shard is not asked because its targets would answer too late.
+	held bool
+	// refusals counts calls that proved not to have run.
 	refusals int
-	waits    int
 	// denials counts the calls that the budget did not allow.
 	denials int
 }
@@ -118,6 +122,10 @@
 // first chooses the first target of a shard.
 func (f *Fan) first(now time.Time, i int) {
 	s := &f.shards[i]
+	if s.held {
+		s.wake = now.Add(f.options.HoldRecheck)
+		return
+	}
 	target, availability := f.targets.Choose(now, f.plan.Shards[i], First, s.tried)
 	if target != nil {
 		f.send(now, i, target, false)
@@ -128,7 +136,6 @@
 
 // wait looks for a target again soon, or gives the shard up when there is none.
 func (f *Fan) wait(now time.Time, s *shard, availability Availability) {
-	s.waits++
 	if availability == Absent && s.outstanding() == 0 {
 		f.fail(s, clementineport.FaultUnavailable)
 		return
@@ -142,7 +149,7 @@
 	s.attempts = append(s.attempts, attempt{target: target, ran: true})
 	f.stats.Sends++
 	if !extra && len(s.attempts) == 1 {
-		s.waited = now.Sub(f.began)
+		s.asked, s.waited = now, now.Sub(f.began)
 	}
 	f.sends = append(f.sends, Send{Shard: i, Attempt: len(s.attempts) - 1, Target: target, Extra: extra})
 	s.wake = time.Time{}
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -30,6 +30,13 @@
 	return r.f.chooseCold(now, view, cold, request)
 }
 
+// Expected implements cpfan.Targets.
+func (r *run) Expected(now time.Time, service clementineport.ServiceID) time.Duration {
+	view := r.f.options.View()
+	warm, _ := split(now, view.Services[service])
+	return cpchoice.Expected(now, warm, &cpchoice.Request{Usual: r.usual, VMs: view.VMs})
+}
+
 // split divides the targets of a service into warm and cold ones.
 func split(now time.Time, targets []cpfollow.ViewTarget) (warm []cpchoice.Candidate, cold []*cpfollow.ViewTarget) {
 	warm = make([]cpchoice.Candidate, 0, len(targets))
--- a/cpmodel/cpmodel.go
+++ b/cpmodel/cpmodel.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
 )
@@ -76,6 +77,8 @@
 	// for comparisons.
 	NoAdmission bool
 	NoHedges    bool
+	// Fan changes the course of requests, for comparisons.
+	Fan []cpfan.Option
 }
 
 // event is something that happens at a time.
--- a/cpmodel/cpmodel_test.go
+++ b/cpmodel/cpmodel_test.go
@@ -1,11 +1,13 @@
 package cpmodel_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cpmodel"
 )
 
@@ -78,6 +80,17 @@
 	each(t, run(t, cfg), 0.8)
 }
 
+func TestRequestsShareTwoShardsThatCannotBearThemAll(t *testing.T) {
+	cfg := cpmodel.FewSlots()
+	cfg.Troubles = cpmodel.TwoOverloadedShards(4*time.Second, 20*time.Second)
+	results := run(t, cfg)
+	each(t, results, 0.75)
+	cfg.Fan = []cpfan.Option{cpfan.WithTimelyShare(math.Inf(1))}
+	asked := run(t, cfg)
+	assert.Assert(t, results[urgent].Worth() > asked[urgent].Worth()+0.04, "leaving shards out wins nothing for urgent requests")
+	assert.Assert(t, results[short].Worth() > asked[short].Worth()+0.1, "leaving shards out wins nothing for short requests")
+}
+
 func TestACopyThatRefusesHalfOfItsCalls(t *testing.T) {
 	cfg := calm()
 	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Refuse: 0.5})
--- a/cpmodel/patterns.go
+++ b/cpmodel/patterns.go
@@ -28,6 +28,25 @@
 	}
 }
 
+// FewSlots returns a deployment whose targets work on few requests at a time, with tighter objectives.
+func FewSlots() Config {
+	cfg := Today()
+	cfg.VMs, cfg.Way = 8, 600*time.Microsecond
+	cfg.Targets.Slots, cfg.Targets.Queue = 4, 24
+	cfg.Targets.Pause, cfg.Targets.PauseEvery = 200*time.Millisecond, 4500*time.Millisecond
+	for i, k := range []struct {
+		perSecond                 float64
+		work, objective, deadline time.Duration
+	}{
+		{149, 20 * time.Millisecond, 150 * time.Millisecond, 800 * time.Millisecond},
+		{50, 6700 * time.Microsecond, 60 * time.Millisecond, 400 * time.Millisecond},
+	} {
+		cfg.Kinds[i].PerSecond, cfg.Kinds[i].Work = k.perSecond, k.work
+		cfg.Kinds[i].Objective, cfg.Kinds[i].Deadline = k.objective, k.deadline
+	}
+	return cfg
+}
+
 // Grown returns a deployment with many VMs, each of which gets few requests, and with more shards than one request can
 // expect to find without one that stands still.
 func Grown() Config {
@@ -43,6 +62,15 @@
 // FirstCopy hits one copy of each shard.
 func FirstCopy(_, n int) bool { return n == 0 }
 
+// TwoOverloadedShards leaves one copy to each of two shards, which is a little slower than the others and cannot bear
+// the load.
+func TwoOverloadedShards(from, to time.Duration) []Trouble {
+	return []Trouble{
+		{From: from, To: to, Hits: func(shard, n int) bool { return shard < 2 && n > 0 }, Dark: true},
+		{From: from, To: to, Hits: func(shard, n int) bool { return shard < 2 && n == 0 }, Slow: 1.3},
+	}
+}
+
 // Pattern is a named load or trouble.
 type Pattern struct {
 	Name     string
@@ -63,6 +91,7 @@
 		{"refusing copy", copies(Trouble{Refuse: 0.5})},
 		{"copy that loses answers", copies(Trouble{Reset: 0.4})},
 		{"shard gone", []Trouble{{From: from, To: to, Hits: func(shard, _ int) bool { return shard == 0 }, Dark: true}}},
+		{"two overloaded shards", TwoOverloadedShards(from, to)},
 		{"most targets refuse", []Trouble{{From: from, To: to, Hits: func(shard, n int) bool { return (shard+n)%3 > 0 }, Refuse: 0.5}}},
 		{"flood of one kind", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4.8}}},
 		{"flood of all", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4}, {From: from, To: to, Kind: "short", Flood: 4}}},
--- a/cpmodel/vm.go
+++ b/cpmodel/vm.go
@@ -138,7 +138,7 @@
 	if r.v.m.cfg.NoHedges {
 		plan.HedgeAfter = 0
 	}
-	r.fan = cpfan.New(plan, r)
+	r.fan = cpfan.New(plan, r, append([]cpfan.Option{cpfan.WithRandom(r.v.m.random.Float64)}, r.v.m.cfg.Fan...)...)
 	r.step(r.fan.Start(r.v.m.now))
 }
 
@@ -249,6 +249,13 @@
 	}
 }
 
+// Expected implements cpfan.Targets.
+func (r *request) Expected(now time.Time, s clementineport.ServiceID) time.Duration {
+	return cpchoice.Expected(now, r.v.candidates[s], &cpchoice.Request{
+		Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs,
+	})
+}
+
 // MayRepeat implements cpfan.Targets.
 func (r *request) MayRepeat(s clementineport.ServiceID, value float64) bool {
 	return r.v.budgets.Spend(r.v.m.now, s, value)
