Fail gathers without a budget at once while their caller can come back, and let refusals gather first

Their callers came back with half of the objective gone. And the budget went to whichever shard was refused first, before it was known how many more of the request would be: value() counted the others as certain.

Ruled out: the choice of targets (those that don't refuse are preferred 400 to 1 and full), the size of the budget (a fifth and the slack, used up all the time).

Change: a gather that is denied a call it cannot do without fails at once, unless its caller has come back already; then it tries again as before. After its first refusal a shard waits 4 ms, by when the others have been refused too, if they are. The test of values now says that its caller won't come back, since its request would otherwise have ended before the second value; its bounds are as they were.

--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -73,6 +73,8 @@
 	Shards     []clementineport.ServiceID
 	Gathers    bool
 	Idempotent bool
+	// Last is true when the caller probably won't come back.
+	Last bool
 	// MaxAttempts bounds the targets of one shard.
 	MaxAttempts int
 	// Least is the number of shards from which on an answer is a success.
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -375,7 +375,9 @@
 		t.Run(row.name, func(t *testing.T) {
 			fleet := newFleet(10)
 			fleet.budget = 0
-			fan := cpfan.New(gatherPlan(10, row.share), fleet)
+			plan := gatherPlan(10, row.share)
+			plan.Last = true
+			fan := cpfan.New(plan, fleet)
 			sends := begin(fan)
 			for _, s := range sends[:row.failed] {
 				fan.Done(at(5), failed(s, clementineport.FaultReset))
--- a/cpfan/options.go
+++ b/cpfan/options.go
@@ -15,6 +15,8 @@
 	DefaultHoldRecheck = 15 * time.Millisecond
 	// DefaultBudgetRecheck is about the time in which other requests of a busy service earn an extra call.
 	DefaultBudgetRecheck = 15 * time.Millisecond
+	// DefaultSettleDelay is above the time in which a target in the region refuses a call.
+	DefaultSettleDelay = 4 * time.Millisecond
 	// DefaultRefusalDelay lets a full target finish some of its work.
 	DefaultRefusalDelay = 10 * time.Millisecond
 	// DefaultMaxDenials times the delay before is about the time in which a busy service earns an extra call.
@@ -34,6 +36,8 @@
 	HoldRecheck time.Duration
 	// BudgetRecheck is the delay after which an extra call that the budget did not allow is tried again.
 	BudgetRecheck time.Duration
+	// SettleDelay is the delay before a shard of a gather is asked again after its first refusal.
+	SettleDelay time.Duration
 	// RefusalDelay is the delay before a shard is asked again after its second refusal, and grows with each.
 	RefusalDelay time.Duration
 	// MaxDenials bounds how often an extra call that the budget did not allow is tried again.
@@ -50,8 +54,9 @@
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
 	options := Options{
-		Recheck: DefaultRecheck, TimelyShare: DefaultTimelyShare, HoldRecheck: DefaultHoldRecheck, BudgetRecheck: DefaultBudgetRecheck, RefusalDelay: DefaultRefusalDelay,
-		MaxDenials: DefaultMaxDenials, MaxSends: DefaultMaxSends, Random: rand.Float64,
+		Recheck: DefaultRecheck, TimelyShare: DefaultTimelyShare, HoldRecheck: DefaultHoldRecheck, BudgetRecheck: DefaultBudgetRecheck, SettleDelay: DefaultSettleDelay,
+		RefusalDelay: DefaultRefusalDelay,
+		MaxDenials:   DefaultMaxDenials, MaxSends: DefaultMaxSends, Random: rand.Float64,
 	}
 	for _, o := range opts {
 		o(&options)
@@ -68,3 +73,6 @@
 
 // WithRandom sets the source of chance: numbers from 0 up to 1, spread evenly.
 func WithRandom(f func() float64) Option { return func(o *Options) { o.Random = f } }
+
+// WithSettleDelay sets the delay before a shard of a gather is asked again after its first refusal.
+func WithSettleDelay(d time.Duration) Option { return func(o *Options) { o.SettleDelay = d } }
--- /dev/null
+++ b/cpfan/refusal_test.go
@@ -0,0 +1,66 @@
+package cpfan_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfan"
+)
+
+// refuse refuses the calls of some shards one after the other and returns the time after the last.
+func refuse(fan *cpfan.Fan, sends []cpfan.Send) (ms int) {
+	for i, s := range sends {
+		ms = 1 + i
+		fan.Done(at(ms), failed(s, clementineport.FaultShed))
+	}
+	return ms
+}
+
+func TestRefusedShardsWaitForTheOthersBeforeTheBudgetIsAsked(t *testing.T) {
+	fleet := newFleet(10)
+	fan := cpfan.New(gatherPlan(10, 1), fleet)
+	ms := refuse(fan, begin(fan)[:3])
+	assert.Equal(t, len(fleet.values), 0)
+	for ; len(fleet.values) == 0; ms++ {
+		fan.Tick(at(ms))
+	}
+	assert.Assert(t, fleet.values[0] < 0.34, "the first of three calls that the answer needs is worth %v", fleet.values[0])
+}
+
+func TestAGatherWithoutBudgetFailsAtOnceWhileItsCallerCanComeBack(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.budget = 0
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	ms := refuse(fan, begin(fan)[:2])
+	for ; !fan.Ended(); ms++ {
+		fan.Tick(at(ms))
+	}
+	assert.Assert(t, ms < 10, "it failed after %d ms", ms)
+}
+
+func TestAGatherWithoutBudgetTriesAgainWhenItsCallerWillNotComeBack(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.budget = 0
+	plan := gatherPlan(10, 0.9)
+	plan.Last = true
+	fan := cpfan.New(plan, fleet)
+	ms := refuse(fan, begin(fan)[:2])
+	for ; ms < 30; ms++ {
+		fan.Tick(at(ms))
+	}
+	assert.Assert(t, !fan.Ended())
+	fleet.budget = 2
+	var again []cpfan.Send
+	for ; ms < 60; ms++ {
+		again = append(again, fan.Tick(at(ms))...)
+	}
+	assert.Equal(t, len(again), 2)
+}
+
+func TestASingleRequestThatWasRefusedIsSentAgainAtOnce(t *testing.T) {
+	fan := cpfan.New(singlePlan(false), newFleet(1))
+	sends := begin(fan)
+	assert.Equal(t, len(fan.Done(at(1), failed(sends[0], clementineport.FaultShed))), 1)
+}
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -225,10 +225,11 @@
 }
 
 // denied tries again soon, a few times. A shard that has nothing under way and gets no further call is given up, so
-// that the caller is not held for an answer that will not come.
+// that the caller is not held for an answer that will not come. A caller that can come back is told at once: its next
+// attempt asks each shard anew and may still be in time.
 func (f *Fan) denied(now time.Time, s *shard) {
 	s.denials++
-	if s.denials > f.options.MaxDenials {
+	if s.denials > f.options.MaxDenials || f.plan.Gathers && !f.plan.Last {
 		f.fail(s, s.fault)
 		return
 	}
@@ -312,8 +313,18 @@
 		f.fail(s, fault)
 		return
 	}
-	s.wake = now
-	if s.refusals > 1 {
-		s.wake = now.Add(f.options.RefusalDelay * time.Duration(s.refusals-1))
+	s.wake = now.Add(f.refusalDelay(s))
+}
+
+// refusalDelay returns how long a shard waits after a refusal. Shards of one request wait until the others have been
+// refused too, if they are, so that the budget goes to requests that can still be answered.
+func (f *Fan) refusalDelay(s *shard) time.Duration {
+	switch {
+	case s.refusals > 1:
+		return f.options.RefusalDelay * time.Duration(s.refusals-1)
+	case s.refusals == 1 && f.plan.Gathers:
+		return f.options.SettleDelay
+	default:
+		return 0
 	}
 }
--- a/cpmodel/cpmodel_test.go
+++ b/cpmodel/cpmodel_test.go
@@ -103,6 +103,17 @@
 	each(t, run(t, cfg), 0.6)
 }
 
+func TestNearlyAllTargetsRefuseMostOfTheirCalls(t *testing.T) {
+	cfg := cpmodel.FewSlots()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: func(shard, n int) bool { return (shard*3+n)%5 > 0 }, Refuse: 0.6})
+	results := run(t, cfg)
+	cfg.Fan = []cpfan.Option{cpfan.WithSettleDelay(0)}
+	hasty := run(t, cfg)
+	for name, r := range results {
+		assert.Assert(t, r.Worth() > hasty[name].Worth()+0.02, "%s: waiting for the other refusals wins nothing", name)
+	}
+}
+
 func TestACopyThatLosesAnswers(t *testing.T) {
 	cfg := calm()
 	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Reset: 0.4})
--- a/cpplan/cpplan.go
+++ b/cpplan/cpplan.go
@@ -29,7 +29,7 @@
 func (p *Planner) Plan(route *clementineport.Route, services []clementineport.ServiceID, f *clementineport.Forward, s Seen) cpfan.Plan {
 	plan := cpfan.Plan{
 		Shards: services, Gathers: route.Gathers(), Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, Least: 1,
-		Deadline: f.Deadline.Add(-p.options.AnswerMargin), HedgeAfter: p.hedgeAfter(route, s),
+		Last: Used(f, s) > 0, Deadline: f.Deadline.Add(-p.options.AnswerMargin), HedgeAfter: p.hedgeAfter(route, s),
 	}
 	if route.Gathers() {
 		plan.Least = cpfan.LeastParts(route.LeastCoverage, len(services))
