Stop a minority of VMs that is cut off from the store and from the others

Cause (KNOWN-RED, TestIsolatedPairDoesNotSend): any answer of a peer counted as contact, so two VMs that reach only each other sent with an old revision for ever. Ruled out: sending only with fresh word of the store, since an outage of the store would stop the whole tier.

Change: a VM keeps the VMs that were alive when it was last sure of its revision, and refuses new work when it reaches less than half of them and has not been sure for 3 s; it asks the store meanwhile. A newer revision from anybody settles the doubt.

--- a/cpcontrol/cpcontrol.go
+++ b/cpcontrol/cpcontrol.go
@@ -126,6 +126,7 @@
 			c.exchangeWith(ctx, a, now)
 		}
 	}
+	c.freshness.SetMinority(c.spread.Minority())
 }
 
 // chase asks members for a while whether they have a revision that was accepted here.
--- a/cpspread/cpspread.go
+++ b/cpspread/cpspread.go
@@ -93,6 +93,7 @@
 	restored clementineport.Revision
 	lowered  bool
 	missed   int
+	quorum   quorum
 }
 
 // New returns the machine of a VM without a configuration.
@@ -118,6 +119,12 @@
 // Fresh returns the last time at which the revision in force is known to have been the newest accepted.
 func (s *Spread) Fresh() time.Time { return s.fresh }
 
+// Minority reports whether this VM reaches so few of the others that a change may have been accepted without it, and
+// since when, or when its revision was last known to be the newest if that is later.
+func (s *Spread) Minority() (since time.Time, is bool) {
+	return later(s.quorum.since, s.fresh), s.quorum.minority()
+}
+
 // Restored returns the lower revision with which the store has answered a question that was asked
 // after the revision in force was known, or zero.
 func (s *Spread) Restored() clementineport.Revision { return s.restored }
@@ -134,7 +141,7 @@
 // SetMembers takes the members, this VM included, and chooses the watchers of its failure domain;
 // everListed is the highest number of VMs that the platform has listed at once.
 func (s *Spread) SetMembers(members []clementineport.Member, everListed int) {
-	s.members = members
+	s.members, s.quorum.changed = members, true
 	s.alone = everListed == 1 && len(members) <= 1
 	var own clementineport.FailureDomain
 	for i := range members {
@@ -153,6 +160,7 @@
 // Tick returns the calls to make now.
 func (s *Spread) Tick(now time.Time) []Action {
 	s.push(now)
+	s.quorum.judge(now, s.members)
 	actions := s.pending
 	s.pending = nil
 	if s.nextRead.IsZero() {
@@ -185,6 +193,9 @@
 // and the store when there are none or they don't answer either.
 func (s *Spread) renew(now time.Time) []Action {
 	age := now.Sub(s.contact)
+	if s.quorum.minority() {
+		age = now.Sub(s.fresh)
+	}
 	if s.alone || age < s.options.RenewAfter || now.Before(s.nextRenew) {
 		return nil
 	}
@@ -235,6 +246,7 @@
 		return VerdictLower
 	}
 	s.revision, s.since = r, now
+	s.quorum.since = time.Time{} // the change that may have been missed is here; the members are judged anew
 	for id, wanted := range s.wanted {
 		if wanted <= r {
 			delete(s.wanted, id)
@@ -265,7 +277,7 @@
 	switch {
 	case verdict != VerdictLower:
 		s.restored, s.lowered = 0, false
-		s.fresh = later(s.fresh, a.Began)
+		s.confirm(now, a.Began)
 	case a.Began.After(s.since):
 		s.restored, s.lowered = r, true
 	}
@@ -344,6 +356,18 @@
 	}
 }
 
+// freshNow is the age up to which an answer of the store tells of this moment: less than the time after which a VM that
+// was cut off is suspected.
+const freshNow = 500 * time.Millisecond
+
+// confirm records that the revision in force was known to be the newest at a time.
+func (s *Spread) confirm(now, at time.Time) {
+	s.fresh = later(s.fresh, at)
+	if now.Sub(at) <= freshNow {
+		s.quorum.reset(s.members)
+	}
+}
+
 func later(x, y time.Time) time.Time {
 	if y.After(x) {
 		return y
--- a/cpspread/freshness.go
+++ b/cpspread/freshness.go
@@ -1,6 +1,7 @@
 package cpspread
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -14,12 +15,19 @@
 	staleAfter int64
 	contact    atomic.Int64 // nanoseconds since base
 	alone      atomic.Bool
+	// doubt is when this VM was last sure of its revision while it is in a minority, in nanoseconds since base; noDoubt
+	// otherwise.
+	doubt atomic.Int64
 }
 
+// noDoubt stands for a VM that is not in a minority.
+const noDoubt = math.MaxInt64
+
 // NewFreshness returns a Freshness that has had no contact yet.
 func NewFreshness(clock clementineport.Clock, staleAfter time.Duration) *Freshness {
 	f := &Freshness{clock: clock, base: clock.Now(), staleAfter: int64(staleAfter)}
 	f.contact.Store(-int64(staleAfter) - 1)
+	f.doubt.Store(noDoubt)
 	return f
 }
 
@@ -37,6 +45,15 @@
 // SetAlone records whether this VM is the only one that was ever listed.
 func (f *Freshness) SetAlone(alone bool) { f.alone.Store(alone) }
 
+// SetMinority records that this VM is in a minority and when it was last sure of its revision; or that it is not.
+func (f *Freshness) SetMinority(sure time.Time, is bool) {
+	if !is {
+		f.doubt.Store(noDoubt)
+		return
+	}
+	f.doubt.Store(int64(sure.Sub(f.base)))
+}
+
 // Age returns the time since the last contact.
 func (f *Freshness) Age() time.Duration {
 	return f.clock.Now().Sub(f.base) - time.Duration(f.contact.Load())
@@ -44,6 +61,11 @@
 
 // MaySend returns nil when new work may be sent now, or the refusal.
 func (f *Freshness) MaySend() error {
+	now := int64(f.clock.Now().Sub(f.base))
+	if doubt := f.doubt.Load(); now-doubt > f.staleAfter {
+		return clementineport.Fail(clementineport.FaultStale, "most VMs and the store have not answered for %v",
+			time.Duration(now-doubt).Round(time.Millisecond))
+	}
 	if int64(f.Age()) <= f.staleAfter || f.alone.Load() {
 		return nil
 	}
