Let three VMs of each failure domain follow the store for the others, and log targets that turn cold or dark

Ruled out: longer watches. A quiet one may be as long as a VM may go without knowing that a connection has gone silent, and the age of what is known also tells an outage of the store, in which registrations lapse, from a registration that ends; twice the wait would halve the calls and blur both. Reads that may be old (a tenth of the price): they may be seconds behind without saying so.

Change: the three VMs of a failure domain that rank first follow the store as before. The others ask one of them for what has changed since their revision, over the connections between VMs that are there, and get an answer as soon as there is news or the store has said that there is none. What is known is as old as the question, so a VM that was frozen does not take an old answer for a new one. Domains of up to three VMs are as before.

--- a/cpchoice/cpchoice_test.go
+++ b/cpchoice/cpchoice_test.go
@@ -231,3 +231,23 @@
 	}
 	assert.Equal(t, s.choose(), 0)
 }
+
+func TestATargetThatTurnsDarkAndAnswersAgainIsReportedOnceEach(t *testing.T) {
+	target := cpchoice.NewTarget(clementineport.Discovered{ID: "x", Slots: 6})
+	var changes []cpchoice.Change
+	done := func(ms int, o cpchoice.Outcome) {
+		sent := start.Add(time.Duration(ms) * time.Millisecond)
+		target.Sent(sent)
+		o.Elapsed, o.Usual = 200*time.Millisecond, usual
+		if c := target.Done(sent.Add(o.Elapsed), sent, &o); c != cpchoice.NoChange {
+			changes = append(changes, c)
+		}
+	}
+	for ms := 0; ms < 2000; ms += 100 {
+		done(ms, cpchoice.Outcome{Fault: clementineport.FaultTimeout})
+	}
+	assert.DeepEqual(t, changes, []cpchoice.Change{cpchoice.TurnedDark})
+	done(2500, ok(usual))
+	done(2600, ok(usual))
+	assert.DeepEqual(t, changes, []cpchoice.Change{cpchoice.TurnedDark, cpchoice.TurnedBright})
+}
--- a/cpchoice/target.go
+++ b/cpchoice/target.go
@@ -59,6 +59,8 @@
 	// silent is when the first of the latest calls without an answer was sent, and unanswered their number.
 	silent     time.Time
 	unanswered int
+	// wasDark is what was reported last.
+	wasDark bool
 	// probe is when a dark target is asked again, and probeWait the time to the call after that.
 	probe     time.Time
 	probeWait time.Duration
@@ -75,8 +77,20 @@
 	t.sends = append(t.sends, now)
 }
 
+// Change says what the end of a request changed in what is known of its target.
+type Change uint8
+
+const (
+	// NoChange means that the target is used as before.
+	NoChange Change = iota
+	// TurnedDark means that the target has left its calls without an answer and is only asked one at a time.
+	TurnedDark
+	// TurnedBright means that a dark target has answered.
+	TurnedBright
+)
+
 // Done records what became of the request that was sent at a time.
-func (t *Target) Done(now, sent time.Time, o *Outcome) {
+func (t *Target) Done(now, sent time.Time, o *Outcome) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.finish(sent)
@@ -84,6 +98,20 @@
 	t.observeSilence(now, sent, o)
 	t.observeFailure(now, o)
 	t.observeTime(o)
+	return t.change(now)
+}
+
+// change reports whether the target has turned dark or has answered again since the last report.
+func (t *Target) change(now time.Time) Change {
+	dark := t.dark(now)
+	if dark == t.wasDark {
+		return NoChange
+	}
+	t.wasDark = dark
+	if dark {
+		return TurnedDark
+	}
+	return TurnedBright
 }
 
 // observeSilence counts calls without any answer.
--- a/cpevent/cpevent.go
+++ b/cpevent/cpevent.go
@@ -21,10 +21,14 @@
 	RegistrationFailed Name = "RegistrationFailed"
 	Registered         Name = "Registered"
 	CatchUpFailed      Name = "CatchUpFailed"
+	FollowFailed       Name = "FollowFailed"
 	PeerUnreached      Name = "PeerUnreached"
 	EntriesRejected    Name = "EntriesRejected"
 	RoutesChanged      Name = "RoutesChanged"
 	FleetChanged       Name = "FleetChanged"
+	TargetCold         Name = "TargetCold"
+	TargetDark         Name = "TargetDark"
+	TargetAnswers      Name = "TargetAnswers"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -72,10 +76,14 @@
 	{RegistrationFailed, []string{"Error"}, "this VM could not register or renew its registration; it goes on trying"},
 	{Registered, nil, "this VM is registered in the store, or again"},
 	{CatchUpFailed, []string{FieldVM, "Error"}, "another VM could not be asked for news while the store is away"},
+	{FollowFailed, []string{FieldVM, "Error"}, "another VM, which follows the store for this one, did not answer; this VM follows the store itself for a while"},
 	{PeerUnreached, []string{FieldVM, "Error"}, "another VM did not answer"},
 	{EntriesRejected, []string{"Faults", "Source"}, "entries of the store that cannot be read; they name no target"},
 	{RoutesChanged, []string{"Version", "Routes", "Source"}, "a new version of the routes is in force here"},
 	{FleetChanged, []string{"From", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
+	{TargetCold, []string{"Target", "Service", "ColdLeft"}, "a target that was warm says that it is cold"},
+	{TargetDark, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
+	{TargetAnswers, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
--- a/cpfollow/cpfollow.go
+++ b/cpfollow/cpfollow.go
@@ -33,9 +33,14 @@
 	confirmed atomic.Pointer[time.Time]
 	// contacted is when another VM last answered.
 	contacted atomic.Pointer[time.Time]
+	// heardOf is closed and replaced when there was news, also that nothing has changed.
+	heardOf atomic.Pointer[chan struct{}]
+	// shunPeers is until when this VM follows the store because another VM did not answer; it belongs to the feed.
+	shunPeers time.Time
 
 	// The fields below belong to the loop.
 	catalog   *cpcatalog.Catalog
+	history   history
 	member    *cpmember.Membership
 	peers     *cpdial.Peers
 	vms       cpquota.VMs
@@ -64,6 +69,8 @@
 	zero := time.Time{}
 	f.confirmed.Store(&zero)
 	f.contacted.Store(&zero)
+	none := make(chan struct{})
+	f.heardOf.Store(&none)
 	f.publish(options.Clock.Now())
 	return f
 }
@@ -132,9 +139,14 @@
 // heard takes news that was asked for at a time.
 func (f *Follower) heard(now, asked time.Time, news *clementineport.FleetNews, source string) {
 	before, version := f.catalog.AsOf(), f.routesVersion()
+	cooled := f.cooled(now, news)
 	changed := f.catalog.Apply(now, asked, news)
 	confirmed := f.catalog.Confirmed()
 	f.confirmed.Store(&confirmed)
+	if f.catalog.AsOf() != before {
+		f.history.add(before, news)
+	}
+	f.announce()
 	if len(news.Faults) > 0 {
 		f.options.Log.Warn(string(cpevent.EntriesRejected), zap.Strings("Faults", news.Faults), zap.String("Source", source))
 	}
@@ -143,6 +155,10 @@
 	}
 	f.dirty = true
 	f.listed(now)
+	for _, d := range cooled {
+		f.options.Log.Info(string(cpevent.TargetCold), zap.String("Target", string(d.ID)), zap.String("Service", string(d.Service)),
+			zap.Duration("ColdLeft", d.ColdLeft))
+	}
 	if f.routesVersion() != version {
 		f.options.Log.Info(string(cpevent.RoutesChanged), zap.Uint64("Version", uint64(f.routesVersion())),
 			zap.Int("Routes", len(f.catalog.Routes().Routes)), zap.String("Source", source))
@@ -152,6 +168,17 @@
 		zap.Int("Registered", len(news.Targets)), zap.Int("Gone", len(news.Gone)), zap.String("Source", source))
 }
 
+// cooled returns the targets that are known as warm and that news tells to be cold.
+func (f *Follower) cooled(now time.Time, news *clementineport.FleetNews) (cooled []*clementineport.Discovered) {
+	for i := range news.Targets {
+		d := &news.Targets[i]
+		if known := f.catalog.Targets()[d.ID]; d.ColdLeft > 0 && known != nil && !known.Cold(now) {
+			cooled = append(cooled, d)
+		}
+	}
+	return cooled
+}
+
 // routesVersion returns the version of the routes, or zero.
 func (f *Follower) routesVersion() clementineport.Revision {
 	if f.catalog.Routes() == nil {
--- a/cpfollow/cpfollow_test.go
+++ b/cpfollow/cpfollow_test.go
@@ -6,9 +6,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpevent"
 	"github.com/clementineport/clementineport/cpfollow"
 	"github.com/clementineport/clementineport/cppeer"
 )
@@ -183,6 +186,18 @@
 	assert.Equal(t, f.View().Services["s"][0].State.ID, clementineport.TargetID("y"))
 }
 
+func TestATargetThatTurnsColdIsLogged(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	store := &feed{asOf: 1, version: 5, targets: []clementineport.Discovered{discovered("x"), discovered("y")}}
+	f := follow(t, "vm", cpfollow.WithFeed(store), cpfollow.WithLog(zap.New(core)))
+	await(t, "the first version", func() bool { return version(f) == 5 && len(f.View().Services["s"]) == 2 })
+	store.set(func(s *feed) { s.targets[0].Seq, s.targets[0].ColdLeft = 2, 3*time.Second })
+	await(t, "a line", func() bool { return lines.FilterMessage(string(cpevent.TargetCold)).Len() > 0 })
+	line := lines.FilterMessage(string(cpevent.TargetCold)).All()[0]
+	assert.Equal(t, line.ContextMap()["Target"], "x")
+	assert.Equal(t, lines.FilterMessage(string(cpevent.TargetCold)).Len(), 1)
+}
+
 func TestTheViewGoesOnWhenTheHistoryWasDropped(t *testing.T) {
 	store := &feed{asOf: 1, version: 5}
 	f := follow(t, "vm", cpfollow.WithFeed(store))
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -29,13 +29,21 @@
 	return b
 }
 
-// feed reads the store's news until ctx ends.
+// feed follows the store's news until ctx ends.
 func (f *Follower) feed(ctx context.Context) {
 	delays := newBackoff()
 	loaded, reached := false, true
 	var asOf clementineport.Revision
 	for ctx.Err() == nil {
 		asked := f.options.Clock.Now()
+		if vm, ok := f.followed(asked); ok && loaded {
+			if next, ok := f.follow(ctx, vm, asked, asOf); ok {
+				asOf = next
+				f.pause(ctx, f.options.FeedPeriod/peerFeedFactor-f.options.Clock.Now().Sub(asked))
+				continue
+			}
+			asked = f.options.Clock.Now()
+		}
 		news, err := f.ask(ctx, loaded, asOf)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
@@ -56,11 +64,28 @@
 		}
 		loaded, reached, asOf = true, true, news.AsOf
 		delays.Reset()
-		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, known, news, "Store") })
+		f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, known, news, storeSource) })
 		f.pause(ctx, f.options.FeedPeriod-took)
 	}
 }
 
+// follow asks another VM for its news and returns the revision up to which it is known. When that VM does not answer, or
+// has lost the store, this one follows the store itself for a while.
+func (f *Follower) follow(ctx context.Context, vm clementineport.VM, asked time.Time, asOf clementineport.Revision) (clementineport.Revision, bool) {
+	news, err := f.askPeer(ctx, vm, asOf)
+	if err == nil && news.AsOf < asOf {
+		err = errBehind
+	}
+	if err != nil {
+		f.shunPeers = f.options.Clock.Now().Add(shunTime)
+		f.send(ctx, func(_ context.Context, f *Follower, _ time.Time) { f.peers.HangUp(vm.ID) })
+		f.options.Log.Info(string(cpevent.FollowFailed), zap.String("VM", string(vm.ID)), cplog.Cause("Error", err))
+		return 0, false
+	}
+	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { f.heard(now, asked, news, string(vm.ID)) })
+	return news.AsOf, true
+}
+
 // retryDelay returns the time until the store is called again.
 func (f *Follower) retryDelay(delays *backoff.ExponentialBackOff) time.Duration {
 	d := delays.NextBackOff()
@@ -139,11 +164,11 @@
 	}
 	f.catching = true
 	f.nextCatch = now.Add(f.options.CatchUpPeriod)
-	peer, asOf := f.peers.Get(now, vm), f.catalog.AsOf()
+	peer := f.peers.Get(now, vm)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, f.options.CatchUpTimeout)
 		defer cancel()
-		cfg, err := peer.Config(call, asOf)
+		cfg, err := peer.Config(call, 0)
 		f.send(ctx, func(_ context.Context, f *Follower, at time.Time) { f.caughtUp(at, now, vm.ID, cfg, err) })
 	}()
 }
@@ -183,5 +208,9 @@
 	return alive[rand.IntN(len(alive))], true
 }
 
-// errNoNews is the error of a VM that has no routes to tell.
-var errNoNews = errors.New("the VM has no news")
+var (
+	// errNoNews is the error of a VM that has no routes to tell.
+	errNoNews = errors.New("the VM has no news")
+	// errBehind is the error of a VM that knows less than the one that asked it.
+	errBehind = errors.New("the VM knows an earlier revision")
+)
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -24,6 +24,15 @@
 	// quietFactor times a period and a wait of the feed is longer than what lies between two confirmations in quiet
 	// times, also while the store answers slowly. A view that is older has lost the store.
 	quietFactor = 1.3
+	// DefaultStoreFollowers leaves one that follows the store in each failure domain when two fail at once.
+	DefaultStoreFollowers = 3
+	// peerAgeFactor times the wait of a feed is the age of a view above which it is not passed on to other VMs as news:
+	// it has just missed an answer of the store.
+	peerAgeFactor = 1.4
+	// peerFeedFactor is how many times as often as the store another VM is asked at most: that costs the store nothing.
+	peerFeedFactor = 4
+	// shunTime is how long a VM follows the store itself after another VM did not answer.
+	shunTime = 5 * time.Second
 	// DefaultCatchUpPeriod bounds what a VM without the store asks of the others.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
@@ -58,6 +67,8 @@
 	FeedWait   time.Duration
 	// RenewPeriod is the time between two renewals of the registration.
 	RenewPeriod time.Duration
+	// StoreFollowers is the number of VMs of a failure domain that follow the store; the others follow them.
+	StoreFollowers int
 	// CatchUpPeriod is the time between two questions to other VMs while the store does not answer.
 	CatchUpPeriod  time.Duration
 	CatchUpTimeout time.Duration
@@ -80,6 +91,7 @@
 		FeedPeriod:     DefaultFeedPeriod,
 		FeedWait:       DefaultFeedWait,
 		RenewPeriod:    DefaultRenewPeriod,
+		StoreFollowers: DefaultStoreFollowers,
 		CatchUpPeriod:  DefaultCatchUpPeriod,
 		CatchUpTimeout: DefaultCatchUpTimeout,
 		StaleAfter:     DefaultStaleAfter,
@@ -97,6 +109,12 @@
 	return time.Duration(quietFactor * float64(o.FeedPeriod+o.FeedWait))
 }
 
+// PeerAge returns the age of a view that is too old to be told to VMs that follow this one.
+func (o *Options) PeerAge() time.Duration { return time.Duration(peerAgeFactor * float64(o.FeedWait)) }
+
+// WithStoreFollowers sets the number of VMs of a failure domain that follow the store.
+func WithStoreFollowers(n int) Option { return func(o *Options) { o.StoreFollowers = n } }
+
 // WithSelf sets what this VM says about itself.
 func WithSelf(m clementineport.Member) Option { return func(o *Options) { o.Self = m } }
 
--- a/cpfollow/peers.go
+++ b/cpfollow/peers.go
@@ -51,18 +51,6 @@
 	}
 }
 
-// Config implements cppeer.Handler: it returns everything that this VM knows, if it has routes.
-func (f *Follower) Config(ctx context.Context, _ clementineport.Revision) (*clementineport.Config, error) {
-	answer := make(chan *clementineport.FleetNews, 1)
-	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { answer <- f.catalog.News(now) })
-	select {
-	case news := <-answer:
-		return encodeNews(news)
-	case <-ctx.Done():
-		return nil, clementineport.Fail(clementineport.FaultCanceled, "news given up: %v", ctx.Err())
-	}
-}
-
 // Relay implements cppeer.Handler; a follower calls no targets.
 func (f *Follower) Relay(context.Context, *clementineport.RelayRequest, func(clementineport.CallResult)) error {
 	return clementineport.Fail(clementineport.FaultNotOwner, "this VM relays nothing")
@@ -75,7 +63,7 @@
 
 // encodeNews wraps news as the peers' message for a configuration.
 func encodeNews(news *clementineport.FleetNews) (*clementineport.Config, error) {
-	if news.Routes == nil {
+	if news.Whole && news.Routes == nil {
 		return nil, nil
 	}
 	text, err := json.Marshal(news)
--- /dev/null
+++ b/cpfollow/source.go
@@ -0,0 +1,71 @@
+package cpfollow
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpowner"
+)
+
+// storeSource names the store as the source of news.
+const storeSource = "Store"
+
+// followed returns the VM whose news this one follows, or false when it follows the store itself. In each failure domain
+// the VMs that rank first follow the store, and the others follow one of them: so the calls to the store grow with
+// the failure domains and not with the VMs.
+func (f *Follower) followed(now time.Time) (clementineport.VM, bool) {
+	if now.Before(f.shunPeers) {
+		return clementineport.VM{}, false
+	}
+	members := f.View().Members
+	ranked := cpowner.Rank("follow", members, f.options.StoreFollowers, func(m *clementineport.Member) bool {
+		return m.Domain == f.options.Self.Domain && m.State == clementineport.MemberAlive && !m.Leaving && m.Peer != ""
+	})
+	if len(ranked) < f.options.StoreFollowers {
+		return clementineport.VM{}, false
+	}
+	for _, i := range ranked {
+		if members[i].ID == f.options.Self.ID {
+			return clementineport.VM{}, false
+		}
+	}
+	own := cpowner.Rank(string(f.options.Self.ID), members, len(members), func(m *clementineport.Member) bool {
+		return m.Domain == f.options.Self.Domain
+	})
+	for _, i := range own {
+		for _, j := range ranked {
+			if i == j {
+				return members[i].VM, true
+			}
+		}
+	}
+	return clementineport.VM{}, false
+}
+
+// askPeer asks a VM for what has changed after a revision.
+func (f *Follower) askPeer(ctx context.Context, vm clementineport.VM, after clementineport.Revision) (*clementineport.FleetNews, error) {
+	call, cancel := context.WithTimeout(ctx, f.options.PeerAge()+f.options.CatchUpTimeout)
+	defer cancel()
+	peer, err := f.peer(call, vm)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := peer.Config(call, after)
+	if err != nil {
+		return nil, err
+	}
+	return decodeNews(cfg)
+}
+
+// peer returns the port to another VM from the loop.
+func (f *Follower) peer(ctx context.Context, vm clementineport.VM) (clementineport.Peer, error) {
+	answer := make(chan clementineport.Peer, 1)
+	f.send(ctx, func(_ context.Context, f *Follower, now time.Time) { answer <- f.peers.Get(now, vm) })
+	select {
+	case p := <-answer:
+		return p, nil
+	case <-ctx.Done():
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "asking %s was given up: %v", vm.ID, ctx.Err())
+	}
+}
--- /dev/null
+++ b/cpfollow/source_test.go
@@ -0,0 +1,209 @@
+package cpfollow_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfollow"
+	"github.com/clementineport/clementineport/cppeer"
+)
+
+// ledger is a store that keeps its changes, and counts who asks for them.
+type ledger struct {
+	mu      sync.Mutex
+	first   *clementineport.FleetNews
+	changes []*clementineport.FleetNews
+	// asked counts the questions of each VM for changes, and away holds the VMs that get no answer.
+	asked map[clementineport.VMID]int
+	away  map[clementineport.VMID]bool
+}
+
+// add appends a change.
+func (l *ledger) add(news *clementineport.FleetNews) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news.AsOf = l.first.AsOf + clementineport.Revision(len(l.changes)) + 1
+	l.changes = append(l.changes, news)
+}
+
+// view is the ledger as one VM sees it.
+type view struct {
+	*ledger
+	id clementineport.VMID
+}
+
+// Load implements clementineport.Feed.
+func (v view) Load(context.Context) (*clementineport.FleetNews, error) {
+	first := *v.first
+	return &first, nil
+}
+
+// Next implements clementineport.Feed.
+func (v view) Next(_ context.Context, after clementineport.Revision, wait time.Duration) (*clementineport.FleetNews, error) {
+	v.mu.Lock()
+	v.asked[v.id]++
+	v.mu.Unlock()
+	for end := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
+		v.mu.Lock()
+		n, away := int(after-v.first.AsOf), v.away[v.id]
+		if away {
+			v.mu.Unlock()
+			return nil, clementineport.Fail(clementineport.FaultTimeout, "away")
+		}
+		if n < len(v.changes) {
+			news := *v.changes[n]
+			v.mu.Unlock()
+			return &news, nil
+		}
+		v.mu.Unlock()
+		if time.Now().After(end) {
+			return &clementineport.FleetNews{AsOf: after}, nil
+		}
+	}
+}
+
+// domain is one failure domain of VMs that know each other.
+type domain struct {
+	store *ledger
+	vms   map[clementineport.VMID]*cpfollow.Follower
+
+	mu   sync.Mutex
+	down map[clementineport.VMID]bool
+}
+
+// newDomain starts some VMs of which three follow the store.
+func newDomain(t *testing.T, n int) *domain {
+	t.Helper()
+	d := &domain{vms: map[clementineport.VMID]*cpfollow.Follower{}, down: map[clementineport.VMID]bool{}}
+	d.store = &ledger{
+		first: &clementineport.FleetNews{AsOf: 1, Whole: true, Routes: &clementineport.RouteTable{
+			Version: 5, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
+			Services: map[clementineport.ServiceID]clementineport.TargetService{"s": {Name: "s", Connections: 20}},
+		}},
+		asked: map[clementineport.VMID]int{}, away: map[clementineport.VMID]bool{},
+	}
+	for i := range n {
+		id := clementineport.VMID(fmt.Sprintf("vm-%d", i))
+		d.store.first.VMs = append(d.store.first.VMs, clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, vm := range d.store.first.VMs {
+		d.vms[vm.ID] = follow(t, vm.ID, cpfollow.WithFeed(view{d.store, vm.ID}), cpfollow.WithDial(d.dial),
+			cpfollow.WithFeedTimes(20*time.Millisecond, 200*time.Millisecond))
+	}
+	return d
+}
+
+// dial reaches a VM unless it is down.
+func (d *domain) dial(vm clementineport.VM) clementineport.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.vms[vm.ID]
+	return cppeer.New(cppeer.WithHandler(reached{f, d, vm.ID}))
+}
+
+// reached is a VM that others reach unless it is down.
+type reached struct {
+	*cpfollow.Follower
+	d  *domain
+	id clementineport.VMID
+}
+
+// Config implements cppeer.Handler.
+func (r reached) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+	r.d.mu.Lock()
+	down := r.d.down[r.id]
+	r.d.mu.Unlock()
+	if down {
+		return nil, clementineport.Fail(clementineport.FaultRefused, "down")
+	}
+	return r.Follower.Config(ctx, have)
+}
+
+// followers returns the VMs that asked the store during a time.
+func (d *domain) followers(during time.Duration) map[clementineport.VMID]bool {
+	d.store.mu.Lock()
+	clear(d.store.asked)
+	d.store.mu.Unlock()
+	time.Sleep(during)
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	all := map[clementineport.VMID]bool{}
+	for id := range d.store.asked {
+		all[id] = true
+	}
+	return all
+}
+
+// knows reports whether all VMs have some targets and no other ones.
+func (d *domain) knows(ids ...clementineport.TargetID) bool {
+	for _, f := range d.vms {
+		targets := f.View().Services["s"]
+		if len(targets) != len(ids) {
+			return false
+		}
+		known := map[clementineport.TargetID]bool{}
+		for i := range targets {
+			known[targets[i].State.ID] = true
+		}
+		for _, id := range ids {
+			if !known[id] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func TestThreeVMsOfADomainFollowTheStoreForAll(t *testing.T) {
+	d := newDomain(t, 9)
+	await(t, "six VMs follow the others", func() bool { return len(d.followers(500*time.Millisecond)) == 3 })
+	d.store.add(&clementineport.FleetNews{Targets: []clementineport.Discovered{discovered("x"), discovered("y")}})
+	await(t, "both targets", func() bool { return d.knows("x", "y") })
+	d.store.add(&clementineport.FleetNews{Gone: []clementineport.TargetID{"x"}})
+	d.store.add(&clementineport.FleetNews{Targets: []clementineport.Discovered{discovered("z")}})
+	await(t, "x has gone and z has come", func() bool { return d.knows("y", "z") })
+	for id, f := range d.vms {
+		assert.Assert(t, f.Age() < 2*time.Second, "%s knows nothing since %v", id, f.Age())
+	}
+}
+
+func TestAVMFollowsTheStoreItselfWhenTheOthersDoNotAnswer(t *testing.T) {
+	d := newDomain(t, 6)
+	var leading map[clementineport.VMID]bool
+	await(t, "three VMs follow the others", func() bool {
+		leading = d.followers(500 * time.Millisecond)
+		return len(leading) == 3
+	})
+	d.mu.Lock()
+	for id := range leading {
+		d.down[id] = true
+	}
+	d.mu.Unlock()
+	d.store.add(&clementineport.FleetNews{Targets: []clementineport.Discovered{discovered("x")}})
+	await(t, "all VMs ask the store", func() bool { return len(d.followers(500*time.Millisecond)) == 6 })
+	assert.Assert(t, d.knows("x"))
+}
+
+func TestAVMThatHasLostTheStoreIsNotFollowed(t *testing.T) {
+	d := newDomain(t, 6)
+	var leading map[clementineport.VMID]bool
+	await(t, "three VMs follow the others", func() bool {
+		leading = d.followers(500 * time.Millisecond)
+		return len(leading) == 3
+	})
+	d.store.mu.Lock()
+	for id := range leading {
+		d.store.away[id] = true
+	}
+	d.store.mu.Unlock()
+	d.store.add(&clementineport.FleetNews{Targets: []clementineport.Discovered{discovered("x")}})
+	await(t, "the others know by themselves, and the three learn from them", func() bool { return d.knows("x") })
+}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -244,7 +244,9 @@
 		outcome.OK = result.Part.Success()
 		outcome.Failed = result.Part.Status >= 500
 	}
-	s.Target.Done(now, sent, &outcome)
+	if change := s.Target.Done(now, sent, &outcome); change != cpchoice.NoChange {
+		r.f.options.Changed(&s.Target.Discovered, change)
+	}
 	if outcome.OK {
 		r.stats.latency.Add(now, outcome.Elapsed)
 	}
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
+	"github.com/clementineport/clementineport/cpchoice"
 	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cpfollow"
 	"github.com/clementineport/clementineport/cpplan"
@@ -39,6 +40,8 @@
 	Admit      []cpadmit.Option
 	// Failed is told of calls that failed.
 	Failed func(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration)
+	// Changed is told of targets that stop answering, and that answer again.
+	Changed func(target *clementineport.Discovered, change cpchoice.Change)
 }
 
 // Option changes Options.
@@ -53,6 +56,7 @@
 		RetryAfter: DefaultRetryAfter,
 		Admit:      cpplan.Admission(),
 		Failed:     func(clementineport.RequestID, clementineport.TargetID, error, time.Duration) {},
+		Changed:    func(*clementineport.Discovered, cpchoice.Change) {},
 	}
 	for _, o := range opts {
 		o(&options)
@@ -78,3 +82,8 @@
 func WithFailed(f func(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration)) Option {
 	return func(o *Options) { o.Failed = f }
 }
+
+// WithChanged sets what is told of targets that stop answering, and that answer again.
+func WithChanged(f func(target *clementineport.Discovered, change cpchoice.Change)) Option {
+	return func(o *Options) { o.Changed = f }
+}
--- a/cpvm/cpvm.go
+++ b/cpvm/cpvm.go
@@ -126,6 +126,7 @@
 		}),
 		cpforward.WithCold(s.Bounds.ColdOverrun, s.Bounds.ColdSlack),
 		cpforward.WithFailed(p.callFailed),
+		cpforward.WithChanged(p.targetChanged),
 	)
 	p.front = cpfront.New(
 		cpfront.WithView(p.follower.View, p.follower.Age),
--- a/cpvm/observe.go
+++ b/cpvm/observe.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpchoice"
 	"github.com/clementineport/clementineport/cpevent"
 	"github.com/clementineport/clementineport/cpfan"
 	"github.com/clementineport/clementineport/cplog"
@@ -116,3 +117,13 @@
 	p.log.Warn(string(cpevent.CallFailed), zap.String("ID", string(id)), zap.String("Target", string(target)),
 		zap.String("Fault", fault.String()), zap.Duration("Elapsed", elapsed), cplog.Cause("Reason", err))
 }
+
+// targetChanged logs a target that stops answering, or that answers again.
+func (p *Process) targetChanged(target *clementineport.Discovered, change cpchoice.Change) {
+	fields := []zap.Field{zap.String("Target", string(target.ID)), zap.String("Service", string(target.Service))}
+	if change == cpchoice.TurnedDark {
+		p.log.Warn(string(cpevent.TargetDark), fields...)
+		return
+	}
+	p.log.Info(string(cpevent.TargetAnswers), fields...)
+}
