Do not leave a VM that is followed after each quiet watch

Change: the age is 1.1 times a period and a wait, below the age at which a VM counts the store as lost.

--- a/cpfollow/cpfollow_test.go
+++ b/cpfollow/cpfollow_test.go
@@ -258,5 +258,7 @@
 		o := cpfollow.NewOptions(cpfollow.WithFeedTimes(times[0], times[1]))
 		const slowAnswer = 400 * time.Millisecond
 		assert.Assert(t, o.LostAfter() > times[0]+times[1]+slowAnswer)
+		assert.Assert(t, o.PeerAge() > times[0]+times[1], "a VM is left by those that follow it after each quiet watch")
+		assert.Assert(t, o.PeerAge() < o.LostAfter(), "those that follow it ask further VMs before they ask the store")
 	}
 }
--- a/cpfollow/options.go
+++ b/cpfollow/options.go
@@ -26,9 +26,9 @@
 	quietFactor = 1.3
 	// DefaultStoreFollowers leaves one that follows the store in each failure domain when two fail at once.
 	DefaultStoreFollowers = 3
-	// peerAgeFactor times the wait of a feed is the age of a view above which it is not passed on to other VMs as news:
-	// it has just missed an answer of the store.
-	peerAgeFactor = 1.4
+	// peerAgeFactor times a period and a wait of the feed is the age of a view above which it is not told to VMs that
+	// follow this one: an answer of the store is overdue.
+	peerAgeFactor = 1.1
 	// peerFeedFactor is how many times as often as the store another VM is asked at most: that costs the store nothing.
 	peerFeedFactor = 4
 	// shunTime is how long a VM follows the store itself after another VM did not answer.
@@ -110,7 +110,9 @@
 }
 
 // PeerAge returns the age of a view that is too old to be told to VMs that follow this one.
-func (o *Options) PeerAge() time.Duration { return time.Duration(peerAgeFactor * float64(o.FeedWait)) }
+func (o *Options) PeerAge() time.Duration {
+	return time.Duration(peerAgeFactor * float64(o.FeedPeriod+o.FeedWait))
+}
 
 // WithStoreFollowers sets the number of VMs of a failure domain that follow the store.
 func WithStoreFollowers(n int) Option { return func(o *Options) { o.StoreFollowers = n } }
