--- a/cpfollow/cpfollow.go
+++ b/cpfollow/cpfollow.go
@@ -17,6 +17,8 @@
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpdial"
 	"github.com/clementineport/clementineport/cpevent"
+	"github.com/clementineport/clementineport/cphistory"
+	"github.com/clementineport/clementineport/cpknown"
 	"github.com/clementineport/clementineport/cpmember"
 	"github.com/clementineport/clementineport/cpquota"
 )
@@ -27,7 +29,7 @@
 // Follower is the control state of one VM. Its exported methods are safe for concurrent use.
 type Follower struct {
 	options Options
-	view    atomic.Pointer[View]
+	view    atomic.Pointer[cpknown.View]
 	events  chan event
 	// confirmed is when the catalog was last known to be complete, as a time that traffic reads.
 	confirmed atomic.Pointer[time.Time]
@@ -40,11 +42,11 @@
 
 	// The fields below belong to the loop.
 	catalog   *cpcatalog.Catalog
-	history   history
+	history   *cphistory.History
 	member    *cpmember.Membership
 	peers     *cpdial.Peers
 	vms       cpquota.VMs
-	states    map[clementineport.TargetID]*ViewTarget
+	states    map[clementineport.TargetID]*cpknown.Target
 	published uint64
 	divided   int
 	dirty     bool
@@ -64,7 +66,8 @@
 		catalog: cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithAwayAfter(options.LostAfter())}, options.Catalog...)...),
 		member:  cpmember.New(options.Self, append([]cpmember.Option{cpmember.WithSeed(options.Seed)}, options.Member...)...),
 		peers:   cpdial.New(options.Dial),
-		states:  map[clementineport.TargetID]*ViewTarget{},
+		history: cphistory.New(),
+		states:  map[clementineport.TargetID]*cpknown.Target{},
 	}
 	zero := time.Time{}
 	f.confirmed.Store(&zero)
@@ -76,7 +79,7 @@
 }
 
 // View returns the newest view.
-func (f *Follower) View() *View { return f.view.Load() }
+func (f *Follower) View() *cpknown.View { return f.view.Load() }
 
 // Age returns how long ago the view was known to be complete.
 func (f *Follower) Age() time.Duration { return f.options.Clock.Now().Sub(*f.confirmed.Load()) }
@@ -144,7 +147,7 @@
 	confirmed := f.catalog.Confirmed()
 	f.confirmed.Store(&confirmed)
 	if f.catalog.AsOf() != before {
-		f.history.add(before, news)
+		f.history.Add(before, news)
 	}
 	f.announce()
 	if len(news.Faults) > 0 {
--- a/cpfollow/feed.go
+++ b/cpfollow/feed.go
@@ -12,6 +12,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpevent"
 	"github.com/clementineport/clementineport/cplog"
+	"github.com/clementineport/clementineport/cpupstream"
 )
 
 // Bounds of the time between two failed calls to the store.
@@ -158,7 +159,7 @@
 	if f.catching || now.Before(f.nextCatch) || f.Age() < f.options.LostAfter() {
 		return
 	}
-	vm, ok := f.anyPeer()
+	vm, ok := cpupstream.Any(f.options.Self.ID, f.member.Members(), f.options.Seeds, rand.IntN)
 	if !ok {
 		return
 	}
@@ -191,23 +192,6 @@
 	f.heard(now, asked, news, string(from))
 }
 
-// anyPeer returns a random VM that is expected to answer, or one of the seeds when none is known.
-func (f *Follower) anyPeer() (clementineport.VM, bool) {
-	var alive []clementineport.VM
-	for _, m := range f.member.Members() {
-		if m.ID != f.options.Self.ID && m.State == clementineport.MemberAlive && m.Peer != "" {
-			alive = append(alive, m.VM)
-		}
-	}
-	if len(alive) == 0 {
-		alive = f.options.Seeds
-	}
-	if len(alive) == 0 {
-		return clementineport.VM{}, false
-	}
-	return alive[rand.IntN(len(alive))], true
-}
-
 var (
 	// errNoNews is the error of a VM that has no routes to tell.
 	errNoNews = errors.New("the VM has no news")
--- a/cpfollow/peers.go
+++ b/cpfollow/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,35 +59,3 @@
 func (f *Follower) Forward(context.Context, *clementineport.Query) (*clementineport.Answer, error) {
 	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM runs no queries")
 }
-
-// encodeNews wraps news as the peers' message for a configuration.
-func encodeNews(news *clementineport.FleetNews) (*clementineport.Config, error) {
-	if news.Whole && news.Routes == nil {
-		return nil, nil
-	}
-	text, err := json.Marshal(news)
-	if err != nil {
-		return nil, &clementineport.Error{Fault: clementineport.FaultInternal, Reason: "encode news", Err: err}
-	}
-	return &clementineport.Config{Revision: news.AsOf, Text: text}, nil
-}
-
-// decodeNews reads news from the peers' message for a configuration.
-func decodeNews(cfg *clementineport.Config) (*clementineport.FleetNews, error) {
-	if cfg == nil {
-		return nil, errNoNews
-	}
-	news := &clementineport.FleetNews{}
-	if err := json.Unmarshal(cfg.Text, news); err != nil {
-		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Reason: "decode news", Err: err}
-	}
-	return news, nil
-}
-
-// EncodeMessage and DecodeMessage are the codec of the peers' message for a configuration.
-func EncodeMessage(cfg *clementineport.Config) ([]byte, error) { return cfg.Text, nil }
-
-// DecodeMessage reverses EncodeMessage.
-func DecodeMessage(text []byte) (*clementineport.Config, error) {
-	return &clementineport.Config{Text: text}, nil
-}
--- a/cpfollow/source.go
+++ b/cpfollow/source.go
@@ -5,42 +5,18 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cpupstream"
 )
 
 // storeSource names the store as the source of news.
 const storeSource = "Store"
 
-// followed returns the VM whose news this one follows, or false when it follows the store itself. In each failure domain
-// the VMs that rank first follow the store, and the others follow one of them: so the calls to the store grow with
-// the failure domains and not with the VMs.
+// followed returns the VM whose news this one follows, or false when it follows the store itself.
 func (f *Follower) followed(now time.Time) (clementineport.VM, bool) {
 	if now.Before(f.shunPeers) {
 		return clementineport.VM{}, false
 	}
-	members := f.View().Members
-	ranked := cpowner.Rank("follow", members, f.options.StoreFollowers, func(m *clementineport.Member) bool {
-		return m.Domain == f.options.Self.Domain && m.State == clementineport.MemberAlive && !m.Leaving && m.Peer != ""
-	})
-	if len(ranked) < f.options.StoreFollowers {
-		return clementineport.VM{}, false
-	}
-	for _, i := range ranked {
-		if members[i].ID == f.options.Self.ID {
-			return clementineport.VM{}, false
-		}
-	}
-	own := cpowner.Rank(string(f.options.Self.ID), members, len(members), func(m *clementineport.Member) bool {
-		return m.Domain == f.options.Self.Domain
-	})
-	for _, i := range own {
-		for _, j := range ranked {
-			if i == j {
-				return members[i].VM, true
-			}
-		}
-	}
-	return clementineport.VM{}, false
+	return cpupstream.Choose(&f.options.Self, f.View().Members, f.options.StoreFollowers)
 }
 
 // askPeer asks a VM for what has changed after a revision.
--- a/cpfollow/view.go
+++ b/cpfollow/view.go
@@ -1,54 +1,24 @@
 package cpfollow
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpchoice"
+	"github.com/clementineport/clementineport/cpknown"
 	"github.com/clementineport/clementineport/cpowner"
 	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cproute"
 )
 
-// ViewTarget is a target that may be asked.
-type ViewTarget struct {
-	State *cpchoice.Target
-	Port  clementineport.OpaqueTarget
-	// WarmAt is when the target is warm.
-	WarmAt time.Time
-	// Owned is true when this VM is the one that asks the target while it is cold.
-	Owned bool
-	Near  bool
-	// Limit is the number of requests that this VM may have on their way to the target.
-	Limit int
-}
-
-// Cold reports whether the target must be treated as cold.
-func (t *ViewTarget) Cold(now time.Time) bool { return now.Before(t.WarmAt) }
-
-// View is what a VM knows at one moment; it is immutable.
-type View struct {
-	// Router is nil until routes are known.
-	Router *cproute.Router
-	// Services lists the targets that may be asked now.
-	Services map[clementineport.ServiceID][]ViewTarget
-	Members  []clementineport.Member
-	// VMs is the number of VMs that bounds for all VMs are divided by.
-	VMs int
-	// Listed is true while the store lists this VM.
-	Listed bool
-}
-
 // publish makes a new view from the state of the loop.
 func (f *Follower) publish(now time.Time) {
 	f.dirty = false
 	f.published = f.member.Version()
 	f.divided = f.vms.Seen(now, f.counted())
-	view := &View{
-		Services: map[clementineport.ServiceID][]ViewTarget{},
+	view := &cpknown.View{
+		Services: map[clementineport.ServiceID][]cpknown.Target{},
 		Members:  f.member.Members(),
 		VMs:      f.divided,
 	}
@@ -65,7 +35,7 @@
 }
 
 // route adds the router, and keeps the old one while the routes are the same.
-func (f *Follower) route(view *View) {
+func (f *Follower) route(view *cpknown.View) {
 	routes := f.catalog.Routes()
 	if routes == nil {
 		return
@@ -103,11 +73,11 @@
 }
 
 // addTarget adds a target to its service.
-func (f *Follower) addTarget(view *View, id clementineport.TargetID, t *cpcatalog.Target) {
+func (f *Follower) addTarget(view *cpknown.View, id clementineport.TargetID, t *cpcatalog.Target) {
 	share := cpquota.Connections(f.connections(t.Service), f.divided)
 	s := f.states[id]
 	if s == nil {
-		s = &ViewTarget{State: cpchoice.NewTarget(t.Discovered), Port: f.options.NewPort(t.Discovered, share)}
+		s = &cpknown.Target{State: cpchoice.NewTarget(t.Discovered), Port: f.options.NewPort(t.Discovered, share)}
 		f.states[id] = s
 	}
 	s.Port.Resize(share)
@@ -129,51 +99,9 @@
 }
 
 // owns reports whether this VM is the one that asks a target while it is cold.
-func (f *Follower) owns(view *View, id clementineport.TargetID) bool {
+func (f *Follower) owns(view *cpknown.View, id clementineport.TargetID) bool {
 	ranked := cpowner.Rank(string(id), view.Members, 1, func(m *clementineport.Member) bool {
 		return m.State == clementineport.MemberAlive
 	})
 	return len(ranked) == 1 && view.Members[ranked[0]].ID == f.options.Self.ID
 }
-
-// Totals is what a view shows of the targets of one service.
-type Totals struct {
-	Service  clementineport.ServiceID
-	Targets  int
-	Cold     int
-	InFlight int
-	// Open is the number of connections, and Opened how many were opened to the present targets in all.
-	Open   int
-	Opened uint64
-}
-
-// Totals returns what the view shows of each service.
-func (v *View) Totals(now time.Time) []Totals {
-	all := make([]Totals, 0, len(v.Services))
-	for service, targets := range v.Services {
-		t := Totals{Service: service, Targets: len(targets)}
-		for i := range targets {
-			if targets[i].Cold(now) {
-				t.Cold++
-			}
-			t.InFlight += targets[i].State.InFlight()
-			open, opened := targets[i].Port.Open()
-			t.Open += open
-			t.Opened += opened
-		}
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b Totals) int { return strings.Compare(string(a.Service), string(b.Service)) })
-	return all
-}
-
-// Callers returns the addresses that callers may use, of the VMs that are alive and not leaving.
-func (v *View) Callers() []clementineport.Member {
-	var alive []clementineport.Member
-	for _, m := range v.Members {
-		if m.State == clementineport.MemberAlive && !m.Leaving && m.Caller != "" {
-			alive = append(alive, m)
-		}
-	}
-	return alive
-}
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -6,7 +6,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpchoice"
 	"github.com/clementineport/clementineport/cpfan"
-	"github.com/clementineport/clementineport/cpfollow"
+	"github.com/clementineport/clementineport/cpknown"
 	"github.com/clementineport/clementineport/cpquota"
 )
 
@@ -38,7 +38,7 @@
 }
 
 // split divides the targets of a service into warm and cold ones.
-func split(now time.Time, targets []cpfollow.ViewTarget) (warm []cpchoice.Candidate, cold []*cpfollow.ViewTarget) {
+func split(now time.Time, targets []cpknown.Target) (warm []cpchoice.Candidate, cold []*cpknown.Target) {
 	warm = make([]cpchoice.Candidate, 0, len(targets))
 	for i := range targets {
 		t := &targets[i]
@@ -52,7 +52,7 @@
 }
 
 // chooseCold returns a cold target that this VM alone asks, if its next request is due.
-func (f *Forwarder) chooseCold(now time.Time, view *cpfollow.View, cold []*cpfollow.ViewTarget, r *cpchoice.Request) (*cpchoice.Target, cpfan.Availability) {
+func (f *Forwarder) chooseCold(now time.Time, view *cpknown.View, cold []*cpknown.Target, r *cpchoice.Request) (*cpchoice.Target, cpfan.Availability) {
 	availability := cpfan.Absent
 	for _, t := range cold {
 		if !t.Owned || r.Excluded(t.State) {
@@ -69,7 +69,7 @@
 }
 
 // coldRate returns the requests a second that a cold target of a service may get from all VMs.
-func (f *Forwarder) coldRate(view *cpfollow.View, service clementineport.ServiceID) float64 {
+func (f *Forwarder) coldRate(view *cpknown.View, service clementineport.ServiceID) float64 {
 	spec := view.Router.Table().Services[service]
 	return spec.ColdPerSecond*f.options.ColdOverrun + f.options.ColdSlack
 }
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -9,7 +9,7 @@
 	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpchoice"
 	"github.com/clementineport/clementineport/cpfan"
-	"github.com/clementineport/clementineport/cpfollow"
+	"github.com/clementineport/clementineport/cpknown"
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
 )
@@ -25,7 +25,7 @@
 // Options are the settings of a Forwarder.
 type Options struct {
 	Clock clementineport.Clock
-	View  func() *cpfollow.View
+	View  func() *cpknown.View
 	Seed  uint64
 	// Retries bounds the extra calls of all VMs to a service.
 	Retries cpquota.RetryBound
@@ -65,7 +65,7 @@
 }
 
 // WithView sets where the newest view comes from.
-func WithView(view func() *cpfollow.View) Option { return func(o *Options) { o.View = view } }
+func WithView(view func() *cpknown.View) Option { return func(o *Options) { o.View = view } }
 
 // WithSeed seeds the choice of targets.
 func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
--- /dev/null
+++ b/cphistory/cphistory.go
@@ -0,0 +1,79 @@
+// Package cphistory keeps the latest changes of what a VM knows of the fleet and tells another VM what it has missed. It
+// makes no calls and is not safe for concurrent use.
+package cphistory
+
+import (
+	"slices"
+
+	"github.com/clementineport/clementineport"
+)
+
+// History keeps the latest changes. Its zero value is not usable.
+type History struct {
+	options Options
+	changes []change
+}
+
+// New returns a history without changes.
+func New(opts ...Option) *History { return &History{options: NewOptions(opts...)} }
+
+// change is news that led from one revision to the next one that was heard of.
+type change struct {
+	from clementineport.Revision
+	news *clementineport.FleetNews
+}
+
+// Add keeps news that was applied to a revision. Whole news says nothing about what came before it.
+func (h *History) Add(from clementineport.Revision, news *clementineport.FleetNews) {
+	if news.Whole {
+		h.changes = h.changes[:0]
+		return
+	}
+	h.changes = append(h.changes, change{from, news})
+	if extra := len(h.changes) - h.options.Most; extra > 0 {
+		h.changes = slices.Delete(h.changes, 0, extra)
+	}
+}
+
+// Since returns the changes after a revision as one, or false when they are not kept. A change that began before the
+// revision is told whole: what it names is as it was at its end.
+func (h *History) Since(after clementineport.Revision) (*clementineport.FleetNews, bool) {
+	first := slices.IndexFunc(h.changes, func(c change) bool { return c.news.AsOf > after })
+	if first < 0 || h.changes[first].from > after {
+		return nil, false
+	}
+	merged := &clementineport.FleetNews{}
+	for _, c := range h.changes[first:] {
+		merge(merged, c.news)
+	}
+	return merged, true
+}
+
+// merge adds later news.
+func merge(to, later *clementineport.FleetNews) {
+	to.AsOf = later.AsOf
+	if later.Routes != nil {
+		to.Routes = later.Routes
+	}
+	to.Domains = append(to.Domains, later.Domains...)
+	to.Targets, to.Gone = mergeEntries(to.Targets, to.Gone, later.Targets, later.Gone, targetID)
+	to.VMs, to.GoneVMs = mergeEntries(to.VMs, to.GoneVMs, later.VMs, later.GoneVMs, vmID)
+}
+
+func targetID(d *clementineport.Discovered) clementineport.TargetID { return d.ID }
+
+func vmID(vm *clementineport.VM) clementineport.VMID { return vm.ID }
+
+// mergeEntries adds later entries and ends of entries to earlier ones: for each id the latest word counts.
+func mergeEntries[E any, ID comparable](entries []E, gone []ID, later []E, laterGone []ID, id func(*E) ID) ([]E, []ID) {
+	named := make(map[ID]bool, len(later)+len(laterGone))
+	for i := range later {
+		named[id(&later[i])] = true
+	}
+	for _, g := range laterGone {
+		named[g] = true
+	}
+	entries = slices.DeleteFunc(entries, func(e E) bool { return named[id(&e)] })
+	gone = slices.DeleteFunc(gone, func(g ID) bool { return named[g] })
+	return append(entries, later...), append(gone, laterGone...)
+}
--- /dev/null
+++ b/cphistory/cphistory_test.go
@@ -0,0 +1,102 @@
+package cphistory_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cphistory"
+)
+
+func target(id string, seq int64) clementineport.Discovered {
+	return clementineport.Discovered{ID: clementineport.TargetID(id), Seq: seq}
+}
+
+func TestChangesAreToldFromTheRevisionThatAVMHas(t *testing.T) {
+	h := cphistory.New()
+	h.Add(10, &clementineport.FleetNews{AsOf: 12, Targets: []clementineport.Discovered{target("x", 1), target("y", 1)}})
+	h.Add(12, &clementineport.FleetNews{AsOf: 15, Gone: []clementineport.TargetID{"x"}, Routes: &clementineport.RouteTable{Version: 3}})
+	for after, targets := range map[clementineport.Revision]int{10: 1, 11: 1, 12: 0, 14: 0} {
+		news, known := h.Since(after)
+		assert.Assert(t, known, "after %d", after)
+		assert.Equal(t, news.AsOf, clementineport.Revision(15))
+		assert.Equal(t, len(news.Targets), targets, "after %d", after)
+		assert.DeepEqual(t, news.Gone, []clementineport.TargetID{"x"})
+		assert.Equal(t, news.Routes.Version, clementineport.Revision(3))
+	}
+	for _, after := range []clementineport.Revision{9, 15} {
+		_, known := h.Since(after)
+		assert.Assert(t, !known, "after %d", after)
+	}
+}
+
+func TestWholeNewsEndsWhatIsKnownOfBefore(t *testing.T) {
+	h := cphistory.New()
+	h.Add(10, &clementineport.FleetNews{AsOf: 12})
+	h.Add(12, &clementineport.FleetNews{AsOf: 20, Whole: true})
+	_, known := h.Since(10)
+	assert.Assert(t, !known)
+	h.Add(20, &clementineport.FleetNews{AsOf: 21})
+	_, known = h.Since(20)
+	assert.Assert(t, known)
+}
+
+func TestOnlyTheLatestChangesAreKept(t *testing.T) {
+	h := cphistory.New(cphistory.WithMost(3))
+	for at := range clementineport.Revision(10) {
+		h.Add(at, &clementineport.FleetNews{AsOf: at + 1})
+	}
+	_, known := h.Since(6)
+	assert.Assert(t, !known)
+	_, known = h.Since(7)
+	assert.Assert(t, known)
+}
+
+// apply brings targets up to date with news.
+func apply(targets map[clementineport.TargetID]int64, news *clementineport.FleetNews) {
+	for i := range news.Targets {
+		targets[news.Targets[i].ID] = news.Targets[i].Seq
+	}
+	for _, id := range news.Gone {
+		delete(targets, id)
+	}
+}
+
+func TestAVMThatMissedChangesKnowsTheSameAfterwards(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := cphistory.New()
+		now := map[clementineport.TargetID]int64{}
+		var at clementineport.Revision
+		missed := rapid.IntRange(0, 9).Draw(t, "known")
+		var behind map[clementineport.TargetID]int64
+		var have clementineport.Revision
+		for step := range 10 {
+			if step == missed {
+				have, behind = at, map[clementineport.TargetID]int64{}
+				for id, seq := range now {
+					behind[id] = seq
+				}
+			}
+			news := &clementineport.FleetNews{AsOf: at + clementineport.Revision(rapid.IntRange(1, 3).Draw(t, "revisions"))}
+			for _, n := range slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(rapid.IntRange(0, 5), 1, 4).Draw(t, "targets")))) {
+				id := fmt.Sprint(n)
+				if rapid.Bool().Draw(t, "gone") {
+					news.Gone = append(news.Gone, clementineport.TargetID(id))
+				} else {
+					news.Targets = append(news.Targets, target(id, int64(news.AsOf)))
+				}
+			}
+			h.Add(at, news)
+			apply(now, news)
+			at = news.AsOf
+		}
+		news, known := h.Since(have)
+		assert.Assert(t, known)
+		apply(behind, news)
+		assert.DeepEqual(t, behind, now)
+	})
+}
--- /dev/null
+++ b/cphistory/options.go
@@ -0,0 +1,25 @@
+package cphistory
+
+// DefaultMost covers a minute in which the fleet changes all the time. A VM that has missed more gets everything.
+const DefaultMost = 64 // changes
+
+// Options are the settings of a History.
+type Options struct {
+	// Most is the number of changes that are kept.
+	Most int
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{Most: DefaultMost}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithMost sets the number of changes that are kept.
+func WithMost(n int) Option { return func(o *Options) { o.Most = n } }
