Count overdue shards as uncertain when a hedge is valued

Cause: a hedge for one of two overdue shards was valued as if the other were certain, at 0.055 of 1 on a request of 36 shards that needs 35, and so had to leave half of the budget untouched; both were denied, and the request was late.

Change: a shard counts as certain while its latest call takes no longer than the time after which it is hedged.

--- a/cpfan/refusal_test.go
+++ b/cpfan/budget_test.go
@@ -64,3 +64,14 @@
 	sends := begin(fan)
 	assert.Equal(t, len(fan.Done(at(1), failed(sends[0], clementineport.FaultShed))), 1)
 }
+
+func TestAnExtraCallIsWorthMuchWhenFurtherShardsAreOverdueToo(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.budget = 0
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	for _, s := range begin(fan)[2:] {
+		fan.Done(at(10), answered(s))
+	}
+	fan.Tick(at(20))
+	assert.Assert(t, fleet.values[0] > 0.8, "one of two overdue shards is needed, and a call for it is worth %v", fleet.values[0])
+}
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -39,6 +39,8 @@
 	// asked is when the first call was made, and waited how long that took.
 	asked  time.Time
 	waited time.Duration
+	// latest is when the latest call was made.
+	latest time.Time
 	// expected is how long the answer to the first call would take, as far as that was known.
 	expected time.Duration
 	// held is true while the shard is not asked because its targets would answer too late.
@@ -152,7 +154,7 @@
 		s.asked, s.waited = now, now.Sub(f.began)
 	}
 	f.sends = append(f.sends, Send{Shard: i, Attempt: len(s.attempts) - 1, Target: target, Extra: extra})
-	s.wake = time.Time{}
+	s.wake, s.latest = time.Time{}, now
 	if f.mayHedge(s) {
 		s.wake = now.Add(f.plan.HedgeAfter)
 	}
@@ -198,7 +200,7 @@
 		return
 	}
 	target, _ := f.targets.Choose(now, f.plan.Shards[i], Hedge, s.tried)
-	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i], f.value(i)) {
+	if target == nil || !f.targets.MayRepeat(f.plan.Shards[i], f.value(now, i)) {
 		s.wake = now.Add(f.options.Recheck)
 		return
 	}
@@ -216,7 +218,7 @@
 		return
 	}
 	extra := s.reached() > 0
-	if extra && !f.targets.MayRepeat(f.plan.Shards[i], f.value(i)) {
+	if extra && !f.targets.MayRepeat(f.plan.Shards[i], f.value(now, i)) {
 		f.denied(now, s)
 		return
 	}
@@ -237,12 +239,12 @@
 }
 
 // value returns what one more call for a shard is worth to the answer, as a share of a whole answer. An answer is
-// worth the square of the share of its shards, and nothing below the least share; a shard counts as certain if a call
-// for it is under way.
-func (f *Fan) value(i int) float64 {
+// worth the square of the share of its shards, and nothing below the least share; a shard counts as certain while its
+// latest call takes no longer than most.
+func (f *Fan) value(now time.Time, i int) float64 {
 	certain := f.covered
 	for j := range f.shards {
-		if s := &f.shards[j]; j != i && s.state == open && s.outstanding() > 0 {
+		if s := &f.shards[j]; j != i && s.state == open && s.outstanding() > 0 && now.Sub(s.latest) < f.plan.HedgeAfter {
 			certain++
 		}
 	}
