Let each of many VMs remember longer which targets are slow or fail

Cause: what a VM knows of a slow target fades with a half-life of 3 s, so that it is tried again. One of 59 VMs sends 2 requests a second: it finds out again with nearly each sixth request for the service, and a request over 36 shards meets two or three such tries.

Telling the other VMs was weighed: by the exchanges that there are it takes as long as finding out.

Change: beyond eight VMs the half-lives grow with the number of VMs, up to four times.

--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -121,4 +121,6 @@
 	Elapsed time.Duration
 	// Usual is how long targets of the service usually take for such a request.
 	Usual time.Duration
+	// VMs is the number of VMs that send to the target.
+	VMs int
 }
--- a/cpchoice/cpchoice_test.go
+++ b/cpchoice/cpchoice_test.go
@@ -251,3 +251,25 @@
 	done(2600, ok(usual))
 	assert.DeepEqual(t, changes, []cpchoice.Change{cpchoice.TurnedDark, cpchoice.TurnedBright})
 }
+
+func TestOneOfManyVMsTriesASlowTargetAgainLessOften(t *testing.T) {
+	tries := func(vms int) (n int) {
+		s := newScene(3)
+		for range 40 { // two requests a second, which is one of many VMs' part
+			target, _ := s.chooser.Choose(s.now, s.candidates, &cpchoice.Request{Usual: usual, VMs: vms})
+			o := ok(usual)
+			if target == s.candidates[0].Target {
+				o = ok(8 * usual)
+				n++
+			}
+			o.Usual, o.VMs = usual, vms
+			target.Sent(s.now)
+			target.Done(s.now.Add(o.Elapsed), s.now, &o)
+			s.now = s.now.Add(500 * time.Millisecond)
+		}
+		return n
+	}
+	few, many := tries(6), tries(59)
+	assert.Assert(t, many < few, "%d tries of one of many VMs, %d of one of few", many, few)
+	assert.Assert(t, many > 0)
+}
--- a/cpchoice/target.go
+++ b/cpchoice/target.go
@@ -12,15 +12,19 @@
 const (
 	// slowGain is the weight of one answer in the slowness of a target.
 	slowGain = 0.25
-	// slowHalfLife is how soon a target that was slow is tried again.
+	// slowHalfLife is how soon a target that was slow is tried again by one of few VMs.
 	slowHalfLife = 3 * time.Second
 	// leastSlow and mostSlow bound the slowness, a multiple of the usual time.
 	leastSlow = 0.5
 	mostSlow  = 30
 	// failGain is the weight of one answer in the share of failures.
 	failGain = 0.25
-	// failHalfLife is how soon a failing target is tried again.
+	// failHalfLife is how soon a failing target is tried again by one of few VMs.
 	failHalfLife = 2 * time.Second
+	// fewVMs is the number of VMs beyond which each remembers longer: it gets fewer of the requests, and would spend
+	// more of them on finding out the same again. mostMemory bounds how much longer.
+	fewVMs     = 8
+	mostMemory = 4
 	// failCost is how many usual times a certain failure costs.
 	failCost = 12
 	// shedFailure is how much a refusal without running counts as a failure.
@@ -94,7 +98,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.finish(sent)
-	t.decay(now)
+	t.decay(now, o.VMs)
 	t.observeSilence(now, sent, o)
 	t.observeFailure(now, o)
 	t.observeTime(o)
@@ -151,11 +155,14 @@
 	}
 }
 
+// memory returns how many times as long as one of few VMs each of some VMs remembers.
+func memory(vms int) float64 { return min(max(float64(vms)/fewVMs, 1), mostMemory) }
+
 // decay moves what is known toward what is usual as it gets old.
-func (t *Target) decay(now time.Time) {
-	if elapsed := now.Sub(t.updated); elapsed > 0 && !t.updated.IsZero() {
-		t.slow = 1 + (t.slow-1)*math.Exp2(-float64(elapsed)/float64(slowHalfLife))
-		t.failing *= math.Exp2(-float64(elapsed) / float64(failHalfLife))
+func (t *Target) decay(now time.Time, vms int) {
+	if elapsed := float64(now.Sub(t.updated)) / memory(vms); elapsed > 0 && !t.updated.IsZero() {
+		t.slow = 1 + (t.slow-1)*math.Exp2(-elapsed/float64(slowHalfLife))
+		t.failing *= math.Exp2(-elapsed / float64(failHalfLife))
 	}
 	t.updated = now
 }
@@ -214,7 +221,7 @@
 	if usual <= 0 {
 		usual = unknownUsual
 	}
-	t.decay(now)
+	t.decay(now, vms)
 	load := float64(len(t.sends)*max(vms, 1)) / float64(max(t.Slots, 1))
 	cost := t.slow*(1+load) + failCost*t.failing
 	if quiet := t.quiet(now); quiet > time.Duration(quietAfter*t.slow*float64(usual)) {
@@ -234,7 +241,7 @@
 	if len(t.sends)*max(vms, 1) < t.Slots {
 		return 0, true
 	}
-	t.decay(now)
+	t.decay(now, vms)
 	return max(time.Duration(t.slow*float64(usual)), t.quiet(now)), true
 }
 
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -239,7 +239,9 @@
 // observe records what a call showed of its target.
 func (r *run) observe(s cpfan.Send, sent time.Time, result *callResult) {
 	now := r.now()
-	outcome := cpchoice.Outcome{Fault: result.Fault, Elapsed: now.Sub(sent), Usual: r.usual}
+	outcome := cpchoice.Outcome{
+		Fault: result.Fault, Elapsed: now.Sub(sent), Usual: r.usual, VMs: r.f.options.View().VMs,
+	}
 	if result.Part != nil {
 		outcome.OK = result.Part.Success()
 		outcome.Failed = result.Part.Status >= 500
--- a/cpmodel/cpmodel_test.go
+++ b/cpmodel/cpmodel_test.go
@@ -62,6 +62,12 @@
 	assert.Assert(t, run(t, cfg)[urgent].Worth() < hedged[urgent].Worth()-0.05, "the pauses do not matter in this model")
 }
 
+func TestOneSlowTargetInFiveIsFeltLittleByManyVMsWithFewRequestsEach(t *testing.T) {
+	cfg := cpmodel.Grown()
+	cfg.Troubles = always(cpmodel.Trouble{Hits: func(shard, n int) bool { return (shard*3+n)%5 == 0 }, Slow: 8})
+	each(t, run(t, cfg), 0.85)
+}
+
 func TestOneSlowCopyOfEachShard(t *testing.T) {
 	cfg := calm()
 	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Slow: 8})
--- a/cpmodel/vm.go
+++ b/cpmodel/vm.go
@@ -184,7 +184,7 @@
 	r.calls = slices.Delete(r.calls, i, i+1)
 	now, window := r.v.m.now, r.v.seen[r.kind].latency
 	result := &cpfan.Result{Shard: s.Shard, Attempt: s.Attempt}
-	observed := cpchoice.Outcome{Elapsed: now.Sub(sent), Usual: window.Usual()}
+	observed := cpchoice.Outcome{Elapsed: now.Sub(sent), Usual: window.Usual(), VMs: r.v.m.cfg.VMs}
 	switch o {
 	case answered:
 		result.Part = &clementineport.Part{Status: 200}
@@ -227,7 +227,7 @@
 	for _, p := range r.calls {
 		p.at.cancel(p.call)
 		p.state.Done(now, p.sent, &cpchoice.Outcome{
-			Fault: clementineport.FaultCanceled, Elapsed: now.Sub(p.sent), Usual: r.v.seen[r.kind].latency.Usual(),
+			Fault: clementineport.FaultCanceled, Elapsed: now.Sub(p.sent), Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs,
 		})
 	}
 	r.calls = nil
