--- a/cpfan/hold.go
+++ b/cpfan/hold.go
@@ -37,7 +37,7 @@
 // takes part, since requests that all spare the same shard would overload the others: shards of a like load are held
 // alike.
 func (f *Fan) lateShards(now time.Time) (late []lateShard) {
-	within := time.Duration(f.options.TimelyShare * float64(f.plan.Objective.Sub(now)))
+	within := max(0, time.Duration(f.options.TimelyShare*float64(f.plan.Objective.Sub(now))))
 	for i := range f.shards {
 		s := &f.shards[i]
 		if s.state != open || len(s.attempts) > 0 {
--- a/cpfan/hold_test.go
+++ b/cpfan/hold_test.go
@@ -105,3 +105,24 @@
 		}
 	}
 }
+
+func TestAShardThatHasRoomAgainIsAskedAlsoWhenTheRequestIsLate(t *testing.T) {
+	expected := map[clementineport.ServiceID]time.Duration{"s2": 90 * time.Millisecond, "s7": 90 * time.Millisecond}
+	fan := cpfan.New(gatherPlan(10, 0.9), loaded(10, expected))
+	sends := begin(fan)
+	var asks clementineport.ServiceID
+	for _, s := range sends {
+		if s.Shard != 2 && s.Shard != 7 {
+			fan.Done(at(10), answered(s))
+		} else {
+			asks = services(10)[s.Shard]
+		}
+	}
+	for s := range expected {
+		if s != asks {
+			expected[s] = 0
+		}
+	}
+	more := fan.Tick(at(110))
+	assert.Assert(t, len(more) > 0 && !more[len(more)-1].Extra, "the shard that has room is not asked")
+}
