Let requests that are late leave full targets to those that can be in time

Change: after its objective a gather's first call to a shard needs a target with a free slot, as a hedge does.

--- a/cpchoice/cpchoice.go
+++ b/cpchoice/cpchoice.go
@@ -44,7 +44,7 @@
 	// there are too few to find out about targets with them.
 	Best bool
 	// Spare leaves out targets whose slots are in use, as far as the requests of this VM tell: a second call beside one
-	// that is slow would make others wait.
+	// that is slow, or one of a request that is late, would make others wait.
 	Spare bool
 }
 
--- a/cpfan/cpfan.go
+++ b/cpfan/cpfan.go
@@ -32,6 +32,8 @@
 const (
 	// First is the first call of a shard.
 	First Purpose = iota
+	// Late is the first call of a shard for a request whose objective has passed.
+	Late
 	// Hedge is a call beside one that is slow.
 	Hedge
 	// Retry is a call after all earlier ones have failed.
--- a/cpfan/cpfan_test.go
+++ b/cpfan/cpfan_test.go
@@ -26,6 +26,8 @@
 	budget  int
 	spent   int
 	values  []float64
+	// purposes are those of the choices so far.
+	purposes []cpfan.Purpose
 	// expected is how long the targets of a service take; others answer at once.
 	expected map[clementineport.ServiceID]time.Duration
 }
@@ -53,7 +55,8 @@
 }
 
 // Choose implements cpfan.Targets.
-func (f *fleet) Choose(_ time.Time, s clementineport.ServiceID, _ cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+func (f *fleet) Choose(_ time.Time, s clementineport.ServiceID, purpose cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
+	f.purposes = append(f.purposes, purpose)
 	if f.busy {
 		return nil, cpfan.Busy
 	}
--- a/cpfan/hold_test.go
+++ b/cpfan/hold_test.go
@@ -126,3 +126,18 @@
 	more := fan.Tick(at(110))
 	assert.Assert(t, len(more) > 0 && !more[len(more)-1].Extra, "the shard that has room is not asked")
 }
+
+func TestARequestThatIsLateLeavesFullTargetsToOthers(t *testing.T) {
+	fleet := newFleet(10)
+	fleet.busy = true
+	fan := cpfan.New(gatherPlan(10, 0.9), fleet)
+	fan.Start(start)
+	for ms := 8; ms <= 120; ms += 8 {
+		fleet.purposes = nil
+		fan.Tick(at(ms))
+		for _, p := range fleet.purposes {
+			assert.Equal(t, p == cpfan.Late, ms > 100, "after %d ms", ms)
+		}
+	}
+	assert.Assert(t, len(fleet.purposes) > 0)
+}
--- a/cpfan/shard.go
+++ b/cpfan/shard.go
@@ -121,14 +121,18 @@
 	return asked
 }
 
-// first chooses the first target of a shard.
+// first chooses the first target of a shard. A request that is late leaves full targets to those that can still be in time.
 func (f *Fan) first(now time.Time, i int) {
 	s := &f.shards[i]
 	if s.held {
 		s.wake = now.Add(f.options.HoldRecheck)
 		return
 	}
-	target, availability := f.targets.Choose(now, f.plan.Shards[i], First, s.tried)
+	purpose := First
+	if f.plan.Gathers && now.After(f.plan.Objective) {
+		purpose = Late
+	}
+	target, availability := f.targets.Choose(now, f.plan.Shards[i], purpose, s.tried)
 	if target != nil {
 		f.send(now, i, target, false)
 		return
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -16,7 +16,8 @@
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
 	request := &cpchoice.Request{
-		Usual: r.usual, VMs: view.VMs, Excluded: excluded, Best: purpose != cpfan.First, Spare: purpose == cpfan.Hedge,
+		Usual: r.usual, VMs: view.VMs, Excluded: excluded, Best: purpose == cpfan.Hedge || purpose == cpfan.Retry,
+		Spare: purpose == cpfan.Hedge || purpose == cpfan.Late,
 	}
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
--- a/cpmodel/cpmodel_test.go
+++ b/cpmodel/cpmodel_test.go
@@ -99,6 +99,15 @@
 	}
 }
 
+func TestAnOverloadedShardThatAllNeedGoesToRequestsThatCanBeInTime(t *testing.T) {
+	cfg := calm()
+	cfg.Troubles = cpmodel.OneShardGoneAndOneOverloaded(4*time.Second, 20*time.Second)
+	results := run(t, cfg)
+	// The overloaded target bears 107 of 135 requests a second; an answer without the other shard is worth 0.81.
+	assert.Assert(t, results[urgent].Worth() > floor)
+	assert.Assert(t, results[short].Worth() > floor)
+}
+
 func TestACopyThatRefusesHalfOfItsCalls(t *testing.T) {
 	cfg := calm()
 	cfg.Troubles = always(cpmodel.Trouble{Hits: cpmodel.FirstCopy, Refuse: 0.5})
--- a/cpmodel/patterns.go
+++ b/cpmodel/patterns.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// OneShardGoneAndOneOverloaded takes all copies of one shard, so that every urgent request needs the others, of which one
+// keeps a single copy that is twice as slow.
+func OneShardGoneAndOneOverloaded(from, to time.Duration) []Trouble {
+	return []Trouble{
+		{From: from, To: to, Hits: func(shard, n int) bool { return shard == 0 || shard == 1 && n > 0 }, Dark: true},
+		{From: from, To: to, Hits: func(shard, n int) bool { return shard == 1 && n == 0 }, Slow: 2},
+	}
+}
+
 // Pattern is a named load or trouble.
 type Pattern struct {
 	Name     string
@@ -92,6 +101,7 @@
 		{"copy that loses answers", copies(Trouble{Reset: 0.4})},
 		{"shard gone", []Trouble{{From: from, To: to, Hits: func(shard, _ int) bool { return shard == 0 }, Dark: true}}},
 		{"two overloaded shards", TwoOverloadedShards(from, to)},
+		{"shard gone, one overloaded", OneShardGoneAndOneOverloaded(from, to)},
 		{"most targets refuse", []Trouble{{From: from, To: to, Hits: func(shard, n int) bool { return (shard+n)%3 > 0 }, Refuse: 0.5}}},
 		{"flood of one kind", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4.8}}},
 		{"flood of all", []Trouble{{From: from, To: to, Kind: "urgent", Flood: 4}, {From: from, To: to, Kind: "short", Flood: 4}}},
--- a/cpmodel/vm.go
+++ b/cpmodel/vm.go
@@ -237,7 +237,7 @@
 func (r *request) Choose(now time.Time, s clementineport.ServiceID, purpose cpfan.Purpose, excluded func(*cpchoice.Target) bool) (*cpchoice.Target, cpfan.Availability) {
 	t, busy := r.v.chooser.Choose(now, r.v.candidates[s], &cpchoice.Request{
 		Usual: r.v.seen[r.kind].latency.Usual(), VMs: r.v.m.cfg.VMs, Excluded: excluded,
-		Best: purpose != cpfan.First, Spare: purpose == cpfan.Hedge,
+		Best: purpose == cpfan.Hedge || purpose == cpfan.Retry, Spare: purpose == cpfan.Hedge || purpose == cpfan.Late,
 	})
 	switch {
 	case t != nil:
