--- a/cpfollow/source_test.go
+++ b/cpfollow/source_test.go
@@ -127,6 +127,16 @@
 	return r.Follower.Config(ctx, have)
 }
 
+// leading waits until three VMs follow the store, and returns them.
+func (d *domain) leading(t *testing.T) (leading map[clementineport.VMID]bool) {
+	t.Helper()
+	await(t, "three VMs follow the store", func() bool {
+		leading = d.followers(500 * time.Millisecond)
+		return len(leading) == 3
+	})
+	return leading
+}
+
 // followers returns the VMs that asked the store during a time.
 func (d *domain) followers(during time.Duration) map[clementineport.VMID]bool {
 	d.store.mu.Lock()
@@ -177,11 +187,7 @@
 
 func TestAVMFollowsTheStoreItselfWhenTheOthersDoNotAnswer(t *testing.T) {
 	d := newDomain(t, 6)
-	var leading map[clementineport.VMID]bool
-	await(t, "three VMs follow the others", func() bool {
-		leading = d.followers(500 * time.Millisecond)
-		return len(leading) == 3
-	})
+	leading := d.leading(t)
 	d.mu.Lock()
 	for id := range leading {
 		d.down[id] = true
@@ -194,11 +200,7 @@
 
 func TestAVMThatHasLostTheStoreIsNotFollowed(t *testing.T) {
 	d := newDomain(t, 6)
-	var leading map[clementineport.VMID]bool
-	await(t, "three VMs follow the others", func() bool {
-		leading = d.followers(500 * time.Millisecond)
-		return len(leading) == 3
-	})
+	leading := d.leading(t)
 	d.store.mu.Lock()
 	for id := range leading {
 		d.store.away[id] = true
