--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -34,9 +34,11 @@
 // Catalog holds the latest state of the store that one VM knows.
 type Catalog struct {
 	options     Options
-	asOf        clementineport.Revision
+	asOf        clementineport.StorePosition
 	confirmed   time.Time
 	storeBackAt time.Time
+	restore     restore
+	ended       map[clementineport.TargetID]endedTarget
 	routes      *clementineport.RouteTable
 	out         map[clementineport.FailureDomain]bool
 	targets     map[clementineport.TargetID]*Target
@@ -50,11 +52,13 @@
 		out:     map[clementineport.FailureDomain]bool{},
 		targets: map[clementineport.TargetID]*Target{},
 		vms:     map[clementineport.VMID]clementineport.VM{},
+		restore: newRestore(),
+		ended:   map[clementineport.TargetID]endedTarget{},
 	}
 }
 
-// AsOf returns the revision up to which the catalog is complete.
-func (c *Catalog) AsOf() clementineport.Revision { return c.asOf }
+// AsOf returns the position in the store's history up to which the catalog is complete.
+func (c *Catalog) AsOf() clementineport.StorePosition { return c.asOf }
 
 // Confirmed returns the latest time at which the catalog was known to be complete.
 func (c *Catalog) Confirmed() time.Time { return c.confirmed }
@@ -71,10 +75,19 @@
 // VMs returns the registered VMs by id; the map is valid until the next change.
 func (c *Catalog) VMs() map[clementineport.VMID]clementineport.VM { return c.vms }
 
+// Listed reports whether the store lists a VM. In contrast to VMs, it doesn't count an entry that a restore has lost.
+func (c *Catalog) Listed(id clementineport.VMID) bool {
+	_, listed := c.vms[id]
+	_, lost := c.restore.vms[id]
+	return listed && !lost
+}
+
 // Apply applies an update that was requested at requestedAt, and reports whether it changed anything beyond the time of
-// the last confirmation. It ignores an update that is older than the catalog, so that the state never goes backwards.
+// the last confirmation. It ignores an update that is older than the catalog, so that the state never goes backwards,
+// and changes of another era of the store than the catalog's, which need a full update first.
 func (c *Catalog) Apply(now, requestedAt time.Time, update *clementineport.FleetUpdate) (changed bool) {
-	if update.AsOf < c.asOf {
+	newEra := update.AsOf.Era != c.asOf.Era && !c.asOf.IsZero()
+	if update.AsOf.Before(c.asOf) || newEra && !update.Whole {
 		return false
 	}
 	c.confirm(requestedAt.Add(-update.Age))
@@ -82,6 +95,10 @@
 		return false // nothing new, and it must not restore targets that are about to be removed
 	}
 	c.asOf = update.AsOf
+	if newEra {
+		c.beginRestore(now)
+		changed = true
+	}
 	if update.Routes != nil && (c.routes == nil || update.Routes.Version > c.routes.Version) {
 		c.routes = update.Routes
 		changed = true
@@ -116,12 +133,13 @@
 func (c *Catalog) applyDomains(now time.Time, update *clementineport.FleetUpdate) (changed bool) {
 	before := c.out
 	if update.Whole {
-		c.out = map[clementineport.FailureDomain]bool{}
+		c.out = maps.Clone(c.restore.domains)
 	} else {
 		c.out = maps.Clone(before)
 	}
 	for _, d := range update.Domains {
 		delete(c.out, d.Domain)
+		delete(c.restore.domains, d.Domain)
 		if d.Out {
 			c.out[d.Domain] = true
 		}
@@ -149,23 +167,26 @@
 func (c *Catalog) applyVMs(update *clementineport.FleetUpdate) (changed bool) {
 	before := c.vms
 	if update.Whole {
-		c.vms = map[clementineport.VMID]clementineport.VM{}
+		c.vms = maps.Clone(c.restore.vms)
 	} else {
 		c.vms = maps.Clone(before)
 	}
 	for _, vm := range update.VMs {
 		c.vms[vm.ID] = vm
+		delete(c.restore.vms, vm.ID)
 	}
 	for _, id := range update.GoneVMs {
 		delete(c.vms, id)
+		delete(c.restore.vms, id)
 	}
 	return !maps.Equal(before, c.vms)
 }
 
-// register applies a registration. It ignores one of an earlier start, and an earlier one of the same start.
+// register applies a registration. It ignores one of an earlier start, an earlier one of the same start, and one that a
+// restore of the store has brought back.
 func (c *Catalog) register(now time.Time, d *clementineport.TargetInstance) (changed bool) {
 	old := c.targets[d.ID]
-	if old != nil && (d.Born < old.Born || (d.Born == old.Born && d.Seq < old.Seq)) {
+	if old != nil && (d.Born < old.Born || (d.Born == old.Born && d.Seq < old.Seq)) || c.endedBeforeRestore(d) {
 		return false
 	}
 	t := &Target{TargetInstance: *d}
@@ -199,7 +220,7 @@
 	}
 	grace := c.storeBackAt.Add(c.options.ExpiryGrace)
 	if c.storeBackAt.IsZero() || !now.Before(grace) || t.Draining {
-		delete(c.targets, id)
+		c.remove(now, t)
 		return true
 	}
 	if t.expiresAt.IsZero() {
@@ -222,15 +243,16 @@
 	return changed
 }
 
-// Tick removes the targets that did not register again in time, and reports whether there were any.
+// Tick removes the entries that were not written again in time, and reports whether there were any.
 func (c *Catalog) Tick(now time.Time) (changed bool) {
-	for id, t := range c.targets {
+	for _, t := range c.targets {
 		if !t.expiresAt.IsZero() && !now.Before(t.expiresAt) {
-			delete(c.targets, id)
+			c.remove(now, t)
 			changed = true
 		}
 	}
-	return changed
+	c.forgetEnded(now)
+	return c.endRestore(now) || changed
 }
 
 // FullUpdate returns the full state, for VMs that don't get it from the store. It omits targets whose registrations are
--- a/cpcatalog/cpcatalog_test.go
+++ b/cpcatalog/cpcatalog_test.go
@@ -17,6 +17,11 @@
 	return clementineport.TargetInstance{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "a", Slots: 2, Born: 1, Seq: seq}
 }
 
+// position returns a position in the store's history.
+func position(era clementineport.StoreEra, revision clementineport.Revision) clementineport.StorePosition {
+	return clementineport.StorePosition{Era: era, Revision: revision}
+}
+
 // at returns the time ms milliseconds after the start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
@@ -29,26 +34,26 @@
 
 func TestNothingGoesBackwards(t *testing.T) {
 	c := cpcatalog.New()
-	apply(c, 0, clementineport.FleetUpdate{AsOf: 10, Routes: &clementineport.RouteTable{Version: 7}})
-	assert.Assert(t, !apply(c, 10, clementineport.FleetUpdate{AsOf: 9, Whole: true, Routes: &clementineport.RouteTable{Version: 9}}))
-	assert.Assert(t, !apply(c, 20, clementineport.FleetUpdate{AsOf: 11, Routes: &clementineport.RouteTable{Version: 6}}))
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 10), Routes: &clementineport.RouteTable{Version: 7}})
+	assert.Assert(t, !apply(c, 10, clementineport.FleetUpdate{AsOf: position(0, 9), Whole: true, Routes: &clementineport.RouteTable{Version: 9}}))
+	assert.Assert(t, !apply(c, 20, clementineport.FleetUpdate{AsOf: position(0, 11), Routes: &clementineport.RouteTable{Version: 6}}))
 	assert.Equal(t, c.Routes().Version, clementineport.Revision(7))
-	assert.Equal(t, c.AsOf(), clementineport.Revision(11))
+	assert.Equal(t, c.AsOf(), position(0, 11))
 }
 
 func TestATargetThatUnregistersIsGoneAtOnce(t *testing.T) {
 	c := cpcatalog.New()
-	apply(c, 0, clementineport.FleetUpdate{AsOf: 1, Targets: []clementineport.TargetInstance{target("x", 1)}})
-	apply(c, 500, clementineport.FleetUpdate{AsOf: 2, Gone: []clementineport.TargetID{"x"}})
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Targets: []clementineport.TargetInstance{target("x", 1)}})
+	apply(c, 500, clementineport.FleetUpdate{AsOf: position(0, 2), Gone: []clementineport.TargetID{"x"}})
 	assert.Assert(t, !has(c, "x"))
 }
 
 func TestTargetsThatLapsedWhileTheStoreWasAwayMayComeBack(t *testing.T) {
 	c := cpcatalog.New()
-	apply(c, 0, clementineport.FleetUpdate{AsOf: 1, Targets: []clementineport.TargetInstance{target("back", 1), target("dead", 1)}})
-	apply(c, 6000, clementineport.FleetUpdate{AsOf: 2, Gone: []clementineport.TargetID{"back", "dead"}})
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Targets: []clementineport.TargetInstance{target("back", 1), target("dead", 1)}})
+	apply(c, 6000, clementineport.FleetUpdate{AsOf: position(0, 2), Gone: []clementineport.TargetID{"back", "dead"}})
 	assert.Assert(t, has(c, "back") && has(c, "dead"))
-	apply(c, 7000, clementineport.FleetUpdate{AsOf: 3, Targets: []clementineport.TargetInstance{target("back", 2)}})
+	apply(c, 7000, clementineport.FleetUpdate{AsOf: position(0, 3), Targets: []clementineport.TargetInstance{target("back", 2)}})
 	c.Tick(at(8200))
 	assert.Assert(t, has(c, "dead"))
 	assert.Assert(t, c.Tick(at(8400)))
@@ -59,24 +64,24 @@
 	c := cpcatalog.New()
 	leaving := target("x", 5)
 	leaving.Draining = true
-	apply(c, 0, clementineport.FleetUpdate{AsOf: 1, Targets: []clementineport.TargetInstance{leaving}})
-	apply(c, 10, clementineport.FleetUpdate{AsOf: 2, Targets: []clementineport.TargetInstance{target("x", 4)}})
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Targets: []clementineport.TargetInstance{leaving}})
+	apply(c, 10, clementineport.FleetUpdate{AsOf: position(0, 2), Targets: []clementineport.TargetInstance{target("x", 4)}})
 	assert.Assert(t, c.Targets()["x"].Draining)
-	apply(c, 20, clementineport.FleetUpdate{AsOf: 3, Targets: []clementineport.TargetInstance{target("x", 6)}})
+	apply(c, 20, clementineport.FleetUpdate{AsOf: position(0, 3), Targets: []clementineport.TargetInstance{target("x", 6)}})
 	assert.Assert(t, c.Targets()["x"].Draining)
 	again := target("x", 1)
 	again.Born = 2
-	apply(c, 30, clementineport.FleetUpdate{AsOf: 4, Targets: []clementineport.TargetInstance{again}})
+	apply(c, 30, clementineport.FleetUpdate{AsOf: position(0, 4), Targets: []clementineport.TargetInstance{again}})
 	assert.Assert(t, !c.Targets()["x"].Draining)
 }
 
 // domainOutAndBack takes the domain of target x out of service at the start, and returns it to service a second later.
 func domainOutAndBack(c *cpcatalog.Catalog) {
 	apply(c, 0, clementineport.FleetUpdate{
-		AsOf: 1, Targets: []clementineport.TargetInstance{target("x", 1)},
+		AsOf: position(0, 1), Targets: []clementineport.TargetInstance{target("x", 1)},
 		Domains: []clementineport.DomainStatus{{Domain: "a", Out: true}},
 	})
-	apply(c, 1000, clementineport.FleetUpdate{AsOf: 2, Domains: []clementineport.DomainStatus{{Domain: "a"}}})
+	apply(c, 1000, clementineport.FleetUpdate{AsOf: position(0, 2), Domains: []clementineport.DomainStatus{{Domain: "a"}}})
 }
 
 func TestTargetsOfADomainThatIsBackAreColdUntilTheyWouldHaveSaidSo(t *testing.T) {
@@ -92,7 +97,7 @@
 	domainOutAndBack(c)
 	cold := target("x", 2)
 	cold.ColdLeft = 5 * time.Second
-	apply(c, 2000, clementineport.FleetUpdate{AsOf: 3, Targets: []clementineport.TargetInstance{cold}})
+	apply(c, 2000, clementineport.FleetUpdate{AsOf: position(0, 3), Targets: []clementineport.TargetInstance{cold}})
 	assert.Assert(t, c.Targets()["x"].Cold(at(6900)))
 	assert.Assert(t, !c.Targets()["x"].Cold(at(7000)))
 }
@@ -101,13 +106,13 @@
 	c := cpcatalog.New()
 	cold := target("x", 1)
 	cold.ColdLeft = 3 * time.Second
-	apply(c, 0, clementineport.FleetUpdate{AsOf: 1, Targets: []clementineport.TargetInstance{cold}})
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Targets: []clementineport.TargetInstance{cold}})
 	assert.Assert(t, c.Targets()["x"].Cold(at(2900)))
 	assert.Assert(t, !c.Targets()["x"].Cold(at(3000)))
-	assert.Assert(t, apply(c, 4000, clementineport.FleetUpdate{AsOf: 2, Targets: []clementineport.TargetInstance{target("x", 2)}}))
+	assert.Assert(t, apply(c, 4000, clementineport.FleetUpdate{AsOf: position(0, 2), Targets: []clementineport.TargetInstance{target("x", 2)}}))
 	again := target("x", 3)
 	again.ColdLeft = time.Second
-	assert.Assert(t, apply(c, 5000, clementineport.FleetUpdate{AsOf: 3, Targets: []clementineport.TargetInstance{again}}))
+	assert.Assert(t, apply(c, 5000, clementineport.FleetUpdate{AsOf: position(0, 3), Targets: []clementineport.TargetInstance{again}}))
 	assert.Assert(t, c.Targets()["x"].Cold(at(5500)))
 }
 
@@ -116,7 +121,7 @@
 	cold := target("x", 1)
 	cold.ColdLeft = 3 * time.Second
 	apply(c, 0, clementineport.FleetUpdate{
-		AsOf: 5, Targets: []clementineport.TargetInstance{cold, target("y", 9)},
+		AsOf: position(0, 5), Targets: []clementineport.TargetInstance{cold, target("y", 9)},
 		Domains: []clementineport.DomainStatus{{Domain: "b", Out: true}},
 		VMs:     []clementineport.VM{{ID: "vm-1"}},
 		Routes:  &clementineport.RouteTable{Version: 3},
@@ -134,15 +139,15 @@
 func TestATargetThatIsGoneIsNotRestoredByAnotherVM(t *testing.T) {
 	expired := func() *cpcatalog.Catalog {
 		c := cpcatalog.New()
-		apply(c, 0, clementineport.FleetUpdate{AsOf: 1, Targets: []clementineport.TargetInstance{target("x", 1)}})
-		apply(c, 6000, clementineport.FleetUpdate{AsOf: 2, Gone: []clementineport.TargetID{"x"}})
+		apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Targets: []clementineport.TargetInstance{target("x", 1)}})
+		apply(c, 6000, clementineport.FleetUpdate{AsOf: position(0, 2), Gone: []clementineport.TargetID{"x"}})
 		assert.Assert(t, has(c, "x"), "the registration may have expired only because of the outage")
 		return c
 	}
 	one, other := expired(), expired()
 	assert.Equal(t, len(other.FullUpdate(at(6500)).Targets), 0)
 	// A VM of an earlier version, or one that has not received the latest update, may still list the target.
-	one.Apply(at(6500), at(6500), &clementineport.FleetUpdate{AsOf: 2, Whole: true, Targets: []clementineport.TargetInstance{target("x", 1)}})
+	one.Apply(at(6500), at(6500), &clementineport.FleetUpdate{AsOf: position(0, 2), Whole: true, Targets: []clementineport.TargetInstance{target("x", 1)}})
 	one.Tick(at(8400))
 	assert.Assert(t, !has(one, "x"))
 }
--- a/cpcatalog/options.go
+++ b/cpcatalog/options.go
@@ -10,6 +10,11 @@
 	// DefaultExpiryGrace is slightly longer than the time of about two seconds within which, as the platform guarantees,
 	// live targets register again after a store outage.
 	DefaultExpiryGrace = 2300 * time.Millisecond
+	// DefaultRestoreGrace is long because a domain that returns to service too early gets requests that operators have
+	// ruled out, while one that returns late only lacks its share of them.
+	DefaultRestoreGrace = 10 * time.Second
+	// DefaultEndedRetention is many times the age of a copy from which a store is restored.
+	DefaultEndedRetention = 2 * time.Minute
 	// DefaultAssumedColdTime covers two registrations of a target and their delay on the way to this VM.
 	DefaultAssumedColdTime = 3500 * time.Millisecond
 )
@@ -20,6 +25,11 @@
 	OutageAfter time.Duration
 	// ExpiryGrace is how long targets whose registrations are gone are kept after a store outage.
 	ExpiryGrace time.Duration
+	// RestoreGrace is how long a failure domain stays out of service after a restore of the store that lost the record
+	// of it, so that operators can write it again.
+	RestoreGrace time.Duration
+	// EndedRetention is how long the catalog remembers the last registration of a target that has ended.
+	EndedRetention time.Duration
 	// AssumedColdTime is how long the targets of a failure domain are treated as cold after it returned to service.
 	AssumedColdTime time.Duration
 }
@@ -29,7 +39,10 @@
 
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
-	options := Options{OutageAfter: DefaultOutageAfter, ExpiryGrace: DefaultExpiryGrace, AssumedColdTime: DefaultAssumedColdTime}
+	options := Options{
+		OutageAfter: DefaultOutageAfter, ExpiryGrace: DefaultExpiryGrace, RestoreGrace: DefaultRestoreGrace,
+		EndedRetention: DefaultEndedRetention, AssumedColdTime: DefaultAssumedColdTime,
+	}
 	for _, o := range opts {
 		o(&options)
 	}
@@ -42,5 +55,11 @@
 // WithExpiryGrace sets how long targets whose registrations are gone are kept after a store outage.
 func WithExpiryGrace(d time.Duration) Option { return func(o *Options) { o.ExpiryGrace = d } }
 
+// WithRestoreGrace sets how long a failure domain stays out of service after a restore that lost the record of it.
+func WithRestoreGrace(d time.Duration) Option { return func(o *Options) { o.RestoreGrace = d } }
+
+// WithEndedRetention sets how long the last registration of a target that has ended is remembered.
+func WithEndedRetention(d time.Duration) Option { return func(o *Options) { o.EndedRetention = d } }
+
 // WithAssumedColdTime sets how long the targets of a failure domain are treated as cold after it returned to service.
 func WithAssumedColdTime(d time.Duration) Option { return func(o *Options) { o.AssumedColdTime = d } }
--- a/cpchangelog/cpchangelog.go
+++ b/cpchangelog/cpchangelog.go
@@ -17,15 +17,15 @@
 // New returns a history without changes.
 func New(opts ...Option) *History { return &History{options: NewOptions(opts...)} }
 
-// change is an update that was applied to the revision from.
+// change is an update that was applied to the state at the position from.
 type change struct {
-	from   clementineport.Revision
+	from   clementineport.StorePosition
 	update *clementineport.FleetUpdate
 }
 
-// Add adds an update that was applied to the revision from. A full update discards the history, since it doesn't say
+// Add adds an update that was applied to the state at the position from. A full update discards the history, since it doesn't say
 // what has changed.
-func (h *History) Add(from clementineport.Revision, update *clementineport.FleetUpdate) {
+func (h *History) Add(from clementineport.StorePosition, update *clementineport.FleetUpdate) {
 	if update.Whole {
 		h.changes = h.changes[:0]
 		return
@@ -36,11 +36,12 @@
 	}
 }
 
-// Since returns the changes after a revision merged into one, or false when they are no longer kept. It includes all of a
-// change that spans the revision; its entries have their state at the end of that change.
-func (h *History) Since(after clementineport.Revision) (*clementineport.FleetUpdate, bool) {
-	first := slices.IndexFunc(h.changes, func(c change) bool { return c.update.AsOf > after })
-	if first < 0 || h.changes[first].from > after {
+// Since returns the changes after a position merged into one, or false when they are no longer kept or when the store was
+// restored since. It includes all of a change that spans the position; its entries have their state at the end of that
+// change.
+func (h *History) Since(after clementineport.StorePosition) (*clementineport.FleetUpdate, bool) {
+	first := slices.IndexFunc(h.changes, func(c change) bool { return after.Before(c.update.AsOf) })
+	if first < 0 || after.Before(h.changes[first].from) {
 		return nil, false
 	}
 	merged := &clementineport.FleetUpdate{}
--- a/cpcontrol/api.go
+++ b/cpcontrol/api.go
@@ -22,9 +22,9 @@
 }
 
 // Config returns the configuration in force if it is newer than have, or nil.
-func (c *Control) Config(_ context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (c *Control) Config(_ context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	v := c.View()
-	if v.Revision <= have {
+	if v.Revision <= have.Revision {
 		return nil, nil
 	}
 	return v.Config, nil
--- a/cpcontrol/calls.go
+++ b/cpcontrol/calls.go
@@ -150,7 +150,7 @@
 		call, cancel := c.withTimeout(ctx, a.Timeout)
 		defer cancel()
 		e := fetchResult{action: a}
-		e.cfg, e.err = p.Config(call, have)
+		e.cfg, e.err = p.Config(call, clementineport.StorePosition{Revision: have})
 		if e.err == nil && e.cfg != nil && e.cfg.Revision > have {
 			e.table, e.err = c.options.Compile(e.cfg)
 			e.rejected = e.err != nil
--- a/cpcontrol/fleet_test.go
+++ b/cpcontrol/fleet_test.go
@@ -232,7 +232,7 @@
 	return n.Exchange(ctx, d)
 }
 
-func (l *peerLink) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (l *peerLink) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	n, err := l.connect(ctx)
 	if err != nil {
 		return nil, err
--- a/cpentry/query_bench_test.go
+++ b/cpentry/query_bench_test.go
@@ -68,7 +68,7 @@
 	return nil, nil
 }
 
-func (*staticControl) Config(context.Context, clementineport.Revision) (*clementineport.Config, error) {
+func (*staticControl) Config(context.Context, clementineport.StorePosition) (*clementineport.Config, error) {
 	return nil, nil
 }
 
--- a/cpentryvm/peerhandler.go
+++ b/cpentryvm/peerhandler.go
@@ -24,6 +24,6 @@
 }
 
 // Config implements cppeer.Handler.
-func (h *peerHandler) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (h *peerHandler) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	return h.control.Config(ctx, have)
 }
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -38,6 +38,8 @@
 	Members  []clementineport.Member
 	// VMs is the number of VMs by which bounds for all VMs together are divided.
 	VMs int
+	// StoreEra is the era of the store that the view is from.
+	StoreEra clementineport.StoreEra
 	// Listed is true while the store lists this VM.
 	Listed bool
 }
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -17,6 +17,7 @@
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpchangelog"
 	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cppeerconns"
@@ -40,6 +41,10 @@
 	// avoidUpstreamUntil is the time until which this VM watches the store itself because its upstream VM failed.
 	// Only watchStore accesses it.
 	avoidUpstreamUntil time.Time
+	// leaving is set when this VM is shutting down; it then does not register again.
+	leaving atomic.Bool
+	// restored signals register that the store was restored, so that this VM's registration may be lost.
+	restored chan struct{}
 
 	// The fields below are owned by the loop.
 	catalog          *cpcatalog.Catalog
@@ -64,6 +69,7 @@
 	w := &Watcher{
 		options:    options,
 		events:     make(chan event, eventQueueSize),
+		restored:   make(chan struct{}, 1),
 		catalog:    cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithOutageAfter(options.StoreLostAfter())}, options.Catalog...)...),
 		membership: cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
 		peers:      cppeerconns.New(options.Dial),
@@ -82,6 +88,9 @@
 // View returns the latest view.
 func (w *Watcher) View() *cpfleetstate.View { return w.view.Load() }
 
+// StoreEra returns the era of the store that the latest view is from.
+func (w *Watcher) StoreEra() clementineport.StoreEra { return w.View().StoreEra }
+
 // Age returns the time since the view was last known to be complete.
 func (w *Watcher) Age() time.Duration { return w.options.Clock.Now().Sub(*w.confirmed.Load()) }
 
@@ -92,8 +101,9 @@
 	return now.Sub(*w.confirmed.Load()) > w.options.StaleAfter && now.Sub(*w.lastPeerContact.Load()) > w.options.PeerTimeout
 }
 
-// Leave announces to the other VMs that this VM is shutting down.
+// Leave announces to the other VMs that this VM is shutting down, and ends the renewals of its registration.
 func (w *Watcher) Leave() {
+	w.leaving.Store(true)
 	w.events <- func(_ context.Context, w *Watcher, _ time.Time) { w.membership.Leave() }
 }
 
@@ -150,6 +160,9 @@
 	if w.catalog.AsOf() != before {
 		w.history.Add(before, update)
 	}
+	if w.catalog.AsOf().Era != before.Era && !before.IsZero() {
+		w.storeRestored(before, source)
+	}
 	w.notifyWaiters()
 	if len(update.Faults) > 0 {
 		w.options.Log.Warn(string(cplogevent.EntriesRejected), zap.Strings("Faults", update.Faults), zap.String("Source", source))
@@ -167,11 +180,21 @@
 		w.options.Log.Info(string(cplogevent.RoutesChanged), zap.Uint64("Version", uint64(w.routesVersion())),
 			zap.Int("Routes", len(w.catalog.Routes().Routes)), zap.String("Source", source))
 	}
-	w.options.Log.Info(string(cplogevent.FleetChanged), zap.Uint64("From", uint64(before)), zap.Uint64("AsOf", uint64(w.catalog.AsOf())),
+	w.options.Log.Info(string(cplogevent.FleetChanged), zap.Uint64("From", uint64(before.Revision)), cplog.Position(w.catalog.AsOf()),
 		zap.Int("Targets", len(w.catalog.Targets())), zap.Int("VMs", len(w.catalog.VMs())),
 		zap.Int("Registered", len(update.Targets)), zap.Int("Gone", len(update.Gone)), zap.String("Source", source))
 }
 
+// storeRestored logs that the store was restored and makes this VM register again.
+func (w *Watcher) storeRestored(before clementineport.StorePosition, source string) {
+	w.options.Log.Warn(string(cplogevent.StoreRestored), zap.Uint64("FromEra", uint64(before.Era)), zap.Uint64("From", uint64(before.Revision)),
+		cplog.Position(w.catalog.AsOf()), zap.String("Source", source))
+	select {
+	case w.restored <- struct{}{}:
+	default: // a signal is already waiting
+	}
+}
+
 // newlyCold returns the targets that the catalog has as warm and the update reports as cold.
 func (w *Watcher) newlyCold(now time.Time, update *clementineport.FleetUpdate) (cold []*clementineport.TargetInstance) {
 	for i := range update.Targets {
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -22,9 +22,10 @@
 // fakeSource is a FleetSource that a test controls.
 type fakeSource struct {
 	mu             sync.Mutex
-	asOf           clementineport.Revision
+	asOf           clementineport.StorePosition
 	version        clementineport.Revision
 	targets        []clementineport.TargetInstance
+	vms            []clementineport.VM
 	unavailable    bool
 	historyDropped bool
 	loads          int
@@ -34,13 +35,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change(f)
-	f.asOf++
+	f.asOf.Revision++
 }
 
 // update returns the full state. The caller holds the lock.
 func (f *fakeSource) update() *clementineport.FleetUpdate {
 	return &clementineport.FleetUpdate{
-		AsOf: f.asOf, Whole: true, Targets: f.targets, Routes: &clementineport.RouteTable{
+		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Routes: &clementineport.RouteTable{
 			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{"s": {Name: "s", Connections: 20}},
 		},
@@ -59,7 +60,7 @@
 }
 
 // Next implements clementineport.FleetSource.
-func (f *fakeSource) Next(_ context.Context, _ clementineport.Revision, wait time.Duration) (*clementineport.FleetUpdate, error) {
+func (f *fakeSource) Next(_ context.Context, _ clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
 	time.Sleep(min(wait, 5*time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -80,6 +81,13 @@
 	renewed    int
 }
 
+// registrations returns the number of registrations.
+func (r *fakeRegistrar) registrations() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registered
+}
+
 // Register implements clementineport.Registrar.
 func (r *fakeRegistrar) Register(context.Context, clementineport.VM) error {
 	r.mu.Lock()
@@ -174,7 +182,7 @@
 }
 
 func TestTheViewFollowsTheStore(t *testing.T) {
-	store := &fakeSource{asOf: 1, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
 	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store))
 	await(t, "the first version", func() bool { return routesVersion(w) == 5 && len(w.View().Services["s"]) == 2 })
 	store.set(func(s *fakeSource) {
@@ -188,7 +196,7 @@
 
 func TestATargetThatTurnsColdIsLogged(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
-	store := &fakeSource{asOf: 1, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
 	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithLog(zap.New(core)))
 	await(t, "the first version", func() bool { return routesVersion(w) == 5 && len(w.View().Services["s"]) == 2 })
 	store.set(func(s *fakeSource) { s.targets[0].Seq, s.targets[0].ColdLeft = 2, 3*time.Second })
@@ -199,7 +207,7 @@
 }
 
 func TestTheViewGoesOnWhenTheHistoryWasDropped(t *testing.T) {
-	store := &fakeSource{asOf: 1, version: 5}
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
 	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store))
 	await(t, "the first version", func() bool { return routesVersion(w) == 5 })
 	store.set(func(s *fakeSource) { s.version, s.historyDropped = 6, true })
@@ -211,7 +219,7 @@
 
 func TestAVMRegistersOnceItHasRoutesAndAgainWhenItIsNotListed(t *testing.T) {
 	r := &fakeRegistrar{}
-	startWatcher(t, "vm", cpfleetwatch.WithSource(&fakeSource{asOf: 1, version: 5}), cpfleetwatch.WithRegistrar(r),
+	startWatcher(t, "vm", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}), cpfleetwatch.WithRegistrar(r),
 		cpfleetwatch.WithRenewPeriod(20*time.Millisecond))
 	await(t, "another registration, since the store does not list the VM", func() bool {
 		r.mu.Lock()
@@ -221,7 +229,7 @@
 }
 
 func TestAVMThatTheStoreTurnsAwayLearnsFromAnother(t *testing.T) {
-	reachable := &fakeSource{asOf: 1, version: 5, targets: []clementineport.TargetInstance{targetInstance("x")}}
+	reachable := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x")}}
 	connected := startWatcher(t, "well", cpfleetwatch.WithSource(reachable))
 	await(t, "the first version", func() bool { return routesVersion(connected) == 5 })
 	disconnected := startWatcher(t, "cut", cpfleetwatch.WithSource(&fakeSource{unavailable: true}),
@@ -234,13 +242,13 @@
 }
 
 func TestAVMThatReachesNobodyIsIsolatedAndOneWithPeersIsNot(t *testing.T) {
-	unreachable := &fakeSource{asOf: 1, version: 5}
+	unreachable := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
 	alone := startWatcher(t, "alone", cpfleetwatch.WithSource(unreachable), cpfleetwatch.WithIsolation(100*time.Millisecond, 100*time.Millisecond))
 	await(t, "the first version", func() bool { return routesVersion(alone) == 5 })
 	unreachable.set(func(s *fakeSource) { s.unavailable = true })
 	await(t, "the VM counts itself as isolated", alone.Isolated)
 
-	failing := &fakeSource{asOf: 1, version: 5}
+	failing := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
 	other := startWatcher(t, "other", cpfleetwatch.WithSource(failing))
 	withPeer := startWatcher(t, "with-peer", cpfleetwatch.WithSource(failing), cpfleetwatch.WithIsolation(300*time.Millisecond, 3*time.Second),
 		cpfleetwatch.WithSeeds(clementineport.VM{ID: "other", Peer: "other"}),
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -21,6 +21,10 @@
 	DefaultWatchWait = 1200 * time.Millisecond
 	// DefaultRenewPeriod is a third of the shortest useful lease.
 	DefaultRenewPeriod = time.Second
+	// callsToRegister is the number of store calls that a registration takes.
+	callsToRegister = 2
+	// registerShare is the share of the store's rate that all VMs together use to register again.
+	registerShare = 0.5
 	// storeLostFactor, times WatchPeriod plus WatchWait, is the age at which a view counts as cut off from the store. It
 	// leaves room for slow answers: without changes, confirmations are up to WatchPeriod plus WatchWait apart.
 	storeLostFactor = 1.3
@@ -70,6 +74,8 @@
 	WatchWait time.Duration
 	// RenewPeriod is the time between renewals of the registration.
 	RenewPeriod time.Duration
+	// StoreWritesPerSecond is the rate of writes that the store accepts from all VMs together, or zero if it is unlimited.
+	StoreWritesPerSecond float64
 	// StoreWatchers is the number of VMs per failure domain that watch the store; the other VMs get updates from them.
 	StoreWatchers int
 	// CatchUpPeriod is the time between calls to other VMs while the store does not answer.
@@ -117,6 +123,19 @@
 	return time.Duration(maxServedAgeFactor * float64(o.WatchPeriod+o.WatchWait))
 }
 
+// RegisterSpread returns the time over which a number of VMs spread their registrations when all of them are lost.
+func (o *Options) RegisterSpread(vms int) time.Duration {
+	if o.StoreWritesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(vms*callsToRegister) / (o.StoreWritesPerSecond * registerShare) * float64(time.Second))
+}
+
+// WithStoreWritesPerSecond sets the rate of writes that the store accepts from all VMs together.
+func WithStoreWritesPerSecond(n float64) Option {
+	return func(o *Options) { o.StoreWritesPerSecond = n }
+}
+
 // WithStoreWatchers sets the number of VMs per failure domain that watch the store.
 func WithStoreWatchers(n int) Option { return func(o *Options) { o.StoreWatchers = n } }
 
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -8,10 +8,11 @@
 	"github.com/clementineport/clementineport"
 )
 
-// Config implements cppeer.Handler. It returns the changes after the revision have, and waits until there is a change or
+// Config implements cppeer.Handler. It returns the changes after the position have, and waits until there is a change or
 // the store has confirmed that there is none. For revision zero it returns the full state at once. It fails when this VM
-// has not heard from the store for MaxServedAge, so that the caller can turn to the store instead.
-func (w *Watcher) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+// has not heard from the store for MaxServedAge, or knows only an earlier era of it, so that the caller can turn to the
+// store instead.
+func (w *Watcher) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	began := w.options.Clock.Now()
 	for {
 		signal := w.updated.Load()
@@ -20,7 +21,7 @@
 			return nil, err
 		}
 		waited := w.options.Clock.Now().Sub(began)
-		if have == 0 || update.HasChanges() || update.AsOf >= have && update.Age < waited {
+		if have.Revision == 0 || update.HasChanges() || !update.AsOf.Before(have) && update.Age < waited {
 			update.Age -= waited
 			return encodeUpdate(update)
 		}
@@ -34,15 +35,15 @@
 	}
 }
 
-// changesSince gets the changes after a revision from the loop, or the full state when they are no longer kept.
-func (w *Watcher) changesSince(ctx context.Context, have clementineport.Revision) (*clementineport.FleetUpdate, error) {
+// changesSince gets the changes after a position from the loop, or the full state when they are no longer kept.
+func (w *Watcher) changesSince(ctx context.Context, have clementineport.StorePosition) (*clementineport.FleetUpdate, error) {
 	answer := make(chan *clementineport.FleetUpdate, 1)
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 		update, ok := w.history.Since(have)
 		switch {
-		case have > 0 && have >= w.catalog.AsOf():
+		case have.Revision > 0 && !have.Before(w.catalog.AsOf()):
 			update = &clementineport.FleetUpdate{AsOf: w.catalog.AsOf()}
-		case have == 0 || !ok:
+		case have.Revision == 0 || !ok:
 			update = w.catalog.FullUpdate(now)
 		}
 		update.Age = now.Sub(w.catalog.Confirmed())
@@ -50,6 +51,9 @@
 	})
 	select {
 	case update := <-answer:
+		if have.Revision > 0 && update.AsOf.Era < have.Era {
+			return nil, clementineport.Fail(clementineport.FaultStale, "the store was restored after %v", update.AsOf)
+		}
 		return update, nil
 	case <-ctx.Done():
 		return nil, clementineport.Fail(clementineport.FaultCanceled, "news given up: %v", ctx.Err())
@@ -78,11 +82,18 @@
 	if update.Whole && update.Routes == nil {
 		return nil, nil
 	}
-	text, err := json.Marshal(update)
+	text, err := json.Marshal(&wireUpdate{Era: update.AsOf.Era, AsOf: update.AsOf.Revision, FleetUpdate: update})
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInternal, Reason: "encode news", Err: err}
 	}
-	return &clementineport.Config{Revision: update.AsOf, Text: text}, nil
+	return &clementineport.Config{Revision: update.AsOf.Revision, Text: text}, nil
+}
+
+// wireUpdate is an update as VMs exchange it. Earlier builds know only the revision of its position.
+type wireUpdate struct {
+	Era  clementineport.StoreEra `json:",omitempty"`
+	AsOf clementineport.Revision
+	*clementineport.FleetUpdate
 }
 
 // decodeUpdate decodes an update from a Config.
@@ -90,11 +101,12 @@
 	if cfg == nil {
 		return nil, errNoRoutes
 	}
-	update := &clementineport.FleetUpdate{}
-	if err := json.Unmarshal(cfg.Text, update); err != nil {
+	wire := wireUpdate{FleetUpdate: &clementineport.FleetUpdate{}}
+	if err := json.Unmarshal(cfg.Text, &wire); err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Reason: "decode news", Err: err}
 	}
-	return update, nil
+	wire.FleetUpdate.AsOf = clementineport.StorePosition{Era: wire.Era, Revision: wire.AsOf}
+	return wire.FleetUpdate, nil
 }
 
 // EncodeConfig encodes a Config for the peer protocol; its text is the encoded update.
--- a/cpfleetwatch/upstream.go
+++ b/cpfleetwatch/upstream.go
@@ -19,8 +19,8 @@
 	return cpupstream.Choose(&w.options.Self, w.View().Members, w.options.StoreWatchers)
 }
 
-// fetchUpdate gets the changes after a revision from another VM.
-func (w *Watcher) fetchUpdate(ctx context.Context, vm clementineport.VM, after clementineport.Revision) (*clementineport.FleetUpdate, error) {
+// fetchUpdate gets the changes after a position from another VM.
+func (w *Watcher) fetchUpdate(ctx context.Context, vm clementineport.VM, after clementineport.StorePosition) (*clementineport.FleetUpdate, error) {
 	call, cancel := context.WithTimeout(ctx, w.options.MaxServedAge()+w.options.CatchUpTimeout)
 	defer cancel()
 	peer, err := w.peer(call, vm)
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -28,7 +28,8 @@
 func (s *fakeStore) add(update *clementineport.FleetUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	update.AsOf = s.initial.AsOf + clementineport.Revision(len(s.changes)) + 1
+	update.AsOf = s.initial.AsOf
+	update.AsOf.Revision += clementineport.Revision(len(s.changes)) + 1
 	s.changes = append(s.changes, update)
 }
 
@@ -45,13 +46,13 @@
 }
 
 // Next implements clementineport.FleetSource.
-func (c storeClient) Next(_ context.Context, after clementineport.Revision, wait time.Duration) (*clementineport.FleetUpdate, error) {
+func (c storeClient) Next(_ context.Context, after clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
 	c.mu.Lock()
 	c.calls[c.id]++
 	c.mu.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
 		c.mu.Lock()
-		n, unavailable := int(after-c.initial.AsOf), c.unavailable[c.id]
+		n, unavailable := int(after.Revision-c.initial.AsOf.Revision), c.unavailable[c.id]
 		if unavailable {
 			c.mu.Unlock()
 			return nil, clementineport.Fail(clementineport.FaultTimeout, "store unavailable")
@@ -82,7 +83,7 @@
 	t.Helper()
 	d := &domain{vms: map[clementineport.VMID]*cpfleetwatch.Watcher{}, down: map[clementineport.VMID]bool{}}
 	d.store = &fakeStore{
-		initial: &clementineport.FleetUpdate{AsOf: 1, Whole: true, Routes: &clementineport.RouteTable{
+		initial: &clementineport.FleetUpdate{AsOf: clementineport.StorePosition{Revision: 1}, Whole: true, Routes: &clementineport.RouteTable{
 			Version: 5, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{"s": {Name: "s", Connections: 20}},
 		}},
@@ -117,7 +118,7 @@
 }
 
 // Config implements cppeer.Handler.
-func (h peerHandler) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (h peerHandler) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	h.d.mu.Lock()
 	down := h.d.down[h.id]
 	h.d.mu.Unlock()
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -22,7 +22,7 @@
 		Members:  w.membership.Members(),
 		VMs:      w.vmCount,
 	}
-	_, view.Listed = w.catalog.VMs()[w.options.Self.ID]
+	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	w.setRouter(view)
 	w.dropTargets()
 	for id, t := range w.catalog.Targets() {
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -34,7 +34,7 @@
 func (w *Watcher) watchStore(ctx context.Context) {
 	delays := newBackoff()
 	loaded, reached := false, true
-	var asOf clementineport.Revision
+	var asOf clementineport.StorePosition
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
@@ -49,14 +49,14 @@
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
 			if reached {
-				w.options.Log.Warn(string(cplogevent.StoreLost), cplog.Cause("Error", err), zap.Uint64("AsOf", uint64(asOf)))
+				w.options.Log.Warn(string(cplogevent.StoreLost), cplog.Cause("Error", err), cplog.Position(asOf))
 			}
 			reached = false
 			w.sleep(ctx, w.retryDelay(delays))
 			continue
 		}
 		if !reached {
-			w.options.Log.Info(string(cplogevent.StoreRegained), zap.Uint64("AsOf", uint64(update.AsOf)))
+			w.options.Log.Info(string(cplogevent.StoreRegained), cplog.Position(update.AsOf))
 		}
 		took := w.options.Clock.Now().Sub(requestedAt)
 		confirmedAt := requestedAt
@@ -70,18 +70,18 @@
 	}
 }
 
-// fetchFromUpstream gets an update from another VM and returns its revision. If that VM fails, or has an older revision
-// than asOf, this VM watches the store itself for upstreamRetryDelay.
-func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.Revision) (clementineport.Revision, bool) {
+// fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, or its position is before
+// asOf, this VM watches the store itself for upstreamRetryDelay.
+func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.StorePosition) (clementineport.StorePosition, bool) {
 	update, err := w.fetchUpdate(ctx, vm, asOf)
-	if err == nil && update.AsOf < asOf {
+	if err == nil && update.AsOf.Before(asOf) {
 		err = errBehind
 	}
 	if err != nil {
 		w.avoidUpstreamUntil = w.options.Clock.Now().Add(upstreamRetryDelay)
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, _ time.Time) { w.peers.Close(vm.ID) })
 		w.options.Log.Info(string(cplogevent.FollowFailed), zap.String("VM", string(vm.ID)), cplog.Cause("Error", err))
-		return 0, false
+		return clementineport.StorePosition{}, false
 	}
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, requestedAt, update, string(vm.ID)) })
 	return update.AsOf, true
@@ -97,7 +97,7 @@
 }
 
 // fetchFromStore loads the full state, or the changes after asOf once it is loaded.
-func (w *Watcher) fetchFromStore(ctx context.Context, loaded bool, asOf clementineport.Revision) (*clementineport.FleetUpdate, error) {
+func (w *Watcher) fetchFromStore(ctx context.Context, loaded bool, asOf clementineport.StorePosition) (*clementineport.FleetUpdate, error) {
 	if !loaded {
 		return w.options.Source.Load(ctx)
 	}
@@ -115,14 +115,14 @@
 	}
 }
 
-// register keeps this VM registered in the store until ctx ends. It starts once the VM has routes.
+// register keeps this VM registered in the store until ctx ends or the VM leaves. It starts once the VM has routes.
 func (w *Watcher) register(ctx context.Context) {
 	if w.options.Registrar == nil {
 		return
 	}
 	registered, failing := false, false
 	delays := newBackoff()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !w.leaving.Load() {
 		if w.View().Router == nil {
 			w.sleep(ctx, w.options.TickPeriod)
 			continue
@@ -134,7 +134,7 @@
 			}
 			registered, failing = true, false
 			delays.Reset()
-			w.sleep(ctx, w.options.RenewPeriod)
+			registered = !w.restoredWithin(ctx, w.options.RenewPeriod)
 			continue
 		}
 		if !failing {
@@ -146,6 +146,19 @@
 	}
 }
 
+// restoredWithin waits for d, or until the store was restored and a random part of the time over which the VMs spread
+// their registrations has passed. It reports whether the store was restored.
+func (w *Watcher) restoredWithin(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+	case <-w.options.Clock.After(d):
+	case <-w.restored:
+		w.sleep(ctx, time.Duration(rand.Int64N(1+int64(w.options.RegisterSpread(w.View().VMs)))))
+		return true
+	}
+	return false
+}
+
 // registerOrRenew registers this VM, or renews its lease. It registers again when the store doesn't list this VM, since
 // a lease can outlive its entry.
 func (w *Watcher) registerOrRenew(ctx context.Context, registered bool) error {
@@ -170,7 +183,7 @@
 	go func() {
 		call, cancel := context.WithTimeout(ctx, w.options.CatchUpTimeout)
 		defer cancel()
-		cfg, err := peer.Config(call, 0)
+		cfg, err := peer.Config(call, clementineport.StorePosition{})
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, at time.Time) { w.handleCatchUp(at, now, vm.ID, cfg, err) })
 	}()
 }
@@ -196,6 +209,6 @@
 var (
 	// errNoRoutes is returned for a VM that has no routes yet.
 	errNoRoutes = errors.New("the VM has no routes yet")
-	// errBehind is returned for a VM whose revision is older than that of the requesting VM.
+	// errBehind is returned for a VM whose position in the store's history is before that of the requesting VM.
 	errBehind = errors.New("the VM has an older revision")
 )
--- a/cplog/cplog.go
+++ b/cplog/cplog.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cplogevent"
 )
 
@@ -78,6 +79,19 @@
 	return zap.String(name, err.Error())
 }
 
+// Position returns the fields of a position in the store's history: Era, and AsOf for the revision.
+func Position(p clementineport.StorePosition) zap.Field { return zap.Inline(position(p)) }
+
+// position logs a position in the store's history.
+type position clementineport.StorePosition
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p position) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddUint64("Era", uint64(p.Era))
+	enc.AddUint64("AsOf", uint64(p.Revision))
+	return nil
+}
+
 // Omitted returns the number of lines dropped by the rate limits, and of those dropped because the buffer was full or a
 // write failed. A failed write counts as one line.
 func (l *Log) Omitted() (limited, full uint64) { return l.limited.Load(), l.sink.dropped.Load() }
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -18,6 +18,7 @@
 	ServiceStopped     Name = "ServiceStopped"
 	StoreLost          Name = "StoreLost"
 	StoreRegained      Name = "StoreRegained"
+	StoreRestored      Name = "StoreRestored"
 	RegistrationFailed Name = "RegistrationFailed"
 	Registered         Name = "Registered"
 	CatchUpFailed      Name = "CatchUpFailed"
@@ -72,8 +73,9 @@
 	{SettingsRejected, []string{"Cause", "Error"}, "the settings file has faults; the earlier settings hold"},
 	{ServiceFailed, []string{"Detail"}, "a part of the process failed and is started again"},
 	{ServiceStopped, []string{"Detail"}, "a part of the process did not end in time"},
-	{StoreLost, []string{"Error", "AsOf"}, "the platform's store does not answer; what is known is as of that revision"},
-	{StoreRegained, []string{"AsOf"}, "the platform's store answers again"},
+	{StoreLost, []string{"Error", "Era", "AsOf"}, "the platform's store does not answer; what is known is as of that revision"},
+	{StoreRegained, []string{"Era", "AsOf"}, "the platform's store answers again"},
+	{StoreRestored, []string{"FromEra", "From", "Era", "AsOf", "Source"}, "the platform's store was restored from a copy and has lost its latest writes; this VM has loaded its contents again"},
 	{RegistrationFailed, []string{"Error"}, "this VM could not register or renew its registration; it goes on trying"},
 	{Registered, nil, "this VM is registered in the store, or again"},
 	{CatchUpFailed, []string{FieldVM, "Error"}, "another VM could not be asked for news while the store is away"},
@@ -81,7 +83,7 @@
 	{PeerUnreached, []string{FieldVM, "Error"}, "another VM did not answer"},
 	{EntriesRejected, []string{"Faults", "Source"}, "entries of the store that cannot be read; they name no target"},
 	{RoutesChanged, []string{"Version", "Routes", "Source"}, "a new version of the routes is in force here"},
-	{FleetChanged, []string{"From", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
+	{FleetChanged, []string{"From", "Era", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
 	{TargetCold, []string{"Target", "Service", "ColdLeft"}, "a target that was warm says that it is cold"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpwire"
@@ -40,6 +41,7 @@
 		NonIdempotentInactivityTimeout: defaultNonIdempotentInactivityTimeout,
 		Tracer:                         noTracer{},
 		Revision:                       func() clementineport.Revision { return 0 },
+		StoreEra:                       func() clementineport.StoreEra { return 0 },
 		OnRevision:                     func(clementineport.Revision, clementineport.VMID) {},
 	}
 	for _, opt := range opts {
@@ -158,9 +160,9 @@
 }
 
 // Config implements clementineport.Peer.
-func (c *client) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (c *client) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	ctx, sent := traceProgress(ctx)
-	req := connect.NewRequest(&cpwire.ConfigRequest{Have: uint64(have)})
+	req := connect.NewRequest(&cpwire.ConfigRequest{Have: uint64(have.Revision), Era: proto.Uint64(uint64(have.Era))})
 	c.opts.Token.Set(req.Header())
 	conn := c.conn.Load()
 	resp, err := conn.service.Config(ctx, req)
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -107,9 +107,18 @@
 	}), nil
 }
 
+// position returns the position that a request for the configuration states. A VM of an earlier build states no era.
+func (h *handler) position(m *cpwire.ConfigRequest) clementineport.StorePosition {
+	era := h.opts.StoreEra()
+	if m.Era != nil {
+		era = clementineport.StoreEra(m.GetEra())
+	}
+	return clementineport.StorePosition{Era: era, Revision: clementineport.Revision(m.GetHave())}
+}
+
 // Config implements cpwireconnect.PeerServiceHandler.
 func (h *handler) Config(ctx context.Context, req *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error) {
-	cfg, err := h.next.Config(ctx, clementineport.Revision(req.Msg.GetHave()))
+	cfg, err := h.next.Config(ctx, h.position(req.Msg))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
--- a/cppeer/cpconnect/options.go
+++ b/cppeer/cpconnect/options.go
@@ -42,6 +42,8 @@
 	// OnRevision is called with the revision in each Relay or Forward request and in each response to Relay; from is
 	// empty for a response.
 	OnRevision func(r clementineport.Revision, from clementineport.VMID)
+	// StoreEra returns the era of the platform's store that this VM knows, for requests that state none.
+	StoreEra func() clementineport.StoreEra
 	// DecodeConfig and EncodeConfig convert the configuration from and to its stored form.
 	DecodeConfig func([]byte) (*clementineport.Config, error)
 	EncodeConfig func(*clementineport.Config) ([]byte, error)
@@ -68,6 +70,11 @@
 	return func(o *Options) { o.Revision, o.OnRevision = revision, onRevision }
 }
 
+// WithStoreEra sets the function that returns the era of the platform's store that this VM knows.
+func WithStoreEra(era func() clementineport.StoreEra) Option {
+	return func(o *Options) { o.StoreEra = era }
+}
+
 // WithCodec sets the functions that encode and decode a configuration.
 func WithCodec(encode func(*clementineport.Config) ([]byte, error), decode func([]byte) (*clementineport.Config, error)) Option {
 	return func(o *Options) { o.EncodeConfig, o.DecodeConfig = encode, decode }
--- a/cppeer/cppeer.go
+++ b/cppeer/cppeer.go
@@ -12,7 +12,7 @@
 type Handler interface {
 	Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error
 	Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error)
-	Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error)
+	Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error)
 	Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error)
 }
 
@@ -48,7 +48,7 @@
 	return reply, nil
 }
 
-func (p *inProcess) Config(ctx context.Context, have clementineport.Revision) (*clementineport.Config, error) {
+func (p *inProcess) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	if err := p.opts.before(); err != nil {
 		return nil, err
 	}
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -20,6 +21,8 @@
 	"github.com/clementineport/clementineport/cppeer"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cptoken"
+	"github.com/clementineport/clementineport/cpwire"
+	"github.com/clementineport/clementineport/cpwire/cpwireconnect"
 )
 
 const deadline = 400 * time.Millisecond
@@ -68,8 +71,8 @@
 	return d, nil
 }
 
-func (h *fakeHandler) Config(_ context.Context, have clementineport.Revision) (*clementineport.Config, error) {
-	if have >= 7 {
+func (h *fakeHandler) Config(_ context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
+	if have.Revision >= 7 {
 		return nil, nil
 	}
 	return &clementineport.Config{Revision: 7, Text: []byte("text")}, nil
@@ -177,10 +180,10 @@
 			assert.NilError(t, err)
 			assert.DeepEqual(t, echo, digest)
 
-			cfg, err := peer.Config(t.Context(), 6)
+			cfg, err := peer.Config(t.Context(), clementineport.StorePosition{Revision: 6})
 			assert.NilError(t, err)
 			assert.Equal(t, cfg.Revision, clementineport.Revision(7))
-			cfg, err = peer.Config(t.Context(), 7)
+			cfg, err = peer.Config(t.Context(), clementineport.StorePosition{Revision: 7})
 			assert.NilError(t, err)
 			assert.Assert(t, cfg == nil)
 
@@ -193,6 +196,43 @@
 	}
 }
 
+// positionHandler is a Handler that records the positions of the requests for the configuration.
+type positionHandler struct {
+	fakeHandler
+	positions []clementineport.StorePosition
+}
+
+func (h *positionHandler) Config(_ context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
+	h.positions = append(h.positions, have)
+	return nil, nil
+}
+
+// TestConfigOfAVMThatStatesNoEra checks that a VM of an earlier build, which knows no eras, is taken to be in the era of
+// the VM that it calls, and that the position of a VM of this build arrives as it was sent.
+func TestConfigOfAVMThatStatesNoEra(t *testing.T) {
+	h := &positionHandler{}
+	token := cptoken.New("t")
+	server := httptest.NewUnstartedServer(cpconnect.NewHandler(h, cpconnect.WithToken(token),
+		cpconnect.WithStoreEra(func() clementineport.StoreEra { return 4 })))
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Start()
+	defer server.Close()
+
+	earlier := cpwireconnect.NewPeerServiceClient(http.DefaultClient, server.URL)
+	request := connect.NewRequest(&cpwire.ConfigRequest{Have: 9})
+	token.Set(request.Header())
+	_, err := earlier.Config(t.Context(), request)
+	assert.NilError(t, err)
+
+	peer := cpconnect.New(cpconnect.WithToken(token), cpconnect.WithAddress(server.Listener.Addr().String()))
+	defer func() { _ = peer.Close() }()
+	_, err = peer.Config(t.Context(), clementineport.StorePosition{Era: 0, Revision: 9})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, h.positions, []clementineport.StorePosition{{Era: 4, Revision: 9}, {Era: 0, Revision: 9}})
+}
+
 // TestPeerPassesRepliesOn checks that a relay returns the reply of a target unchanged, even a reply to a different call.
 // The VM that runs the query validates it.
 func TestPeerPassesRepliesOn(t *testing.T) {
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -115,6 +115,7 @@
 		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
+		cpfleetwatch.WithStoreWritesPerSecond(s.Store.WritesPerSecond),
 		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
 		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(apply, watchPeriodShare))),
 		cpfleetwatch.WithIsolation(apply+s.Bounds.ConfigOutageDelay, s.Bounds.UndisturbedTime),
@@ -170,6 +171,7 @@
 		cpconnect.WithSelf(p.self.ID),
 		cpconnect.WithToken(cptoken.New("fleet at " + p.settings.Load().Store.Address)),
 		cpconnect.WithCodec(cpfleetwatch.EncodeConfig, cpfleetwatch.DecodeConfig),
+		cpconnect.WithStoreEra(p.watcher.StoreEra),
 	}
 }
 
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -36,6 +36,7 @@
 		{"clementineport_requests_in_flight", float64(p.front.InFlight())},
 		{"clementineport_view_age_seconds", p.watcher.Age().Seconds()},
 		{"clementineport_routes_version", version},
+		{"clementineport_store_era", float64(view.StoreEra)},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
 		{"clementineport_vms_divided_by", float64(view.VMs)},
 		{"clementineport_log_lines_limited_total", float64(limited)},
--- a/fleet.go
+++ b/fleet.go
@@ -31,8 +31,8 @@
 
 // FleetUpdate is a change to the fleet's entries in the platform's store.
 type FleetUpdate struct {
-	// AsOf is the store revision up to which the update is complete.
-	AsOf Revision
+	// AsOf is the position in the store's history up to which the update is complete.
+	AsOf StorePosition
 	// Whole marks a full listing: anything that it does not name no longer exists.
 	Whole bool
 	// Age is the time since the update was last known to be complete.
@@ -69,15 +69,17 @@
 	// Load returns the full state.
 	Load(ctx context.Context) (*FleetUpdate, error)
 	// Next returns the changes after a revision, blocking for at most wait until there are any.
-	// A FaultHistory error means that the changes are no longer kept and the caller must use Load.
-	Next(ctx context.Context, after Revision, wait time.Duration) (*FleetUpdate, error)
+	// A FaultHistory error means that the changes are no longer kept, or that the store was restored since, and the caller
+	// must use Load.
+	Next(ctx context.Context, after StorePosition, wait time.Duration) (*FleetUpdate, error)
 }
 
 // Registrar publishes a VM to the other VMs.
 type Registrar interface {
 	// Register publishes the VM until its lease expires.
 	Register(ctx context.Context, vm VM) error
-	// Renew extends the lease; a FaultNotFound error means that the lease has expired.
+	// Renew extends the lease; a FaultNotFound error means that the lease has expired or was lost in a restore of the
+	// store.
 	Renew(ctx context.Context) error
 	// Deregister ends the lease immediately.
 	Deregister(ctx context.Context) error
--- a/ports.go
+++ b/ports.go
@@ -133,7 +133,7 @@
 	// Exchange sends a digest and returns that of the peer.
 	Exchange(ctx context.Context, d *Digest) (*Digest, error)
 	// Config returns the peer's configuration if it is newer than have, and nil otherwise.
-	Config(ctx context.Context, have Revision) (*Config, error)
+	Config(ctx context.Context, have StorePosition) (*Config, error)
 	// Forward sends a non-idempotent query to the only process that may run it.
 	Forward(ctx context.Context, q *Query) (*Answer, error)
 	Close() error
