Send nothing to a target that says it is leaving or asks for no requests

Cause: both are new in the targets' answers: a header that says that the target is shutting down, and a time in seconds beside a refusal. Nothing read them, so hedges, retries and new requests went on to such targets until the store said so, and each refusal of a full target was followed by the next request.

Ruled out: keeping both in the chooser's state of a target (a request that has been chosen and waits for its connection would still be sent); writing the mark to the store (one more call a target, and nothing in an outage).

Change: cpopaque reads both from every answer, also from refusals, failures, cut answers and bytes that no request waits for, but not from another process at the address, and checks them again right before a request is written. The mark of a leaving target belongs to its run (id and start); VMs tell each other in digests and updates, at once to a few. VMs return spread over a quarter of the time. A request whose shards are all closed is refused before it waits, with the time at which enough of them open. A call that is never written no longer counts as unanswered on a reused connection.

--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -39,6 +39,7 @@
 	storeBackAt time.Time
 	restore     restore
 	ended       map[clementineport.TargetID]endedTarget
+	leaving     map[clementineport.TargetID]leavingRun
 	routes      *clementineport.RouteTable
 	out         map[clementineport.FailureDomain]bool
 	targets     map[clementineport.TargetID]*Target
@@ -54,6 +55,7 @@
 		vms:     map[clementineport.VMID]clementineport.VM{},
 		restore: newRestore(),
 		ended:   map[clementineport.TargetID]endedTarget{},
+		leaving: map[clementineport.TargetID]leavingRun{},
 	}
 }
 
@@ -84,7 +86,7 @@
 
 // Apply applies an update that was requested at requestedAt, and reports whether it changed anything beyond the time of
 // the last confirmation. It ignores an update that is older than the catalog, so that the state never goes backwards,
-// and changes of another era of the store than the catalog's, which need a full update first.
+// and changes of another era of the store than the catalog's, which need a full update first. It does not apply Leaving.
 func (c *Catalog) Apply(now, requestedAt time.Time, update *clementineport.FleetUpdate) (changed bool) {
 	newEra := update.AsOf.Era != c.asOf.Era && !c.asOf.IsZero()
 	if update.AsOf.Before(c.asOf) || newEra && !update.Whole {
@@ -252,6 +254,7 @@
 		}
 	}
 	c.forgetEnded(now)
+	c.forgetLeaving(now)
 	return c.endRestore(now) || changed
 }
 
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -40,15 +40,19 @@
 	VMs int
 	// StoreEra is the era of the store that the view is from.
 	StoreEra clementineport.StoreEra
+	// Leaving is the number of registered targets that have stated that they are shutting down.
+	Leaving int
 	// Listed is true while the store lists this VM.
 	Listed bool
 }
 
 // Totals holds the totals of the targets of one service.
 type Totals struct {
-	Service  clementineport.ServiceID
-	Targets  int
-	Cold     int
+	Service clementineport.ServiceID
+	Targets int
+	Cold    int
+	// Closed is the number of targets that have asked this VM for no requests.
+	Closed   int
 	InFlight int
 	// Open is the number of open connections, and Opened the total number opened to the current targets.
 	Open   int
@@ -64,6 +68,9 @@
 			if targets[i].Cold(now) {
 				t.Cold++
 			}
+			if targets[i].Client.Notice().Closed(now) {
+				t.Closed++
+			}
 			t.InFlight += targets[i].State.InFlight()
 			open, opened := targets[i].Client.Open()
 			t.Open += open
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -53,6 +53,7 @@
 	peers            *cppeerconns.Peers
 	vms              cpquota.VMCount
 	states           map[clementineport.TargetID]*cpfleetstate.Target
+	notices          map[clementineport.TargetRun]clementineport.TargetNotice
 	publishedVersion uint64
 	vmCount          int
 	dirty            bool
@@ -75,6 +76,7 @@
 		peers:      cppeerconns.New(options.Dial),
 		history:    cpchangelog.New(),
 		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
+		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
 	zero := time.Time{}
 	w.confirmed.Store(&zero)
@@ -154,6 +156,7 @@
 func (w *Watcher) apply(now, requestedAt time.Time, update *clementineport.FleetUpdate, source string) {
 	before, version := w.catalog.AsOf(), w.routesVersion()
 	cooled := w.newlyCold(now, update)
+	w.markLeaving(now, update.Leaving, source)
 	changed := w.catalog.Apply(now, requestedAt, update)
 	confirmed := w.catalog.Confirmed()
 	w.confirmed.Store(&confirmed)
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -112,6 +112,7 @@
 	mu          sync.Mutex
 	connections int
 	closed      bool
+	notice      clementineport.TargetNotice
 }
 
 // Do implements clementineport.OpaqueTarget.
@@ -119,6 +120,13 @@
 	return nil, nil
 }
 
+// Notice implements clementineport.OpaqueTarget.
+func (p *fakeTarget) Notice() clementineport.TargetNotice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notice
+}
+
 // Open implements clementineport.OpaqueTarget.
 func (p *fakeTarget) Open() (int, uint64) { return 0, 0 }
 
@@ -143,7 +151,9 @@
 		cpfleetwatch.WithSelf(clementineport.Member{
 			VM: clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)}, Start: clementineport.StartID(id),
 		}),
-		cpfleetwatch.WithTargetClient(func(clementineport.TargetInstance, int) clementineport.OpaqueTarget { return &fakeTarget{} }),
+		cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, _ int, n clementineport.TargetNotice) clementineport.OpaqueTarget {
+			return &fakeTarget{notice: n}
+		}),
 		cpfleetwatch.WithWatchTimes(10*time.Millisecond, 50*time.Millisecond),
 		cpfleetwatch.WithCatchUpPeriod(20 * time.Millisecond),
 	}, opts...)...)
--- /dev/null
+++ b/cpfleetwatch/leaving_test.go
@@ -0,0 +1,106 @@
+package cpfleetwatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetwatch"
+	"github.com/clementineport/clementineport/cppeer"
+)
+
+func TestATargetThatLeavesIsOutOfTheViewOfAllVMsWithoutTheStore(t *testing.T) {
+	for name, vms := range map[string]int{"each VM watches the store": 3, "most VMs get updates from others": 12} {
+		t.Run(name, func(t *testing.T) {
+			d := newDomain(t, vms)
+			d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}})
+			await(t, "both targets", func() bool { return d.allHave("x", "y") })
+			d.store.mu.Lock()
+			for id := range d.vms {
+				d.store.unavailable[id] = true
+			}
+			d.store.mu.Unlock()
+			d.vms["vm-1"].TargetLeaving(clementineport.TargetRun{ID: "x", Born: 1})
+			await(t, "only y is left", func() bool { return d.allHave("y") })
+			for id, w := range d.vms {
+				assert.Equal(t, w.View().Leaving, 1, "%s", id)
+			}
+		})
+	}
+}
+
+func TestATargetThatStartsAgainIsInUseAgain(t *testing.T) {
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store))
+	await(t, "both targets", func() bool { return hasTargets(w, "x", "y") })
+	w.TargetLeaving(clementineport.TargetRun{ID: "x", Born: 1})
+	await(t, "only y is left", func() bool { return hasTargets(w, "y") })
+	store.set(func(s *fakeSource) { s.targets[0].Seq, s.targets[0].Slots = 2, 5 })
+	store.set(func(s *fakeSource) { s.historyDropped = true })
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, hasTargets(w, "y"), "a later registration of the same run, and a full state")
+	store.set(func(s *fakeSource) { s.targets[0].Born, s.targets[0].Seq = 2, 1 })
+	await(t, "both targets", func() bool { return hasTargets(w, "x", "y") })
+}
+
+func TestAVMThatStartsLearnsWhichTargetsLeave(t *testing.T) {
+	targets := []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}
+	running := startWatcher(t, "running", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: targets}))
+	await(t, "both targets", func() bool { return hasTargets(running, "x", "y") })
+	running.TargetLeaving(clementineport.TargetRun{ID: "x", Born: 1})
+	await(t, "only y is left", func() bool { return hasTargets(running, "y") })
+	started := startWatcher(t, "started", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: targets, vms: []clementineport.VM{{ID: "running", Peer: "running"}}}),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(running)) }))
+	await(t, "only y is left", func() bool { return hasTargets(started, "y") })
+}
+
+func TestATargetThatRegistersAgainInTheSameRunStaysClosed(t *testing.T) {
+	until := time.Now().Add(time.Hour)
+	clients := make(chan *fakeTarget, 10)
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x")}}
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store),
+		cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, _ int, n clementineport.TargetNotice) clementineport.OpaqueTarget {
+			c := &fakeTarget{notice: n}
+			clients <- c
+			return c
+		}))
+	await(t, "the target", func() bool { return hasTargets(w, "x") })
+	first := <-clients
+	first.mu.Lock()
+	first.notice.ClosedUntil = until
+	first.mu.Unlock()
+	store.set(func(s *fakeSource) { s.targets = nil })
+	await(t, "the target is gone", func() bool { return hasTargets(w) })
+	again := targetInstance("x")
+	again.Seq = 9
+	store.set(func(s *fakeSource) { s.targets = []clementineport.TargetInstance{again} })
+	second := <-clients
+	assert.Equal(t, second.Notice().ClosedUntil, until)
+	store.set(func(s *fakeSource) { s.targets = nil })
+	await(t, "the target is gone", func() bool { return hasTargets(w) })
+	again.Born = 2
+	store.set(func(s *fakeSource) { s.targets = []clementineport.TargetInstance{again} })
+	third := <-clients
+	assert.Equal(t, third.Notice(), clementineport.TargetNotice{}, "a new run")
+}
+
+func TestNewsOfManyTargetsThatLeaveIsBounded(t *testing.T) {
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store))
+	const targets = 500
+	for i := range targets {
+		w.TargetLeaving(clementineport.TargetRun{ID: clementineport.TargetID(fmt.Sprintf("t-%d", i)), Born: 1})
+	}
+	caller := clementineport.Member{VM: clementineport.VM{ID: "other", Peer: "other"}, Start: "s"}
+	all := func() int {
+		response, err := w.Exchange(t.Context(), &clementineport.Digest{From: caller})
+		assert.NilError(t, err)
+		return len(response.Leaving)
+	}
+	await(t, "a VM that starts gets all", func() bool { return all() == targets })
+	caller.Incarnation = 1
+	assert.Equal(t, all(), 64)
+}
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -38,6 +38,10 @@
 	upstreamPollFactor = 4
 	// upstreamRetryDelay is how long a VM watches the store itself after its upstream VM failed.
 	upstreamRetryDelay = 5 * time.Second
+	// leavingNewsTime is how long this VM tells others that a target is shutting down, and maxLeavingNews the number of
+	// targets in one of these messages.
+	leavingNewsTime = 10 * time.Second
+	maxLeavingNews  = 64
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
@@ -56,8 +60,9 @@
 	Seeds []clementineport.VM
 	// Dial returns a client for another VM; it does not block.
 	Dial func(clementineport.VM) clementineport.Peer
-	// NewTargetClient returns a client for a target with a limit on its connections.
-	NewTargetClient func(d clementineport.TargetInstance, connections int) clementineport.OpaqueTarget
+	// NewTargetClient returns a client for a target, with a limit on its connections and the notice of an earlier client
+	// for the same run of the target.
+	NewTargetClient func(d clementineport.TargetInstance, connections int, notice clementineport.TargetNotice) clementineport.OpaqueTarget
 	// OnRoutes is called with each new version of the routes.
 	OnRoutes func(*clementineport.RouteTable)
 	Clock    clementineport.Clock
@@ -157,7 +162,7 @@
 }
 
 // WithTargetClient sets the function that returns a client for a target.
-func WithTargetClient(f func(d clementineport.TargetInstance, connections int) clementineport.OpaqueTarget) Option {
+func WithTargetClient(f func(d clementineport.TargetInstance, connections int, notice clementineport.TargetNotice) clementineport.OpaqueTarget) Option {
 	return func(o *Options) { o.NewTargetClient = f }
 }
 
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -14,7 +14,9 @@
 
 // exchange starts an exchange of digests with another VM.
 func (w *Watcher) exchange(ctx context.Context, a cpmembership.Action) {
-	peer, digest := w.peers.Get(w.options.Clock.Now(), a.Peer), w.membership.Digest(a.Peer.ID)
+	now := w.options.Clock.Now()
+	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
+	digest.Leaving = w.leavingNews(now, false)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
@@ -32,15 +34,22 @@
 		return
 	}
 	w.lastPeerContact.Store(&now)
+	w.markLeaving(now, answer.Leaving, string(a.Peer.ID))
 	w.membership.HandleResponse(now, a.Peer.ID, a.Began, answer)
 }
 
+// isJoining reports whether a digest is from a VM that has just started.
+func isJoining(d *clementineport.Digest) bool { return d.From.Incarnation == 0 }
+
 // Exchange implements cppeer.Handler.
 func (w *Watcher) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
 	answer := make(chan *clementineport.Digest, 1)
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 		w.lastPeerContact.Store(&now)
-		answer <- w.membership.HandleDigest(now, d)
+		w.markLeaving(now, d.Leaving, string(d.From.ID))
+		response := w.membership.HandleDigest(now, d)
+		response.Leaving = w.leavingNews(now, isJoining(d))
+		answer <- response
 	})
 	select {
 	case r := <-answer:
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -1,6 +1,7 @@
 package cpfleetwatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -24,9 +25,12 @@
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	w.setRouter(view)
-	w.dropTargets()
+	w.dropTargets(now)
 	for id, t := range w.catalog.Targets() {
-		if t.Draining || w.catalog.Out(t.Domain) {
+		if w.catalog.Leaving(t) {
+			view.Leaving++
+		}
+		if t.Draining || w.catalog.Leaving(t) || w.catalog.Out(t.Domain) {
 			continue
 		}
 		w.addTarget(view, id, t)
@@ -62,14 +66,21 @@
 	return n
 }
 
-// dropTargets closes the connections to targets that are gone or have restarted.
-func (w *Watcher) dropTargets() {
+// dropTargets closes the connections to targets that are gone or have restarted. It keeps the notice of a target that
+// accepts no requests, which may register again in the same run.
+func (w *Watcher) dropTargets(now time.Time) {
 	for id, s := range w.states {
 		if t := w.catalog.Targets()[id]; t == nil || t.Born != s.State.Born || t.Address != s.State.Address {
 			s.Client.Close()
 			delete(w.states, id)
+			if n := s.Client.Notice(); n.Closed(now) {
+				w.notices[s.State.Run()] = n
+			}
 		}
 	}
+	maps.DeleteFunc(w.notices, func(_ clementineport.TargetRun, n clementineport.TargetNotice) bool {
+		return !now.Before(n.ClosedUntil) // that the target is leaving is in the catalog
+	})
 }
 
 // addTarget adds a target to its service in the view, with this VM's share of its connections and slots.
@@ -77,7 +88,10 @@
 	share := cpquota.ConnectionLimit(w.connectionLimit(t.Service), w.vmCount)
 	s := w.states[id]
 	if s == nil {
-		s = &cpfleetstate.Target{State: cpbalancer.NewTarget(t.TargetInstance), Client: w.options.NewTargetClient(t.TargetInstance, share)}
+		s = &cpfleetstate.Target{
+			State:  cpbalancer.NewTarget(t.TargetInstance),
+			Client: w.options.NewTargetClient(t.TargetInstance, share, w.notices[t.Run()]),
+		}
 		w.states[id] = s
 	}
 	s.Client.Resize(share)
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -38,11 +38,14 @@
 	return cpbalancer.ExpectedLatency(now, warm, &cpbalancer.Request{TypicalLatency: r.typicalLatency, VMs: view.VMs})
 }
 
-// split separates the warm targets of a service from the cold ones.
+// split separates the warm targets of a service from the cold ones. It omits those that accept no requests now.
 func split(now time.Time, targets []cpfleetstate.Target) (warm []cpbalancer.Candidate, cold []*cpfleetstate.Target) {
 	warm = make([]cpbalancer.Candidate, 0, len(targets))
 	for i := range targets {
 		t := &targets[i]
+		if t.Client.Notice().Closed(now) {
+			continue
+		}
 		if t.Cold(now) {
 			cold = append(cold, t)
 			continue
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -64,9 +64,12 @@
 	if !route.Gathers() {
 		shards = []clementineport.ServiceID{view.Router.Service(route)}
 	}
+	if refusal := f.refuseClosed(f.options.Clock.Now(), view, route, shards); refusal != nil {
+		return &Result{Err: refusal}
+	}
 	stats := f.stats(route.Name, r.MaxWait)
 	run := &run{
-		f: f, route: route, request: r, stats: stats, typicalLatency: stats.latency.Typical(),
+		f: f, route: route, request: r, shards: shards, stats: stats, typicalLatency: stats.latency.Typical(),
 		results: make(chan callResult, len(shards)*2),
 	}
 	done, refusal := f.admit(ctx, run, shards)
@@ -121,6 +124,7 @@
 	f              *Forwarder
 	route          *clementineport.Route
 	request        *clementineport.OpaqueRequest
+	shards         []clementineport.ServiceID
 	fan            *cpfanout.Fanout
 	stats          *routeStats
 	typicalLatency time.Duration
@@ -199,9 +203,13 @@
 func (r *run) failure(o *cpfanout.Outcome) *clementineport.Error {
 	e := clementineport.Fail(o.Fault, "%d of %d shards answered, %d are needed", o.Stats.Covered, o.Stats.Shards,
 		cpfanout.MinShards(r.route.LeastCoverage, o.Stats.Shards))
-	if o.Verdict == clementineport.NotRun {
-		e.RetryAfter = r.f.options.RetryAfter
+	if o.Verdict != clementineport.NotRun {
+		return e
+	}
+	if closed := r.f.refuseClosed(r.now(), r.f.options.View(), r.route, r.shards); closed != nil {
+		return closed
 	}
+	e.RetryAfter = r.f.options.RetryAfter
 	return e
 }
 
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -22,8 +22,9 @@
 	id    clementineport.TargetID
 	serve func(ctx context.Context, r *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error)
 
-	mu    sync.Mutex
-	calls int
+	mu     sync.Mutex
+	calls  int
+	notice clementineport.TargetNotice
 }
 
 // Do implements clementineport.OpaqueTarget.
@@ -34,6 +35,13 @@
 	return c.serve(ctx, r)
 }
 
+// Notice implements clementineport.OpaqueTarget.
+func (c *fakeClient) Notice() clementineport.TargetNotice {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notice
+}
+
 // Resize implements clementineport.OpaqueTarget.
 func (c *fakeClient) Resize(int) {}
 
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -28,6 +28,9 @@
 	RoutesChanged      Name = "RoutesChanged"
 	FleetChanged       Name = "FleetChanged"
 	TargetCold         Name = "TargetCold"
+	TargetLeaving      Name = "TargetLeaving"
+	TargetClosed       Name = "TargetClosed"
+	RetryAfterRejected Name = "RetryAfterRejected"
 	TargetUnresponsive Name = "TargetDark"
 	TargetResponsive   Name = "TargetAnswers"
 	RequestServed      Name = "RequestServed"
@@ -85,6 +88,9 @@
 	{RoutesChanged, []string{"Version", "Routes", "Source"}, "a new version of the routes is in force here"},
 	{FleetChanged, []string{"From", "Era", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
 	{TargetCold, []string{"Target", "Service", "ColdLeft"}, "a target that was warm says that it is cold"},
+	{TargetLeaving, []string{"Target", "Born", "Source"}, "a target has said that it is shutting down, to this VM (Source is Target) or to another one; it gets no further requests until it starts again"},
+	{TargetClosed, []string{"Target", "Service", "For"}, "a target has refused a request and asked this VM for none for a time"},
+	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
--- a/cpmembership/cpmembership.go
+++ b/cpmembership/cpmembership.go
@@ -119,6 +119,9 @@
 	m.queueBurst()
 }
 
+// Announce makes exchanges with some random peers at once, for news that must not wait for the regular exchanges.
+func (m *Membership) Announce() { m.queueBurst() }
+
 // bumpIncarnation raises the incarnation of this VM, so that its current record replaces those that other VMs have.
 func (m *Membership) bumpIncarnation() {
 	m.version++
--- a/cppeer/cpconnect/convert.go
+++ b/cppeer/cpconnect/convert.go
@@ -109,6 +109,22 @@
 	}
 }
 
+func runsToWire(runs []clementineport.TargetRun) []*cpwire.TargetRun {
+	out := make([]*cpwire.TargetRun, len(runs))
+	for i, r := range runs {
+		out[i] = &cpwire.TargetRun{ID: string(r.ID), Born: r.Born}
+	}
+	return out
+}
+
+func runsFromWire(runs []*cpwire.TargetRun) []clementineport.TargetRun {
+	var out []clementineport.TargetRun
+	for _, r := range runs {
+		out = append(out, clementineport.TargetRun{ID: clementineport.TargetID(r.GetID()), Born: r.GetBorn()})
+	}
+	return out
+}
+
 func membersToWire(members []clementineport.Member) []*cpwire.Member {
 	out := make([]*cpwire.Member, len(members))
 	for i := range members {
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -137,6 +137,7 @@
 		Revision:   uint64(d.Revision),
 		FreshNanos: int64(d.Staleness),
 		Members:    membersToWire(d.Members),
+		Leaving:    runsToWire(d.Leaving),
 	}
 }
 
@@ -156,6 +157,7 @@
 		Revision:  clementineport.Revision(m.GetRevision()),
 		Staleness: time.Duration(m.GetFreshNanos()),
 		Members:   membersFromWire(m.GetMembers()),
+		Leaving:   runsFromWire(m.GetLeaving()),
 	}, nil
 }
 
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -95,6 +95,7 @@
 		Revision:  clementineport.Revision(m.GetRevision()),
 		Staleness: time.Duration(m.GetFreshNanos()),
 		Members:   membersFromWire(m.GetMembers()),
+		Leaving:   runsFromWire(m.GetLeaving()),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
@@ -104,6 +105,7 @@
 		Revision:   uint64(reply.Revision),
 		FreshNanos: int64(reply.Staleness),
 		Members:    membersToWire(reply.Members),
+		Leaving:    runsToWire(reply.Leaving),
 	}), nil
 }
 
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -174,7 +174,7 @@
 
 			digest := &clementineport.Digest{
 				From:     clementineport.Member{VM: clementineport.VM{ID: "vm-1", Leaving: true}, Start: "s", Ticket: "s.1"},
-				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{},
+				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{}, Leaving: []clementineport.TargetRun{{ID: "t-1", Born: 7}},
 			}
 			echo, err := peer.Exchange(t.Context(), digest)
 			assert.NilError(t, err)
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -151,11 +151,15 @@
 }
 
 // newTargetClient returns a client for a target.
-func (p *Process) newTargetClient(d clementineport.TargetInstance, connections int) clementineport.OpaqueTarget {
+func (p *Process) newTargetClient(d clementineport.TargetInstance, connections int, notice clementineport.TargetNotice) clementineport.OpaqueTarget {
 	return cpopaque.New(
 		cpopaque.WithHeaderNames(cpfront.TargetHeaders()),
 		cpopaque.WithTarget(d.ID, d.Address),
 		cpopaque.WithConnections(connections),
+		cpopaque.WithNotice(notice),
+		cpopaque.WithOnLeaving(func() { p.watcher.TargetLeaving(d.Run()) }),
+		cpopaque.WithOnClosed(func(closedFor time.Duration) { p.targetClosed(&d, closedFor) }),
+		cpopaque.WithOnInvalidRetryAfter(func(stated string, used time.Duration) { p.retryAfterRejected(&d, stated, used) }),
 	)
 }
 
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -37,6 +37,7 @@
 		{"clementineport_view_age_seconds", p.watcher.Age().Seconds()},
 		{"clementineport_routes_version", version},
 		{"clementineport_store_era", float64(view.StoreEra)},
+		{"clementineport_targets_leaving", float64(view.Leaving)},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
 		{"clementineport_vms_divided_by", float64(view.VMs)},
 		{"clementineport_log_lines_limited_total", float64(limited)},
@@ -57,6 +58,7 @@
 		}{
 			{"clementineport_targets", float64(t.Targets)},
 			{"clementineport_targets_cold", float64(t.Cold)},
+			{"clementineport_targets_closed", float64(t.Closed)},
 			{"clementineport_calls_in_flight", float64(t.InFlight)},
 			{"clementineport_connections_open", float64(t.Open)},
 			{"clementineport_connections_opened", float64(t.Opened)},
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -119,6 +119,18 @@
 		zap.String("Fault", fault.String()), zap.Duration("Elapsed", elapsed), cplog.Cause("Reason", err))
 }
 
+// targetClosed logs that a target asked this VM for no requests for a time.
+func (p *Process) targetClosed(d *clementineport.TargetInstance, closedFor time.Duration) {
+	p.log.Info(string(cplogevent.TargetClosed), zap.String("Target", string(d.ID)), zap.String("Service", string(d.Service)),
+		zap.Duration("For", closedFor))
+}
+
+// retryAfterRejected logs that a target stated a time that was not used as it is.
+func (p *Process) retryAfterRejected(d *clementineport.TargetInstance, stated string, used time.Duration) {
+	p.log.Warn(string(cplogevent.RetryAfterRejected), zap.String("Target", string(d.ID)), zap.String("Service", string(d.Service)),
+		zap.String("Stated", stated), zap.Duration("For", used))
+}
+
 // targetChanged logs that a target became unresponsive or responsive.
 func (p *Process) targetChanged(target *clementineport.TargetInstance, change cpbalancer.Change) {
 	fields := []zap.Field{zap.String("Target", string(target.ID)), zap.String("Service", string(target.Service))}
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -33,6 +34,8 @@
 	NotRun string
 	// Signature carries the signature of a response.
 	Signature string
+	// Leaving is true in a response if the target is shutting down.
+	Leaving string
 }
 
 // maxInformational limits the number of 1xx responses before the final one.
@@ -42,12 +45,17 @@
 type Client struct {
 	options Options
 	pool    *pool
+
+	mu     sync.Mutex
+	notice clementineport.TargetNotice
 }
 
 // New returns a client. It opens no connection before the first call.
 func New(opts ...Option) *Client {
 	options := NewOptions(opts...)
-	return &Client{options: options, pool: newPool(&options)}
+	c := &Client{options: options, notice: options.Notice}
+	c.pool = newPool(&c.options, c.readExtraNotice)
+	return c
 }
 
 // Close closes the idle connections now and the others when their calls end.
@@ -62,6 +70,9 @@
 // Do sends the request once and returns the complete response. Its error is a *clementineport.Error whose verdict says
 // whether the request may have run. When ctx ends, the connection is closed immediately.
 func (c *Client) Do(ctx context.Context, req *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
+	if err := c.closed(); err != nil {
+		return nil, err
+	}
 	conn, err := c.pool.get(ctx)
 	if err != nil {
 		return nil, err
@@ -98,16 +109,21 @@
 	if left < time.Millisecond {
 		return nil, c.options.IdleTimeout, clementineport.Fail(clementineport.FaultDeadline, "no time left")
 	}
+	if err := c.closed(); err != nil {
+		return nil, c.options.IdleTimeout, err // the notice came while this call waited for its connection
+	}
 	written := conn.send(c.encode(req, left))
 	resp, err := readResponse(conn.reader, req.Method)
 	if err != nil {
 		return nil, 0, conn.fault(err)
 	}
+	c.readNotice(resp)
 	body, err := readBody(resp.Body, c.options.MaxResponseBytes)
 	if err != nil {
 		return nil, 0, conn.fault(err)
 	}
 	result, err := c.checkResponse(resp, body, req)
+	c.readExtraNotice(conn.buffered())
 	if !written() || resp.Close || conn.reader.Buffered() > 0 {
 		return result, 0, err
 	}
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -30,6 +31,17 @@
 	MaxResponseBytes int64
 	// RequireEcho rejects a successful response that does not echo the ID of the request.
 	RequireEcho bool
+	// Notice is what the target has asked of an earlier client.
+	Notice clementineport.TargetNotice
+	// OnLeaving is called when the target states for the first time that it is shutting down.
+	OnLeaving func()
+	// OnClosed is called when the target, which accepted requests, asks for none for a time.
+	OnClosed func(d time.Duration)
+	// OnInvalidRetryAfter is called when the target states a time that can't be read or is too long, with the time that is
+	// used in its place.
+	OnInvalidRetryAfter func(stated string, used time.Duration)
+	// Random returns a random number in [0, 1).
+	Random func() float64
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -71,7 +83,12 @@
 		IdleTimeout:      DefaultIdleTimeout,
 		IdleMargin:       DefaultIdleMargin,
 		MaxResponseBytes: DefaultMaxResponseBytes,
+		OnLeaving:        func() {},
+		OnClosed:         func(time.Duration) {},
+		Random:           rand.Float64,
 		Dial:             (&net.Dialer{KeepAlive: -1}).DialContext,
+
+		OnInvalidRetryAfter: func(string, time.Duration) {},
 	}
 	for _, o := range opts {
 		o(&options)
@@ -113,6 +130,23 @@
 // WithRequireEcho sets whether a successful response that does not echo the ID of the request is rejected.
 func WithRequireEcho(on bool) Option { return func(o *Options) { o.RequireEcho = on } }
 
+// WithNotice sets what the target has asked of an earlier client.
+func WithNotice(n clementineport.TargetNotice) Option { return func(o *Options) { o.Notice = n } }
+
+// WithOnLeaving sets the function that is called when the target states for the first time that it is shutting down.
+func WithOnLeaving(f func()) Option { return func(o *Options) { o.OnLeaving = f } }
+
+// WithOnClosed sets the function that is called when the target, which accepted requests, asks for none for a time.
+func WithOnClosed(f func(d time.Duration)) Option { return func(o *Options) { o.OnClosed = f } }
+
+// WithOnInvalidRetryAfter sets the function that is called when the target states a time that can't be read or is too long.
+func WithOnInvalidRetryAfter(f func(stated string, used time.Duration)) Option {
+	return func(o *Options) { o.OnInvalidRetryAfter = f }
+}
+
+// WithRandom sets the source of random numbers in [0, 1).
+func WithRandom(random func() float64) Option { return func(o *Options) { o.Random = random } }
+
 // WithDial sets the function that opens connections.
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(o *Options) { o.Dial = dial }
--- a/cptarget/cpopaque/pool.go
+++ b/cptarget/cpopaque/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -23,6 +24,8 @@
 // pool manages the connections of one client.
 type pool struct {
 	options *Options
+	// onExtra is called with the bytes that an idle connection has received.
+	onExtra func([]byte)
 
 	mu     sync.Mutex
 	limit  int
@@ -44,7 +47,7 @@
 	switch {
 	case c.received.Load() > 0 || err == nil:
 		p.unanswered = 0
-	case c.reused:
+	case c.reused && !c.unsent():
 		p.unanswered++
 	}
 	var idle []*conn
@@ -57,7 +60,9 @@
 	}
 }
 
-func newPool(options *Options) *pool { return &pool{options: options, limit: options.Connections} }
+func newPool(options *Options, onExtra func([]byte)) *pool {
+	return &pool{options: options, onExtra: onExtra, limit: options.Connections}
+}
 
 // get returns a usable idle connection, or a new one.
 func (p *pool) get(ctx context.Context) (*conn, error) {
@@ -74,6 +79,7 @@
 			c.reused = true
 			return c, nil
 		}
+		p.onExtra(c.extra)
 		p.discard(c)
 	}
 }
@@ -177,6 +183,8 @@
 	expires time.Time
 	// reused is true from the second exchange on the connection.
 	reused bool
+	// extra holds the bytes that the connection has received while it was idle.
+	extra []byte
 	// offered and received are the numbers of bytes passed to Write and read in the current exchange.
 	offered  atomic.Int64
 	received atomic.Int64
@@ -191,6 +199,12 @@
 	return n, err
 }
 
+// buffered returns the bytes that were received after the response. The slice is valid until the next read.
+func (c *conn) buffered() []byte {
+	extra, _ := c.reader.Peek(c.reader.Buffered()) // never reads, so it doesn't fail
+	return extra
+}
+
 // resetCounts resets the byte counts for a new exchange.
 func (c *conn) resetCounts() {
 	c.offered.Store(0)
@@ -244,9 +258,10 @@
 	}
 	noData := false
 	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, readErr := syscall.Read(int(fd), b[:])
+		var b [readBufferBytes]byte
+		n, readErr := syscall.Read(int(fd), b[:])
 		noData = readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK
+		c.extra = bytes.Clone(b[:max(0, n)])
 		return true
 	})
 	return err == nil && noData
--- a/fleet.go
+++ b/fleet.go
@@ -23,6 +23,27 @@
 	Seq int64
 }
 
+// Run returns which run of the target this is.
+func (d *TargetInstance) Run() TargetRun { return TargetRun{ID: d.ID, Born: d.Born} }
+
+// TargetRun identifies one run of a target: a target that starts again may keep its ID.
+type TargetRun struct {
+	ID TargetID
+	// Born is the start time that the target reports, in Unix milliseconds.
+	Born int64
+}
+
+// TargetNotice is what a target has asked of a VM in its responses.
+type TargetNotice struct {
+	// Leaving is true once the target has stated that it is shutting down; it then gets no further requests.
+	Leaving bool
+	// ClosedUntil is the time until which the target asked for no requests, or the zero time.
+	ClosedUntil time.Time
+}
+
+// Closed reports whether the target must not get requests now.
+func (n TargetNotice) Closed(now time.Time) bool { return n.Leaving || now.Before(n.ClosedUntil) }
+
 // DomainStatus records whether operators have taken a failure domain out of service.
 type DomainStatus struct {
 	Domain FailureDomain
@@ -44,6 +65,9 @@
 	Gone    []TargetID
 	VMs     []VM
 	GoneVMs []VMID
+	// Leaving lists runs of targets that have stated that they are shutting down. It holds for any position, and is only
+	// in updates from other VMs.
+	Leaving []TargetRun `json:",omitempty"`
 	// Faults lists entries that could not be decoded, so that no target is known for them.
 	Faults []string
 }
@@ -57,6 +81,8 @@
 type OpaqueTarget interface {
 	// Do sends the request once. Its error is an *Error whose verdict states whether the request may have run.
 	Do(ctx context.Context, r *OpaqueRequest) (*OpaqueResponse, error)
+	// Notice returns what the target has asked of this VM so far.
+	Notice() TargetNotice
 	// Resize sets the maximum number of open connections.
 	Resize(connections int)
 	// Open returns the number of open connections and the total number opened so far.
