Bound numbers that come from outside and fuzz their readers

Longer runs found a signature made of a folded header line; with a space or a comma in it, it would also spoil the list of a gather's signatures.

--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -194,8 +194,8 @@
 		Target: c.options.Target, Status: resp.StatusCode, Header: resp.Header, Body: body,
 		Signature: resp.Header.Get(names.Signature),
 	}
-	if result.Success() && (result.Signature == "" || resp.Header.Get("Content-Encoding") != "") {
-		return nil, clementineport.Fail(clementineport.FaultMalformed, "success without a signature or in another encoding")
+	if result.Success() && (!validSignature(result.Signature) || resp.Header.Get("Content-Encoding") != "") {
+		return nil, clementineport.Fail(clementineport.FaultMalformed, "success without a valid signature or in another encoding")
 	}
 	if result.Success() && resp.Header.Get(names.Request) == "" && c.options.RequireEcho {
 		return nil, clementineport.Fail(clementineport.FaultMismatched, "success that does not name the request")
@@ -203,6 +203,11 @@
 	return result, nil
 }
 
+// validSignature reports whether a signature is one word, so that it can stand in a list of them.
+func validSignature(signature string) bool {
+	return signature != "" && !strings.ContainsAny(signature, " \t,")
+}
+
 // idleTimeout returns how long the connection may be kept idle: the target's own timeout less a margin for the time
 // that a request takes to arrive, and at most IdleTimeout.
 func (c *Client) idleTimeout(h http.Header) time.Duration {
--- a/cptarget/cpopaque/notice.go
+++ b/cptarget/cpopaque/notice.go
@@ -102,7 +102,7 @@
 	case seconds > maxRetryAfter.Seconds():
 		return maxRetryAfter, false
 	default:
-		return time.Duration(seconds * float64(time.Second)), true
+		return clementineport.DurationOf(seconds, time.Second), true
 	}
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,4 +13,10 @@
 fi
 mapfile -t packages < <(go list ./... | grep -v '/cpfleet$')
 go test -race -count=1 -timeout 15m "${skip[@]}" "${packages[@]}"
+# Each fuzz target runs a fixed number of inputs that it makes from the seeds in the tree.
+go list -f '{{$p := .ImportPath}}{{range .XTestGoFiles}}{{$p}} {{$.Dir}}/{{.}}{{"\n"}}{{end}}' ./... | while read -r package file; do
+	for target in $(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' "$file"); do
+		go test -run '^$' -fuzz "^$target\$" -fuzztime 3000x "$package"
+	done
+done
 go test -count=1 -timeout 20m "${skip[@]}" ./cpfleet
