--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -85,14 +85,16 @@
 }
 
 // Apply applies an update that was requested at requestedAt, and reports whether it changed anything beyond the time of
-// the last confirmation. It ignores an update that is older than the catalog, so that the state never goes backwards,
+// the last confirmation. A partial update confirms nothing, since later changes are known to be waiting. It ignores an update that is older than the catalog, so that the state never goes backwards,
 // and changes of another era of the store than the catalog's, which need a full update first. It does not apply Leaving.
 func (c *Catalog) Apply(now, requestedAt time.Time, update *clementineport.FleetUpdate) (changed bool) {
 	newEra := update.AsOf.Era != c.asOf.Era && !c.asOf.IsZero()
 	if update.AsOf.Before(c.asOf) || newEra && !update.Whole {
 		return false
 	}
-	c.confirm(requestedAt.Add(-update.Age))
+	if !update.Partial {
+		c.confirm(requestedAt.Add(-update.Age))
+	}
 	if update.AsOf == c.asOf {
 		return false // nothing new, and it must not restore targets that are about to be removed
 	}
--- a/cpcatalog/cpcatalog_test.go
+++ b/cpcatalog/cpcatalog_test.go
@@ -151,3 +151,15 @@
 	one.Tick(at(8400))
 	assert.Assert(t, !has(one, "x"))
 }
+
+func TestAPartialUpdateIsAppliedButConfirmsNothing(t *testing.T) {
+	c := cpcatalog.New()
+	apply(c, 0, clementineport.FleetUpdate{AsOf: position(0, 1), Whole: true})
+	assert.Assert(t, apply(c, 1000, clementineport.FleetUpdate{
+		AsOf: position(0, 500), Partial: true, Targets: []clementineport.TargetInstance{target("x", 1)},
+	}))
+	assert.Assert(t, has(c, "x"))
+	assert.Assert(t, c.Confirmed().Equal(at(0)), "later changes are waiting in the store")
+	apply(c, 1100, clementineport.FleetUpdate{AsOf: position(0, 600)})
+	assert.Assert(t, c.Confirmed().Equal(at(1100)))
+}
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -280,3 +281,32 @@
 		assert.Assert(t, o.MaxServedAge() < o.StoreLostAfter(), "VMs catch up from random VMs before their upstream VM reports that it lost the store")
 	}
 }
+
+// TestABacklogOfChangesIsReadWithoutPauses has the changes of an outage waiting in a store that returns few of them in an
+// answer. With the usual time between two calls it would take longer than the test waits.
+func TestABacklogOfChangesIsReadWithoutPauses(t *testing.T) {
+	const backlog = 30
+	store := &backlogSource{fakeSource: fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}}
+	for i := range backlog {
+		store.waiting = append(store.waiting, targetInstance(clementineport.TargetID(fmt.Sprint(i))))
+	}
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithWatchTimes(time.Second, 50*time.Millisecond))
+	await(t, "all targets", func() bool { return len(w.View().Services["s"]) == backlog })
+}
+
+// backlogSource is a store with changes that it returns one at a time.
+type backlogSource struct {
+	fakeSource
+	waiting []clementineport.TargetInstance
+}
+
+// Next implements clementineport.FleetSource.
+func (b *backlogSource) Next(_ context.Context, after clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
+	n := int(after.Revision) - 1
+	if n >= len(b.waiting) {
+		time.Sleep(wait)
+		return &clementineport.FleetUpdate{AsOf: after}, nil
+	}
+	after.Revision++
+	return &clementineport.FleetUpdate{AsOf: after, Targets: b.waiting[n : n+1], Partial: n+1 < len(b.waiting)}, nil
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -66,7 +66,9 @@
 		loaded, reached, asOf = true, true, update.AsOf
 		delays.Reset()
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
-		w.sleep(ctx, w.options.WatchPeriod-took)
+		if !update.Partial {
+			w.sleep(ctx, w.options.WatchPeriod-took)
+		}
 	}
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -56,6 +56,8 @@
 	AsOf StorePosition
 	// Whole marks a full listing: anything that it does not name no longer exists.
 	Whole bool
+	// Partial is true if later changes are probably waiting, because the store limits the size of an answer.
+	Partial bool `json:",omitempty"`
 	// Age is the time since the update was last known to be complete.
 	Age time.Duration
 	// Routes is the newest version of the routes; it is nil if they have not changed.
