Renew registrations every 5 s, and at once when the store has lost them

Failed VMs are found by the membership, which doesn't use leases; the registrations tell VMs that start about the others. A VM registers again as soon as the store no longer lists it, not at its next renewal. When the store loses many registrations at once, their VMs are not probed: with 40 VMs a VM made 42 exchanges in two seconds with an unlimited rate, now at most 6.

--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -43,8 +43,8 @@
 	avoidUpstreamUntil time.Time
 	// leaving is set when this VM is shutting down; it then does not register again.
 	leaving atomic.Bool
-	// restored signals register that the store was restored, so that this VM's registration may be lost.
-	restored chan struct{}
+	// unregistered signals register that the store has lost this VM's registration.
+	unregistered chan struct{}
 
 	// The fields below are owned by the loop.
 	catalog          *cpcatalog.Catalog
@@ -68,15 +68,15 @@
 func New(opts ...Option) *Watcher {
 	options := NewOptions(opts...)
 	w := &Watcher{
-		options:    options,
-		events:     make(chan event, eventQueueSize),
-		restored:   make(chan struct{}, 1),
-		catalog:    cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithOutageAfter(options.StoreLostAfter())}, options.Catalog...)...),
-		membership: cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
-		peers:      cppeerconns.New(options.Dial),
-		history:    cpchangelog.New(),
-		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
-		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
+		options:      options,
+		events:       make(chan event, eventQueueSize),
+		unregistered: make(chan struct{}, 1),
+		catalog:      cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithOutageAfter(options.StoreLostAfter())}, options.Catalog...)...),
+		membership:   cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
+		peers:        cppeerconns.New(options.Dial),
+		history:      cpchangelog.New(),
+		states:       map[clementineport.TargetID]*cpfleetstate.Target{},
+		notices:      map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
 	zero := time.Time{}
 	w.confirmed.Store(&zero)
@@ -192,8 +192,13 @@
 func (w *Watcher) storeRestored(before clementineport.StorePosition, source string) {
 	w.options.Log.Warn(string(cplogevent.StoreRestored), zap.Uint64("FromEra", uint64(before.Era)), zap.Uint64("From", uint64(before.Revision)),
 		cplog.Position(w.catalog.AsOf()), zap.String("Source", source))
+	w.registrationLost()
+}
+
+// registrationLost makes this VM register again.
+func (w *Watcher) registrationLost() {
 	select {
-	case w.restored <- struct{}{}:
+	case w.unregistered <- struct{}{}:
 	default: // a signal is already waiting
 	}
 }
@@ -218,7 +223,7 @@
 }
 
 // updateMembership passes the VMs that the store lists to the membership, and requests a probe of each live member that
-// the store doesn't list.
+// the store doesn't list, unless these are so many that the store must have lost them.
 func (w *Watcher) updateMembership(now time.Time) {
 	registered := w.catalog.VMs()
 	vms := make([]clementineport.VM, 0, len(registered))
@@ -226,9 +231,17 @@
 		vms = append(vms, vm)
 	}
 	w.membership.SetListed(now, vms)
-	for _, m := range w.membership.Members() {
-		if _, ok := registered[m.ID]; !ok && m.State == clementineport.MemberAlive {
-			w.membership.RequestProbe(now, m.ID)
+	members := w.membership.Members()
+	var unlisted []clementineport.VMID
+	for i := range members {
+		if _, ok := registered[members[i].ID]; !ok && members[i].State == clementineport.MemberAlive {
+			unlisted = append(unlisted, members[i].ID)
 		}
 	}
+	if float64(len(unlisted)) > maxUnlistedShare*float64(len(members)) {
+		return
+	}
+	for _, id := range unlisted {
+		w.membership.RequestProbe(now, id)
+	}
 }
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -19,8 +19,9 @@
 	DefaultWatchPeriod = 900 * time.Millisecond
 	// DefaultWatchWait is short so that a connection that went silent is detected soon.
 	DefaultWatchWait = 1200 * time.Millisecond
-	// DefaultRenewPeriod is a third of the shortest useful lease.
-	DefaultRenewPeriod = time.Second
+	// DefaultRenewPeriod is long because the VMs find out by themselves which of them have failed; registrations tell
+	// those that start about the others.
+	DefaultRenewPeriod = 5 * time.Second
 	// callsToRegister is the number of store calls that a registration takes.
 	callsToRegister = 2
 	// registerShare is the share of the store's rate that all VMs together use to register again.
@@ -38,6 +39,9 @@
 	upstreamPollFactor = 4
 	// upstreamRetryDelay is how long a VM watches the store itself after its upstream VM failed.
 	upstreamRetryDelay = 5 * time.Second
+	// maxUnlistedShare is the share of the VMs that the store may fail to list for these to be probed. If more are
+	// missing, the store has lost registrations.
+	maxUnlistedShare = 0.25
 	// leavingNewsTime is how long this VM tells others that a target is shutting down, and maxLeavingNews the number of
 	// targets in one of these messages.
 	leavingNewsTime = 10 * time.Second
--- a/cpfleetwatch/restore_test.go
+++ b/cpfleetwatch/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpfleetwatch"
 	"github.com/clementineport/clementineport/cplogevent"
+	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cppeer"
 )
 
@@ -140,6 +142,58 @@
 	await(t, "another registration, long before a renewal is due", func() bool { return r.registrations() == 2 })
 }
 
+func TestAVMWhoseRegistrationLapsedRegistersAtOnce(t *testing.T) {
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, vms: []clementineport.VM{{ID: "vm", Caller: "vm"}}}
+	r := &fakeRegistrar{}
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistrar(r), cpfleetwatch.WithRenewPeriod(time.Hour))
+	await(t, "the first registration", func() bool { return r.registrations() == 1 && w.View().Listed })
+	store.set(func(s *fakeSource) { s.vms = nil })
+	await(t, "another registration, long before a renewal is due", func() bool { return r.registrations() == 2 })
+}
+
+// TestRenewalsOfAFleetLeaveTheStoreToItsOtherCalls checks the share of a store's calls that the renewals of the largest
+// planned fleet take.
+func TestRenewalsOfAFleetLeaveTheStoreToItsOtherCalls(t *testing.T) {
+	const vms, storeCallsPerSecond, share = 770, 2000, 0.1
+	perSecond := vms / cpfleetwatch.DefaultRenewPeriod.Seconds()
+	assert.Assert(t, perSecond <= share*storeCallsPerSecond, "%v renewals a second", perSecond)
+}
+
+// TestRegistrationsThatTheStoreLosesTogetherCauseNoProbes has a store that lists none of 40 VMs any more.
+func TestRegistrationsThatTheStoreLosesTogetherCauseNoProbes(t *testing.T) {
+	const vms = 40
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
+	for i := range vms {
+		id := fmt.Sprintf("vm-%d", i)
+		store.vms = append(store.vms, clementineport.VM{ID: clementineport.VMID(id), Domain: "a", Caller: id, Peer: id})
+	}
+	var exchanges atomic.Int64
+	unlimited := func(o *cpmembership.Options) { o.UrgentPerSecond = 1000 }
+	w := startWatcher(t, "self", cpfleetwatch.WithSource(store), func(o *cpfleetwatch.Options) { o.Membership = append(o.Membership, unlimited) },
+		cpfleetwatch.WithDial(func(vm clementineport.VM) clementineport.Peer {
+			return &answeringPeer{vm: vm, exchanges: &exchanges}
+		}))
+	await(t, "all VMs are members", func() bool { return len(w.View().Members) > vms })
+	time.Sleep(500 * time.Millisecond)
+	exchanges.Store(0)
+	store.set(func(s *fakeSource) { s.vms = nil })
+	time.Sleep(2 * time.Second)
+	assert.Assert(t, exchanges.Load() <= 6, "%d exchanges in two seconds", exchanges.Load())
+}
+
+// answeringPeer is a VM that answers exchanges and nothing else.
+type answeringPeer struct {
+	earlierBuild
+	vm        clementineport.VM
+	exchanges *atomic.Int64
+}
+
+// Exchange implements clementineport.Peer.
+func (p *answeringPeer) Exchange(context.Context, *clementineport.Digest) (*clementineport.Digest, error) {
+	p.exchanges.Add(1)
+	return &clementineport.Digest{From: clementineport.Member{VM: p.vm, Start: clementineport.StartID(p.vm.ID), Incarnation: 1}}, nil
+}
+
 func TestAVMThatLeavesDoesNotRegisterAgain(t *testing.T) {
 	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
 	r := &fakeRegistrar{}
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -24,6 +24,9 @@
 		VMs:      w.vmCount,
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
+	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
+		w.registrationLost()
+	}
 	w.setRouter(view)
 	w.dropTargets(now)
 	for id, t := range w.catalog.Targets() {
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -136,7 +136,7 @@
 			}
 			registered, failing = true, false
 			delays.Reset()
-			registered = !w.restoredWithin(ctx, w.options.RenewPeriod)
+			registered = !w.unregisteredWithin(ctx, w.options.RenewPeriod)
 			continue
 		}
 		if !failing {
@@ -148,13 +148,13 @@
 	}
 }
 
-// restoredWithin waits for d, or until the store was restored and a random part of the time over which the VMs spread
-// their registrations has passed. It reports whether the store was restored.
-func (w *Watcher) restoredWithin(ctx context.Context, d time.Duration) bool {
+// unregisteredWithin waits for d, or until the store has lost this VM's registration and a random part of the time over
+// which the VMs spread theirs has passed. It reports whether the registration was lost.
+func (w *Watcher) unregisteredWithin(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 	case <-w.options.Clock.After(d):
-	case <-w.restored:
+	case <-w.unregistered:
 		w.sleep(ctx, time.Duration(rand.Int64N(1+int64(w.options.RegisterSpread(w.View().VMs)))))
 		return true
 	}
