--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -85,8 +85,9 @@
 }
 
 // Apply applies an update that was requested at requestedAt, and reports whether it changed anything beyond the time of
-// the last confirmation. A partial update confirms nothing, since later changes are known to be waiting. It ignores an update that is older than the catalog, so that the state never goes backwards,
-// and changes of another era of the store than the catalog's, which need a full update first. It does not apply Leaving.
+// the last confirmation. A partial update confirms nothing, since later changes are waiting in the store. Apply ignores an
+// update that is older than the catalog, so that the state never goes backwards, and changes of another era of the store
+// than the catalog's, which need a full update first. It does not apply Leaving.
 func (c *Catalog) Apply(now, requestedAt time.Time, update *clementineport.FleetUpdate) (changed bool) {
 	newEra := update.AsOf.Era != c.asOf.Era && !c.asOf.IsZero()
 	if update.AsOf.Before(c.asOf) || newEra && !update.Whole {
--- a/cpchangelog/cpchangelog.go
+++ b/cpchangelog/cpchangelog.go
@@ -23,8 +23,8 @@
 	update *clementineport.FleetUpdate
 }
 
-// Add adds an update that was applied to the state at the position from. A full update discards the history, since it doesn't say
-// what has changed.
+// Add adds an update that was applied to the state at the position from. A full update discards the history, since it
+// doesn't say what has changed.
 func (h *History) Add(from clementineport.StorePosition, update *clementineport.FleetUpdate) {
 	if update.Whole {
 		h.changes = h.changes[:0]
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -22,6 +22,7 @@
 	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cppeerconns"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpregistration"
 )
 
 // eventQueueSize is the number of events that can wait for the loop.
@@ -41,10 +42,7 @@
 	// avoidUpstreamUntil is the time until which this VM watches the store itself because its upstream VM failed.
 	// Only watchStore accesses it.
 	avoidUpstreamUntil time.Time
-	// leaving is set when this VM is shutting down; it then does not register again.
-	leaving atomic.Bool
-	// unregistered signals register that the store has lost this VM's registration.
-	unregistered chan struct{}
+	registration       *cpregistration.Keeper
 
 	// The fields below are owned by the loop.
 	catalog          *cpcatalog.Catalog
@@ -68,21 +66,24 @@
 func New(opts ...Option) *Watcher {
 	options := NewOptions(opts...)
 	w := &Watcher{
-		options:      options,
-		events:       make(chan event, eventQueueSize),
-		unregistered: make(chan struct{}, 1),
-		catalog:      cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithOutageAfter(options.StoreLostAfter())}, options.Catalog...)...),
-		membership:   cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
-		peers:        cppeerconns.New(options.Dial),
-		history:      cpchangelog.New(),
-		states:       map[clementineport.TargetID]*cpfleetstate.Target{},
-		notices:      map[clementineport.TargetRun]clementineport.TargetNotice{},
+		options:    options,
+		events:     make(chan event, eventQueueSize),
+		catalog:    cpcatalog.New(append([]cpcatalog.Option{cpcatalog.WithOutageAfter(options.StoreLostAfter())}, options.Catalog...)...),
+		membership: cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
+		peers:      cppeerconns.New(options.Dial),
+		history:    cpchangelog.New(),
+		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
+		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
 	zero := time.Time{}
 	w.confirmed.Store(&zero)
 	w.lastPeerContact.Store(&zero)
 	none := make(chan struct{})
 	w.updated.Store(&none)
+	w.registration = cpregistration.New(append([]cpregistration.Option{
+		cpregistration.WithVM(options.Self.VM), cpregistration.WithView(w.View), cpregistration.WithClock(options.Clock),
+		cpregistration.WithLog(options.Log),
+	}, options.Registration...)...)
 	w.publish(options.Clock.Now())
 	return w
 }
@@ -105,14 +106,14 @@
 
 // Leave announces to the other VMs that this VM is shutting down, and ends the renewals of its registration.
 func (w *Watcher) Leave() {
-	w.leaving.Store(true)
+	w.registration.Stop()
 	w.events <- func(_ context.Context, w *Watcher, _ time.Time) { w.membership.Leave() }
 }
 
 // Serve runs the loop until ctx ends; it implements suture.Service.
 func (w *Watcher) Serve(ctx context.Context) error {
 	go w.watchStore(ctx)
-	go w.register(ctx)
+	go w.registration.Run(ctx)
 	tick := w.options.Clock.After(w.options.TickPeriod)
 	for {
 		select {
@@ -192,15 +193,7 @@
 func (w *Watcher) storeRestored(before clementineport.StorePosition, source string) {
 	w.options.Log.Warn(string(cplogevent.StoreRestored), zap.Uint64("FromEra", uint64(before.Era)), zap.Uint64("From", uint64(before.Revision)),
 		cplog.Position(w.catalog.AsOf()), zap.String("Source", source))
-	w.registrationLost()
-}
-
-// registrationLost makes this VM register again.
-func (w *Watcher) registrationLost() {
-	select {
-	case w.unregistered <- struct{}{}:
-	default: // a signal is already waiting
-	}
+	w.registration.Lost()
 }
 
 // newlyCold returns the targets that the catalog has as warm and the update reports as cold.
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/clementineport/clementineport/cpfleetwatch"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer"
+	"github.com/clementineport/clementineport/cpregistration"
 )
 
 // maxWait is the timeout of every wait of these tests. It is generous: it doesn't check speed.
@@ -230,8 +231,9 @@
 
 func TestAVMRegistersOnceItHasRoutesAndAgainWhenItIsNotListed(t *testing.T) {
 	r := &fakeRegistrar{}
-	startWatcher(t, "vm", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}), cpfleetwatch.WithRegistrar(r),
-		cpfleetwatch.WithRenewPeriod(20*time.Millisecond))
+	startWatcher(t, "vm", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}), cpfleetwatch.WithRegistration(
+		cpregistration.WithRegistrar(r), cpregistration.WithRenewPeriod(20*time.Millisecond),
+	))
 	await(t, "another registration, since the store does not list the VM", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -9,6 +9,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpmembership"
+	"github.com/clementineport/clementineport/cpregistration"
 )
 
 // Defaults of Options.
@@ -19,13 +20,6 @@
 	DefaultWatchPeriod = 900 * time.Millisecond
 	// DefaultWatchWait is short so that a connection that went silent is detected soon.
 	DefaultWatchWait = 1200 * time.Millisecond
-	// DefaultRenewPeriod is long because the VMs find out by themselves which of them have failed; registrations tell
-	// those that start about the others.
-	DefaultRenewPeriod = 5 * time.Second
-	// callsToRegister is the number of store calls that a registration takes.
-	callsToRegister = 2
-	// registerShare is the share of the store's rate that all VMs together use to register again.
-	registerShare = 0.5
 	// storeLostFactor, times WatchPeriod plus WatchWait, is the age at which a view counts as cut off from the store. It
 	// leaves room for slow answers: without changes, confirmations are up to WatchPeriod plus WatchWait apart.
 	storeLostFactor = 1.3
@@ -57,9 +51,8 @@
 
 // Options are the settings of a Watcher.
 type Options struct {
-	Self      clementineport.Member
-	Source    clementineport.FleetSource
-	Registrar clementineport.Registrar
+	Self   clementineport.Member
+	Source clementineport.FleetSource
 	// Seeds are VMs to contact while no other VM is known.
 	Seeds []clementineport.VM
 	// Dial returns a client for another VM; it does not block.
@@ -72,19 +65,16 @@
 	Clock    clementineport.Clock
 	Log      *zap.Logger
 	Seed     uint64
-	// Catalog and Membership are options of the packages cpcatalog and cpmembership.
-	Catalog    []cpcatalog.Option
-	Membership []cpmembership.Option
+	// Catalog, Membership and Registration are options of the packages cpcatalog, cpmembership and cpregistration.
+	Catalog      []cpcatalog.Option
+	Membership   []cpmembership.Option
+	Registration []cpregistration.Option
 	// TickPeriod is the interval at which periodic work is checked.
 	TickPeriod time.Duration
 	// WatchPeriod is the minimum time between the starts of two store calls.
 	WatchPeriod time.Duration
 	// WatchWait is how long the store holds a watch open without a change.
 	WatchWait time.Duration
-	// RenewPeriod is the time between renewals of the registration.
-	RenewPeriod time.Duration
-	// StoreWritesPerSecond is the rate of writes that the store accepts from all VMs together, or zero if it is unlimited.
-	StoreWritesPerSecond float64
 	// StoreWatchers is the number of VMs per failure domain that watch the store; the other VMs get updates from them.
 	StoreWatchers int
 	// CatchUpPeriod is the time between calls to other VMs while the store does not answer.
@@ -108,7 +98,6 @@
 		TickPeriod:     DefaultTickPeriod,
 		WatchPeriod:    DefaultWatchPeriod,
 		WatchWait:      DefaultWatchWait,
-		RenewPeriod:    DefaultRenewPeriod,
 		StoreWatchers:  DefaultStoreWatchers,
 		CatchUpPeriod:  DefaultCatchUpPeriod,
 		CatchUpTimeout: DefaultCatchUpTimeout,
@@ -132,19 +121,6 @@
 	return time.Duration(maxServedAgeFactor * float64(o.WatchPeriod+o.WatchWait))
 }
 
-// RegisterSpread returns the time over which a number of VMs spread their registrations when all of them are lost.
-func (o *Options) RegisterSpread(vms int) time.Duration {
-	if o.StoreWritesPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(vms*callsToRegister) / (o.StoreWritesPerSecond * registerShare) * float64(time.Second))
-}
-
-// WithStoreWritesPerSecond sets the rate of writes that the store accepts from all VMs together.
-func WithStoreWritesPerSecond(n float64) Option {
-	return func(o *Options) { o.StoreWritesPerSecond = n }
-}
-
 // WithStoreWatchers sets the number of VMs per failure domain that watch the store.
 func WithStoreWatchers(n int) Option { return func(o *Options) { o.StoreWatchers = n } }
 
@@ -154,9 +130,6 @@
 // WithSource sets the source of updates from the store.
 func WithSource(s clementineport.FleetSource) Option { return func(o *Options) { o.Source = s } }
 
-// WithRegistrar sets how this VM registers itself in the store.
-func WithRegistrar(r clementineport.Registrar) Option { return func(o *Options) { o.Registrar = r } }
-
 // WithSeeds sets VMs to contact while no other VM is known.
 func WithSeeds(vms ...clementineport.VM) Option { return func(o *Options) { o.Seeds = vms } }
 
@@ -184,9 +157,6 @@
 	return func(o *Options) { o.StaleAfter, o.PeerTimeout = staleAfter, peerTimeout }
 }
 
-// WithRenewPeriod sets the time between renewals of the registration.
-func WithRenewPeriod(d time.Duration) Option { return func(o *Options) { o.RenewPeriod = d } }
-
 // WithOnRoutes sets a function to call with each new version of the routes.
 func WithOnRoutes(f func(*clementineport.RouteTable)) Option {
 	return func(o *Options) { o.OnRoutes = f }
@@ -200,5 +170,10 @@
 // WithCatchUpPeriod sets the time between calls to other VMs while the store does not answer.
 func WithCatchUpPeriod(d time.Duration) Option { return func(o *Options) { o.CatchUpPeriod = d } }
 
+// WithRegistration sets options of the registration; without a registrar, this VM doesn't register.
+func WithRegistration(opts ...cpregistration.Option) Option {
+	return func(o *Options) { o.Registration = opts }
+}
+
 // WithCatalog sets options of the catalog.
 func WithCatalog(opts ...cpcatalog.Option) Option { return func(o *Options) { o.Catalog = opts } }
--- a/cpfleetwatch/restore_test.go
+++ b/cpfleetwatch/restore_test.go
@@ -17,6 +17,7 @@
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cppeer"
+	"github.com/clementineport/clementineport/cpregistration"
 )
 
 // restore replaces the contents of a store by those of an earlier copy in its next era.
@@ -136,7 +137,7 @@
 func TestAVMRegistersAgainAtOnceAfterARestore(t *testing.T) {
 	store := &fakeSource{asOf: clementineport.StorePosition{Era: 1, Revision: 100}, version: 5, vms: []clementineport.VM{{ID: "vm", Caller: "vm"}}}
 	r := &fakeRegistrar{}
-	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistrar(r), cpfleetwatch.WithRenewPeriod(time.Hour))
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistration(cpregistration.WithRegistrar(r), cpregistration.WithRenewPeriod(time.Hour)))
 	await(t, "the first registration", func() bool { return r.registrations() == 1 && w.View().Listed })
 	store.restore(60)
 	await(t, "another registration, long before a renewal is due", func() bool { return r.registrations() == 2 })
@@ -145,20 +146,12 @@
 func TestAVMWhoseRegistrationLapsedRegistersAtOnce(t *testing.T) {
 	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, vms: []clementineport.VM{{ID: "vm", Caller: "vm"}}}
 	r := &fakeRegistrar{}
-	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistrar(r), cpfleetwatch.WithRenewPeriod(time.Hour))
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistration(cpregistration.WithRegistrar(r), cpregistration.WithRenewPeriod(time.Hour)))
 	await(t, "the first registration", func() bool { return r.registrations() == 1 && w.View().Listed })
 	store.set(func(s *fakeSource) { s.vms = nil })
 	await(t, "another registration, long before a renewal is due", func() bool { return r.registrations() == 2 })
 }
 
-// TestRenewalsOfAFleetLeaveTheStoreToItsOtherCalls checks the share of a store's calls that the renewals of the largest
-// planned fleet take.
-func TestRenewalsOfAFleetLeaveTheStoreToItsOtherCalls(t *testing.T) {
-	const vms, storeCallsPerSecond, share = 770, 2000, 0.1
-	perSecond := vms / cpfleetwatch.DefaultRenewPeriod.Seconds()
-	assert.Assert(t, perSecond <= share*storeCallsPerSecond, "%v renewals a second", perSecond)
-}
-
 // TestRegistrationsThatTheStoreLosesTogetherCauseNoProbes has a store that lists none of 40 VMs any more.
 func TestRegistrationsThatTheStoreLosesTogetherCauseNoProbes(t *testing.T) {
 	const vms = 40
@@ -197,7 +190,7 @@
 func TestAVMThatLeavesDoesNotRegisterAgain(t *testing.T) {
 	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5}
 	r := &fakeRegistrar{}
-	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistrar(r), cpfleetwatch.WithRenewPeriod(20*time.Millisecond))
+	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store), cpfleetwatch.WithRegistration(cpregistration.WithRegistrar(r), cpregistration.WithRenewPeriod(20*time.Millisecond)))
 	await(t, "registrations, since the store does not list the VM", func() bool { return r.registrations() >= 2 })
 	w.Leave()
 	time.Sleep(50 * time.Millisecond)
@@ -205,14 +198,3 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, r.registrations(), before)
 }
-
-func TestRegistrationsAfterARestoreAreSpreadByTheRateOfTheStore(t *testing.T) {
-	for _, row := range []struct {
-		vms  int
-		rate float64
-		want time.Duration
-	}{{8, 0, 0}, {8, 400, 80 * time.Millisecond}, {300, 3000, 400 * time.Millisecond}} {
-		o := cpfleetwatch.NewOptions(cpfleetwatch.WithStoreWritesPerSecond(row.rate))
-		assert.Equal(t, o.RegisterSpread(row.vms), row.want)
-	}
-}
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -25,7 +25,7 @@
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
-		w.registrationLost()
+		w.registration.Lost()
 	}
 	w.setRouter(view)
 	w.dropTargets(now)
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -117,59 +117,6 @@
 	}
 }
 
-// register keeps this VM registered in the store until ctx ends or the VM leaves. It starts once the VM has routes.
-func (w *Watcher) register(ctx context.Context) {
-	if w.options.Registrar == nil {
-		return
-	}
-	registered, failing := false, false
-	delays := newBackoff()
-	for ctx.Err() == nil && !w.leaving.Load() {
-		if w.View().Router == nil {
-			w.sleep(ctx, w.options.TickPeriod)
-			continue
-		}
-		err := w.registerOrRenew(ctx, registered)
-		if err == nil {
-			if !registered || failing {
-				w.options.Log.Info(string(cplogevent.Registered))
-			}
-			registered, failing = true, false
-			delays.Reset()
-			registered = !w.unregisteredWithin(ctx, w.options.RenewPeriod)
-			continue
-		}
-		if !failing {
-			w.options.Log.Warn(string(cplogevent.RegistrationFailed), cplog.Cause("Error", err))
-		}
-		failing = true
-		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
-		w.sleep(ctx, delays.NextBackOff())
-	}
-}
-
-// unregisteredWithin waits for d, or until the store has lost this VM's registration and a random part of the time over
-// which the VMs spread theirs has passed. It reports whether the registration was lost.
-func (w *Watcher) unregisteredWithin(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-	case <-w.options.Clock.After(d):
-	case <-w.unregistered:
-		w.sleep(ctx, time.Duration(rand.Int64N(1+int64(w.options.RegisterSpread(w.View().VMs)))))
-		return true
-	}
-	return false
-}
-
-// registerOrRenew registers this VM, or renews its lease. It registers again when the store doesn't list this VM, since
-// a lease can outlive its entry.
-func (w *Watcher) registerOrRenew(ctx context.Context, registered bool) error {
-	if registered && w.View().Listed {
-		return w.options.Registrar.Renew(ctx)
-	}
-	return w.options.Registrar.Register(ctx, w.options.Self.VM)
-}
-
 // catchUp requests the full state from another VM when this VM has not heard from the store for StoreLostAfter.
 func (w *Watcher) catchUp(ctx context.Context, now time.Time) {
 	if w.catchingUp || now.Before(w.nextCatchUp) || w.Age() < w.options.StoreLostAfter() {
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -25,6 +25,7 @@
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpregistration"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/cptoken"
 	"github.com/clementineport/clementineport/platform/cpconf"
@@ -104,18 +105,18 @@
 func (p *Process) build(s *cpconf.Settings) {
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
 	apply := s.Bounds.ConfigApply
-	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpfleetwatch.DefaultRenewPeriod))
+	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
 	p.watcher = cpfleetwatch.New(
 		cpfleetwatch.WithSelf(p.self),
 		cpfleetwatch.WithSource(cpschema.NewSource(store)),
-		cpfleetwatch.WithRegistrar(p.registrar),
+		cpfleetwatch.WithRegistration(cpregistration.WithRegistrar(p.registrar),
+			cpregistration.WithStoreWritesPerSecond(s.Store.WritesPerSecond)),
 		cpfleetwatch.WithSeeds(seeds(s)...),
 		cpfleetwatch.WithDial(p.dialPeer),
 		cpfleetwatch.WithTargetClient(p.newTargetClient),
 		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
-		cpfleetwatch.WithStoreWritesPerSecond(s.Store.WritesPerSecond),
 		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
 		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(apply, watchPeriodShare))),
 		cpfleetwatch.WithIsolation(apply+s.Bounds.ConfigOutageDelay, s.Bounds.UndisturbedTime),
