Record a failed try: limits divided by the VMs that the store lists

Tried: the larger of the live members and the VMs in the store as the divisor. The divisor is also a weight in the choice of targets, and the share is one connection a VM at least, 80 of 72.

--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -312,3 +312,24 @@
 	after.Revision++
 	return &clementineport.FleetUpdate{AsOf: after, Targets: b.waiting[n : n+1], Partial: n+1 < len(b.waiting)}, nil
 }
+
+// TestAVMThatStartsSharesLimitsWithAllVMsThatTheStoreLists has 40 VMs start at once, as after a loss of power: none of them
+// has reached another one when it gets its first requests.
+func TestAVMThatStartsSharesLimitsWithAllVMsThatTheStoreLists(t *testing.T) {
+	const vms = 40
+	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x")}}
+	for i := range vms {
+		id := fmt.Sprintf("vm-%d", i)
+		store.vms = append(store.vms, clementineport.VM{ID: clementineport.VMID(id), Domain: "a", Caller: id, Peer: id})
+	}
+	shares := make(chan int, 1)
+	w := startWatcher(t, "vm-0", cpfleetwatch.WithSource(store),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return &earlierBuild{} }),
+		cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, connections int, _ clementineport.TargetNotice) clementineport.OpaqueTarget {
+			shares <- connections
+			return &fakeTarget{}
+		}))
+	assert.Equal(t, <-shares, 1, "of 20 connections of the target")
+	await(t, "the first view", func() bool { return len(w.View().Services["s"]) == 1 })
+	assert.Assert(t, w.View().VMs >= vms, "%d VMs", w.View().VMs)
+}
