Read the limit of requests that targets state, and tell other VMs

A VM now reads the limit from every answer of the target, and the end of the limit from an answer that states none. The VMs tell each other in the same messages as of targets that are leaving: TargetNews is part of a digest and of an update, and cpfleetwatch/news.go handles both kinds. What a target stated last holds, by its age, so that messages may arrive in any order; it belongs to one run of the target.

No request is sent or held back for it yet.

--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -40,6 +40,7 @@
 	restore     restore
 	ended       map[clementineport.TargetID]endedTarget
 	leaving     map[clementineport.TargetID]leavingRun
+	limits      map[clementineport.TargetID]statedLimit
 	routes      *clementineport.RouteTable
 	out         map[clementineport.FailureDomain]bool
 	targets     map[clementineport.TargetID]*Target
@@ -56,6 +57,7 @@
 		restore: newRestore(),
 		ended:   map[clementineport.TargetID]endedTarget{},
 		leaving: map[clementineport.TargetID]leavingRun{},
+		limits:  map[clementineport.TargetID]statedLimit{},
 	}
 }
 
@@ -87,7 +89,7 @@
 // Apply applies an update that was requested at requestedAt, and reports whether it changed anything beyond the time of
 // the last confirmation. A partial update confirms nothing, since later changes are waiting in the store. Apply ignores an
 // update that is older than the catalog, so that the state never goes backwards, and changes of another era of the store
-// than the catalog's, which need a full update first. It does not apply Leaving.
+// than the catalog's, which need a full update first. It does not apply TargetNews.
 func (c *Catalog) Apply(now, requestedAt time.Time, update *clementineport.FleetUpdate) (changed bool) {
 	newEra := update.AsOf.Era != c.asOf.Era && !c.asOf.IsZero()
 	if update.AsOf.Before(c.asOf) || newEra && !update.Whole {
@@ -258,6 +260,7 @@
 	}
 	c.forgetEnded(now)
 	c.forgetLeaving(now)
+	c.forgetLimits(now)
 	return c.endRestore(now) || changed
 }
 
--- /dev/null
+++ b/cpcatalog/limits.go
@@ -0,0 +1,83 @@
+package cpcatalog
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// statedLimit is the latest that a run of a target has stated about the requests that it takes.
+type statedLimit struct {
+	born    int64
+	limited bool
+	rate    clementineport.RequestRate
+	// at is when the target stated it, and learnedAt when this VM learned the present value.
+	at        time.Time
+	learnedAt time.Time
+}
+
+// SetLimit records what a run of a target has stated about the requests that it takes, and reports whether that changes
+// what this VM knows. The latest statement of the latest run holds, whatever the order in which they arrive.
+func (c *Catalog) SetLimit(now time.Time, l *clementineport.TargetLimit) (changed bool) {
+	if math.IsNaN(float64(l.Rate)) || l.Rate < 0 {
+		return false // from a VM of another build
+	}
+	if t := c.targets[l.Run.ID]; t != nil && t.Born > l.Run.Born {
+		return false
+	}
+	known := c.limits[l.Run.ID]
+	at := now.Add(-max(l.Age, 0))
+	if known.born > l.Run.Born || known.born == l.Run.Born && !at.After(known.at) {
+		return false
+	}
+	sameRun := known.born == l.Run.Born
+	next := statedLimit{born: l.Run.Born, limited: l.Limited, rate: l.Rate, at: at, learnedAt: known.learnedAt}
+	changed = l.Limited != (known.limited && sameRun) || l.Limited && l.Rate != known.rate
+	if !changed && !l.Limited && !sameRun {
+		return false // a target that has never stated a limit needs no record
+	}
+	if changed {
+		next.learnedAt = now
+	}
+	c.limits[l.Run.ID] = next
+	return changed
+}
+
+// Limit returns the number of requests a second that a target takes from all VMs together, and whether it states one.
+func (c *Catalog) Limit(t *Target) (_ clementineport.RequestRate, limited bool) {
+	known, ok := c.limits[t.ID]
+	if !ok || !known.limited || t.Born > known.born {
+		return 0, false
+	}
+	return known.rate, true
+}
+
+// LimitsSince returns the limits of targets whose present value this VM learned after a time, the latest first. Limits that
+// have ended are among them.
+func (c *Catalog) LimitsSince(now, after time.Time) (limits []clementineport.TargetLimit) {
+	for id, known := range c.limits {
+		if known.learnedAt.After(after) {
+			run := clementineport.TargetRun{ID: id, Born: known.born}
+			limits = append(limits, clementineport.TargetLimit{Run: run, Limited: known.limited, Rate: known.rate, Age: now.Sub(known.at)})
+		}
+	}
+	slices.SortFunc(limits, func(a, b clementineport.TargetLimit) int {
+		return cmp.Or(c.limits[b.Run.ID].learnedAt.Compare(c.limits[a.Run.ID].learnedAt), cmp.Compare(a.Run.ID, b.Run.ID))
+	})
+	return limits
+}
+
+// forgetLimits drops the limits of targets that have started again, those of targets that have not been registered for
+// EndedRetention, and those that ended so long ago.
+func (c *Catalog) forgetLimits(now time.Time) {
+	for id, known := range c.limits {
+		t := c.targets[id]
+		old := now.Sub(known.at) >= c.options.EndedRetention
+		if t != nil && t.Born > known.born || old && (t == nil || !known.limited) {
+			delete(c.limits, id)
+		}
+	}
+}
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -22,6 +22,9 @@
 	Owned bool
 	// SameDomain is true if the target is in the failure domain of this VM.
 	SameDomain bool
+	// Limited is true while the target states how many requests a second it takes from all VMs together, which is Limit.
+	Limited bool
+	Limit   clementineport.RequestRate
 	// InFlightLimit is the number of requests that this VM may have in flight to the target.
 	InFlightLimit int
 }
@@ -52,7 +55,9 @@
 	Targets int
 	Cold    int
 	// Closed is the number of targets that have asked this VM for no requests.
-	Closed   int
+	Closed int
+	// Limited is the number of targets that state a limit of requests.
+	Limited  int
 	InFlight int
 	// Open is the number of open connections, and Opened the total number opened to the current targets.
 	Open   int
@@ -71,6 +76,9 @@
 			if targets[i].Client.Notice().Closed(now) {
 				t.Closed++
 			}
+			if targets[i].Limited {
+				t.Limited++
+			}
 			t.InFlight += targets[i].State.InFlight()
 			open, opened := targets[i].Client.Open()
 			t.Open += open
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -157,7 +157,7 @@
 func (w *Watcher) apply(now, requestedAt time.Time, update *clementineport.FleetUpdate, source string) {
 	before, version := w.catalog.AsOf(), w.routesVersion()
 	cooled := w.newlyCold(now, update)
-	w.markLeaving(now, update.Leaving, source)
+	w.applyNews(now, &update.TargetNews, source)
 	changed := w.catalog.Apply(now, requestedAt, update)
 	confirmed := w.catalog.Confirmed()
 	w.confirmed.Store(&confirmed)
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -139,6 +139,9 @@
 	p.connections = n
 }
 
+// SetLimit implements clementineport.OpaqueTarget.
+func (p *fakeTarget) SetLimit(bool, clementineport.RequestRate) {}
+
 // Close implements clementineport.OpaqueTarget.
 func (p *fakeTarget) Close() {
 	p.mu.Lock()
--- /dev/null
+++ b/cpfleetwatch/news.go
@@ -0,0 +1,91 @@
+package cpfleetwatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cplogevent"
+)
+
+// targetSource is the Source field of log lines for what a target has stated to this VM.
+const targetSource = "Target"
+
+// TargetLeaving records that a target has stated to this VM that it is shutting down, and tells some other VMs at once. It
+// does not block.
+func (w *Watcher) TargetLeaving(run clementineport.TargetRun) {
+	w.learn(clementineport.TargetNews{Leaving: []clementineport.TargetRun{run}})
+}
+
+// TargetLimit records what a target has stated to this VM about the requests that it takes, and tells some other VMs at once
+// if that is new. It does not block.
+func (w *Watcher) TargetLimit(l clementineport.TargetLimit) {
+	w.learn(clementineport.TargetNews{Limits: []clementineport.TargetLimit{l}})
+}
+
+// learn passes what a target has stated to this VM to the loop.
+func (w *Watcher) learn(news clementineport.TargetNews) {
+	report := func(_ context.Context, w *Watcher, now time.Time) {
+		if w.applyNews(now, &news, targetSource) {
+			w.membership.Announce()
+		}
+	}
+	go func() { w.events <- report }()
+}
+
+// applyNews records news about targets, and reports whether any of it was new.
+func (w *Watcher) applyNews(now time.Time, news *clementineport.TargetNews, source string) (changed bool) {
+	for _, run := range news.Leaving {
+		changed = w.markLeaving(now, run, source) || changed
+	}
+	for i := range news.Limits {
+		changed = w.setLimit(now, &news.Limits[i], source) || changed
+	}
+	if changed {
+		w.dirty = true
+		w.notifyWaiters()
+	}
+	return changed
+}
+
+// markLeaving records that a run of a target is shutting down, and reports whether that was not known.
+func (w *Watcher) markLeaving(now time.Time, run clementineport.TargetRun, source string) bool {
+	if !w.catalog.MarkLeaving(now, run) {
+		return false
+	}
+	w.options.Log.Info(string(cplogevent.TargetLeaving), zap.String("Target", string(run.ID)), zap.Int64("Born", run.Born),
+		zap.String("Source", source))
+	return true
+}
+
+// setLimit records what a target takes, and reports whether that was not known.
+func (w *Watcher) setLimit(now time.Time, l *clementineport.TargetLimit, source string) bool {
+	if !w.catalog.SetLimit(now, l) {
+		return false
+	}
+	fields := []zap.Field{zap.String("Target", string(l.Run.ID)), zap.Int64("Born", l.Run.Born), zap.String("Source", source)}
+	if !l.Limited {
+		w.options.Log.Info(string(cplogevent.TargetUnlimited), fields...)
+		return true
+	}
+	w.options.Log.Info(string(cplogevent.TargetLimited), append(fields, zap.Float64("PerSecond", float64(l.Rate)))...)
+	return true
+}
+
+// news returns what another VM is told about targets: what this VM learned lately, or all of it for a VM that has none yet.
+func (w *Watcher) news(now time.Time, all bool) clementineport.TargetNews {
+	if all {
+		return w.newsSince(now, time.Time{})
+	}
+	news := w.newsSince(now, now.Add(-newsTime))
+	news.Leaving = news.Leaving[:min(len(news.Leaving), maxNews)]
+	news.Limits = news.Limits[:min(len(news.Limits), maxNews)]
+	return news
+}
+
+// newsSince returns what this VM learned about targets after a time, the latest first.
+func (w *Watcher) newsSince(now, after time.Time) clementineport.TargetNews {
+	return clementineport.TargetNews{Leaving: w.catalog.LeavingSince(after), Limits: w.catalog.LimitsSince(now, after)}
+}
--- a/cpfleetwatch/leaving_test.go
+++ b/cpfleetwatch/news_test.go
@@ -32,6 +32,62 @@
 	}
 }
 
+func TestTheLimitOfATargetIsKnownToAllVMsWithoutTheStoreAndSoIsItsEnd(t *testing.T) {
+	for name, vms := range map[string]int{"each VM watches the store": 3, "most VMs get updates from others": 12} {
+		t.Run(name, func(t *testing.T) {
+			d := newDomain(t, vms)
+			d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+			await(t, "the target", func() bool { return d.allHave("x") })
+			d.store.mu.Lock()
+			for id := range d.vms {
+				d.store.unavailable[id] = true
+			}
+			d.store.mu.Unlock()
+			limit := clementineport.TargetLimit{Run: clementineport.TargetRun{ID: "x", Born: 1}, Limited: true, Rate: 30}
+			d.vms["vm-1"].TargetLimit(limit)
+			await(t, "all VMs know the limit", func() bool { return d.allLimited(30) })
+			limit.Rate = 20
+			d.vms["vm-2"].TargetLimit(limit)
+			await(t, "all VMs know the new limit", func() bool { return d.allLimited(20) })
+			limit.Limited, limit.Rate = false, 0
+			d.vms["vm-0"].TargetLimit(limit)
+			await(t, "all VMs know that it has ended", func() bool { return d.allUnlimited() })
+		})
+	}
+}
+
+// allLimited reports whether all VMs know the same limit of target x.
+func (d *domain) allLimited(rate clementineport.RequestRate) bool {
+	for _, w := range d.vms {
+		if t := w.View().Services["s"]; len(t) != 1 || !t[0].Limited || t[0].Limit != rate {
+			return false
+		}
+	}
+	return true
+}
+
+// allUnlimited reports whether no VM knows a limit of target x.
+func (d *domain) allUnlimited() bool {
+	for _, w := range d.vms {
+		if t := w.View().Services["s"]; len(t) != 1 || t[0].Limited {
+			return false
+		}
+	}
+	return true
+}
+
+func TestAVMThatStartsLearnsTheLimitsOfTargets(t *testing.T) {
+	targets := []clementineport.TargetInstance{targetInstance("x")}
+	running := startWatcher(t, "running", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: targets}))
+	running.TargetLimit(clementineport.TargetLimit{Run: clementineport.TargetRun{ID: "x", Born: 1}, Limited: true, Rate: 30})
+	started := startWatcher(t, "started", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: targets, vms: []clementineport.VM{{ID: "running", Peer: "running"}}}),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(running)) }))
+	await(t, "the limit", func() bool {
+		known := started.View().Services["s"]
+		return len(known) == 1 && known[0].Limited && known[0].Limit == 30
+	})
+}
+
 func TestATargetThatStartsAgainIsInUseAgain(t *testing.T) {
 	store := &fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}}
 	w := startWatcher(t, "vm", cpfleetwatch.WithSource(store))
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -36,10 +36,10 @@
 	// maxUnlistedShare is the share of the VMs that the store may fail to list for these to be probed. If more are
 	// missing, the store has lost registrations.
 	maxUnlistedShare = 0.25
-	// leavingNewsTime is how long this VM tells others that a target is shutting down, and maxLeavingNews the number of
-	// targets in one of these messages.
-	leavingNewsTime = 10 * time.Second
-	maxLeavingNews  = 64
+	// newsTime is how long this VM tells others what it has learned about a target, and maxNews the number of targets of
+	// each kind of news in one of these messages.
+	newsTime = 10 * time.Second
+	maxNews  = 64
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -16,7 +16,7 @@
 func (w *Watcher) exchange(ctx context.Context, a cpmembership.Action) {
 	now := w.options.Clock.Now()
 	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
-	digest.Leaving = w.leavingNews(now, false)
+	digest.TargetNews = w.news(now, false)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
@@ -34,7 +34,7 @@
 		return
 	}
 	w.lastPeerContact.Store(&now)
-	w.markLeaving(now, answer.Leaving, string(a.Peer.ID))
+	w.applyNews(now, &answer.TargetNews, string(a.Peer.ID))
 	w.membership.HandleResponse(now, a.Peer.ID, a.Began, answer)
 }
 
@@ -46,9 +46,9 @@
 	answer := make(chan *clementineport.Digest, 1)
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 		w.lastPeerContact.Store(&now)
-		w.markLeaving(now, d.Leaving, string(d.From.ID))
+		w.applyNews(now, &d.TargetNews, string(d.From.ID))
 		response := w.membership.HandleDigest(now, d)
-		response.Leaving = w.leavingNews(now, isJoining(d))
+		response.TargetNews = w.news(now, isJoining(d))
 		answer <- response
 	})
 	select {
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -17,12 +17,12 @@
 	lastCall := began.Add(-w.options.WatchPeriod / upstreamPollFactor) // when the caller probably called before
 	for {
 		signal := w.updated.Load()
-		update, leaving, err := w.changesSince(ctx, have, lastCall)
+		update, news, err := w.changesSince(ctx, have, lastCall)
 		if err != nil {
 			return nil, err
 		}
 		waited := w.options.Clock.Now().Sub(began)
-		if have.Revision == 0 || update.HasChanges() || leaving || !update.AsOf.Before(have) && update.Age < waited {
+		if have.Revision == 0 || update.HasChanges() || news || !update.AsOf.Before(have) && update.Age < waited {
 			update.Age -= waited
 			return encodeUpdate(update)
 		}
@@ -36,9 +36,9 @@
 	}
 }
 
-// changesSince gets the changes after a position from the loop, or the full state when they are no longer kept. leaving
-// reports whether this VM learned after a time that a target is shutting down.
-func (w *Watcher) changesSince(ctx context.Context, have clementineport.StorePosition, after time.Time) (_ *clementineport.FleetUpdate, leaving bool, _ error) {
+// changesSince gets the changes after a position from the loop, or the full state when they are no longer kept. news
+// reports whether this VM learned something about a target after a time.
+func (w *Watcher) changesSince(ctx context.Context, have clementineport.StorePosition, after time.Time) (_ *clementineport.FleetUpdate, news bool, _ error) {
 	answer := make(chan *clementineport.FleetUpdate, 1)
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 		update, ok := w.history.Since(have)
@@ -49,8 +49,9 @@
 			update = w.catalog.FullUpdate(now)
 		}
 		update.Age = now.Sub(w.catalog.Confirmed())
-		update.Leaving = w.leavingNews(now, update.Whole)
-		leaving = len(w.catalog.LeavingSince(after)) > 0
+		update.TargetNews = w.news(now, update.Whole)
+		sinceCall := w.newsSince(now, after)
+		news = sinceCall.Any()
 		answer <- update
 	})
 	select {
@@ -58,7 +59,7 @@
 		if have.Revision > 0 && update.AsOf.Era < have.Era {
 			return nil, false, clementineport.Fail(clementineport.FaultStale, "the store was restored after %v", update.AsOf)
 		}
-		return update, leaving, nil
+		return update, news, nil
 	case <-ctx.Done():
 		return nil, false, clementineport.Fail(clementineport.FaultCanceled, "news given up: %v", ctx.Err())
 	}
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -99,6 +99,8 @@
 	}
 	s.Client.Resize(share)
 	s.WarmAt = t.WarmAt()
+	s.Limit, s.Limited = w.catalog.Limit(t)
+	s.Client.SetLimit(s.Limited, s.Limit)
 	s.SameDomain = t.Domain == w.options.Self.Domain
 	s.InFlightLimit = min(share, cpquota.InFlightLimit(t.Slots, w.vmCount))
 	s.Owned = w.ownsTarget(view, id)
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -45,6 +45,9 @@
 // Resize implements clementineport.OpaqueTarget.
 func (c *fakeClient) Resize(int) {}
 
+// SetLimit implements clementineport.OpaqueTarget.
+func (c *fakeClient) SetLimit(bool, clementineport.RequestRate) {}
+
 // Open implements clementineport.OpaqueTarget.
 func (c *fakeClient) Open() (int, uint64) { return 0, 0 }
 
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -29,6 +29,9 @@
 	FleetChanged       Name = "FleetChanged"
 	TargetCold         Name = "TargetCold"
 	TargetLeaving      Name = "TargetLeaving"
+	TargetLimited      Name = "TargetLimited"
+	TargetUnlimited    Name = "TargetUnlimited"
+	LimitRejected      Name = "LimitRejected"
 	TargetClosed       Name = "TargetClosed"
 	RetryAfterRejected Name = "RetryAfterRejected"
 	TargetUnresponsive Name = "TargetDark"
@@ -89,6 +92,9 @@
 	{FleetChanged, []string{"From", "Era", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
 	{TargetCold, []string{"Target", "Service", "ColdLeft"}, "a target that was warm says that it is cold"},
 	{TargetLeaving, []string{"Target", "Born", "Source"}, "a target has said that it is shutting down, to this VM (Source is Target) or to another one; it gets no further requests until it starts again"},
+	{TargetLimited, []string{"Target", "Born", "PerSecond", "Source"}, "a target has stated, to this VM (Source is Target) or to another one, how many requests a second it takes from all VMs together"},
+	{TargetUnlimited, []string{"Target", "Born", "Source"}, "a target that had stated a limit of requests states none any more"},
+	{LimitRejected, []string{"Target", "Service", "Stated"}, "a target stated a limit of requests that can't be read; it is ignored"},
 	{TargetClosed, []string{"Target", "Service", "For"}, "a target has refused a request and asked this VM for none for a time"},
 	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
--- a/cppeer/cpconnect/convert.go
+++ b/cppeer/cpconnect/convert.go
@@ -109,6 +109,33 @@
 	}
 }
 
+// newsFromWire decodes news about targets.
+func newsFromWire(leaving []*cpwire.TargetRun, limits []*cpwire.TargetLimit) clementineport.TargetNews {
+	return clementineport.TargetNews{Leaving: runsFromWire(leaving), Limits: limitsFromWire(limits)}
+}
+
+func limitsToWire(limits []clementineport.TargetLimit) []*cpwire.TargetLimit {
+	out := make([]*cpwire.TargetLimit, len(limits))
+	for i, l := range limits {
+		out[i] = &cpwire.TargetLimit{
+			Run: &cpwire.TargetRun{ID: string(l.Run.ID), Born: l.Run.Born}, Limited: l.Limited, PerSecond: float64(l.Rate),
+			AgeNanos: int64(l.Age),
+		}
+	}
+	return out
+}
+
+func limitsFromWire(limits []*cpwire.TargetLimit) []clementineport.TargetLimit {
+	var out []clementineport.TargetLimit
+	for _, l := range limits {
+		run := clementineport.TargetRun{ID: clementineport.TargetID(l.GetRun().GetID()), Born: l.GetRun().GetBorn()}
+		out = append(out, clementineport.TargetLimit{
+			Run: run, Limited: l.GetLimited(), Rate: clementineport.RequestRate(l.GetPerSecond()), Age: time.Duration(l.GetAgeNanos()),
+		})
+	}
+	return out
+}
+
 func runsToWire(runs []clementineport.TargetRun) []*cpwire.TargetRun {
 	out := make([]*cpwire.TargetRun, len(runs))
 	for i, r := range runs {
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -138,6 +138,7 @@
 		FreshNanos: int64(d.Staleness),
 		Members:    membersToWire(d.Members),
 		Leaving:    runsToWire(d.Leaving),
+		Limits:     limitsToWire(d.Limits),
 	}
 }
 
@@ -153,11 +154,11 @@
 	}
 	m := resp.Msg
 	return &clementineport.Digest{
-		From:      memberFromWire(m.GetFrom()),
-		Revision:  clementineport.Revision(m.GetRevision()),
-		Staleness: time.Duration(m.GetFreshNanos()),
-		Members:   membersFromWire(m.GetMembers()),
-		Leaving:   runsFromWire(m.GetLeaving()),
+		From:       memberFromWire(m.GetFrom()),
+		Revision:   clementineport.Revision(m.GetRevision()),
+		Staleness:  time.Duration(m.GetFreshNanos()),
+		Members:    membersFromWire(m.GetMembers()),
+		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits()),
 	}, nil
 }
 
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -91,11 +91,11 @@
 func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
 	m := req.Msg
 	reply, err := h.next.Exchange(ctx, &clementineport.Digest{
-		From:      memberFromWire(m.GetFrom()),
-		Revision:  clementineport.Revision(m.GetRevision()),
-		Staleness: time.Duration(m.GetFreshNanos()),
-		Members:   membersFromWire(m.GetMembers()),
-		Leaving:   runsFromWire(m.GetLeaving()),
+		From:       memberFromWire(m.GetFrom()),
+		Revision:   clementineport.Revision(m.GetRevision()),
+		Staleness:  time.Duration(m.GetFreshNanos()),
+		Members:    membersFromWire(m.GetMembers()),
+		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits()),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
@@ -106,6 +106,7 @@
 		FreshNanos: int64(reply.Staleness),
 		Members:    membersToWire(reply.Members),
 		Leaving:    runsToWire(reply.Leaving),
+		Limits:     limitsToWire(reply.Limits),
 	}), nil
 }
 
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -174,7 +174,13 @@
 
 			digest := &clementineport.Digest{
 				From:     clementineport.Member{VM: clementineport.VM{ID: "vm-1", Leaving: true}, Start: "s", Ticket: "s.1"},
-				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{}, Leaving: []clementineport.TargetRun{{ID: "t-1", Born: 7}},
+				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{}, TargetNews: clementineport.TargetNews{
+					Leaving: []clementineport.TargetRun{{ID: "t-1", Born: 7}},
+					Limits: []clementineport.TargetLimit{
+						{Run: clementineport.TargetRun{ID: "t-2", Born: 8}, Limited: true, Rate: 2.5, Age: time.Second},
+						{Run: clementineport.TargetRun{ID: "t-3", Born: 9}},
+					},
+				},
 			}
 			echo, err := peer.Exchange(t.Context(), digest)
 			assert.NilError(t, err)
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -159,6 +159,10 @@
 		cpopaque.WithConnections(connections),
 		cpopaque.WithNotice(notice),
 		cpopaque.WithOnLeaving(func() { p.watcher.TargetLeaving(d.Run()) }),
+		cpopaque.WithOnLimit(func(limited bool, rate clementineport.RequestRate) {
+			p.watcher.TargetLimit(clementineport.TargetLimit{Run: d.Run(), Limited: limited, Rate: rate})
+		}),
+		cpopaque.WithOnInvalidLimit(func(stated string) { p.limitRejected(&d, stated) }),
 		cpopaque.WithOnClosed(func(closedFor time.Duration) { p.targetClosed(&d, closedFor) }),
 		cpopaque.WithOnInvalidRetryAfter(func(stated string, used time.Duration) { p.retryAfterRejected(&d, stated, used) }),
 	)
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -59,6 +59,7 @@
 			{"clementineport_targets", float64(t.Targets)},
 			{"clementineport_targets_cold", float64(t.Cold)},
 			{"clementineport_targets_closed", float64(t.Closed)},
+			{"clementineport_targets_limited", float64(t.Limited)},
 			{"clementineport_calls_in_flight", float64(t.InFlight)},
 			{"clementineport_connections_open", float64(t.Open)},
 			{"clementineport_connections_opened", float64(t.Opened)},
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -131,6 +131,12 @@
 		zap.String("Stated", stated), zap.Duration("For", used))
 }
 
+// limitRejected logs that a target stated a limit that can't be read.
+func (p *Process) limitRejected(d *clementineport.TargetInstance, stated string) {
+	p.log.Warn(string(cplogevent.LimitRejected), zap.String("Target", string(d.ID)), zap.String("Service", string(d.Service)),
+		zap.String("Stated", stated))
+}
+
 // targetChanged logs that a target became unresponsive or responsive.
 func (p *Process) targetChanged(target *clementineport.TargetInstance, change cpbalancer.Change) {
 	fields := []zap.Field{zap.String("Target", string(target.ID)), zap.String("Service", string(target.Service))}
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -36,6 +36,8 @@
 	Signature string
 	// Leaving is true in a response if the target is shutting down.
 	Leaving string
+	// Limit carries the number of requests a second that the target takes from all VMs together.
+	Limit string
 }
 
 // maxInformational limits the number of 1xx responses before the final one.
@@ -48,6 +50,7 @@
 
 	mu     sync.Mutex
 	notice clementineport.TargetNotice
+	limit  knownLimit
 }
 
 // New returns a client. It opens no connection before the first call.
@@ -123,6 +126,9 @@
 		return nil, 0, conn.fault(err)
 	}
 	result, err := c.checkResponse(resp, body, req)
+	if err == nil || clementineport.FaultOf(err) == clementineport.FaultShed {
+		c.readNoLimit(resp.Header)
+	}
 	c.readExtraNotice(conn.buffered())
 	if !written() || resp.Close || conn.reader.Buffered() > 0 {
 		return result, 0, err
--- a/cptarget/cpopaque/notice.go
+++ b/cptarget/cpopaque/notice.go
@@ -53,6 +53,7 @@
 	if leaving, err := strconv.ParseBool(resp.Header.Get(c.options.HeaderNames.Leaving)); err == nil && leaving {
 		c.markLeaving()
 	}
+	c.readLimit(resp.Header)
 	text := resp.Header.Get(headerRetryAfter)
 	if resp.StatusCode == http.StatusServiceUnavailable && text != "" {
 		c.closeFor(text)
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -35,6 +35,11 @@
 	Notice clementineport.TargetNotice
 	// OnLeaving is called when the target states for the first time that it is shutting down.
 	OnLeaving func()
+	// OnLimit is called when the target states how many requests a second it takes from all VMs together, or no longer does.
+	// It is called again from time to time while the limit lasts.
+	OnLimit func(limited bool, rate clementineport.RequestRate)
+	// OnInvalidLimit is called when the target states a limit that can't be read.
+	OnInvalidLimit func(stated string)
 	// OnClosed is called when the target, which accepted requests, asks for none for a time.
 	OnClosed func(d time.Duration)
 	// OnInvalidRetryAfter is called when the target states a time that can't be read or is too long, with the time that is
@@ -84,6 +89,8 @@
 		IdleMargin:       DefaultIdleMargin,
 		MaxResponseBytes: DefaultMaxResponseBytes,
 		OnLeaving:        func() {},
+		OnLimit:          func(bool, clementineport.RequestRate) {},
+		OnInvalidLimit:   func(string) {},
 		OnClosed:         func(time.Duration) {},
 		Random:           rand.Float64,
 		Dial:             (&net.Dialer{KeepAlive: -1}).DialContext,
@@ -136,6 +143,16 @@
 // WithOnLeaving sets the function that is called when the target states for the first time that it is shutting down.
 func WithOnLeaving(f func()) Option { return func(o *Options) { o.OnLeaving = f } }
 
+// WithOnLimit sets the function that is called with the limit that the target states.
+func WithOnLimit(f func(limited bool, rate clementineport.RequestRate)) Option {
+	return func(o *Options) { o.OnLimit = f }
+}
+
+// WithOnInvalidLimit sets the function that is called when the target states a limit that can't be read.
+func WithOnInvalidLimit(f func(stated string)) Option {
+	return func(o *Options) { o.OnInvalidLimit = f }
+}
+
 // WithOnClosed sets the function that is called when the target, which accepted requests, asks for none for a time.
 func WithOnClosed(f func(d time.Duration)) Option { return func(o *Options) { o.OnClosed = f } }
 
--- a/fleet.go
+++ b/fleet.go
@@ -33,6 +33,31 @@
 	Born int64
 }
 
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
+// TargetLimit is what a run of a target has stated about the requests that it takes from all VMs together.
+type TargetLimit struct {
+	Run TargetRun
+	// Limited is false once the target states no limit any more. Rate is then zero.
+	Limited bool
+	Rate    RequestRate
+	// Age is the time since the target stated it.
+	Age time.Duration
+}
+
+// TargetNews is what VMs tell each other about targets, besides the contents of the store. It holds for any position of
+// the store.
+type TargetNews struct {
+	// Leaving lists runs of targets that have stated that they are shutting down.
+	Leaving []TargetRun `json:",omitempty"`
+	// Limits lists what runs of targets have stated about the requests that they take.
+	Limits []TargetLimit `json:",omitempty"`
+}
+
+// Any reports whether there is any news.
+func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits) > 0 }
+
 // TargetNotice is what a target has asked of a VM in its responses.
 type TargetNotice struct {
 	// Leaving is true once the target has stated that it is shutting down; it then gets no further requests.
@@ -67,9 +92,8 @@
 	Gone    []TargetID
 	VMs     []VM
 	GoneVMs []VMID
-	// Leaving lists runs of targets that have stated that they are shutting down. It holds for any position, and is only
-	// in updates from other VMs.
-	Leaving []TargetRun `json:",omitempty"`
+	// TargetNews is only in updates from other VMs.
+	TargetNews
 	// Faults lists entries that could not be decoded, so that no target is known for them.
 	Faults []string
 }
@@ -87,6 +111,9 @@
 	Notice() TargetNotice
 	// Resize sets the maximum number of open connections.
 	Resize(connections int)
+	// SetLimit sets the limit of requests that this VM knows, so that a response that states another one, or none, is
+	// reported.
+	SetLimit(limited bool, rate RequestRate)
 	// Open returns the number of open connections and the total number opened so far.
 	Open() (open int, opened uint64)
 	Close()
--- a/ports.go
+++ b/ports.go
@@ -116,8 +116,8 @@
 	// Staleness is the time since the sender last confirmed that its revision was the newest accepted one.
 	Staleness time.Duration
 	Members   []Member
-	// Leaving lists some runs of targets that have recently stated that they are shutting down.
-	Leaving []TargetRun
+	// TargetNews is what VMs have recently learned from targets.
+	TargetNews
 }
 
 // RelayRequest asks the VM that owns some targets to send calls to them.
