Share the limit that a target names among all VMs

So the limit is divided by all VMs, by the members or by the store's list, whichever is more, and it is checked where a target is chosen, for first calls, retries and calls to cold targets alike; hedges leave such a target to others. What cannot be served by its deadline is refused at once with the time to come back.

--- a/cpbalancer/cpbalancer.go
+++ b/cpbalancer/cpbalancer.go
@@ -18,6 +18,9 @@
 	// InFlightLimit is the maximum number of requests that this VM may have in flight to the target; zero means no
 	// limit.
 	InFlightLimit int
+	// Limited is true while the target states how many requests a second it takes from all VMs together, which is Limit.
+	Limited bool
+	Limit   clementineport.RequestRate
 }
 
 // Chooser chooses among the targets of a service. It is not safe for concurrent use; the targets are.
@@ -39,6 +42,9 @@
 	TypicalLatency time.Duration
 	// VMs is the number of VMs that send to the targets.
 	VMs int
+	// Senders is the number of VMs that share the limits of targets. It is VMs or, if this VM has not reached all others,
+	// more.
+	Senders int
 	// Excluded reports whether a target must not be chosen.
 	Excluded func(*Target) bool
 	// PickBest chooses the target with the lowest expected latency instead of a random one. It is meant for hedges and
@@ -50,9 +56,20 @@
 }
 
 // Choose returns a target, or nil if none can be chosen now. If it returns nil, busy reports whether a target is eligible
-// but at its limit or without a free slot. The choice is random: the weight of a target falls with a power of its
-// expected latency, so that a slow target still gets a request now and then.
+// but at a limit or without a free slot. The choice is random: the weight of a target falls with a power of its expected
+// latency, so that a slow target still gets a request now and then.
 func (c *Chooser) Choose(now time.Time, candidates []Candidate, r *Request) (_ *Target, busy bool) {
+	i, busy := c.choose(now, candidates, r)
+	if i < 0 {
+		return nil, busy
+	}
+	t := candidates[i].Target
+	t.takeShare(now)
+	return t, false
+}
+
+// choose returns the index of the chosen candidate, or -1.
+func (c *Chooser) choose(now time.Time, candidates []Candidate, r *Request) (_ int, busy bool) {
 	c.weights = c.weights[:0]
 	total, best := 0.0, -1
 	for i := range candidates {
@@ -65,18 +82,18 @@
 		}
 	}
 	if best < 0 {
-		return nil, busy
+		return -1, busy
 	}
 	if r.PickBest {
-		return candidates[best].Target, false
+		return best, false
 	}
 	point := c.random.Float64() * total
 	for i, w := range c.weights {
 		if point -= w; point < 0 {
-			return candidates[i].Target, false
+			return i, false
 		}
 	}
-	return candidates[best].Target, false // rounding errors can leave point beyond the sum of all weights
+	return best, false // rounding errors can leave point beyond the sum of all weights
 }
 
 // ExpectedLatency returns the lowest expected latency of the candidates. It is zero if a candidate has a free slot, as
@@ -102,6 +119,9 @@
 	if math.IsInf(cost, 1) {
 		return 0, false
 	}
+	if c.withheld(now, candidate, r) {
+		return 0, true
+	}
 	inFlight := t.InFlight()
 	if candidate.InFlightLimit > 0 && inFlight >= candidate.InFlightLimit || r.FreeSlotOnly && inFlight*max(r.VMs, 1) >= max(t.Slots, 1) {
 		return 0, true
--- a/cpbalancer/target.go
+++ b/cpbalancer/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpquota"
 )
 
 // Parameters of the estimates that are derived from a target's responses.
@@ -77,6 +78,8 @@
 	nextProbe     time.Time
 	probeInterval time.Duration
 	misdirected   bool
+	// requests is this VM's share of the limit that the target states.
+	requests cpquota.RequestShare
 }
 
 // NewTarget returns a target without any observations.
@@ -240,18 +243,20 @@
 }
 
 // expectedLatency returns the expected latency of the target and whether it is eligible. The latency is zero while the
-// target has a free slot, as estimated from the requests of this VM.
+// target has a free slot, as estimated from the requests of this VM. It includes the wait that the limit of the target
+// causes.
 func (t *Target) expectedLatency(now time.Time, typical time.Duration, vms int) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.eligible(now) {
 		return 0, false
 	}
+	wait := t.requests.Wait(now)
 	if len(t.inFlight)*max(vms, 1) < t.Slots {
-		return 0, true
+		return wait, true
 	}
 	t.decay(now, vms)
-	return max(time.Duration(t.slow*float64(typical)), t.oldestInFlight(now)), true
+	return wait + max(time.Duration(t.slow*float64(typical)), t.oldestInFlight(now)), true
 }
 
 // eligible reports whether the target may be called. An unresponsive target gets one probe at a time.
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -41,6 +41,8 @@
 	Members  []clementineport.Member
 	// VMs is the number of VMs by which bounds for all VMs together are divided.
 	VMs int
+	// Registered is the number of VMs that the store lists, reached or not.
+	Registered int
 	// StoreEra is the era of the store that the view is from.
 	StoreEra clementineport.StoreEra
 	// Leaving is the number of registered targets that have stated that they are shutting down.
@@ -49,6 +51,9 @@
 	Listed bool
 }
 
+// Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
+func (v *View) Senders() int { return max(v.VMs, v.Registered) }
+
 // Totals holds the totals of the targets of one service.
 type Totals struct {
 	Service clementineport.ServiceID
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -22,6 +22,8 @@
 		Services: map[clementineport.ServiceID][]cpfleetstate.Target{},
 		Members:  w.membership.Members(),
 		VMs:      w.vmCount,
+
+		Registered: len(w.catalog.VMs()),
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -16,7 +16,7 @@
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
 	request := &cpbalancer.Request{
-		TypicalLatency: r.typicalLatency, VMs: view.VMs, Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
+		TypicalLatency: r.typicalLatency, VMs: view.VMs, Senders: view.Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
 		FreeSlotOnly: purpose == cpfanout.Hedge || purpose == cpfanout.Late,
 	}
 	r.f.mu.Lock()
@@ -50,11 +50,18 @@
 			cold = append(cold, t)
 			continue
 		}
-		warm = append(warm, cpbalancer.Candidate{Target: t.State, SameDomain: t.SameDomain, InFlightLimit: t.InFlightLimit})
+		warm = append(warm, candidate(t))
 	}
 	return warm, cold
 }
 
+// candidate returns a target as a candidate of a choice.
+func candidate(t *cpfleetstate.Target) cpbalancer.Candidate {
+	return cpbalancer.Candidate{
+		Target: t.State, SameDomain: t.SameDomain, InFlightLimit: t.InFlightLimit, Limited: t.Limited, Limit: t.Limit,
+	}
+}
+
 // chooseCold returns a cold target that this VM owns and whose next request is due.
 func (f *Forwarder) chooseCold(now time.Time, view *cpfleetstate.View, cold []*cpfleetstate.Target, r *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
 	availability := cpfanout.Unavailable
@@ -63,7 +70,7 @@
 			continue
 		}
 		availability = cpfanout.Busy
-		if now.Before(f.cold[t.State.ID]) {
+		if c := candidate(t); now.Before(f.cold[t.State.ID]) || !f.chooser.TakeShare(now, &c, r) {
 			continue
 		}
 		f.cold[t.State.ID] = now.Add(cpquota.ColdInterval(f.coldRate(view, t.State.Service)))
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -64,7 +64,7 @@
 	if !route.Gathers() {
 		shards = []clementineport.ServiceID{view.Router.Service(route)}
 	}
-	if refusal := f.refuseClosed(f.options.Clock.Now(), view, route, shards); refusal != nil {
+	if refusal := f.refuseClosed(f.options.Clock.Now(), view, route, shards, r.Deadline); refusal != nil {
 		return &Result{Err: refusal}
 	}
 	stats := f.stats(route.Name, r.MaxWait)
@@ -206,7 +206,7 @@
 	if o.Verdict != clementineport.NotRun {
 		return e
 	}
-	if closed := r.f.refuseClosed(r.now(), r.f.options.View(), r.route, r.shards); closed != nil {
+	if closed := r.f.refuseClosed(r.now(), r.f.options.View(), r.route, r.shards, r.request.Deadline); closed != nil {
 		return closed
 	}
 	e.RetryAfter = r.f.options.RetryAfter
--- a/cpforward/limit_test.go
+++ b/cpforward/limit_test.go
@@ -86,3 +86,38 @@
 		})
 	}
 }
+
+// limit makes all targets of a service name a limit of requests.
+func (f *fleet) limit(s clementineport.ServiceID, rate clementineport.RequestRate) {
+	targets := f.view.Services[s]
+	for i := range targets {
+		targets[i].Limited, targets[i].Limit = true, rate
+	}
+}
+
+func TestARequestThatLimitsDoNotAllowByItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	f := newFleet("a")
+	f.view.VMs = 295
+	f.limit("a", 0.25) // one request in about 24 minutes for each VM
+	fw := f.forwarder()
+	fw.Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0)) // the shares of the limits begin
+	before, began := f.calls(), time.Now()
+	answer := fw.Forward(context.Background(), singleRoute(true), request(30*time.Second, 0))
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	assert.Assert(t, answer.Err != nil)
+	assert.Equal(t, answer.Err.Verdict(), clementineport.NotRun)
+	assert.Assert(t, answer.Err.RetryAfter > 0)
+	assert.Equal(t, f.calls(), before)
+}
+
+func TestALimitEndsWithTheStatementOfTheTarget(t *testing.T) {
+	f := newFleet("a")
+	f.view.VMs = 295
+	f.limit("a", 0)
+	fw := f.forwarder()
+	assert.Assert(t, fw.Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0)).Err != nil)
+	for i := range f.view.Services["a"] {
+		f.view.Services["a"][i].Limited = false
+	}
+	assert.Assert(t, fw.Forward(context.Background(), singleRoute(true), request(5*time.Second, 0)).Part != nil)
+}
