Share extra calls with all VMs that the store lists

A VM that has just started has reached none, and took the whole slack of extra calls for itself; after a restart of all VMs each does.

TestAVMThatStartsSharesExtraCallsWithAllVMsThatTheStoreLists failed before (356 extra calls in a second by one of 295 VMs, 67 are its part of a window of 10 s) and passes.

--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -77,7 +77,7 @@
 		return &Result{Err: refusal}
 	}
 	for _, s := range shards {
-		f.budgets.Earn(run.now(), s, view.VMs)
+		f.budgets.Earn(run.now(), s, view.Senders())
 	}
 	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	run.fan = cpfanout.New(f.options.Planner.Plan(route, shards, r, stats.snapshot()), run, f.options.Fanout...)
