Log what the contents of a failed call have in common with others

CallFailed now has Contents, a hash of method, host, path, query and body. With it, hypotheses 1 and 2 can be told apart by the VMs at which the same contents fail.

--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -262,7 +262,7 @@
 		r.stats.latency.Add(now, outcome.Elapsed)
 	}
 	if result.err != nil && !errors.Is(result.err, context.Canceled) {
-		r.f.options.OnCallFailed(r.request.ID, s.Target.ID, result.err, outcome.Elapsed)
+		r.f.options.OnCallFailed(r.request, s.Target.ID, result.err, outcome.Elapsed)
 	}
 }
 
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -41,7 +41,7 @@
 	Fanout              []cpfanout.Option
 	Admit               []cpadmit.Option
 	// OnCallFailed is called for each failed call, unless its error is context.Canceled.
-	OnCallFailed func(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration)
+	OnCallFailed func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)
 	// OnTargetChange is called when a target becomes unresponsive or responsive.
 	OnTargetChange func(target *clementineport.TargetInstance, change cpbalancer.Change)
 }
@@ -57,7 +57,7 @@
 		UnneededCallTimeout: DefaultUnneededCallTimeout,
 		RetryAfter:          DefaultRetryAfter,
 		Admit:               cpplan.AdmissionOptions(),
-		OnCallFailed:        func(clementineport.RequestID, clementineport.TargetID, error, time.Duration) {},
+		OnCallFailed:        func(*clementineport.OpaqueRequest, clementineport.TargetID, error, time.Duration) {},
 		OnTargetChange:      func(*clementineport.TargetInstance, cpbalancer.Change) {},
 	}
 	for _, o := range opts {
@@ -82,7 +82,7 @@
 }
 
 // WithOnCallFailed sets the function that is called for each failed call.
-func WithOnCallFailed(f func(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration)) Option {
+func WithOnCallFailed(f func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)) Option {
 	return func(o *Options) { o.OnCallFailed = f }
 }
 
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -104,7 +104,7 @@
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
 	{RequestRefused, requestFields, "a request was refused and has not run"},
 	{RequestFailed, requestFields, "a request got no success, or its answer did not reach the caller"},
-	{CallFailed, []string{FieldID, "Target", "Fault", "Elapsed", "Reason"}, "a call to a target for a request failed"},
+	{CallFailed, []string{FieldID, "Contents", "Target", "Fault", "Elapsed", "Reason"}, "a call to a target for a request failed; Contents is the same for requests with the same method, host, path, query and body"},
 	{LinesOmitted, []string{"TooManyOfAKind", "WriterFull"}, "lines were left out since the last such line"},
 }
 
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -109,13 +109,13 @@
 }
 
 // callFailed counts and logs a call to a target that failed.
-func (p *Process) callFailed(id clementineport.RequestID, target clementineport.TargetID, err error, elapsed time.Duration) {
+func (p *Process) callFailed(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration) {
 	fault := clementineport.FaultOf(err)
 	metrics.GetOrCreateCounter(`clementineport_calls_failed_total{fault="` + fault.String() + `"}`).Inc()
 	if fault == clementineport.FaultCanceled {
 		return
 	}
-	p.log.Warn(string(cplogevent.CallFailed), zap.String("ID", string(id)), zap.String("Target", string(target)),
+	p.log.Warn(string(cplogevent.CallFailed), zap.String("ID", string(r.ID)), zap.Stringer("Contents", r.Key()), zap.String("Target", string(target)),
 		zap.String("Fault", fault.String()), zap.Duration("Elapsed", elapsed), cplog.Cause("Reason", err))
 }
 
--- a/opaque.go
+++ b/opaque.go
@@ -1,8 +1,12 @@
 package clementineport
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // OpaqueRequest is a request that is forwarded to targets unchanged.
@@ -21,6 +25,24 @@
 	MaxWait time.Duration
 }
 
+// RequestKey identifies the contents of a request: requests with the same method, host, URI and body have the same key,
+// whichever caller sends them and whatever their ids.
+type RequestKey uint64
+
+// String returns the key as it is logged.
+func (k RequestKey) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
+// Key returns the key of the request.
+func (r *OpaqueRequest) Key() RequestKey {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, strings.ToLower(r.Host), r.URI} {
+		// Hashing never fails. None of the parts contains a line break.
+		_, _ = h.WriteString(part + "\n")
+	}
+	_, _ = h.Write(r.Body)
+	return RequestKey(h.Sum64())
+}
+
 // OpaqueResponse is the complete response of one target.
 type OpaqueResponse struct {
 	Target TargetID
