Refuse requests that have crashed three targets, at all VMs

Callers of other requests saw 502 for what was under way at these targets.

No VM remembered anything of a request beyond its id, so a repeat was a new request, and no VM told another.

Fix: cpcrash counts, by the contents of a request, the targets that have crashed under it, and the VMs tell each other in the news about targets that exists already. After three the request is refused at once, at all VMs; the check is made before admission and again at each choice of a target. A lost connection counts only if the target then refuses connections, and a request that a target has served is cleared, so that what was merely under way is not blocked.

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbalancer"
+	"github.com/clementineport/clementineport/cpcrash"
 	"github.com/clementineport/clementineport/cproute"
 )
 
@@ -39,6 +40,8 @@
 	// Services holds the targets of each service that may be called.
 	Services map[clementineport.ServiceID][]Target
 	Members  []clementineport.Member
+	// Self is the ID of this VM.
+	Self clementineport.VMID
 	// VMs is the number of VMs by which bounds for all VMs together are divided.
 	VMs int
 	// Registered is the number of VMs that the store lists, reached or not.
@@ -47,6 +50,8 @@
 	StoreEra clementineport.StoreEra
 	// Leaving is the number of registered targets that have stated that they are shutting down.
 	Leaving int
+	// Suspects holds the requests during which targets have crashed.
+	Suspects map[clementineport.RequestKey]cpcrash.Suspect
 	// Listed is true while the store lists this VM.
 	Listed bool
 }
@@ -54,6 +59,16 @@
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
 func (v *View) Senders() int { return max(v.VMs, v.Registered) }
 
+// Blocked returns the number of requests that are not sent to targets because they crash them.
+func (v *View) Blocked() (n int) {
+	for _, s := range v.Suspects {
+		if s.Blocked() {
+			n++
+		}
+	}
+	return n
+}
+
 // Totals holds the totals of the targets of one service.
 type Totals struct {
 	Service clementineport.ServiceID
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -16,6 +16,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpchangelog"
+	"github.com/clementineport/clementineport/cpcrash"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cplogevent"
@@ -46,6 +47,7 @@
 
 	// The fields below are owned by the loop.
 	catalog          *cpcatalog.Catalog
+	crashes          *cpcrash.Tracker
 	history          *cpchangelog.History
 	membership       *cpmembership.Membership
 	peers            *cppeerconns.Peers
@@ -72,6 +74,7 @@
 		membership: cpmembership.New(options.Self, append([]cpmembership.Option{cpmembership.WithSeed(options.Seed)}, options.Membership...)...),
 		peers:      cppeerconns.New(options.Dial),
 		history:    cpchangelog.New(),
+		crashes:    cpcrash.New(),
 		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
 		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
@@ -133,7 +136,7 @@
 
 // runDue runs the periodic work that is due.
 func (w *Watcher) runDue(ctx context.Context, now time.Time) {
-	if w.catalog.Tick(now) {
+	if w.catalog.Tick(now) || w.crashes.Tick(now) {
 		w.dirty = true
 	}
 	for _, a := range w.membership.Tick(now) {
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -139,6 +139,9 @@
 	p.connections = n
 }
 
+// Refuses implements clementineport.OpaqueTarget.
+func (p *fakeTarget) Refuses(context.Context) bool { return false }
+
 // SetLimit implements clementineport.OpaqueTarget.
 func (p *fakeTarget) SetLimit(bool, clementineport.RequestRate) {}
 
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -25,6 +25,12 @@
 	w.learn(clementineport.TargetNews{Limits: []clementineport.TargetLimit{l}})
 }
 
+// RequestReport records that a target has crashed while it ran a request, or that one has served it, and tells some other
+// VMs at once if that is new. It does not block.
+func (w *Watcher) RequestReport(r clementineport.RequestReport) {
+	w.learn(clementineport.TargetNews{Requests: []clementineport.RequestReport{r}})
+}
+
 // learn passes what a target has stated to this VM to the loop.
 func (w *Watcher) learn(news clementineport.TargetNews) {
 	report := func(_ context.Context, w *Watcher, now time.Time) {
@@ -43,6 +49,9 @@
 	for i := range news.Limits {
 		changed = w.setLimit(now, &news.Limits[i], source) || changed
 	}
+	for i := range news.Requests {
+		changed = w.applyReport(now, &news.Requests[i], source) || changed
+	}
 	if changed {
 		w.dirty = true
 		w.notifyWaiters()
@@ -74,6 +83,21 @@
 	return true
 }
 
+// applyReport records a report about a request, and reports whether it was new.
+func (w *Watcher) applyReport(now time.Time, r *clementineport.RequestReport, source string) bool {
+	if !w.crashes.Report(now, r) {
+		return false
+	}
+	fields := []zap.Field{zap.Stringer("Contents", r.Key), zap.String("Source", source)}
+	if r.Served {
+		w.options.Log.Info(string(cplogevent.SuspectServed), fields...)
+		return true
+	}
+	w.options.Log.Warn(string(cplogevent.TargetCrashed), append(fields, zap.String("Target", string(r.Run.ID)),
+		zap.Int64("Born", r.Run.Born), zap.Int("Crashed", w.crashes.Suspects()[r.Key].Crashed))...)
+	return true
+}
+
 // news returns what another VM is told about targets: what this VM learned lately, or all of it for a VM that has none yet.
 func (w *Watcher) news(now time.Time, all bool) clementineport.TargetNews {
 	if all {
@@ -82,10 +106,13 @@
 	news := w.newsSince(now, now.Add(-newsTime))
 	news.Leaving = news.Leaving[:min(len(news.Leaving), maxNews)]
 	news.Limits = news.Limits[:min(len(news.Limits), maxNews)]
+	news.Requests = news.Requests[:min(len(news.Requests), maxNews)]
 	return news
 }
 
 // newsSince returns what this VM learned about targets after a time, the latest first.
 func (w *Watcher) newsSince(now, after time.Time) clementineport.TargetNews {
-	return clementineport.TargetNews{Leaving: w.catalog.LeavingSince(after), Limits: w.catalog.LimitsSince(now, after)}
+	return clementineport.TargetNews{
+		Leaving: w.catalog.LeavingSince(after), Limits: w.catalog.LimitsSince(now, after), Requests: w.crashes.Since(now, after),
+	}
 }
--- a/cpfleetwatch/news_test.go
+++ b/cpfleetwatch/news_test.go
@@ -76,6 +76,48 @@
 	return true
 }
 
+func TestAllVMsLearnWithoutTheStoreWhichRequestsCrashTargets(t *testing.T) {
+	d := newDomain(t, 12)
+	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+	await(t, "the target", func() bool { return d.allHave("x") })
+	d.store.mu.Lock()
+	for id := range d.vms {
+		d.store.unavailable[id] = true
+	}
+	d.store.mu.Unlock()
+	const key = clementineport.RequestKey(1<<63 + 1) // more than a float64 can hold exactly
+	for i := range 3 {
+		vm := d.vms[clementineport.VMID(fmt.Sprintf("vm-%d", i))]
+		run := clementineport.TargetRun{ID: clementineport.TargetID(fmt.Sprintf("t-%d", i)), Born: 1}
+		vm.RequestReport(clementineport.RequestReport{Key: key, Run: run})
+	}
+	blocked := func(want int) bool {
+		for _, w := range d.vms {
+			if w.View().Blocked() != want || w.View().Suspects[key].Blocked() != (want > 0) {
+				return false
+			}
+		}
+		return true
+	}
+	await(t, "all VMs block the request", func() bool { return blocked(1) })
+	d.vms["vm-5"].RequestReport(clementineport.RequestReport{Key: key, Served: true})
+	await(t, "no VM blocks the request", func() bool { return blocked(0) })
+}
+
+func TestAVMThatStartsLearnsWhichRequestsCrashTargets(t *testing.T) {
+	source := func(vms ...clementineport.VM) cpfleetwatch.Option {
+		return cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, vms: vms})
+	}
+	running := startWatcher(t, "running", source())
+	for i := range int64(3) {
+		running.RequestReport(clementineport.RequestReport{Key: 7, Run: clementineport.TargetRun{ID: "x", Born: i + 1}})
+	}
+	await(t, "the request is blocked", func() bool { return running.View().Blocked() == 1 })
+	started := startWatcher(t, "started", source(clementineport.VM{ID: "running", Peer: "running"}),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(running)) }))
+	await(t, "the request is blocked here too", func() bool { return started.View().Blocked() == 1 })
+}
+
 func TestAVMThatStartsLearnsTheLimitsOfTargets(t *testing.T) {
 	targets := []clementineport.TargetInstance{targetInstance("x")}
 	running := startWatcher(t, "running", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 1}, version: 5, targets: targets}))
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -21,9 +21,11 @@
 	view := &cpfleetstate.View{
 		Services: map[clementineport.ServiceID][]cpfleetstate.Target{},
 		Members:  w.membership.Members(),
+		Self:     w.options.Self.ID,
 		VMs:      w.vmCount,
 
 		Registered: len(w.catalog.VMs()),
+		Suspects:   w.crashes.Suspects(),
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -13,6 +13,9 @@
 // Choose implements cpfanout.Targets. It reads the newest view on each call, so that a draining target gets no further
 // calls, including hedges and retries of requests that are already running.
 func (r *run) Choose(now time.Time, service clementineport.ServiceID, purpose cpfanout.Purpose, excluded func(*cpbalancer.Target) bool) (*cpbalancer.Target, cpfanout.Availability) {
+	if !r.mayCall(purpose) {
+		return nil, cpfanout.Unavailable
+	}
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
 	request := &cpbalancer.Request{
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -13,6 +13,7 @@
 	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpfanout"
+	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cplatency"
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
@@ -29,6 +30,8 @@
 	cold   map[clementineport.TargetID]time.Time
 	routes map[clementineport.RouteID]*routeStats
 	pools  *pools
+	// trials holds the blocked requests that this VM has sent once more.
+	trials map[clementineport.RequestKey]bool
 }
 
 // routeStats holds what is known from the requests of a route.
@@ -53,34 +56,54 @@
 		chooser: cpbalancer.New(cpbalancer.WithSeed(options.Seed)),
 		cold:    map[clementineport.TargetID]time.Time{},
 		routes:  map[clementineport.RouteID]*routeStats{},
+		trials:  map[clementineport.RequestKey]bool{},
 		pools:   newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
 	}
 }
 
 // Forward executes a request on a route and returns its result. It returns as soon as ctx is done.
 func (f *Forwarder) Forward(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) *Result {
-	view := f.options.View()
+	view, now := f.options.View(), f.options.Clock.Now()
+	run := f.newRun(view, route, r)
+	refusal := f.refuseClosed(now, view, route, run.shards, r.Deadline)
+	if refusal == nil {
+		run.trial, refusal = f.refuseBlocked(now, view, route, run.key)
+	}
+	if refusal != nil {
+		return &Result{Err: refusal}
+	}
+	answer := f.execute(ctx, view, run)
+	if run.trial {
+		f.endTrial(run.key, answer)
+	}
+	return answer
+}
+
+// newRun returns the state of a request that has not started.
+func (f *Forwarder) newRun(view *cpfleetstate.View, route *clementineport.Route, r *clementineport.OpaqueRequest) *run {
 	shards := route.Shards
 	if !route.Gathers() {
 		shards = []clementineport.ServiceID{view.Router.Service(route)}
 	}
-	if refusal := f.refuseClosed(f.options.Clock.Now(), view, route, shards, r.Deadline); refusal != nil {
-		return &Result{Err: refusal}
-	}
 	stats := f.stats(route.Name, r.MaxWait)
-	run := &run{
-		f: f, route: route, request: r, shards: shards, stats: stats, typicalLatency: stats.latency.Typical(),
+	return &run{
+		f: f, route: route, request: r, key: r.Key(), shards: shards, stats: stats, typicalLatency: stats.latency.Typical(),
 		results: make(chan callResult, len(shards)*2),
 	}
-	done, refusal := f.admit(ctx, run, shards)
+}
+
+// execute admits a request, runs it and returns its result.
+func (f *Forwarder) execute(ctx context.Context, view *cpfleetstate.View, run *run) *Result {
+	done, refusal := f.admit(ctx, run, run.shards)
 	if refusal != nil {
 		return &Result{Err: refusal}
 	}
-	for _, s := range shards {
+	for _, s := range run.shards {
 		f.budgets.Earn(run.now(), s, view.Senders())
 	}
-	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
-	run.fan = cpfanout.New(f.options.Planner.Plan(route, shards, r, stats.snapshot()), run, f.options.Fanout...)
+	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), run.request.Deadline)
+	plan := f.options.Planner.Plan(run.route, run.shards, run.request, run.stats.snapshot())
+	run.fan = cpfanout.New(plan, run, f.options.Fanout...)
 	answer := run.run(ctx)
 	done(&clementineport.Answer{Stats: clementineport.GatherStats{Queued: answer.Stats.Queued}})
 	return answer
@@ -121,9 +144,14 @@
 
 // run is the state of one request.
 type run struct {
-	f              *Forwarder
-	route          *clementineport.Route
-	request        *clementineport.OpaqueRequest
+	f       *Forwarder
+	route   *clementineport.Route
+	request *clementineport.OpaqueRequest
+	key     clementineport.RequestKey
+	// trial is true if the request is blocked and this is its one trial.
+	trial bool
+	// served is true once a target has served a call.
+	served         atomic.Bool
 	shards         []clementineport.ServiceID
 	fan            *cpfanout.Fanout
 	stats          *routeStats
@@ -239,6 +267,7 @@
 		result.Fault = clementineport.FaultOf(result.err)
 	}
 	r.observe(s, sent, &result)
+	r.observeCrash(s, &result)
 	select {
 	case r.results <- result:
 	case <-r.calls.Done():
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -25,6 +25,8 @@
 	mu     sync.Mutex
 	calls  int
 	notice clementineport.TargetNotice
+	// refuses is true if the target refuses connections.
+	refuses bool
 }
 
 // Do implements clementineport.OpaqueTarget.
@@ -45,6 +47,13 @@
 // Resize implements clementineport.OpaqueTarget.
 func (c *fakeClient) Resize(int) {}
 
+// Refuses implements clementineport.OpaqueTarget.
+func (c *fakeClient) Refuses(context.Context) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refuses
+}
+
 // SetLimit implements clementineport.OpaqueTarget.
 func (c *fakeClient) SetLimit(bool, clementineport.RequestRate) {}
 
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -42,6 +42,8 @@
 	Admit               []cpadmit.Option
 	// OnCallFailed is called for each failed call, unless its error is context.Canceled.
 	OnCallFailed func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)
+	// OnReport is called with a report about a request during which a target has crashed.
+	OnReport func(clementineport.RequestReport)
 	// OnTargetChange is called when a target becomes unresponsive or responsive.
 	OnTargetChange func(target *clementineport.TargetInstance, change cpbalancer.Change)
 }
@@ -58,6 +60,7 @@
 		RetryAfter:          DefaultRetryAfter,
 		Admit:               cpplan.AdmissionOptions(),
 		OnCallFailed:        func(*clementineport.OpaqueRequest, clementineport.TargetID, error, time.Duration) {},
+		OnReport:            func(clementineport.RequestReport) {},
 		OnTargetChange:      func(*clementineport.TargetInstance, cpbalancer.Change) {},
 	}
 	for _, o := range opts {
@@ -86,6 +89,11 @@
 	return func(o *Options) { o.OnCallFailed = f }
 }
 
+// WithOnReport sets the function that is called with a report about a request during which a target has crashed.
+func WithOnReport(f func(clementineport.RequestReport)) Option {
+	return func(o *Options) { o.OnReport = f }
+}
+
 // WithOnTargetChange sets the function that is called when a target becomes unresponsive or responsive.
 func WithOnTargetChange(f func(target *clementineport.TargetInstance, change cpbalancer.Change)) Option {
 	return func(o *Options) { o.OnTargetChange = f }
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -32,6 +32,8 @@
 	TargetLimited      Name = "TargetLimited"
 	TargetUnlimited    Name = "TargetUnlimited"
 	LimitRejected      Name = "LimitRejected"
+	TargetCrashed      Name = "TargetCrashed"
+	SuspectServed      Name = "SuspectServed"
 	TargetClosed       Name = "TargetClosed"
 	RetryAfterRejected Name = "RetryAfterRejected"
 	TargetUnresponsive Name = "TargetDark"
@@ -95,6 +97,8 @@
 	{TargetLimited, []string{"Target", "Born", "PerSecond", "Source"}, "a target has stated, to this VM (Source is Target) or to another one, how many requests a second it takes from all VMs together"},
 	{TargetUnlimited, []string{"Target", "Born", "Source"}, "a target that had stated a limit of requests states none any more"},
 	{LimitRejected, []string{"Target", "Service", "Stated"}, "a target stated a limit of requests that can't be read; it is ignored"},
+	{TargetCrashed, []string{"Contents", "Target", "Born", "Crashed", "Source"}, "a target has crashed while it ran a request with these contents, seen by this VM (Source is Target) or by another one; after Crashed 3 such requests are refused"},
+	{SuspectServed, []string{"Contents", "Source"}, "a target has served a request during which targets had crashed; it is not the cause"},
 	{TargetClosed, []string{"Target", "Service", "For"}, "a target has refused a request and asked this VM for none for a time"},
 	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
--- a/cppeer/cpconnect/convert.go
+++ b/cppeer/cpconnect/convert.go
@@ -110,16 +110,36 @@
 }
 
 // newsFromWire decodes news about targets.
-func newsFromWire(leaving []*cpwire.TargetRun, limits []*cpwire.TargetLimit) clementineport.TargetNews {
-	return clementineport.TargetNews{Leaving: runsFromWire(leaving), Limits: limitsFromWire(limits)}
+func newsFromWire(leaving []*cpwire.TargetRun, limits []*cpwire.TargetLimit, requests []*cpwire.RequestReport) clementineport.TargetNews {
+	return clementineport.TargetNews{
+		Leaving: runsFromWire(leaving), Limits: limitsFromWire(limits), Requests: reportsFromWire(requests),
+	}
+}
+
+func reportsToWire(reports []clementineport.RequestReport) []*cpwire.RequestReport {
+	out := make([]*cpwire.RequestReport, len(reports))
+	for i, r := range reports {
+		out[i] = &cpwire.RequestReport{Key: uint64(r.Key), Served: r.Served, Run: runToWire(r.Run), AgeNanos: int64(r.Age)}
+	}
+	return out
+}
+
+func reportsFromWire(reports []*cpwire.RequestReport) []clementineport.RequestReport {
+	var out []clementineport.RequestReport
+	for _, r := range reports {
+		out = append(out, clementineport.RequestReport{
+			Key: clementineport.RequestKey(r.GetKey()), Served: r.GetServed(), Run: runFromWire(r.GetRun()),
+			Age: time.Duration(r.GetAgeNanos()),
+		})
+	}
+	return out
 }
 
 func limitsToWire(limits []clementineport.TargetLimit) []*cpwire.TargetLimit {
 	out := make([]*cpwire.TargetLimit, len(limits))
 	for i, l := range limits {
 		out[i] = &cpwire.TargetLimit{
-			Run: &cpwire.TargetRun{ID: string(l.Run.ID), Born: l.Run.Born}, Limited: l.Limited, PerSecond: float64(l.Rate),
-			AgeNanos: int64(l.Age),
+			Run: runToWire(l.Run), Limited: l.Limited, PerSecond: float64(l.Rate), AgeNanos: int64(l.Age),
 		}
 	}
 	return out
@@ -128,18 +148,26 @@
 func limitsFromWire(limits []*cpwire.TargetLimit) []clementineport.TargetLimit {
 	var out []clementineport.TargetLimit
 	for _, l := range limits {
-		run := clementineport.TargetRun{ID: clementineport.TargetID(l.GetRun().GetID()), Born: l.GetRun().GetBorn()}
 		out = append(out, clementineport.TargetLimit{
-			Run: run, Limited: l.GetLimited(), Rate: clementineport.RequestRate(l.GetPerSecond()), Age: time.Duration(l.GetAgeNanos()),
+			Run: runFromWire(l.GetRun()), Limited: l.GetLimited(), Rate: clementineport.RequestRate(l.GetPerSecond()),
+			Age: time.Duration(l.GetAgeNanos()),
 		})
 	}
 	return out
 }
 
+func runToWire(r clementineport.TargetRun) *cpwire.TargetRun {
+	return &cpwire.TargetRun{ID: string(r.ID), Born: r.Born}
+}
+
+func runFromWire(r *cpwire.TargetRun) clementineport.TargetRun {
+	return clementineport.TargetRun{ID: clementineport.TargetID(r.GetID()), Born: r.GetBorn()}
+}
+
 func runsToWire(runs []clementineport.TargetRun) []*cpwire.TargetRun {
 	out := make([]*cpwire.TargetRun, len(runs))
 	for i, r := range runs {
-		out[i] = &cpwire.TargetRun{ID: string(r.ID), Born: r.Born}
+		out[i] = runToWire(r)
 	}
 	return out
 }
@@ -147,7 +175,7 @@
 func runsFromWire(runs []*cpwire.TargetRun) []clementineport.TargetRun {
 	var out []clementineport.TargetRun
 	for _, r := range runs {
-		out = append(out, clementineport.TargetRun{ID: clementineport.TargetID(r.GetID()), Born: r.GetBorn()})
+		out = append(out, runFromWire(r))
 	}
 	return out
 }
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -139,6 +139,7 @@
 		Members:    membersToWire(d.Members),
 		Leaving:    runsToWire(d.Leaving),
 		Limits:     limitsToWire(d.Limits),
+		Requests:   reportsToWire(d.Requests),
 	}
 }
 
@@ -158,7 +159,7 @@
 		Revision:   clementineport.Revision(m.GetRevision()),
 		Staleness:  time.Duration(m.GetFreshNanos()),
 		Members:    membersFromWire(m.GetMembers()),
-		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits()),
+		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits(), m.GetRequests()),
 	}, nil
 }
 
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -180,6 +180,9 @@
 						{Run: clementineport.TargetRun{ID: "t-2", Born: 8}, Limited: true, Rate: 2.5, Age: time.Second},
 						{Run: clementineport.TargetRun{ID: "t-3", Born: 9}},
 					},
+					Requests: []clementineport.RequestReport{
+						{Key: 1 << 63, Run: clementineport.TargetRun{ID: "t-4", Born: 10}, Age: time.Second}, {Key: 5, Served: true},
+					},
 				},
 			}
 			echo, err := peer.Exchange(t.Context(), digest)
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -129,6 +129,7 @@
 		}),
 		cpforward.WithColdBound(s.Bounds.ColdOverrun, s.Bounds.ColdSlack),
 		cpforward.WithOnCallFailed(p.callFailed),
+		cpforward.WithOnReport(p.watcher.RequestReport),
 		cpforward.WithOnTargetChange(p.targetChanged),
 	)
 	p.front = cpfront.New(
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -70,6 +70,9 @@
 // Open returns the number of open connections and the total number opened so far.
 func (c *Client) Open() (open int, opened uint64) { return c.pool.size() }
 
+// Refuses implements clementineport.OpaqueTarget.
+func (c *Client) Refuses(ctx context.Context) bool { return c.pool.refuses(ctx) }
+
 // Do sends the request once and returns the complete response. Its error is a *clementineport.Error whose verdict says
 // whether the request may have run. When ctx ends, the connection is closed immediately.
 func (c *Client) Do(ctx context.Context, req *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
--- a/cptarget/cpopaque/pool.go
+++ b/cptarget/cpopaque/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -116,6 +117,39 @@
 	return c, nil
 }
 
+// refusalCheckDelay is how long after a failed exchange a target is checked for refusing connections. By then its other
+// connections have been closed as well if it has crashed.
+const refusalCheckDelay = 20 * time.Millisecond
+
+// refuses reports whether the target refuses connections: it has none left that is open and refuses a new one. While all
+// connections are in use it waits, until ctx ends.
+func (p *pool) refuses(ctx context.Context) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-p.options.Clock.After(refusalCheckDelay):
+		}
+		c, err := p.get(ctx)
+		if err == nil {
+			p.putBack(c)
+			return false
+		}
+		if clementineport.FaultOf(err) != clementineport.FaultUnsent {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+	}
+}
+
+// putBack returns a connection to the pool that was not used.
+func (p *pool) putBack(c *conn) {
+	keep := p.options.IdleTimeout
+	if c.reused {
+		keep = c.expires.Sub(p.options.Clock.Now())
+	}
+	p.put(c, keep)
+}
+
 // put returns a connection to the pool, which keeps it idle for at most keep; zero closes it.
 func (p *pool) put(c *conn, keep time.Duration) {
 	if keep <= 0 || !p.store(c, keep) {
--- a/fleet.go
+++ b/fleet.go
@@ -46,6 +46,16 @@
 	Age time.Duration
 }
 
+// RequestReport states that a target has crashed while it ran a request, or that one has served it.
+type RequestReport struct {
+	Key RequestKey
+	// Served is true if a target has served the request. Otherwise, Run is the run of a target that has crashed.
+	Served bool
+	Run    TargetRun
+	// Age is the time since then.
+	Age time.Duration
+}
+
 // TargetNews is what VMs tell each other about targets, besides the contents of the store. It holds for any position of
 // the store.
 type TargetNews struct {
@@ -53,10 +63,12 @@
 	Leaving []TargetRun `json:",omitempty"`
 	// Limits lists what runs of targets have stated about the requests that they take.
 	Limits []TargetLimit `json:",omitempty"`
+	// Requests lists reports about requests during which targets have crashed.
+	Requests []RequestReport `json:",omitempty"`
 }
 
 // Any reports whether there is any news.
-func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits) > 0 }
+func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits)+len(n.Requests) > 0 }
 
 // TargetNotice is what a target has asked of a VM in its responses.
 type TargetNotice struct {
@@ -114,6 +126,8 @@
 	// SetLimit sets the limit of requests that this VM knows, so that a response that states another one, or none, is
 	// reported.
 	SetLimit(limited bool, rate RequestRate)
+	// Refuses reports whether the target refuses connections. It opens one if none is open, and keeps it for later requests.
+	Refuses(ctx context.Context) bool
 	// Open returns the number of open connections and the total number opened so far.
 	Open() (open int, opened uint64)
 	Close()
