Cut off responses without end, in the head as in the body

A body was bounded, but not its framing, and one that states an absurd length was read up to the bound first.

A connection now has a limit of the bytes that may be read, first for the head with all 1xx responses, then for the body with its framing; a length over the limit fails at once. Ruled out elsewhere: the own path's client, the store's clients and the calls between VMs have limits for heads and bodies.

--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -40,6 +40,9 @@
 	Limit string
 }
 
+// maxFramingFactor is the largest ratio of the bytes of a body with its framing to those without.
+const maxFramingFactor = 2
+
 // maxInformational limits the number of 1xx responses before the final one.
 const maxInformational = 4
 
@@ -119,12 +122,14 @@
 		return nil, c.options.IdleTimeout, err // the notice came while this call waited for its connection
 	}
 	written := conn.send(c.encode(req, left))
+	conn.limitReads(c.options.MaxHeaderBytes)
 	resp, err := readResponse(conn.reader, req.Method)
 	if err != nil {
 		return nil, 0, conn.fault(err)
 	}
 	c.readNotice(resp)
-	body, err := readBody(resp.Body, c.options.MaxResponseBytes)
+	conn.limitReads(maxFramingFactor * c.options.MaxResponseBytes)
+	body, err := readBody(resp, c.options.MaxResponseBytes)
 	if err != nil {
 		return nil, 0, conn.fault(err)
 	}
@@ -176,8 +181,11 @@
 }
 
 // readBody reads the complete body, up to limit bytes.
-func readBody(body io.ReadCloser, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, errOversized
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, err
 	}
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -27,6 +27,8 @@
 	IdleTimeout time.Duration
 	// IdleMargin is how long before the target's own timeout an idle connection expires.
 	IdleMargin time.Duration
+	// MaxHeaderBytes limits the size of the head of a response, with the 1xx responses before it.
+	MaxHeaderBytes int64
 	// MaxResponseBytes limits the size of a response body.
 	MaxResponseBytes int64
 	// RequireEcho rejects a successful response that does not echo the ID of the request.
@@ -64,6 +66,8 @@
 	DefaultIdleTimeout = 4 * time.Second
 	// DefaultIdleMargin is the longest time that a request is expected to take to arrive at the target.
 	DefaultIdleMargin = 500 * time.Millisecond
+	// DefaultMaxHeaderBytes is several times the limit of common servers and clients.
+	DefaultMaxHeaderBytes = 64 << 10
 	// DefaultMaxResponseBytes is several times the size of the largest expected response of one target.
 	DefaultMaxResponseBytes = 4 << 20
 	// DefaultConnections allows one request at a time.
@@ -87,6 +91,7 @@
 		DialTimeout:      DefaultDialTimeout,
 		IdleTimeout:      DefaultIdleTimeout,
 		IdleMargin:       DefaultIdleMargin,
+		MaxHeaderBytes:   DefaultMaxHeaderBytes,
 		MaxResponseBytes: DefaultMaxResponseBytes,
 		OnLeaving:        func() {},
 		OnLimit:          func(bool, clementineport.RequestRate) {},
--- a/cptarget/cpopaque/pool.go
+++ b/cptarget/cpopaque/pool.go
@@ -222,17 +222,26 @@
 	// offered and received are the numbers of bytes passed to Write and read in the current exchange.
 	offered  atomic.Int64
 	received atomic.Int64
+	// readLimit is the value of received at which reads fail.
+	readLimit int64
 }
 
-// countingReader reads from a connection and counts the bytes.
+// countingReader reads from a connection, counts the bytes and enforces the limit.
 type countingReader struct{ c *conn }
 
 func (r countingReader) Read(b []byte) (int, error) {
-	n, err := r.c.raw.Read(b)
+	left := r.c.readLimit - r.c.received.Load()
+	if left <= 0 {
+		return 0, errOversized
+	}
+	n, err := r.c.raw.Read(b[:min(int64(len(b)), left)])
 	r.c.received.Add(int64(n))
 	return n, err
 }
 
+// limitReads makes reads fail after n more bytes.
+func (c *conn) limitReads(n int64) { c.readLimit = c.received.Load() + n }
+
 // buffered returns the bytes that were received after the response. The slice is valid until the next read.
 func (c *conn) buffered() []byte {
 	extra, _ := c.reader.Peek(c.reader.Buffered()) // never reads, so it doesn't fail
