Bound what large responses take of the memory together

What a response has beyond 64 KB is now drawn from a budget that all clients of a process share, an eighth of the VM's memory; a call that gets none fails as oversized.

--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -45,9 +45,11 @@
 	self      clementineport.Member
 	watcher   *cpfleetwatch.Watcher
 	forwarder *cpforward.Forwarder
-	registrar clementineport.Registrar
-	front     *cpfront.Front
-	drain     *drainer
+	// readBudget bounds the large responses of all targets.
+	readBudget *cpopaque.ReadBudget
+	registrar  clementineport.Registrar
+	front      *cpfront.Front
+	drain      *drainer
 	// metricsAddress is the address of the metrics listener; if empty, there is none.
 	metricsAddress string
 }
@@ -101,8 +103,20 @@
 // enough, because the next heartbeat to arrive may have been sent before the target became cold.
 const coldReportHeartbeats = 2
 
+// readMemoryShare is the share of the memory of the VM that large responses may take while they are read.
+const readMemoryShare = 0.125
+
+// newReadBudget returns the budget of large responses. It is that of a single client if the memory is not known.
+func newReadBudget(l cpconf.Limits) *cpopaque.ReadBudget {
+	if l.MemoryBytes == 0 {
+		return cpopaque.NewReadBudget(cpopaque.DefaultReadBudget)
+	}
+	return cpopaque.NewReadBudget(int64(float64(l.MemoryBytes) * readMemoryShare))
+}
+
 // build creates the registrar, the watcher, the forwarder and the front.
 func (p *Process) build(s *cpconf.Settings) {
+	p.readBudget = newReadBudget(s.Limits)
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
 	apply := s.Bounds.ConfigApply
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
@@ -158,6 +172,7 @@
 		cpopaque.WithHeaderNames(cpfront.TargetHeaders()),
 		cpopaque.WithTarget(d.ID, d.Address),
 		cpopaque.WithConnections(connections),
+		cpopaque.WithReadBudget(p.readBudget),
 		cpopaque.WithNotice(notice),
 		cpopaque.WithOnLeaving(func() { p.watcher.TargetLeaving(d.Run()) }),
 		cpopaque.WithOnLimit(func(limited bool, rate clementineport.RequestRate) {
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -129,7 +129,7 @@
 	}
 	c.readNotice(resp)
 	conn.limitReads(maxFramingFactor * c.options.MaxResponseBytes)
-	body, err := readBody(resp, c.options.MaxResponseBytes)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return nil, 0, conn.fault(err)
 	}
@@ -180,12 +180,15 @@
 	return nil, errProtocol
 }
 
-// readBody reads the complete body, up to limit bytes.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
+// readBody reads the complete body, up to MaxResponseBytes.
+func (c *Client) readBody(resp *http.Response) ([]byte, error) {
+	limit := c.options.MaxResponseBytes
 	if resp.ContentLength > limit {
 		return nil, errOversized
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	r := &budgetReader{Reader: io.LimitReader(resp.Body, limit+1), budget: c.options.ReadBudget, allowed: freeBytes}
+	defer r.release()
+	b, err := io.ReadAll(r)
 	if err != nil {
 		return nil, err
 	}
--- a/cptarget/cpopaque/endless_test.go
+++ b/cptarget/cpopaque/endless_test.go
@@ -1,7 +1,10 @@
 package cpopaque_test
 
 import (
+	"context"
+	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cptarget/cpopaque"
 )
 
 // endless is a response that goes on for as long as the client reads it.
@@ -32,13 +36,34 @@
 	"refused answer": {"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n", "x"},
 }
 
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// countReads returns the option that makes a client count the bytes that it reads.
+func countReads(read *atomic.Int64) cpopaque.Option {
+	return cpopaque.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countedConn{conn, read}, err
+	})
+}
+
 // Guards against a response without end that is read until it fills the memory or until the deadline.
 func TestAResponseWithoutEndIsCutOff(t *testing.T) {
-	const maxSent = 12 << 20 // some buffers more than the largest response
+	const maxRead = cpopaque.DefaultMaxHeaderBytes + 2*cpopaque.DefaultMaxResponseBytes
 	for name, response := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var sent atomic.Int64
+			var read atomic.Int64
 			closed := make(chan struct{})
 			address, _ := target(t, func(c *connection) {
 				defer close(closed)
@@ -48,20 +73,19 @@
 				c.raw(response.head)
 				block := []byte(strings.Repeat(response.repeated, 1+4096/len(response.repeated)))
 				for {
-					n, err := c.Write(block)
-					if sent.Add(int64(n)); err != nil {
+					if _, err := c.Write(block); err != nil {
 						return
 					}
 				}
 			})
 			r := request("r")
 			r.Deadline = time.Now().Add(30 * time.Second)
-			_, err := do(t, client(address), r)
+			_, err := do(t, client(address, countReads(&read)), r)
 			assert.Assert(t, err != nil)
 			fault := clementineport.FaultOf(err)
 			assert.Assert(t, fault == clementineport.FaultOversized || fault == clementineport.FaultMalformed, "%v", err)
 			<-closed
-			assert.Assert(t, sent.Load() < maxSent, "%d bytes were read", sent.Load())
+			assert.Assert(t, read.Load() <= maxRead, "%d bytes were read", read.Load())
 		})
 	}
 }
@@ -78,3 +102,38 @@
 	assert.Equal(t, len(response.Body), 100_000)
 	assert.Equal(t, len(response.Header.Get("X-Long")), 30_000)
 }
+
+// Guards against many responses without end at the same time, each within its own limit, that together fill the memory.
+func TestManyLargeResponsesShareABudget(t *testing.T) {
+	const (
+		calls  = 64
+		budget = 1 << 20
+		bound  = budget + calls*(128<<10) // what each call may read without the budget, and its buffers
+	)
+	address, _ := target(t, func(c *connection) {
+		if _, _, err := c.read(); err != nil {
+			return
+		}
+		c.raw("HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n")
+		for block := make([]byte, 16<<10); ; {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+	shared := cpopaque.NewReadBudget(budget)
+	var read atomic.Int64
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			_, err := do(t, client(address, cpopaque.WithReadBudget(shared), countReads(&read)), request("r"))
+			assert.Check(t, clementineport.FaultOf(err) == clementineport.FaultOversized, "%v", err)
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, read.Load() <= bound, "%d bytes were read, %d allowed", read.Load(), bound)
+	address, _ = target(t, serveAll)
+	_, err := do(t, client(address, cpopaque.WithReadBudget(shared)), request("r"))
+	assert.NilError(t, err)
+}
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -31,6 +31,8 @@
 	MaxHeaderBytes int64
 	// MaxResponseBytes limits the size of a response body.
 	MaxResponseBytes int64
+	// ReadBudget bounds what this client and others read of large responses at the same time.
+	ReadBudget *ReadBudget
 	// RequireEcho rejects a successful response that does not echo the ID of the request.
 	RequireEcho bool
 	// Notice is what the target has asked of an earlier client.
@@ -70,6 +72,8 @@
 	DefaultMaxHeaderBytes = 64 << 10
 	// DefaultMaxResponseBytes is several times the size of the largest expected response of one target.
 	DefaultMaxResponseBytes = 4 << 20
+	// DefaultReadBudget is the budget of a client that shares none.
+	DefaultReadBudget = 4 * DefaultMaxResponseBytes
 	// DefaultConnections allows one request at a time.
 	DefaultConnections = 1
 )
@@ -105,6 +109,9 @@
 	for _, o := range opts {
 		o(&options)
 	}
+	if options.ReadBudget == nil {
+		options.ReadBudget = NewReadBudget(DefaultReadBudget)
+	}
 	options.dropped = map[string]bool{}
 	for _, name := range connectionHeaders {
 		options.dropped[name] = true
@@ -139,6 +146,9 @@
 // WithMaxResponseBytes limits the size of a response body.
 func WithMaxResponseBytes(n int64) Option { return func(o *Options) { o.MaxResponseBytes = n } }
 
+// WithReadBudget sets the budget of large responses, which several clients may share.
+func WithReadBudget(b *ReadBudget) Option { return func(o *Options) { o.ReadBudget = b } }
+
 // WithRequireEcho sets whether a successful response that does not echo the ID of the request is rejected.
 func WithRequireEcho(on bool) Option { return func(o *Options) { o.RequireEcho = on } }
 
