Move the connections to a target into their own package

The pool and its connections know nothing of the protocol; cpopaqueconn has them unchanged. No change of behaviour; all tests of cpopaque pass unchanged, with the race detector.

--- a/cptarget/cpopaque/budget.go
+++ b/cptarget/cpopaque/budget.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"github.com/clementineport/clementineport/cptarget/cpopaqueconn"
 )
 
 const (
@@ -47,7 +49,7 @@
 	n, err := r.Reader.Read(p)
 	for r.allowed -= int64(n); r.allowed < 0; r.allowed += drawBytes {
 		if !r.budget.draw() {
-			return n, errOversized
+			return n, cpopaqueconn.ErrOversized
 		}
 		r.drawn += drawBytes
 	}
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -11,15 +11,14 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cptarget/cpopaqueconn"
 )
 
 // HeaderNames are the names of the headers of the target protocol.
@@ -43,13 +42,16 @@
 // maxFramingFactor is the largest ratio of the bytes of a body with its framing to those without.
 const maxFramingFactor = 2
 
+// errProtocol means that a target sent only 1xx responses.
+var errProtocol = errors.New("no final response")
+
 // maxInformational limits the number of 1xx responses before the final one.
 const maxInformational = 4
 
 // Client sends requests to one target over a limited number of connections.
 type Client struct {
 	options Options
-	pool    *pool
+	pool    *cpopaqueconn.Pool
 
 	mu     sync.Mutex
 	notice clementineport.TargetNotice
@@ -60,21 +62,25 @@
 func New(opts ...Option) *Client {
 	options := NewOptions(opts...)
 	c := &Client{options: options, notice: options.Notice}
-	c.pool = newPool(&c.options, c.readExtraNotice)
+	c.pool = cpopaqueconn.New(
+		cpopaqueconn.WithClock(options.Clock), cpopaqueconn.WithAddress(options.Address), cpopaqueconn.WithConnections(options.Connections),
+		cpopaqueconn.WithTimeouts(options.DialTimeout, options.IdleTimeout), cpopaqueconn.WithDial(options.Dial),
+		cpopaqueconn.WithOnExtra(c.readExtraNotice),
+	)
 	return c
 }
 
 // Close closes the idle connections now and the others when their calls end.
-func (c *Client) Close() { c.pool.close() }
+func (c *Client) Close() { c.pool.Close() }
 
 // Resize sets the maximum number of open connections.
-func (c *Client) Resize(connections int) { c.pool.resize(connections) }
+func (c *Client) Resize(connections int) { c.pool.Resize(connections) }
 
 // Open returns the number of open connections and the total number opened so far.
-func (c *Client) Open() (open int, opened uint64) { return c.pool.size() }
+func (c *Client) Open() (open int, opened uint64) { return c.pool.Size() }
 
 // Refuses implements clementineport.OpaqueTarget.
-func (c *Client) Refuses(ctx context.Context) bool { return c.pool.refuses(ctx) }
+func (c *Client) Refuses(ctx context.Context) bool { return c.pool.Refuses(ctx) }
 
 // Do sends the request once and returns the complete response. Its error is a *clementineport.Error whose verdict says
 // whether the request may have run. When ctx ends, the connection is closed immediately.
@@ -82,17 +88,17 @@
 	if err := c.closed(); err != nil {
 		return nil, err
 	}
-	conn, err := c.pool.get(ctx)
+	conn, err := c.pool.Get(ctx)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, conn.abort)
+	stop := context.AfterFunc(ctx, conn.Abort)
 	result, keep, err := c.exchange(conn, req)
 	if !stop() {
 		keep = 0
 	}
-	c.pool.put(conn, keep)
-	c.pool.observe(conn, err)
+	c.pool.Put(conn, keep)
+	c.pool.Observe(conn, err)
 	if err != nil && ctx.Err() != nil {
 		return nil, canceled(ctx, conn)
 	}
@@ -100,8 +106,8 @@
 }
 
 // canceled returns the error of a call whose context ended.
-func canceled(ctx context.Context, conn *conn) error {
-	if conn.unsent() {
+func canceled(ctx context.Context, conn *cpopaqueconn.Conn) error {
+	if conn.Unsent() {
 		return &clementineport.Error{Fault: clementineport.FaultUnsent, Reason: "canceled before it was sent", Err: ctx.Err()}
 	}
 	fault := clementineport.FaultCanceled
@@ -113,7 +119,7 @@
 
 // exchange writes the request and reads the response. keep is how long the connection may be kept idle; zero means
 // that it must be closed.
-func (c *Client) exchange(conn *conn, req *clementineport.OpaqueRequest) (_ *clementineport.OpaqueResponse, keep time.Duration, _ error) {
+func (c *Client) exchange(conn *cpopaqueconn.Conn, req *clementineport.OpaqueRequest) (_ *clementineport.OpaqueResponse, keep time.Duration, _ error) {
 	left := req.Deadline.Sub(c.options.Clock.Now())
 	if left < time.Millisecond {
 		return nil, c.options.IdleTimeout, clementineport.Fail(clementineport.FaultDeadline, "no time left")
@@ -121,24 +127,24 @@
 	if err := c.closed(); err != nil {
 		return nil, c.options.IdleTimeout, err // the notice came while this call waited for its connection
 	}
-	written := conn.send(c.encode(req, left))
-	conn.limitReads(c.options.MaxHeaderBytes)
-	resp, err := readResponse(conn.reader, req.Method)
+	written := conn.Send(c.encode(req, left))
+	conn.LimitReads(c.options.MaxHeaderBytes)
+	resp, err := readResponse(conn.Reader, req.Method)
 	if err != nil {
-		return nil, 0, conn.fault(err)
+		return nil, 0, conn.Fault(err)
 	}
 	c.readNotice(resp)
-	conn.limitReads(maxFramingFactor * c.options.MaxResponseBytes)
+	conn.LimitReads(maxFramingFactor * c.options.MaxResponseBytes)
 	body, err := c.readBody(resp)
 	if err != nil {
-		return nil, 0, conn.fault(err)
+		return nil, 0, conn.Fault(err)
 	}
 	result, err := c.checkResponse(resp, body, req)
 	if err == nil || clementineport.FaultOf(err) == clementineport.FaultShed {
 		c.readNoLimit(resp.Header)
 	}
-	c.readExtraNotice(conn.buffered())
-	if !written() || resp.Close || conn.reader.Buffered() > 0 {
+	c.readExtraNotice(conn.Buffered())
+	if !written() || resp.Close || conn.Reader.Buffered() > 0 {
 		return result, 0, err
 	}
 	return result, c.idleTimeout(resp.Header), err
@@ -184,7 +190,7 @@
 func (c *Client) readBody(resp *http.Response) ([]byte, error) {
 	limit := c.options.MaxResponseBytes
 	if resp.ContentLength > limit {
-		return nil, errOversized
+		return nil, cpopaqueconn.ErrOversized
 	}
 	r := &budgetReader{Reader: io.LimitReader(resp.Body, limit+1), budget: c.options.ReadBudget, allowed: freeBytes}
 	defer r.release()
@@ -193,7 +199,7 @@
 		return nil, err
 	}
 	if int64(len(b)) > limit {
-		return nil, errOversized
+		return nil, cpopaqueconn.ErrOversized
 	}
 	return b, nil
 }
@@ -242,25 +248,3 @@
 	}
 	return c.options.IdleTimeout
 }
-
-var (
-	errOversized = errors.New("response is larger than allowed")
-	errProtocol  = errors.New("no final response")
-)
-
-// classify returns the fault of a failed exchange. received is true if any byte of the response arrived.
-func classify(err error, received bool) clementineport.Fault {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errOversized):
-		return clementineport.FaultOversized
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return clementineport.FaultTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF) && received:
-		return clementineport.FaultCut
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
-		return clementineport.FaultReset
-	default:
-		return clementineport.FaultMalformed
-	}
-}
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cptarget/cpopaqueconn"
 )
 
 // Options are the settings of a Client.
@@ -61,11 +62,6 @@
 
 // Defaults of Options.
 const (
-	// DefaultDialTimeout is short so that a retry elsewhere starts soon, although a handshake that loses a packet may
-	// not complete within it.
-	DefaultDialTimeout = 500 * time.Millisecond
-	// DefaultIdleTimeout is shorter than the idle timeout of common servers.
-	DefaultIdleTimeout = 4 * time.Second
 	// DefaultIdleMargin is the longest time that a request is expected to take to arrive at the target.
 	DefaultIdleMargin = 500 * time.Millisecond
 	// DefaultMaxHeaderBytes is several times the limit of common servers and clients.
@@ -74,8 +70,6 @@
 	DefaultMaxResponseBytes = 4 << 20
 	// DefaultReadBudget is the budget of a client that shares none.
 	DefaultReadBudget = 4 * DefaultMaxResponseBytes
-	// DefaultConnections allows one request at a time.
-	DefaultConnections = 1
 )
 
 // connectionHeaders are hop-by-hop headers and those that are derived from the request. They are not forwarded.
@@ -91,9 +85,9 @@
 func NewOptions(opts ...Option) Options {
 	options := Options{
 		Clock:            clockwork.NewRealClock(),
-		Connections:      DefaultConnections,
-		DialTimeout:      DefaultDialTimeout,
-		IdleTimeout:      DefaultIdleTimeout,
+		Connections:      cpopaqueconn.DefaultConnections,
+		DialTimeout:      cpopaqueconn.DefaultDialTimeout,
+		IdleTimeout:      cpopaqueconn.DefaultIdleTimeout,
 		IdleMargin:       DefaultIdleMargin,
 		MaxHeaderBytes:   DefaultMaxHeaderBytes,
 		MaxResponseBytes: DefaultMaxResponseBytes,
@@ -102,7 +96,7 @@
 		OnInvalidLimit:   func(string) {},
 		OnClosed:         func(time.Duration) {},
 		Random:           rand.Float64,
-		Dial:             (&net.Dialer{KeepAlive: -1}).DialContext,
+		Dial:             cpopaqueconn.NewOptions().Dial,
 
 		OnInvalidRetryAfter: func(string, time.Duration) {},
 	}
