Keep the time of the next request to a cold target with the target

The forwarder had a map from target to time that nothing ever shrank: one entry for each target that was ever cold. The state of a target goes with the target. No other change.

--- a/cpbalancer/target.go
+++ b/cpbalancer/target.go
@@ -78,6 +78,8 @@
 	nextProbe     time.Time
 	probeInterval time.Duration
 	misdirected   bool
+	// nextCold is when the next request is due while the target is cold.
+	nextCold time.Time
 	// requests is this VM's share of the limit that the target states.
 	requests cpquota.RequestShare
 }
@@ -275,6 +277,20 @@
 	return now.Sub(t.inFlight[0])
 }
 
+// ColdDue reports whether the next request to the target is due while it is cold.
+func (t *Target) ColdDue(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.nextCold)
+}
+
+// SentCold records that a request is sent while the target is cold, and that the next one is due after an interval.
+func (t *Target) SentCold(now time.Time, interval time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextCold = now.Add(interval)
+}
+
 // Misdirected reports whether another process answers at the target's address.
 func (t *Target) Misdirected() bool {
 	t.mu.Lock()
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -73,10 +73,10 @@
 			continue
 		}
 		availability = cpfanout.Busy
-		if c := candidate(t); now.Before(f.cold[t.State.ID]) || !f.chooser.TakeShare(now, &c, r) {
+		if c := candidate(t); !t.State.ColdDue(now) || !f.chooser.TakeShare(now, &c, r) {
 			continue
 		}
-		f.cold[t.State.ID] = now.Add(cpquota.ColdInterval(f.coldRate(view, t.State.Service)))
+		t.State.SentCold(now, cpquota.ColdInterval(f.coldRate(view, t.State.Service)))
 		return t.State, cpfanout.Available
 	}
 	return nil, availability
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -26,10 +26,8 @@
 
 	mu      sync.Mutex
 	chooser *cpbalancer.Chooser
-	// cold holds the time of the next request to each cold target.
-	cold   map[clementineport.TargetID]time.Time
-	routes map[clementineport.RouteID]*routeStats
-	pools  *pools
+	routes  map[clementineport.RouteID]*routeStats
+	pools   *pools
 	// trials holds the blocked requests that this VM has sent once more.
 	trials map[clementineport.RequestKey]bool
 }
@@ -54,7 +52,6 @@
 		options: options,
 		budgets: cpquota.NewBudgets(options.Clock.Now(), options.RetryBound),
 		chooser: cpbalancer.New(cpbalancer.WithSeed(options.Seed)),
-		cold:    map[clementineport.TargetID]time.Time{},
 		routes:  map[clementineport.RouteID]*routeStats{},
 		trials:  map[clementineport.RequestKey]bool{},
 		pools:   newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
