Publish one view for all events that are waiting

The events that are waiting are now handled before the next view is published. Ruled out: sending fewer reports, since each is a change that the view must have.

--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -124,6 +124,7 @@
 			return ctx.Err()
 		case e := <-w.events:
 			e(ctx, w, w.options.Clock.Now())
+			w.runWaiting(ctx)
 		case <-tick:
 			w.runDue(ctx, w.options.Clock.Now())
 			tick = w.options.Clock.After(w.options.TickPeriod)
@@ -134,6 +135,18 @@
 	}
 }
 
+// runWaiting runs the events that are waiting, so that one view is published for all of them.
+func (w *Watcher) runWaiting(ctx context.Context) {
+	for range eventQueueSize {
+		select {
+		case e := <-w.events:
+			e(ctx, w, w.options.Clock.Now())
+		default:
+			return
+		}
+	}
+}
+
 // runDue runs the periodic work that is due.
 func (w *Watcher) runDue(ctx context.Context, now time.Time) {
 	if w.catalog.Tick(now) || w.crashes.Tick(now) {
