Do not share the chooser's random numbers with the shares of limits

Found while reading the diff of the share of limits: a share kept the chooser's source of random numbers, and Wait uses it where a saved request has expired. Expected latencies are read without the lock of the chooser, so two goroutines used one source. TestLimitsAreSafeForConcurrentUse reports the race without the change. Also the comment and a name that were hard to read.

--- a/cpbalancer/limit.go
+++ b/cpbalancer/limit.go
@@ -1,6 +1,9 @@
 package cpbalancer
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // TakeShare takes a request from this VM's share of a candidate's limit, and reports whether there was one. Choose does so
 // by itself.
@@ -15,19 +18,20 @@
 // withheld reports whether the limit of a candidate forbids a request now. Hedges and requests past their objective leave
 // targets with a limit to others.
 func (c *Chooser) withheld(now time.Time, candidate *Candidate, r *Request) bool {
-	wait := candidate.Target.share(now, candidate, r.Senders, c.random.Float64)
+	wait := candidate.Target.share(now, candidate, r.Senders)
 	return wait > 0 || candidate.Limited && r.FreeSlotOnly
 }
 
 // share applies the limit of a candidate, and returns how long this VM must wait before it may send the target a request.
-func (t *Target) share(now time.Time, candidate *Candidate, senders int, random func() float64) time.Duration {
+func (t *Target) share(now time.Time, candidate *Candidate, senders int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !candidate.Limited {
 		t.requests.Unlimit()
 		return 0
 	}
-	t.requests.SetLimit(now, candidate.Limit, senders, random)
+	// The source of random numbers of the chooser is not safe for concurrent use, but the target is.
+	t.requests.SetLimit(now, candidate.Limit, senders, rand.Float64)
 	return t.requests.Wait(now)
 }
 
--- a/cpbalancer/limit_test.go
+++ b/cpbalancer/limit_test.go
@@ -1,6 +1,7 @@
 package cpbalancer_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -51,3 +52,23 @@
 	counts := s.chosen(10*time.Second, &cpbalancer.Request{TypicalLatency: typical, VMs: 4, Senders: 4, FreeSlotOnly: true})
 	assert.Equal(t, counts[s.candidates[0].Target], 0)
 }
+
+// Guards against a data race between a choice and the expected latency, which callers read without a lock of the chooser.
+func TestLimitsAreSafeForConcurrentUse(t *testing.T) {
+	s := newSimulation(3).limitFirst()
+	r := &cpbalancer.Request{TypicalLatency: typical, VMs: 295, Senders: 295}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := range 2000 {
+			s.chooser.Choose(s.now.Add(time.Duration(i)*time.Minute), s.candidates, r)
+		}
+	})
+	for range 4 {
+		wg.Go(func() {
+			for i := range 2000 {
+				cpbalancer.ExpectedLatency(s.now.Add(time.Duration(i)*time.Minute), s.candidates, r)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -59,8 +59,8 @@
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
 func (v *View) Senders() int { return max(v.VMs, v.Registered) }
 
-// Blocked returns the number of requests that are not sent to targets because they crash them.
-func (v *View) Blocked() (n int) {
+// BlockedRequests returns the number of requests that are not sent to targets because they crash them.
+func (v *View) BlockedRequests() (n int) {
 	for _, s := range v.Suspects {
 		if s.Blocked() {
 			n++
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -149,7 +149,10 @@
 
 // runDue runs the periodic work that is due.
 func (w *Watcher) runDue(ctx context.Context, now time.Time) {
-	if w.catalog.Tick(now) || w.crashes.Tick(now) {
+	if w.catalog.Tick(now) {
+		w.dirty = true
+	}
+	if w.crashes.Tick(now) {
 		w.dirty = true
 	}
 	for _, a := range w.membership.Tick(now) {
--- a/cpfleetwatch/news_test.go
+++ b/cpfleetwatch/news_test.go
@@ -93,7 +93,7 @@
 	}
 	blocked := func(want int) bool {
 		for _, w := range d.vms {
-			if w.View().Blocked() != want || w.View().Suspects[key].Blocked() != (want > 0) {
+			if w.View().BlockedRequests() != want || w.View().Suspects[key].Blocked() != (want > 0) {
 				return false
 			}
 		}
@@ -112,10 +112,10 @@
 	for i := range int64(3) {
 		running.RequestReport(clementineport.RequestReport{Key: 7, Run: clementineport.TargetRun{ID: "x", Born: i + 1}})
 	}
-	await(t, "the request is blocked", func() bool { return running.View().Blocked() == 1 })
+	await(t, "the request is blocked", func() bool { return running.View().BlockedRequests() == 1 })
 	started := startWatcher(t, "started", source(clementineport.VM{ID: "running", Peer: "running"}),
 		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(running)) }))
-	await(t, "the request is blocked here too", func() bool { return started.View().Blocked() == 1 })
+	await(t, "the request is blocked here too", func() bool { return started.View().BlockedRequests() == 1 })
 }
 
 func TestAVMThatStartsLearnsTheLimitsOfTargets(t *testing.T) {
--- a/cpquota/requests.go
+++ b/cpquota/requests.go
@@ -36,8 +36,8 @@
 	burst int
 	// validFor is how long a saved request may be used, or zero if it does not expire.
 	validFor time.Duration
-	// next is the time at which the requests that were sent are paid for: burst less one intervals before it, the next one
-	// may be sent.
+	// next is the theoretical arrival time of the generic cell rate algorithm: the next request may be sent from burst-1
+	// intervals before it on.
 	next time.Time
 	// random returns numbers in [0, 1).
 	random func() float64
