Check for crashes rarely where many connections are lost

A VM now makes two checks a second at most and closes what it opened for them; what is skipped is counted.

Ruled out: confirming a crash by the registration in the store (it ends only after three heartbeats), or by later calls of the VM (at 295 VMs one calls a target once in ten seconds).

--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
 	"github.com/clementineport/clementineport/cpbalancer"
@@ -30,6 +32,9 @@
 	pools   *pools
 	// trials holds the blocked requests that this VM has sent once more.
 	trials map[clementineport.RequestKey]bool
+
+	crashChecks   *rate.Limiter
+	skippedChecks atomic.Uint64
 }
 
 // routeStats holds what is known from the requests of a route.
@@ -54,7 +59,9 @@
 		chooser: cpbalancer.New(cpbalancer.WithSeed(options.Seed)),
 		routes:  map[clementineport.RouteID]*routeStats{},
 		trials:  map[clementineport.RequestKey]bool{},
-		pools:   newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
+
+		crashChecks: rate.NewLimiter(crashChecksPerSecond, crashChecksBurst),
+		pools:       newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
 	}
 }
 
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -27,6 +27,8 @@
 	notice clementineport.TargetNotice
 	// refuses is true if the target refuses connections.
 	refuses bool
+	// onCheck, if not nil, is called when it is checked whether the target refuses connections.
+	onCheck func()
 }
 
 // Do implements clementineport.OpaqueTarget.
@@ -49,6 +51,9 @@
 
 // Refuses implements clementineport.OpaqueTarget.
 func (c *fakeClient) Refuses(context.Context) bool {
+	if c.onCheck != nil {
+		c.onCheck()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.refuses
--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -14,6 +14,10 @@
 const (
 	// crashCheckTimeout limits the check whether a target has crashed. A connection to it may be in use for so long.
 	crashCheckTimeout = time.Second
+	// crashChecksPerSecond and crashChecksBurst bound the checks. Where more connections are lost, the targets or the network
+	// have another problem, which further connections would make worse.
+	crashChecksPerSecond = 2
+	crashChecksBurst     = 5
 	// trialDelay is the time from the latest crash to the one trial of a blocked request.
 	trialDelay = 10 * time.Second
 	// blockedRetryAfter is the time after which a caller may send a blocked request again.
@@ -70,6 +74,10 @@
 	delete(f.trials, key)
 }
 
+// SkippedCrashChecks returns the number of lost connections after which no check for a crash was made, because there were
+// too many.
+func (f *Forwarder) SkippedCrashChecks() uint64 { return f.skippedChecks.Load() }
+
 // mayCall reports whether a call for the request may be sent. A trial is one call.
 func (r *run) mayCall(purpose cpfanout.Purpose) bool {
 	if r.trial {
@@ -88,7 +96,12 @@
 			r.f.options.OnReport(clementineport.RequestReport{Key: r.key, Served: true})
 		}
 	case result.Fault == clementineport.FaultReset, result.Fault == clementineport.FaultCut:
-		go r.checkCrash(s, r.f.options.Clock.Now())
+		now := r.f.options.Clock.Now()
+		if !r.f.crashChecks.AllowN(now, 1) {
+			r.f.skippedChecks.Add(1)
+			return
+		}
+		go r.checkCrash(s, now)
 	}
 }
 
--- a/cpforward/crash_test.go
+++ b/cpforward/crash_test.go
@@ -227,3 +227,23 @@
 		})
 	}
 }
+
+// Guards against a check for crashes that adds a connection for each of many that targets reset.
+func TestChecksForCrashesAreFewWhereManyConnectionsAreLost(t *testing.T) {
+	f := newCrashFleet(1, 5)
+	var checks atomic.Int64
+	for _, c := range f.targets {
+		c.onCheck = func() { checks.Add(1) }
+		c.serve = func(context.Context, *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
+			return nil, clementineport.Fail(clementineport.FaultReset, "reset")
+		}
+	}
+	began := time.Now()
+	for range 300 {
+		f.vms[0].Forward(context.Background(), singleRoute(false), request(time.Second, 0))
+	}
+	settle()
+	allowed := int64(6 + 2*time.Since(began).Seconds())
+	assert.Assert(t, checks.Load() <= allowed, "%d checks", checks.Load())
+	assert.Assert(t, f.vms[0].SkippedCrashChecks() >= 300-uint64(allowed))
+}
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -39,6 +39,7 @@
 		{"clementineport_store_era", float64(view.StoreEra)},
 		{"clementineport_targets_leaving", float64(view.Leaving)},
 		{"clementineport_requests_blocked", float64(view.BlockedRequests())},
+		{"clementineport_crash_checks_skipped_total", float64(p.forwarder.SkippedCrashChecks())},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
 		{"clementineport_vms_divided_by", float64(view.VMs)},
 		{"clementineport_log_lines_limited_total", float64(limited)},
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -112,8 +112,8 @@
 // connections have been closed as well if it has crashed.
 const refusalCheckDelay = 20 * time.Millisecond
 
-// Refuses reports whether the target refuses connections: it has none left that is open and refuses a new one. While all
-// connections are in use it waits, until ctx ends.
+// Refuses reports whether the target refuses connections: it has none left that is open and refuses a new one, which is
+// closed again at once. While all connections are in use it waits, until ctx ends.
 func (p *Pool) Refuses(ctx context.Context) bool {
 	for {
 		select {
@@ -123,7 +123,7 @@
 		}
 		c, err := p.Get(ctx)
 		if err == nil {
-			p.putBack(c)
+			p.Put(c, c.expires.Sub(p.options.Clock.Now()))
 			return false
 		}
 		if clementineport.FaultOf(err) != clementineport.FaultUnsent {
@@ -132,15 +132,6 @@
 	}
 }
 
-// putBack returns a connection to the pool that was not used.
-func (p *Pool) putBack(c *Conn) {
-	keep := p.options.IdleTimeout
-	if c.reused {
-		keep = c.expires.Sub(p.options.Clock.Now())
-	}
-	p.Put(c, keep)
-}
-
 // Put returns a connection to the pool, which keeps it idle for at most keep; zero closes it.
 func (p *Pool) Put(c *Conn, keep time.Duration) {
 	if keep <= 0 || !p.store(c, keep) {
--- a/fleet.go
+++ b/fleet.go
@@ -126,7 +126,7 @@
 	// SetLimit sets the limit of requests that this VM knows, so that a response that states another one, or none, is
 	// reported.
 	SetLimit(limited bool, rate RequestRate)
-	// Refuses reports whether the target refuses connections. It opens one if none is open, and keeps it for later requests.
+	// Refuses reports whether the target refuses connections. It opens one for that if none is open.
 	Refuses(ctx context.Context) bool
 	// Open returns the number of open connections and the total number opened so far.
 	Open() (open int, opened uint64)
