--- a/cptarget/cpopaque/fuzz_test.go
+++ b/cptarget/cpopaque/fuzz_test.go
@@ -23,6 +23,8 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 Internal Server Error\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nRetry-After: 1e308\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Service Unavailable\r\nRetry-After: -1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Limit: 1e308\r\nX-Request: id\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 500 Internal Server Error\r\nX-Limit: -0.5\r\nX-Limit: 7\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 Misdirected Request\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
 		"\x00\xff",
@@ -30,7 +32,12 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		c := client("target", cpopaque.WithHeaderNames(noticeNames), cpopaque.WithDial(func(context.Context, string, string) (net.Conn, error) {
+		validLimit := cpopaque.WithOnLimit(func(limited bool, rate clementineport.RequestRate) {
+			if !(rate >= 0 && rate <= 1e6) || !limited && rate != 0 {
+				t.Errorf("a limit of %v", rate)
+			}
+		})
+		c := client("target", cpopaque.WithHeaderNames(noticeNames), validLimit, cpopaque.WithDial(func(context.Context, string, string) (net.Conn, error) {
 			here, there := net.Pipe()
 			go func() {
 				go func() { _, _ = io.Copy(io.Discard, there) }() // ends with the connection
--- a/cptarget/cpopaque/limit_test.go
+++ b/cptarget/cpopaque/limit_test.go
@@ -12,13 +12,6 @@
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 )
 
-// limitNames are the names of the headers of a target protocol with a limit of requests.
-var limitNames = func() cpopaque.HeaderNames {
-	n := names
-	n.Limit = "X-Limit"
-	return n
-}()
-
 // limitedTarget is a target that answers each request with the next of some responses.
 func limitedTarget(t *testing.T, responses ...string) string {
 	t.Helper()
@@ -50,7 +43,7 @@
 // limitReports makes one call for each response and returns the reported limits; none is -1.
 func limitReports(t *testing.T, step time.Duration, responses ...string) (reports []clementineport.RequestRate, invalid []string) {
 	t.Helper()
-	c, clock := noticeClient(limitedTarget(t, responses...), cpopaque.WithHeaderNames(limitNames),
+	c, clock := noticeClient(limitedTarget(t, responses...),
 		cpopaque.WithOnLimit(func(limited bool, rate clementineport.RequestRate) {
 			if !limited {
 				rate = -1
@@ -97,7 +90,7 @@
 
 func TestALimitThatAnotherVMHasReportedEndsWithAnAnswerThatStatesNone(t *testing.T) {
 	ended := false
-	c, clock := noticeClient(limitedTarget(t, servedWithout), cpopaque.WithHeaderNames(limitNames),
+	c, clock := noticeClient(limitedTarget(t, servedWithout),
 		cpopaque.WithOnLimit(func(limited bool, _ clementineport.RequestRate) { ended = !limited }))
 	c.SetLimit(true, 30)
 	assert.NilError(t, call(t, c, clock, "r"))
--- a/cptarget/cpopaque/notice_test.go
+++ b/cptarget/cpopaque/notice_test.go
@@ -17,7 +17,7 @@
 // noticeNames are the names of the headers of a target protocol that has all of them.
 var noticeNames = func() cpopaque.HeaderNames {
 	n := names
-	n.Leaving = "X-Leaving"
+	n.Leaving, n.Limit = "X-Leaving", "X-Limit"
 	return n
 }()
 
