--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -76,7 +76,7 @@
 	Cold    int
 	// Closed is the number of targets that have asked this VM for no requests.
 	Closed int
-	// Limited is the number of targets that state a limit of requests.
+	// Limited is the number of targets that state a rate limit.
 	Limited  int
 	InFlight int
 	// Open is the number of open connections, and Opened the total number opened to the current targets.
--- a/cpforward/limit_test.go
+++ b/cpforward/limit_test.go
@@ -16,7 +16,7 @@
 	"github.com/clementineport/clementineport/cpforward"
 )
 
-// Figures of a target that names a limit of requests.
+// Figures of a target that states a rate limit.
 const (
 	// limitWindow is the length of the spans in which the requests of all VMs are counted.
 	limitWindow = 4 * time.Second
@@ -38,7 +38,7 @@
 	return most
 }
 
-// limitedTargetOfVMs is a target that names a limit of requests and records when requests of any VM arrive.
+// limitedTargetOfVMs is a target that states a rate limit and records when requests of any VM arrive.
 type limitedTargetOfVMs struct {
 	limit clementineport.RequestRate
 	mu    sync.Mutex
@@ -60,7 +60,7 @@
 	return f.forwarder(cpforward.WithSeed(uint64(i)))
 }
 
-// Guards against VMs that together send a target more requests than the limit that it has named, each within its own view.
+// Guards against VMs that together send a target more requests than the rate limit that it states, each within its own view.
 func TestATargetGetsNoMoreThanItsLimitFromAllVMsTogether(t *testing.T) {
 	for _, vms := range []int{6, 295} {
 		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
@@ -87,7 +87,7 @@
 	}
 }
 
-// limit makes all targets of a service name a limit of requests.
+// limit makes all targets of a service state a rate limit.
 func (f *fleet) limit(s clementineport.ServiceID, rate clementineport.RequestRate) {
 	targets := f.view.Services[s]
 	for i := range targets {
--- a/fleet.go
+++ b/fleet.go
@@ -123,7 +123,7 @@
 	Notice() TargetNotice
 	// Resize sets the maximum number of open connections.
 	Resize(connections int)
-	// SetLimit sets the limit of requests that this VM knows, so that a response that states another one, or none, is
+	// SetLimit sets the rate limit that this VM knows, so that a response that states another one, or none, is
 	// reported.
 	SetLimit(limited bool, rate RequestRate)
 	// Refuses reports whether the target refuses connections. It opens one for that if none is open.
