--- a/cpbalancer/limit_test.go
+++ b/cpbalancer/limit_test.go
@@ -71,4 +71,5 @@
 		})
 	}
 	wg.Wait()
+	assert.Assert(t, s.candidates[0].Target.LimitWait(s.now) >= 0)
 }
--- a/cpfleetwatch/news_bench_test.go
+++ b/cpfleetwatch/news_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/clementineport/clementineport"
@@ -40,6 +41,7 @@
 		return n
 	}
 	for limited(0) < targets {
+		runtime.Gosched()
 	}
 	b.ResetTimer()
 	for i := range b.N {
@@ -48,6 +50,7 @@
 			w.TargetLimit(clementineport.TargetLimit{Run: t.Run(), Limited: true, Rate: rate})
 		}
 		for limited(rate) < targets {
+			runtime.Gosched()
 		}
 	}
 }
