--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -152,7 +152,23 @@
 	p.closed = true
 }
 
-// startWatcher runs a watcher until the test ends.
+// unreachablePeer is another VM that does not answer.
+type unreachablePeer struct{ clementineport.Peer }
+
+// Exchange implements clementineport.Peer.
+func (unreachablePeer) Exchange(context.Context, *clementineport.Digest) (*clementineport.Digest, error) {
+	return nil, clementineport.Fail(clementineport.FaultRefused, "unreachable")
+}
+
+// Config implements clementineport.Peer.
+func (unreachablePeer) Config(context.Context, clementineport.StorePosition) (*clementineport.Config, error) {
+	return nil, clementineport.Fail(clementineport.FaultRefused, "unreachable")
+}
+
+// Close implements clementineport.Peer.
+func (unreachablePeer) Close() error { return nil }
+
+// startWatcher runs a watcher until the test ends. It reaches no other VM unless opts say otherwise.
 func startWatcher(t *testing.T, id clementineport.VMID, opts ...cpfleetwatch.Option) *cpfleetwatch.Watcher {
 	t.Helper()
 	w := cpfleetwatch.New(append([]cpfleetwatch.Option{
@@ -162,6 +178,7 @@
 		cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, _ int, n clementineport.TargetNotice) clementineport.OpaqueTarget {
 			return &fakeTarget{notice: n}
 		}),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return unreachablePeer{} }),
 		cpfleetwatch.WithWatchTimes(10*time.Millisecond, 50*time.Millisecond),
 		cpfleetwatch.WithCatchUpPeriod(20 * time.Millisecond),
 	}, opts...)...)
--- a/cptarget/cpopaque/budget.go
+++ b/cptarget/cpopaque/budget.go
@@ -46,7 +46,7 @@
 
 // Read implements io.Reader. It fails if the budget is used up.
 func (r *budgetReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	n, err := r.Reader.Read(p[:min(len(p), drawBytes)])
 	for r.allowed -= int64(n); r.allowed < 0; r.allowed += drawBytes {
 		if !r.budget.draw() {
 			return n, cpopaqueconn.ErrOversized
