Send news of a change with the update instead of writing a result of the caller

Traced from the race report of the last run: the closure that the control loop runs in changesSince wrote a named result, which the caller writes too when its context ends first.

--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -39,7 +39,11 @@
 // changesSince gets the changes after a position from the loop, or the full state when they are no longer kept. news
 // reports whether this VM learned something about a target after a time.
 func (w *Watcher) changesSince(ctx context.Context, have clementineport.StorePosition, after time.Time) (_ *clementineport.FleetUpdate, news bool, _ error) {
-	answer := make(chan *clementineport.FleetUpdate, 1)
+	type changes struct {
+		update *clementineport.FleetUpdate
+		news   bool
+	}
+	answer := make(chan changes, 1)
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 		update, ok := w.history.Since(have)
 		switch {
@@ -51,15 +55,14 @@
 		update.Age = now.Sub(w.catalog.Confirmed())
 		update.TargetNews = w.news(now, update.Whole)
 		sinceCall := w.newsSince(now, after)
-		news = sinceCall.Any()
-		answer <- update
+		answer <- changes{update, sinceCall.Any()}
 	})
 	select {
-	case update := <-answer:
-		if have.Revision > 0 && update.AsOf.Era < have.Era {
+	case c := <-answer:
+		if update := c.update; have.Revision > 0 && update.AsOf.Era < have.Era {
 			return nil, false, clementineport.Fail(clementineport.FaultStale, "the store was restored after %v", update.AsOf)
 		}
-		return update, news, nil
+		return c.update, c.news, nil
 	case <-ctx.Done():
 		return nil, false, clementineport.Fail(clementineport.FaultCanceled, "news given up: %v", ctx.Err())
 	}
