Find out and log whether a VM reaches any target

A VM now notices from its calls that no target of several services answers, attempts connections to three others, and logs the loss and its end. Nothing acts on it yet.

--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -59,6 +59,10 @@
 	dirty            bool
 	catchingUp       bool
 	nextCatchUp      time.Time
+	probing          bool
+	nextProbe        time.Time
+	// lostAt is when this VM found that it reaches no target, or zero while it reaches some.
+	lostAt time.Time
 }
 
 // event is a function that another goroutine passes to the loop to run there.
@@ -159,6 +163,7 @@
 		w.exchange(ctx, a)
 	}
 	w.catchUp(ctx, now)
+	w.checkReach(ctx, now)
 	if w.membership.Version() != w.publishedVersion || w.vms.Observe(now, w.activeVMs()) != w.vmCount {
 		w.dirty = true
 	}
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,6 +116,7 @@
 	connections int
 	closed      bool
 	notice      clementineport.TargetNotice
+	unreachable atomic.Bool
 }
 
 // Do implements clementineport.OpaqueTarget.
@@ -139,6 +141,14 @@
 	p.connections = n
 }
 
+// Connect implements clementineport.OpaqueTarget.
+func (p *fakeTarget) Connect(context.Context) error {
+	if p.unreachable.Load() {
+		return clementineport.Fail(clementineport.FaultRefused, "unreachable")
+	}
+	return nil
+}
+
 // Refuses implements clementineport.OpaqueTarget.
 func (p *fakeTarget) Refuses(context.Context) bool { return false }
 
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -9,6 +9,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpmembership"
+	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
 )
 
@@ -47,6 +48,12 @@
 	DefaultStaleAfter = 15 * time.Second
 	// DefaultPeerTimeout is longer than the time between two exchanges with other VMs.
 	DefaultPeerTimeout = 4 * time.Second
+	// probePeriod is the time between two rounds of connection attempts while no target answers.
+	probePeriod = 500 * time.Millisecond
+	// probeTimeout limits a connection attempt.
+	probeTimeout = 250 * time.Millisecond
+	// probedTargets is the number of targets that a round of connection attempts is made to.
+	probedTargets = 3
 )
 
 // Options are the settings of a Watcher.
@@ -69,6 +76,8 @@
 	Catalog      []cpcatalog.Option
 	Membership   []cpmembership.Option
 	Registration []cpregistration.Option
+	// Reach tracks whether this VM reaches targets.
+	Reach *cpreach.Tracker
 	// TickPeriod is the interval at which periodic work is checked.
 	TickPeriod time.Duration
 	// WatchPeriod is the minimum time between the starts of two store calls.
@@ -95,6 +104,7 @@
 		Log:            zap.NewNop(),
 		Dial:           func(clementineport.VM) clementineport.Peer { return nil },
 		OnRoutes:       func(*clementineport.RouteTable) {},
+		Reach:          cpreach.New(),
 		TickPeriod:     DefaultTickPeriod,
 		WatchPeriod:    DefaultWatchPeriod,
 		WatchWait:      DefaultWatchWait,
@@ -143,6 +153,9 @@
 	return func(o *Options) { o.NewTargetClient = f }
 }
 
+// WithReach sets the tracker of whether this VM reaches targets.
+func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
+
 // WithClock sets the clock.
 func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
 
--- /dev/null
+++ b/cpfleetwatch/reach_test.go
@@ -0,0 +1,90 @@
+package cpfleetwatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetwatch"
+	"github.com/clementineport/clementineport/cplogevent"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+// reachableVM is a VM with four targets of two services.
+type reachableVM struct {
+	*cpfleetwatch.Watcher
+	reach   *cpreach.Tracker
+	clients []*fakeTarget
+	logs    *observer.ObservedLogs
+}
+
+func startReachableVM(t *testing.T, id clementineport.VMID, opts ...cpfleetwatch.Option) *reachableVM {
+	t.Helper()
+	v := &reachableVM{reach: cpreach.New()}
+	source := &fakeSource{version: 1, asOf: clementineport.StorePosition{Revision: 1}}
+	for n := range 4 {
+		target := targetInstance(clementineport.TargetID(fmt.Sprintf("t-%d", n)))
+		target.Service = clementineport.ServiceID(fmt.Sprintf("s-%d", n%2))
+		source.targets = append(source.targets, target)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	v.logs = logs
+	v.Watcher = startWatcher(t, id, append([]cpfleetwatch.Option{
+		cpfleetwatch.WithSource(source), cpfleetwatch.WithReach(v.reach), cpfleetwatch.WithLog(zap.New(core)),
+		cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, _ int, n clementineport.TargetNotice) clementineport.OpaqueTarget {
+			c := &fakeTarget{notice: n}
+			v.clients = append(v.clients, c)
+			return c
+		}),
+	}, opts...)...)
+	await(t, "the targets are known", func() bool { return len(v.View().Services) == 2 })
+	return v
+}
+
+// cut makes all targets unreachable, or reachable again.
+func (v *reachableVM) cut(unreachable bool) {
+	for _, c := range v.clients {
+		c.unreachable.Store(unreachable)
+	}
+}
+
+// failCalls makes calls to all targets that are reset without an answer.
+func (v *reachableVM) failCalls() {
+	now := time.Now()
+	for n := range 4 {
+		target := targetInstance(clementineport.TargetID(fmt.Sprintf("t-%d", n)))
+		target.Service = clementineport.ServiceID(fmt.Sprintf("s-%d", n%2))
+		v.reach.Done(now, v.reach.Sent(now, &target, 0), clementineport.FaultReset)
+	}
+}
+
+func (v *reachableVM) logged(name cplogevent.Name) int {
+	return v.logs.FilterMessage(string(name)).Len()
+}
+
+func TestAVMThatReachesNoTargetLogsItAndFindsOutWhenItReachesThemAgain(t *testing.T) {
+	v := startReachableVM(t, "a")
+	v.cut(true)
+	v.failCalls()
+	await(t, "the VM knows", func() bool { return v.reach.State() == cpreach.Lost })
+	await(t, "the loss is logged", func() bool { return v.logged(cplogevent.TargetsLost) == 1 })
+	v.cut(false)
+	await(t, "the VM makes connections again", func() bool { return v.reach.State() == cpreach.Reached })
+	await(t, "the end is logged", func() bool { return v.logged(cplogevent.TargetsRegained) == 1 })
+}
+
+func TestAVMWhoseTargetsFailButAcceptConnectionsReachesThem(t *testing.T) {
+	v := startReachableVM(t, "a")
+	v.failCalls()
+	assert.Equal(t, v.reach.State(), cpreach.Reached)
+	await(t, "the suspicion is checked", func() bool {
+		state, silent := v.reach.Suspect(time.Now(), 4, 2)
+		return state == cpreach.Reached && silent == 0
+	})
+	assert.Equal(t, v.logged(cplogevent.TargetsLost), 0)
+}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -265,10 +265,12 @@
 	if client == nil {
 		result.Fault = clementineport.FaultUnsent
 	} else {
+		tracked := r.f.options.Reach.Sent(sent, &s.Target.TargetInstance, r.typicalLatency)
 		result.Part, result.err = client.Do(r.calls, r.request)
-	}
-	if result.err != nil {
-		result.Fault = clementineport.FaultOf(result.err)
+		if result.err != nil {
+			result.Fault = clementineport.FaultOf(result.err)
+		}
+		r.f.options.Reach.Done(r.now(), tracked, result.Fault)
 	}
 	r.observe(s, sent, &result)
 	r.observeCrash(s, &result)
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -49,6 +49,9 @@
 // Resize implements clementineport.OpaqueTarget.
 func (c *fakeClient) Resize(int) {}
 
+// Connect implements clementineport.OpaqueTarget.
+func (c *fakeClient) Connect(context.Context) error { return nil }
+
 // Refuses implements clementineport.OpaqueTarget.
 func (c *fakeClient) Refuses(context.Context) bool {
 	if c.onCheck != nil {
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -12,6 +12,7 @@
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpreach"
 )
 
 // Defaults of Options.
@@ -40,6 +41,8 @@
 	RetryAfter          time.Duration
 	Fanout              []cpfanout.Option
 	Admit               []cpadmit.Option
+	// Reach tracks whether this VM reaches targets.
+	Reach *cpreach.Tracker
 	// OnCallFailed is called for each failed call, unless its error is context.Canceled.
 	OnCallFailed func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)
 	// OnReport is called with a report about a request during which a target has crashed.
@@ -59,6 +62,7 @@
 		UnneededCallTimeout: DefaultUnneededCallTimeout,
 		RetryAfter:          DefaultRetryAfter,
 		Admit:               cpplan.AdmissionOptions(),
+		Reach:               cpreach.New(),
 		OnCallFailed:        func(*clementineport.OpaqueRequest, clementineport.TargetID, error, time.Duration) {},
 		OnReport:            func(clementineport.RequestReport) {},
 		OnTargetChange:      func(*clementineport.TargetInstance, cpbalancer.Change) {},
@@ -84,6 +88,9 @@
 	return func(o *Options) { o.ColdOverrun, o.ColdSlack = overrun, slack }
 }
 
+// WithReach sets the tracker of whether this VM reaches targets.
+func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
+
 // WithOnCallFailed sets the function that is called for each failed call.
 func WithOnCallFailed(f func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)) Option {
 	return func(o *Options) { o.OnCallFailed = f }
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -38,6 +38,8 @@
 	RetryAfterRejected Name = "RetryAfterRejected"
 	TargetUnresponsive Name = "TargetDark"
 	TargetResponsive   Name = "TargetAnswers"
+	TargetsLost        Name = "TargetsLost"
+	TargetsRegained    Name = "TargetsRegained"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -103,6 +105,8 @@
 	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
+	{TargetsLost, []string{"Silent", "Targets"}, "this VM reaches no target: Silent targets have not answered, and connection attempts to others have failed"},
+	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -25,6 +25,7 @@
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/cptoken"
@@ -45,6 +46,8 @@
 	self      clementineport.Member
 	watcher   *cpfleetwatch.Watcher
 	forwarder *cpforward.Forwarder
+	// reach tracks whether this VM reaches targets.
+	reach *cpreach.Tracker
 	// readBudget bounds the large responses of all targets.
 	readBudget *cpopaque.ReadBudget
 	registrar  clementineport.Registrar
@@ -117,6 +120,7 @@
 // build creates the registrar, the watcher, the forwarder and the front.
 func (p *Process) build(s *cpconf.Settings) {
 	p.readBudget = newReadBudget(s.Limits)
+	p.reach = cpreach.New()
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
 	apply := s.Bounds.ConfigApply
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
@@ -129,6 +133,7 @@
 		cpfleetwatch.WithDial(p.dialPeer),
 		cpfleetwatch.WithTargetClient(p.newTargetClient),
 		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
+		cpfleetwatch.WithReach(p.reach),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
 		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
@@ -136,6 +141,7 @@
 		cpfleetwatch.WithIsolation(apply+s.Bounds.ConfigOutageDelay, s.Bounds.UndisturbedTime),
 	)
 	p.forwarder = cpforward.New(
+		cpforward.WithReach(p.reach),
 		cpforward.WithView(p.watcher.View),
 		cpforward.WithSeed(rand.Uint64()),
 		cpforward.WithRetryBound(cpquota.RetryBound{
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/clementineport/clementineport/cpreach"
 )
 
 // maxServices limits how many services have their own metrics, which bounds the size of the output. The services after
@@ -29,6 +31,10 @@
 	if view.Router != nil {
 		version = float64(view.Router.Table().Version)
 	}
+	lost := 0.0
+	if p.reach.State() == cpreach.Lost {
+		lost = 1
+	}
 	for _, m := range []struct {
 		name  string
 		value float64
@@ -38,6 +44,7 @@
 		{"clementineport_routes_version", version},
 		{"clementineport_store_era", float64(view.StoreEra)},
 		{"clementineport_targets_leaving", float64(view.Leaving)},
+		{"clementineport_targets_lost", lost},
 		{"clementineport_requests_blocked", float64(view.BlockedRequests())},
 		{"clementineport_crash_checks_skipped_total", float64(p.forwarder.SkippedCrashChecks())},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
--- /dev/null
+++ b/cpreach/cpreach.go
@@ -0,0 +1,182 @@
+// Package cpreach determines whether one VM has lost its network path to all targets, from the calls that it makes, and
+// keeps what VMs state about that.
+//
+// Targets that are slow or down look alike to a VM that has lost its path, so the calls only raise a suspicion: several
+// targets of several services have answered nothing. Connection attempts by the caller of this package decide. The package
+// makes no calls; the current time is passed in.
+package cpreach
+
+import (
+	"sync"
+	"time"
+
+	"github.com/clementineport/clementineport"
+)
+
+// State is whether a VM reaches targets.
+type State uint8
+
+const (
+	// Reached means that targets answer, or that too few have been called to tell.
+	Reached State = iota
+	// Suspected means that the targets called last have all left the VM without an answer.
+	Suspected
+	// Lost means that connection attempts to further targets have failed as well.
+	Lost
+)
+
+var stateNames = [...]string{"reached", "suspected", "lost"}
+
+// String returns the name of the state in logs.
+func (s State) String() string { return stateNames[s] }
+
+// Call is one call to a target, from Sent to Done.
+type Call struct {
+	target  clementineport.TargetID
+	service clementineport.ServiceID
+	sent    time.Time
+	// overdueAfter is how long the call may stay without an answer before it counts against the path.
+	overdueAfter time.Duration
+}
+
+// Tracker tracks the calls of one VM. It is safe for concurrent use.
+type Tracker struct {
+	options Options
+
+	mu    sync.Mutex
+	state State
+	// answered is when a target last answered, and silentSince when the first call after it was sent.
+	answered    time.Time
+	silentSince time.Time
+	inFlight    map[*Call]struct{}
+	// failed holds the targets whose calls have ended without an answer since then, with their services.
+	failed map[clementineport.TargetID]clementineport.ServiceID
+	// lost is closed when the state becomes Lost, and replaced when it is no longer.
+	lost chan struct{}
+}
+
+// New returns a tracker of a VM that has made no calls.
+func New(opts ...Option) *Tracker {
+	return &Tracker{
+		options: NewOptions(opts...), inFlight: map[*Call]struct{}{}, lost: make(chan struct{}),
+		failed: map[clementineport.TargetID]clementineport.ServiceID{},
+	}
+}
+
+// State returns the state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
+}
+
+// LostSignal returns a channel that is closed while the state is Lost, or once it becomes Lost.
+func (t *Tracker) LostSignal() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost
+}
+
+// Sent records a call, whose answer usually takes the typical latency.
+func (t *Tracker) Sent(now time.Time, target *clementineport.TargetInstance, typical time.Duration) *Call {
+	c := &Call{
+		target: target.ID, service: target.Service, sent: now,
+		overdueAfter: max(t.options.MinOverdue, time.Duration(overdueFactor*float64(typical))),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight[c] = struct{}{}
+	if t.silentSince.IsZero() {
+		t.silentSince = now
+	}
+	return c
+}
+
+// Done records the end of a call with its fault, which is FaultUnknown if the target answered.
+func (t *Tracker) Done(now time.Time, c *Call, fault clementineport.Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, c)
+	switch fault {
+	case clementineport.FaultDeadline:
+	case clementineport.FaultRefused, clementineport.FaultReset:
+		t.failed[c.target] = c.service
+	case clementineport.FaultTimeout, clementineport.FaultCanceled, clementineport.FaultUnsent:
+		if t.overdue(now, c) {
+			t.failed[c.target] = c.service
+		}
+	default:
+		t.reach(now)
+	}
+}
+
+// overdue reports whether a call has waited too long, counted from its start or from the last answer of any target.
+func (t *Tracker) overdue(now time.Time, c *Call) bool {
+	since := c.sent
+	if t.answered.After(since) {
+		since = t.answered
+	}
+	return now.Sub(since) >= c.overdueAfter
+}
+
+// reach records that a target was reached.
+func (t *Tracker) reach(now time.Time) {
+	t.answered, t.silentSince = now, time.Time{}
+	if len(t.inFlight) > 0 {
+		t.silentSince = now
+	}
+	clear(t.failed)
+	if t.state == Lost {
+		t.lost = make(chan struct{})
+	}
+	t.state = Reached
+}
+
+// Suspect moves from Reached to Suspected if enough targets have left the VM without an answer, and returns the state and
+// their number. targets and services are the numbers of those that the VM may call.
+func (t *Tracker) Suspect(now time.Time, targets, services int) (_ State, silent int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state != Reached {
+		return t.state, len(t.silent(now))
+	}
+	all := t.silent(now)
+	if t.silentSince.IsZero() || now.Sub(t.silentSince) < t.options.MinOverdue {
+		return t.state, len(all) // other calls may still be answered
+	}
+	named := map[clementineport.ServiceID]bool{}
+	for _, service := range all {
+		named[service] = true
+	}
+	if len(all) >= max(1, min(minSilentTargets, targets)) && len(named) >= min(minSilentServices, services) {
+		t.state = Suspected
+	}
+	return t.state, len(all)
+}
+
+// silent returns the targets that count against the path, with their services.
+func (t *Tracker) silent(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
+	all := make(map[clementineport.TargetID]clementineport.ServiceID, len(t.failed))
+	for id, service := range t.failed {
+		all[id] = service
+	}
+	for c := range t.inFlight {
+		if t.overdue(now, c) {
+			all[c.target] = c.service
+		}
+	}
+	return all
+}
+
+// Probed records whether any of several targets has accepted a connection.
+func (t *Tracker) Probed(now time.Time, reached bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case reached:
+		t.reach(now)
+	case t.state == Suspected:
+		t.state = Lost
+		close(t.lost)
+	}
+}
--- /dev/null
+++ b/cpreach/cpreach_test.go
@@ -0,0 +1,144 @@
+package cpreach_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+const typical = 20 * time.Millisecond
+
+var start = time.Unix(1_000_000, 0)
+
+// target returns a target of one of three services.
+func target(n int) *clementineport.TargetInstance {
+	return &clementineport.TargetInstance{
+		ID: clementineport.TargetID(fmt.Sprintf("t-%d", n)), Service: clementineport.ServiceID(fmt.Sprintf("s-%d", n%3)),
+	}
+}
+
+func TestAPathIsLostWhenNoTargetOfSeveralServicesAnswersOrAcceptsConnections(t *testing.T) {
+	tracker := cpreach.New()
+	for n := range 4 {
+		tracker.Sent(start, target(n), typical)
+	}
+	state, _ := tracker.Suspect(start.Add(cpreach.DefaultMinOverdue-1), 9, 3)
+	assert.Equal(t, state, cpreach.Reached)
+	state, silent := tracker.Suspect(start.Add(cpreach.DefaultMinOverdue), 9, 3)
+	assert.Equal(t, state, cpreach.Suspected)
+	assert.Equal(t, silent, 4)
+	lost := tracker.LostSignal()
+	select {
+	case <-lost:
+		t.Fatal("a suspicion is not a loss")
+	default:
+	}
+	tracker.Probed(start.Add(time.Second), false)
+	assert.Equal(t, tracker.State(), cpreach.Lost)
+	<-lost
+	tracker.Probed(start.Add(2*time.Second), false)
+	tracker.Probed(start.Add(3*time.Second), true)
+	assert.Equal(t, tracker.State(), cpreach.Reached)
+	select {
+	case <-tracker.LostSignal():
+		t.Fatal("the path is back")
+	default:
+	}
+}
+
+func TestTargetsThatHangButAcceptConnectionsAreNoLostPath(t *testing.T) {
+	tracker := cpreach.New()
+	for n := range 4 {
+		tracker.Sent(start, target(n), typical)
+	}
+	now := start.Add(time.Second)
+	state, _ := tracker.Suspect(now, 9, 3)
+	assert.Equal(t, state, cpreach.Suspected)
+	tracker.Probed(now, true)
+	state, _ = tracker.Suspect(now.Add(cpreach.DefaultMinOverdue-1), 9, 3)
+	assert.Equal(t, state, cpreach.Reached, "the calls get as long again")
+}
+
+func TestAVMWhoseOpenConnectionsWorkWhileNewOnesAreRefusedReachesTargets(t *testing.T) {
+	tracker := cpreach.New()
+	now := start
+	for range 20 {
+		for n := range 4 {
+			tracker.Done(now, tracker.Sent(now, target(n), typical), clementineport.FaultRefused)
+		}
+		answered := tracker.Sent(now, target(8), typical)
+		now = now.Add(cpreach.DefaultMinOverdue - time.Millisecond)
+		state, _ := tracker.Suspect(now, 9, 3)
+		assert.Equal(t, state, cpreach.Reached)
+		tracker.Done(now, answered, clementineport.FaultUnknown)
+		now = now.Add(time.Second)
+	}
+}
+
+func TestTheTargetsOfOneServiceThatRefuseConnectionsAreNoLostPath(t *testing.T) {
+	tracker := cpreach.New()
+	for _, n := range []int{0, 3, 6} {
+		tracker.Done(start, tracker.Sent(start, target(n), typical), clementineport.FaultRefused)
+	}
+	state, _ := tracker.Suspect(start, 9, 3)
+	assert.Equal(t, state, cpreach.Reached)
+	tracker.Done(start, tracker.Sent(start, target(1), typical), clementineport.FaultReset)
+	state, _ = tracker.Suspect(start, 9, 3)
+	assert.Equal(t, state, cpreach.Reached, "calls that were sent at the same time may still be answered")
+	state, _ = tracker.Suspect(start.Add(cpreach.DefaultMinOverdue), 9, 3)
+	assert.Equal(t, state, cpreach.Suspected, "refusals and resets of several services")
+}
+
+func TestAFleetWithFewTargetsCanLoseItsPath(t *testing.T) {
+	tracker := cpreach.New()
+	tracker.Done(start, tracker.Sent(start, target(0), typical), clementineport.FaultRefused)
+	state, _ := tracker.Suspect(start.Add(cpreach.DefaultMinOverdue), 1, 1)
+	assert.Equal(t, state, cpreach.Suspected)
+}
+
+func TestASlowServiceGetsMoreTime(t *testing.T) {
+	tracker := cpreach.New()
+	for n := range 4 {
+		tracker.Sent(start, target(n), time.Second)
+	}
+	state, _ := tracker.Suspect(start.Add(2900*time.Millisecond), 9, 3)
+	assert.Equal(t, state, cpreach.Reached)
+	state, _ = tracker.Suspect(start.Add(3*time.Second), 9, 3)
+	assert.Equal(t, state, cpreach.Suspected)
+}
+
+// TestAnyAnswerEndsASuspicion makes random calls and checks that a tracker suspects nothing while answers come.
+func TestAnyAnswerEndsASuspicion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := cpreach.New(), start
+		var open []*cpreach.Call
+		answered := start
+		faults := []clementineport.Fault{
+			clementineport.FaultUnknown, clementineport.FaultShed, clementineport.FaultTimeout, clementineport.FaultCanceled,
+			clementineport.FaultRefused, clementineport.FaultReset,
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "ms")) * time.Millisecond)
+			if len(open) == 0 || rapid.Bool().Draw(t, "send") {
+				open = append(open, tracker.Sent(now, target(rapid.IntRange(0, 8).Draw(t, "target")), typical))
+				continue
+			}
+			fault := rapid.SampledFrom(faults).Draw(t, "fault")
+			tracker.Done(now, open[0], fault)
+			open = open[1:]
+			if fault == clementineport.FaultUnknown || fault == clementineport.FaultShed {
+				answered = now
+				assert.Equal(t, tracker.State(), cpreach.Reached)
+				state, silent := tracker.Suspect(now, 9, 3)
+				assert.Equal(t, state, cpreach.Reached)
+				assert.Equal(t, silent, 0, "answered at %v", answered)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/cpreach/options.go
@@ -0,0 +1,36 @@
+package cpreach
+
+import "time"
+
+// Parameters of the suspicion.
+const (
+	// DefaultMinOverdue is about as long as a target may pause.
+	DefaultMinOverdue = 200 * time.Millisecond
+	// overdueFactor is the multiple of the typical latency after which an unanswered call counts against the path.
+	overdueFactor = 3
+	// minSilentTargets and minSilentServices are how many targets and services must be silent. Fewer may have crashed
+	// together.
+	minSilentTargets  = 3
+	minSilentServices = 2
+)
+
+// Options are the settings of a Tracker.
+type Options struct {
+	// MinOverdue is the shortest time without an answer that counts against the path.
+	MinOverdue time.Duration
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{MinOverdue: DefaultMinOverdue}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithMinOverdue sets the shortest time without an answer that counts against the path.
+func WithMinOverdue(d time.Duration) Option { return func(o *Options) { o.MinOverdue = d } }
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -79,6 +79,9 @@
 // Open returns the number of open connections and the total number opened so far.
 func (c *Client) Open() (open int, opened uint64) { return c.pool.Size() }
 
+// Connect implements clementineport.OpaqueTarget.
+func (c *Client) Connect(ctx context.Context) error { return c.pool.Connect(ctx) }
+
 // Refuses implements clementineport.OpaqueTarget.
 func (c *Client) Refuses(ctx context.Context) bool { return c.pool.Refuses(ctx) }
 
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -86,12 +86,33 @@
 		p.idle = p.idle[:n-1]
 		return c, nil
 	}
+	return nil, p.reserveNew()
+}
+
+// reserveNew reserves a new connection. The caller holds p.mu.
+func (p *Pool) reserveNew() error {
 	if p.open >= p.limit || p.closed {
-		return nil, clementineport.Fail(clementineport.FaultUnsent, "all %d connections to %s are in use", p.limit, p.options.Address)
+		return clementineport.Fail(clementineport.FaultUnsent, "all %d connections to %s are in use", p.limit, p.options.Address)
 	}
 	p.open++
 	p.opened++
-	return nil, nil
+	return nil
+}
+
+// Connect opens a new connection, even if there is an idle one, and keeps it for the next request.
+func (p *Pool) Connect(ctx context.Context) error {
+	p.mu.Lock()
+	err := p.reserveNew()
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.Put(c, p.options.IdleTimeout)
+	return nil
 }
 
 // dial opens a connection that was reserved.
