--- a/cpforward/limit_test.go
+++ b/cpforward/limit_test.go
@@ -97,8 +97,8 @@
 
 func TestARequestThatLimitsDoNotAllowByItsDeadlineIsRefusedAtOnce(t *testing.T) {
 	f := newFleet("a")
-	f.view.VMs = 295
-	f.limit("a", 0.0001) // one request in about 43 days for each VM, so that none is due by the deadline
+	f.view.VMs = 1_000_000 // each gets one request in about 58 days, so that none is due by the deadline
+	f.limit("a", 0.25)
 	fw := f.forwarder()
 	fw.Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0)) // the shares of the limits begin
 	before, began := f.calls(), time.Now()
