--- a/cpplatformvm/command.go
+++ b/cpplatformvm/command.go
@@ -22,24 +22,25 @@
 func NewCommand(stdout, stderr io.Writer) *ffcli.Command {
 	fs := cpsubcommand.NewFlagSet("clementineport platform", stderr)
 	metricsPort := fs.Int("metrics-port", 0, "port of the metrics at the VM's address; 0 serves none")
+	fleet := fs.String("fleet", "", "name of the fleet, by which VMs of different fleets ignore each other; empty: the address of the store")
 	return &ffcli.Command{
 		Name:       "platform",
-		ShortUsage: "clementineport platform [--metrics-port N]",
+		ShortUsage: "clementineport platform [--metrics-port N] [--fleet NAME]",
 		ShortHelp:  "Run the process of one entry VM on the users' platform.",
 		LongHelp: "Reads the settings file that " + cpconf.PathVariable + " names, and writes its log to standard output.\n" +
 			"SIGTERM begins a graceful shutdown; SIGHUP reads the settings again.",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 || *metricsPort < 0 || *metricsPort > 65535 {
-				return cpsubcommand.Usagef("usage: clementineport platform [--metrics-port N]")
+				return cpsubcommand.Usagef("usage: clementineport platform [--metrics-port N] [--fleet NAME]")
 			}
-			return run(context.WithoutCancel(ctx), *metricsPort, stdout)
+			return run(context.WithoutCancel(ctx), &Config{Fleet: *fleet}, *metricsPort, stdout)
 		},
 	}
 }
 
 // run loads the settings and runs the process until it has shut down.
-func run(ctx context.Context, metricsPort int, stdout io.Writer) error {
+func run(ctx context.Context, cfg *Config, metricsPort int, stdout io.Writer) error {
 	signals := make(chan os.Signal, signalBacklog)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -49,7 +50,7 @@
 	}
 	log := cplog.New(stdout)
 	defer log.Close()
-	cfg := Config{Settings: settings, Log: log}
+	cfg.Settings, cfg.Log = settings, log
 	if metricsPort > 0 {
 		cfg.MetricsPort = strconv.Itoa(metricsPort)
 	}
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -53,6 +53,8 @@
 	registrar  clementineport.Registrar
 	front      *cpfront.Front
 	drain      *drainer
+	// fleet is the name of the fleet.
+	fleet string
 	// metricsAddress is the address of the metrics listener; if empty, there is none.
 	metricsAddress string
 }
@@ -63,15 +65,20 @@
 	Log      *cplog.Log
 	// MetricsPort is the port of the metrics listener on the host of the caller address; if empty, there is none.
 	MetricsPort string
+	// Fleet is the name of the fleet. VMs of different fleets ignore each other. If empty, it is the address of the store.
+	Fleet string
 }
 
 // New returns a process that Run starts.
-func New(cfg Config) (*Process, error) {
+func New(cfg *Config) (*Process, error) {
 	host, _, err := net.SplitHostPort(cfg.Settings.Caller)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &Process{log: cfg.Log, clock: clockwork.NewRealClock()}
+	p := &Process{log: cfg.Log, clock: clockwork.NewRealClock(), fleet: cfg.Fleet}
+	if p.fleet == "" {
+		p.fleet = "fleet at " + cfg.Settings.Store.Address
+	}
 	if cfg.MetricsPort != "" {
 		p.metricsAddress = net.JoinHostPort(host, cfg.MetricsPort)
 	}
@@ -200,7 +207,7 @@
 func (p *Process) peerOptions() []cpconnect.Option {
 	return []cpconnect.Option{
 		cpconnect.WithSelf(p.self.ID),
-		cpconnect.WithToken(cptoken.New("fleet at " + p.settings.Load().Store.Address)),
+		cpconnect.WithToken(cptoken.New(p.fleet)),
 		cpconnect.WithCodec(cpfleetwatch.EncodeConfig, cpfleetwatch.DecodeConfig),
 		cpconnect.WithStoreEra(p.watcher.StoreEra),
 	}
