Send callers to no VM that reaches no target

Callers of VMs that were cut off from all targets went on being sent there by the directories of all VMs: each VM counted as serving as long as others reached it. A VM now states that it reaches no target, and that it does again, as one more kind of the news that VMs tell each other with its age; directories leave such VMs out, unless that is so for all. A VM that hears an out-of-date statement of its own repeats the present one.

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -52,6 +52,8 @@
 	Leaving int
 	// Suspects holds the requests during which targets have crashed.
 	Suspects map[clementineport.RequestKey]cpcrash.Suspect
+	// Lost holds the VMs that state that they reach no target.
+	Lost map[clementineport.VMID]bool
 	// Listed is true while the store lists this VM.
 	Listed bool
 }
@@ -110,13 +112,21 @@
 	return all
 }
 
-// ServingVMs returns the VMs that accept callers: those that are alive, not leaving and have a caller address.
+// ServingVMs returns the VMs that accept callers: those that are alive, not leaving and have a caller address. It leaves out
+// VMs that reach no target, unless that is so for all.
 func (v *View) ServingVMs() []clementineport.Member {
-	var serving []clementineport.Member
+	var serving, lost []clementineport.Member
 	for _, m := range v.Members {
-		if m.State == clementineport.MemberAlive && !m.Leaving && m.Caller != "" {
+		switch {
+		case m.State != clementineport.MemberAlive || m.Leaving || m.Caller == "":
+		case v.Lost[m.ID]:
+			lost = append(lost, m)
+		default:
 			serving = append(serving, m)
 		}
 	}
+	if len(serving) == 0 {
+		return lost
+	}
 	return serving
 }
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -23,6 +23,7 @@
 	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cppeerconns"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
 )
 
@@ -48,6 +49,7 @@
 	// The fields below are owned by the loop.
 	catalog          *cpcatalog.Catalog
 	crashes          *cpcrash.Tracker
+	reach            *cpreach.Statements
 	history          *cpchangelog.History
 	membership       *cpmembership.Membership
 	peers            *cppeerconns.Peers
@@ -79,6 +81,7 @@
 		peers:      cppeerconns.New(options.Dial),
 		history:    cpchangelog.New(),
 		crashes:    cpcrash.New(),
+		reach:      cpreach.NewStatements(),
 		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
 		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -52,6 +52,9 @@
 	for i := range news.Requests {
 		changed = w.applyReport(now, &news.Requests[i], source) || changed
 	}
+	for i := range news.Reach {
+		changed = w.applyReach(now, &news.Reach[i], source) || changed
+	}
 	if changed {
 		w.dirty = true
 		w.notifyWaiters()
@@ -107,6 +110,7 @@
 	news.Leaving = news.Leaving[:min(len(news.Leaving), maxNews)]
 	news.Limits = news.Limits[:min(len(news.Limits), maxNews)]
 	news.Requests = news.Requests[:min(len(news.Requests), maxNews)]
+	news.Reach = news.Reach[:min(len(news.Reach), maxReachNews)]
 	return news
 }
 
@@ -114,5 +118,6 @@
 func (w *Watcher) newsSince(now, after time.Time) clementineport.TargetNews {
 	return clementineport.TargetNews{
 		Leaving: w.catalog.LeavingSince(after), Limits: w.catalog.LimitsSince(now, after), Requests: w.crashes.Since(now, after),
+		Reach: w.reach.Since(now, after),
 	}
 }
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -41,6 +41,8 @@
 	// each kind of news in one of these messages.
 	newsTime = 10 * time.Second
 	maxNews  = 64
+	// maxReachNews is higher since many VMs may lose their path at the same moment, and each needs a few bytes.
+	maxReachNews = 256
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -80,7 +80,7 @@
 	w.updateLost(now, silent)
 }
 
-// updateLost logs when this VM has lost its network path to the targets, and when it has it again.
+// updateLost tells the other VMs when this VM has lost its network path to the targets, and when it has it again.
 func (w *Watcher) updateLost(now time.Time, silent int) {
 	lost := w.options.Reach.State() == cpreach.Lost
 	switch {
@@ -90,5 +90,41 @@
 	case !lost && !w.lostAt.IsZero():
 		w.options.Log.Info(string(cplogevent.TargetsRegained), zap.Duration("Lost", now.Sub(w.lostAt)))
 		w.lostAt = time.Time{}
+	default:
+		return
+	}
+	w.stateReach(now)
+}
+
+// stateReach states whether this VM reaches targets.
+func (w *Watcher) stateReach(now time.Time) {
+	statement := clementineport.VMReach{VM: w.options.Self.ID, Lost: !w.lostAt.IsZero()}
+	if w.reach.Set(now, &statement) {
+		w.dirty = true
+		w.notifyWaiters()
+		w.membership.Announce()
+	}
+}
+
+// applyReach records what a VM has stated about its path to targets, and reports whether that was not known. A statement of
+// this VM itself that is out of date, such as one from before a restart, is answered with the present one.
+func (w *Watcher) applyReach(now time.Time, r *clementineport.VMReach, source string) bool {
+	if !w.reach.Set(now, r) {
+		return false
+	}
+	if r.VM == w.options.Self.ID {
+		w.stateReach(now.Add(time.Nanosecond))
+		return false
+	}
+	w.options.Log.Info(string(cplogevent.ReachChanged), zap.String("VM", string(r.VM)), zap.Bool("Lost", r.Lost), zap.String("Source", source))
+	return true
+}
+
+// forgetReach drops the statements of VMs that have ended.
+func (w *Watcher) forgetReach() {
+	dead := map[clementineport.VMID]bool{}
+	for _, m := range w.membership.Members() {
+		dead[m.ID] = m.State == clementineport.MemberDead
 	}
+	w.reach.Forget(func(vm clementineport.VMID) bool { return dead[vm] })
 }
--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpfleetwatch"
 	"github.com/clementineport/clementineport/cplogevent"
+	"github.com/clementineport/clementineport/cppeer"
 	"github.com/clementineport/clementineport/cpreach"
 )
 
@@ -19,6 +21,7 @@
 type reachableVM struct {
 	*cpfleetwatch.Watcher
 	reach   *cpreach.Tracker
+	source  *fakeSource
 	clients []*fakeTarget
 	logs    *observer.ObservedLogs
 }
@@ -32,6 +35,7 @@
 		target.Service = clementineport.ServiceID(fmt.Sprintf("s-%d", n%2))
 		source.targets = append(source.targets, target)
 	}
+	v.source = source
 	core, logs := observer.New(zap.InfoLevel)
 	v.logs = logs
 	v.Watcher = startWatcher(t, id, append([]cpfleetwatch.Option{
@@ -88,3 +92,66 @@
 	})
 	assert.Equal(t, v.logged(cplogevent.TargetsLost), 0)
 }
+
+// TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore guards against directories that send callers to a VM that can't serve.
+func TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore(t *testing.T) {
+	peers := map[clementineport.VMID]*cpfleetwatch.Watcher{}
+	var mu sync.Mutex
+	dial := cpfleetwatch.WithDial(func(vm clementineport.VM) clementineport.Peer {
+		mu.Lock()
+		defer mu.Unlock()
+		if w := peers[vm.ID]; w != nil {
+			return cppeer.New(cppeer.WithHandler(w))
+		}
+		return unreachablePeer{}
+	})
+	ids := []clementineport.VMID{"a", "b", "c"}
+	var vms []clementineport.VM
+	for _, id := range ids {
+		vms = append(vms, clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)})
+	}
+	all := map[clementineport.VMID]*reachableVM{}
+	for _, id := range ids {
+		all[id] = startReachableVM(t, id, dial, cpfleetwatch.WithSeeds(vms...))
+		mu.Lock()
+		peers[id] = all[id].Watcher
+		mu.Unlock()
+	}
+	serving := func(n int) func() bool {
+		return func() bool {
+			for _, v := range all {
+				if len(v.View().ServingVMs()) != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	for _, v := range all {
+		v.source.set(func(s *fakeSource) { s.vms = vms })
+	}
+	await(t, "all VMs know each other", serving(3))
+	for _, v := range all {
+		v.source.set(func(s *fakeSource) { s.unavailable = true })
+	}
+	all["b"].cut(true)
+	all["b"].failCalls()
+	await(t, "all know that b reaches no target", serving(2))
+	assert.Assert(t, all["c"].View().Lost["b"])
+	for _, id := range []clementineport.VMID{"a", "c"} {
+		all[id].cut(true)
+		all[id].failCalls()
+	}
+	await(t, "with no VM left that reaches targets, all are named", serving(3))
+	for _, v := range all {
+		v.cut(false)
+	}
+	await(t, "all know the end", func() bool {
+		for _, v := range all {
+			if len(v.View().Lost) != 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -18,6 +18,7 @@
 	w.dirty = false
 	w.publishedVersion = w.membership.Version()
 	w.vmCount = w.vms.Observe(now, w.activeVMs())
+	w.forgetReach()
 	view := &cpfleetstate.View{
 		Services: map[clementineport.ServiceID][]cpfleetstate.Target{},
 		Members:  w.membership.Members(),
@@ -26,6 +27,7 @@
 
 		Registered: len(w.catalog.VMs()),
 		Suspects:   w.crashes.Suspects(),
+		Lost:       w.reach.Lost(),
 	}
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -40,6 +40,7 @@
 	TargetResponsive   Name = "TargetAnswers"
 	TargetsLost        Name = "TargetsLost"
 	TargetsRegained    Name = "TargetsRegained"
+	ReachChanged       Name = "ReachChanged"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -107,6 +108,7 @@
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
 	{TargetsLost, []string{"Silent", "Targets"}, "this VM reaches no target: Silent targets have not answered, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
+	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
--- a/cppeer/cpconnect/convert.go
+++ b/cppeer/cpconnect/convert.go
@@ -109,11 +109,38 @@
 	}
 }
 
-// newsFromWire decodes news about targets.
-func newsFromWire(leaving []*cpwire.TargetRun, limits []*cpwire.TargetLimit, requests []*cpwire.RequestReport) clementineport.TargetNews {
+// newsMessage is a message with news, in an exchange or its answer.
+type newsMessage interface {
+	GetLeaving() []*cpwire.TargetRun
+	GetLimits() []*cpwire.TargetLimit
+	GetRequests() []*cpwire.RequestReport
+	GetReach() []*cpwire.VMReach
+}
+
+// newsFromWire decodes the news of a message.
+func newsFromWire(m newsMessage) clementineport.TargetNews {
 	return clementineport.TargetNews{
-		Leaving: runsFromWire(leaving), Limits: limitsFromWire(limits), Requests: reportsFromWire(requests),
+		Leaving: runsFromWire(m.GetLeaving()), Limits: limitsFromWire(m.GetLimits()),
+		Requests: reportsFromWire(m.GetRequests()), Reach: reachFromWire(m.GetReach()),
+	}
+}
+
+func reachToWire(reach []clementineport.VMReach) []*cpwire.VMReach {
+	out := make([]*cpwire.VMReach, len(reach))
+	for i, r := range reach {
+		out[i] = &cpwire.VMReach{VM: string(r.VM), Lost: r.Lost, AgeNanos: int64(r.Age)}
 	}
+	return out
+}
+
+func reachFromWire(reach []*cpwire.VMReach) []clementineport.VMReach {
+	var out []clementineport.VMReach
+	for _, r := range reach {
+		out = append(out, clementineport.VMReach{
+			VM: clementineport.VMID(r.GetVM()), Lost: r.GetLost(), Age: time.Duration(r.GetAgeNanos()),
+		})
+	}
+	return out
 }
 
 func reportsToWire(reports []clementineport.RequestReport) []*cpwire.RequestReport {
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -140,6 +140,7 @@
 		Leaving:    runsToWire(d.Leaving),
 		Limits:     limitsToWire(d.Limits),
 		Requests:   reportsToWire(d.Requests),
+		Reach:      reachToWire(d.Reach),
 	}
 }
 
@@ -159,7 +160,7 @@
 		Revision:   clementineport.Revision(m.GetRevision()),
 		Staleness:  time.Duration(m.GetFreshNanos()),
 		Members:    membersFromWire(m.GetMembers()),
-		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits(), m.GetRequests()),
+		TargetNews: newsFromWire(m),
 	}, nil
 }
 
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -95,7 +95,7 @@
 		Revision:   clementineport.Revision(m.GetRevision()),
 		Staleness:  time.Duration(m.GetFreshNanos()),
 		Members:    membersFromWire(m.GetMembers()),
-		TargetNews: newsFromWire(m.GetLeaving(), m.GetLimits(), m.GetRequests()),
+		TargetNews: newsFromWire(m),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
@@ -108,6 +108,7 @@
 		Leaving:    runsToWire(reply.Leaving),
 		Limits:     limitsToWire(reply.Limits),
 		Requests:   reportsToWire(reply.Requests),
+		Reach:      reachToWire(reply.Reach),
 	}), nil
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -56,8 +56,17 @@
 	Age time.Duration
 }
 
-// TargetNews is what VMs tell each other about targets, besides the contents of the store. It holds for any position of
-// the store.
+// VMReach is what a VM has stated about its network path to targets.
+type VMReach struct {
+	VM VMID
+	// Lost is true while the VM reaches no target.
+	Lost bool
+	// Age is the time since the VM stated it.
+	Age time.Duration
+}
+
+// TargetNews is what VMs tell each other about targets and their paths to them, besides the contents of the store. It holds
+// for any position of the store.
 type TargetNews struct {
 	// Leaving lists runs of targets that have stated that they are shutting down.
 	Leaving []TargetRun `json:",omitempty"`
@@ -65,10 +74,12 @@
 	Limits []TargetLimit `json:",omitempty"`
 	// Requests lists reports about requests during which targets have crashed.
 	Requests []RequestReport `json:",omitempty"`
+	// Reach lists what VMs have stated about their network path to targets.
+	Reach []VMReach `json:",omitempty"`
 }
 
 // Any reports whether there is any news.
-func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits)+len(n.Requests) > 0 }
+func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits)+len(n.Requests)+len(n.Reach) > 0 }
 
 // TargetNotice is what a target has asked of a VM in its responses.
 type TargetNotice struct {
