Have other VMs run the requests of a VM that reaches no target

Such a VM now sends each request to another one that reaches targets, the less used of two out of eight, and returns its result unchanged (cpreroute). What bounds a request holds there: the other VM admits, plans, limits and budgets it as one of its own callers', refuses it while it drains, has older routes or reaches no target either, and never sends it on. A request under way when the path is lost is given away too if it is idempotent or has reached no target; attempts that may have run count against its bound of targets and are charged to the budget, and no failure after one of them is called not run. Callers that have seen the effect of a version of the routes don't get an earlier one: a VM remembers the highest version by which others have handled its requests.

Ruled out: closing the open connections of callers (it fails what they send). With the directories alone, callers with an old list still fail.

--- a/cpentry/peer.go
+++ b/cpentry/peer.go
@@ -32,3 +32,8 @@
 	e.metrics.observe(q.Service, e.opts.Clock.Now().Sub(began), answer, err)
 	return answer, err
 }
+
+// Reroute always fails: this VM runs queries, and no opaque requests.
+func (e *Entry) Reroute(context.Context, *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM forwards no requests")
+}
--- a/cpfanout/cpfanout.go
+++ b/cpfanout/cpfanout.go
@@ -191,6 +191,9 @@
 	return wake
 }
 
+// Sufficient reports whether the responses so far are enough for a success.
+func (f *Fanout) Sufficient() bool { return f.covered >= f.plan.MinShards }
+
 // Ended reports whether the request has ended.
 func (f *Fanout) Ended() bool { return f.ended }
 
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -64,6 +64,11 @@
 	return clementineport.Fail(clementineport.FaultNotOwner, "this VM relays nothing")
 }
 
+// Reroute implements cppeer.Handler. It always fails: a watcher forwards no requests.
+func (w *Watcher) Reroute(context.Context, *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM forwards no requests")
+}
+
 // Forward implements cppeer.Handler. It always fails: a watcher runs no queries.
 func (w *Watcher) Forward(context.Context, *clementineport.Query) (*clementineport.Answer, error) {
 	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM runs no queries")
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -74,12 +74,13 @@
 		run.trial, refusal = f.refuseBlocked(now, view, route, run.key)
 	}
 	if refusal != nil {
-		return &Result{Err: refusal}
+		return failed(refusal)
 	}
 	answer := f.execute(ctx, view, run)
 	if run.trial {
 		f.endTrial(run.key, answer)
 	}
+	run.markUnreached(answer)
 	return answer
 }
 
@@ -92,7 +93,7 @@
 	stats := f.stats(route.Name, r.MaxWait)
 	return &run{
 		f: f, route: route, request: r, key: r.Key(), shards: shards, stats: stats, typicalLatency: stats.latency.Typical(),
-		results: make(chan callResult, len(shards)*2),
+		results: make(chan callResult, len(shards)*2), attempts: newAttempts(len(shards)),
 	}
 }
 
@@ -100,13 +101,16 @@
 func (f *Forwarder) execute(ctx context.Context, view *cpfleetstate.View, run *run) *Result {
 	done, refusal := f.admit(ctx, run, run.shards)
 	if refusal != nil {
-		return &Result{Err: refusal}
+		return failed(refusal)
 	}
-	for _, s := range run.shards {
-		f.budgets.Earn(run.now(), s, view.Senders())
+	if run.request.EarlierAttempts == 0 { // else the request has been counted by another VM
+		for _, s := range run.shards {
+			f.budgets.Earn(run.now(), s, view.Senders())
+		}
 	}
 	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), run.request.Deadline)
 	plan := f.options.Planner.Plan(run.route, run.shards, run.request, run.stats.snapshot())
+	plan.MaxAttempts = max(1, plan.MaxAttempts-run.request.EarlierAttempts)
 	run.fan = cpfanout.New(plan, run, f.options.Fanout...)
 	answer := run.run(ctx)
 	done(&clementineport.Answer{Stats: clementineport.GatherStats{Queued: answer.Stats.Queued}})
@@ -166,6 +170,10 @@
 	cancel context.CancelFunc
 	// running counts the calls whose result has not been received.
 	running int
+	// attempts counts the calls that may have reached a target.
+	attempts *attempts
+	// unreached is true once this VM has lost its path to the targets during the request.
+	unreached bool
 }
 
 // callResult is the result of one call.
@@ -179,7 +187,8 @@
 	timer := time.NewTimer(time.Until(r.request.Deadline))
 	defer timer.Stop()
 	r.send(r.fan.Start(r.now()))
-	for !r.fan.Ended() {
+	lost := r.f.options.Reach.LostSignal()
+	for !r.fan.Ended() && !r.mustLeave() {
 		timer.Reset(max(0, r.fan.Wake().Sub(r.now())))
 		select {
 		case <-ctx.Done():
@@ -191,17 +200,22 @@
 			r.send(r.fan.Done(r.now(), &result.Result))
 		case <-timer.C:
 			r.send(r.fan.Tick(r.now()))
+		case <-lost:
+			lost, r.unreached = nil, true
 		}
 	}
+	if !r.fan.Ended() {
+		return r.leave()
+	}
 	r.cancelCallsAfter(r.f.options.UnneededCallTimeout)
 	return r.answer()
 }
 
 // callerGone returns the result for a caller that has disconnected.
 func (r *run) callerGone(ctx context.Context) *Result {
-	return &Result{Err: &clementineport.Error{
+	return failed(&clementineport.Error{
 		Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx),
-	}}
+	})
 }
 
 // cancelCallsAfter cancels the remaining calls after a delay. Calls that complete within it keep their connections
@@ -251,6 +265,7 @@
 func (r *run) send(sends []cpfanout.Send) {
 	for _, s := range sends {
 		r.running++
+		r.attempts.running.Add(1)
 		sent := r.now()
 		s.Target.Sent(sent)
 		go r.call(s, sent)
@@ -272,6 +287,7 @@
 		}
 		r.f.options.Reach.Done(r.now(), tracked, result.Fault)
 	}
+	r.attempts.ended(s.Shard, client != nil && clementineport.VerdictOf(result.err) != clementineport.NotRun)
 	r.observe(s, sent, &result)
 	r.observeCrash(s, &result)
 	select {
--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -80,6 +80,9 @@
 
 // mayCall reports whether a call for the request may be sent. A trial is one call.
 func (r *run) mayCall(purpose cpfanout.Purpose) bool {
+	if r.unreached {
+		return false
+	}
 	if r.trial {
 		return purpose == cpfanout.First || purpose == cpfanout.Late
 	}
--- a/cpforward/gather.go
+++ b/cpforward/gather.go
@@ -6,8 +6,8 @@
 )
 
 // gather merges the responses of several shards into one answer.
-func gather(parts []*clementineport.OpaqueResponse, missing, top int) *Gathered {
-	g := &Gathered{Missing: missing, Signatures: make([]string, len(parts))}
+func gather(parts []*clementineport.OpaqueResponse, missing, top int) *clementineport.GatheredResponse {
+	g := &clementineport.GatheredResponse{Missing: missing, Signatures: make([]string, len(parts))}
 	bodies := make([][]byte, len(parts))
 	for i, p := range parts {
 		g.Signatures[i] = p.Signature
--- a/cpforward/result.go
+++ b/cpforward/result.go
@@ -5,19 +5,19 @@
 	"github.com/clementineport/clementineport/cpfanout"
 )
 
-// Gathered is an answer merged from the responses of several shards.
-type Gathered struct {
-	Signatures []string
-	Missing    int
-	Body       []byte
-}
-
-// Result is the result of a forwarded request. Exactly one of Part, Gathered and Err is set.
+// Result is the result of a forwarded request.
 type Result struct {
-	// Part is the unchanged response of one target.
-	Part     *clementineport.OpaqueResponse
-	Gathered *Gathered
-	// Err is the error of a failed request; its verdict states whether the request may have run.
-	Err   *clementineport.Error
+	clementineport.OpaqueResult
 	Stats cpfanout.Stats
+	// Unreached is true if the request failed because this VM has lost its path to the targets, and may be run by another
+	// VM. Attempts is the number of targets of a shard that may have got it.
+	Unreached bool
+	Attempts  int
+	// Via is the VM that ran the request for this one, or empty.
+	Via clementineport.VMID
+}
+
+// failed returns the result of a failed request.
+func failed(err *clementineport.Error) *Result {
+	return &Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
 }
--- /dev/null
+++ b/cpforward/unreached.go
@@ -0,0 +1,100 @@
+package cpforward
+
+import (
+	"sync"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+// attempts counts the calls of each shard of a request that may have reached a target.
+type attempts struct {
+	// running counts the calls that have not ended.
+	running sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []int
+}
+
+func newAttempts(shards int) *attempts { return &attempts{calls: make([]int, shards)} }
+
+// ended records the end of a call to a shard.
+func (a *attempts) ended(shard int, mayHaveRun bool) {
+	if mayHaveRun {
+		a.mu.Lock()
+		a.calls[shard]++
+		a.mu.Unlock()
+	}
+	a.running.Done()
+}
+
+// most returns the highest number of calls of a shard that may have reached a target.
+func (a *attempts) most() (n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, calls := range a.calls {
+		n = max(n, calls)
+	}
+	return n
+}
+
+// called returns the shards that a call may have reached.
+func (a *attempts) called(shards []clementineport.ServiceID) (called []clementineport.ServiceID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, calls := range a.calls {
+		if calls > 0 {
+			called = append(called, shards[i])
+		}
+	}
+	return called
+}
+
+// mustLeave reports whether the request should be run by another VM, since this one has lost its path to the targets. A request
+// that is not idempotent stays while a call for it may have run.
+func (r *run) mustLeave() bool {
+	return r.unreached && !r.fan.Sufficient() && (r.route.Idempotent || r.running == 0)
+}
+
+// leave ends the calls of a request that this VM can't complete.
+func (r *run) leave() *Result {
+	r.cancel()
+	r.attempts.running.Wait() // canceled calls end at once
+	fault := clementineport.FaultUnreached
+	if r.attempts.most() > 0 {
+		fault = r.unansweredFault()
+	}
+	return failed(clementineport.Fail(fault, "this VM reaches no target"))
+}
+
+// unansweredFault returns the fault of a request that may have run and has no answer.
+func (r *run) unansweredFault() clementineport.Fault {
+	if r.route.Gathers() {
+		return clementineport.FaultCoverage
+	}
+	return clementineport.FaultTimeout
+}
+
+// markUnreached marks the result of a request that failed while this VM reached no target and may be run by another one. Calls
+// that may have reached targets are charged to the budget as retries are, since the other VM repeats them.
+func (r *run) markUnreached(answer *Result) {
+	if answer.Err == nil || answer.Err.Fault == clementineport.FaultCanceled || r.f.options.Reach.State() != cpreach.Lost {
+		return
+	}
+	answer.Attempts = r.attempts.most()
+	if answer.Attempts > 0 && (!r.route.Idempotent || answer.Attempts >= r.route.MaxAttempts) {
+		return
+	}
+	answer.Unreached = answer.Attempts == 0 || r.f.SpendRetry(r.attempts.called(r.shards))
+}
+
+// SpendRetry takes one extra call to each of the services from the budget, and reports whether it allowed all of them.
+func (f *Forwarder) SpendRetry(services []clementineport.ServiceID) bool {
+	const value = 1
+	for _, s := range services {
+		if !f.budgets.Spend(f.options.Clock.Now(), s, value) {
+			return false
+		}
+	}
+	return true
+}
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -46,6 +46,8 @@
 	RequestIncomplete  Name = "RequestIncomplete"
 	RequestRefused     Name = "RequestRefused"
 	RequestFailed      Name = "RequestFailed"
+	RerouteRun         Name = "RerouteRun"
+	RerouteFailed      Name = "RerouteFailed"
 	CallFailed         Name = "CallFailed"
 	LinesOmitted       Name = "LinesOmitted"
 )
@@ -71,7 +73,7 @@
 // requestFields are the fields of the events that report the end of a request.
 var requestFields = []string{
 	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
-	"Refused", "Target", "LeftOut", "Verdict", "Reason", "WriteError",
+	"Refused", "Target", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
 var kinds = []Kind{
@@ -114,6 +116,8 @@
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
 	{RequestRefused, requestFields, "a request was refused and has not run"},
 	{RequestFailed, requestFields, "a request got no success, or its answer did not reach the caller"},
+	{RerouteRun, []string{FieldID, FieldVM, "Version", "Elapsed", "Shards", "Covered", "Sends", "Verdict", "Reason"}, "this VM has run a request for another VM, which reaches no target; Verdict and Reason if it failed"},
+	{RerouteFailed, []string{FieldID, FieldVM, "Fault", "Elapsed", "Reason"}, "another VM did not answer a request that this VM had sent to it, since this VM reaches no target"},
 	{CallFailed, []string{FieldID, "Contents", "Target", "Fault", "Elapsed", "Reason"}, "a call to a target for a request failed; Contents is the same for requests with the same method, host, path, query and body"},
 	{LinesOmitted, []string{"TooManyOfAKind", "WriterFull"}, "lines were left out since the last such line"},
 }
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineport/clementineport"
@@ -34,6 +35,7 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
+		Clock:                          clockwork.NewRealClock(),
 		MaxMessageSize:                 defaultMaxMessageSize,
 		Dial:                           (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
 		HeartbeatInterval:              defaultHeartbeatInterval,
--- a/cppeer/cpconnect/errors.go
+++ b/cppeer/cpconnect/errors.go
@@ -40,6 +40,9 @@
 	if !sent {
 		return unsentFault(ctx, err)
 	}
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return clementineport.FaultNotOwner // a VM of an earlier build
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeDeadlineExceeded:
 		return clementineport.FaultTimeout
--- a/cppeer/cppeer.go
+++ b/cppeer/cppeer.go
@@ -14,6 +14,7 @@
 	Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error)
 	Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error)
 	Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error)
+	Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error)
 }
 
 type inProcess struct {
@@ -70,4 +71,15 @@
 	return answer, nil
 }
 
+func (p *inProcess) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	if err := p.opts.before(); err != nil {
+		return nil, err
+	}
+	result, err := p.opts.Handler.Reroute(ctx, r)
+	if err = p.opts.after(err); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
 func (p *inProcess) Close() error { return nil }
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -34,6 +34,9 @@
 	hits   int
 	// reply, if set, is the reply to every call.
 	reply *clementineport.Reply
+	// rerouted is the latest rerouted request, and result the result of each.
+	rerouted *clementineport.ReroutedRequest
+	result   *clementineport.ReroutedResult
 }
 
 func (h *fakeHandler) Relay(ctx context.Context, r *clementineport.RelayRequest, deliver func(clementineport.CallResult)) error {
@@ -78,6 +81,13 @@
 	return &clementineport.Config{Revision: 7, Text: []byte("text")}, nil
 }
 
+// Reroute returns what it has received, so that a test can compare it.
+func (h *fakeHandler) Reroute(_ context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	h.ran.Add(1)
+	h.rerouted = r
+	return h.result, nil
+}
+
 func (h *fakeHandler) Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error) {
 	h.ran.Add(1)
 	if h.onCall != nil {
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -24,9 +24,11 @@
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cppeerconns"
 	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
+	"github.com/clementineport/clementineport/cpreroute"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/cptoken"
 	"github.com/clementineport/clementineport/platform/cpconf"
@@ -46,6 +48,9 @@
 	self      clementineport.Member
 	watcher   *cpfleetwatch.Watcher
 	forwarder *cpforward.Forwarder
+	// sender has requests run by other VMs while this VM reaches no target, and receiver runs those of other VMs.
+	sender   *cpreroute.Sender
+	receiver *cpreroute.Receiver
 	// reach tracks whether this VM reaches targets.
 	reach *cpreach.Tracker
 	// readBudget bounds the large responses of all targets.
@@ -159,10 +164,18 @@
 		cpforward.WithOnReport(p.watcher.RequestReport),
 		cpforward.WithOnTargetChange(p.targetChanged),
 	)
+	p.sender = cpreroute.NewSender(
+		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.SpendRetry),
+		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
+	)
+	p.receiver = cpreroute.NewReceiver(
+		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.SpendRetry),
+		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
+	)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithAdmit(p.admit),
-		cpfront.WithForward(p.forwarder.Forward),
+		cpfront.WithForward(p.sender.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
 	)
@@ -229,6 +242,20 @@
 	return p.watcher.View().Router != nil && p.drain.serving() && !p.watcher.Isolated()
 }
 
+// inFlight returns the number of requests in flight, of callers and of other VMs.
+func (p *Process) inFlight() int { return p.front.InFlight() + p.receiver.InFlight() }
+
+// peerHandler serves the calls of other VMs.
+type peerHandler struct {
+	*cpfleetwatch.Watcher
+	receiver *cpreroute.Receiver
+}
+
+// Reroute implements cppeer.Handler.
+func (h *peerHandler) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	return h.receiver.Reroute(ctx, r)
+}
+
 // addresses returns the addresses that callers may connect to.
 func (p *Process) addresses() []string {
 	var addresses []string
@@ -259,7 +286,7 @@
 	p.waitForShutdown(running, signals)
 	stop()
 	<-ended
-	p.log.Info(string(cplogevent.Stopped), zap.Int("InFlight", p.front.InFlight()))
+	p.log.Info(string(cplogevent.Stopped), zap.Int("InFlight", p.inFlight()))
 	return nil
 }
 
@@ -285,9 +312,9 @@
 			p.signal(ctx, s)
 		case <-ticker.C:
 		}
-		state := p.drain.tick(p.front.InFlight())
+		state := p.drain.tick(p.inFlight())
 		if state != last {
-			p.log.Info(string(cplogevent.DrainState), zap.String("State", state.String()), zap.Int("InFlight", p.front.InFlight()))
+			p.log.Info(string(cplogevent.DrainState), zap.String("State", state.String()), zap.Int("InFlight", p.inFlight()))
 		}
 		if last = state; state == cpdrain.StateEnded {
 			return
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -11,6 +11,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpfanout"
+	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/platform/cpfront"
@@ -34,6 +35,9 @@
 	if e.Target != "" {
 		fields = append(fields, zap.String("Target", string(e.Target)))
 	}
+	if e.Via != "" {
+		fields = append(fields, zap.String("Via", string(e.Via)))
+	}
 	if len(e.Stats.LeftOut) > 0 {
 		fields = append(fields, zap.Array("LeftOut", leftOut(e.Stats.LeftOut)))
 	}
@@ -146,3 +150,36 @@
 	}
 	p.log.Info(string(cplogevent.TargetResponsive), fields...)
 }
+
+// requestRerouted counts a request that another VM ran for this one, and logs it if it failed there.
+func (p *Process) requestRerouted(r *clementineport.ReroutedRequest, to clementineport.VMID, err *clementineport.Error, elapsed time.Duration) {
+	metrics.GetOrCreateCounter(`clementineport_reroutes_sent_total{outcome="` + outcome(err) + `"}`).Inc()
+	if err == nil {
+		return
+	}
+	p.log.Warn(string(cplogevent.RerouteFailed), zap.String("ID", string(r.ID)), zap.String("VM", string(to)),
+		zap.String("Fault", err.Fault.String()), zap.Duration("Elapsed", elapsed), cplog.Cause("Reason", err))
+}
+
+// reroutedCompleted counts and logs a request that this VM has run for another one.
+func (p *Process) reroutedCompleted(r *clementineport.ReroutedRequest, result *cpforward.Result, elapsed time.Duration) {
+	metrics.GetOrCreateCounter(`clementineport_reroutes_run_total{outcome="` + outcome(result.Err) + `"}`).Inc()
+	fields := []zap.Field{
+		zap.String("ID", string(r.ID)), zap.String("VM", string(r.From)), zap.Uint64("Version", uint64(r.Version)),
+		zap.Duration("Elapsed", elapsed), zap.Int("Shards", result.Stats.Shards), zap.Int("Covered", result.Stats.Covered),
+		zap.Int("Sends", result.Stats.Sends),
+	}
+	if result.Err == nil {
+		p.log.Info(string(cplogevent.RerouteRun), fields...)
+		return
+	}
+	p.log.Warn(string(cplogevent.RerouteRun), append(fields, zap.String("Verdict", result.Err.Verdict().String()), cplog.Cause("Reason", result.Err))...)
+}
+
+// outcome returns the label of a request that ended with an error, or without.
+func outcome(err *clementineport.Error) string {
+	if err == nil {
+		return "answered"
+	}
+	return err.Fault.String()
+}
--- /dev/null
+++ b/cpreroute/options.go
@@ -0,0 +1,102 @@
+package cpreroute
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cpforward"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+const (
+	// usedVMs is the number of other VMs that a VM has its requests run by.
+	usedVMs = 8
+	// maxVMs is the number of VMs that one request is sent to.
+	maxVMs = 3
+	// replyMargin is the part of the time left that an answer needs from one VM to the other.
+	replyMargin = 10 * time.Millisecond
+	// DefaultRetryAfter is about the time between two attempts to reach targets.
+	DefaultRetryAfter = 500 * time.Millisecond
+)
+
+// Peers returns clients of other VMs.
+type Peers interface {
+	Get(vm clementineport.VM) clementineport.Peer
+}
+
+// Options are the settings of a Sender and a Receiver.
+type Options struct {
+	Clock clementineport.Clock
+	// View returns the newest view of the fleet.
+	View func() *cpfleetstate.View
+	// Reach tracks whether this VM reaches targets.
+	Reach *cpreach.Tracker
+	// Forward runs a request on targets.
+	Forward func(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) *cpforward.Result
+	// SpendRetry takes a retry to each of the services from the budget of this VM.
+	SpendRetry func(services []clementineport.ServiceID) bool
+	Peers      Peers
+	// Admit returns nil if this VM accepts new requests, and otherwise the error that rejects them.
+	Admit func() *clementineport.Error
+	// OnSent is called when a request that was sent to another VM has ended, with its error if it failed.
+	OnSent func(r *clementineport.ReroutedRequest, to clementineport.VMID, err *clementineport.Error, elapsed time.Duration)
+	// OnReceived is called when a request of another VM has ended.
+	OnReceived func(r *clementineport.ReroutedRequest, result *cpforward.Result, elapsed time.Duration)
+	// RetryAfter is the retry delay of a request that no VM can run.
+	RetryAfter time.Duration
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// NewOptions returns the defaults changed by opts.
+func NewOptions(opts ...Option) Options {
+	options := Options{
+		Clock:      clockwork.NewRealClock(),
+		SpendRetry: func([]clementineport.ServiceID) bool { return false },
+		Admit:      func() *clementineport.Error { return nil },
+		OnSent:     func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration) {},
+		OnReceived: func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration) {},
+		RetryAfter: DefaultRetryAfter,
+	}
+	for _, o := range opts {
+		o(&options)
+	}
+	return options
+}
+
+// WithView sets the function that returns the newest view of the fleet.
+func WithView(view func() *cpfleetstate.View) Option { return func(o *Options) { o.View = view } }
+
+// WithReach sets the tracker of whether this VM reaches targets.
+func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
+
+// WithForward sets the function that runs a request on targets, and the one that takes retries from the budget.
+func WithForward(
+	forward func(context.Context, *clementineport.Route, *clementineport.OpaqueRequest) *cpforward.Result,
+	spendRetry func([]clementineport.ServiceID) bool,
+) Option {
+	return func(o *Options) { o.Forward, o.SpendRetry = forward, spendRetry }
+}
+
+// WithPeers sets the clients of other VMs.
+func WithPeers(p Peers) Option { return func(o *Options) { o.Peers = p } }
+
+// WithAdmit sets the function that decides whether new requests are accepted.
+func WithAdmit(admit func() *clementineport.Error) Option {
+	return func(o *Options) { o.Admit = admit }
+}
+
+// WithOnSent sets the function that is called when a request that was sent to another VM has ended.
+func WithOnSent(f func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration)) Option {
+	return func(o *Options) { o.OnSent = f }
+}
+
+// WithOnReceived sets the function that is called when a request of another VM has ended.
+func WithOnReceived(f func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration)) Option {
+	return func(o *Options) { o.OnReceived = f }
+}
--- /dev/null
+++ b/cpreroute/receiver.go
@@ -0,0 +1,76 @@
+package cpreroute
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpforward"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+// Receiver runs the requests of VMs that reach no target. It is safe for concurrent use.
+type Receiver struct {
+	options  Options
+	inFlight atomic.Int64
+}
+
+// NewReceiver returns a receiver.
+func NewReceiver(opts ...Option) *Receiver { return &Receiver{options: NewOptions(opts...)} }
+
+// InFlight returns the number of requests in flight.
+func (c *Receiver) InFlight() int { return int(c.inFlight.Load()) }
+
+// Reroute runs a request of another VM. It implements the method of cppeer.Handler.
+func (c *Receiver) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	began := c.options.Clock.Now()
+	result, version := c.run(ctx, r)
+	c.options.OnReceived(r, result, c.options.Clock.Now().Sub(began))
+	return &clementineport.ReroutedResult{OpaqueResult: result.OpaqueResult, Version: version}, nil
+}
+
+// run runs a request, and returns its result and the version of the routes by which it was handled.
+func (c *Receiver) run(ctx context.Context, r *clementineport.ReroutedRequest) (*cpforward.Result, clementineport.Revision) {
+	if err := c.options.Admit(); err != nil {
+		return refused(err), 0
+	}
+	view := c.options.View()
+	switch {
+	case view.Router == nil:
+		return refused(clementineport.Fail(clementineport.FaultStale, "routes are not known yet")), 0
+	case view.Router.Table().Version < r.Version:
+		return refused(clementineport.Fail(clementineport.FaultStale, "routes are of version %d, needed is %d", view.Router.Table().Version, r.Version)), 0
+	case c.options.Reach.State() == cpreach.Lost:
+		return refused(clementineport.Fail(clementineport.FaultUnreached, "this VM reaches no target either")), 0
+	}
+	version := view.Router.Table().Version
+	route := view.Router.Match(r.Host, path(r.URI))
+	if route == nil {
+		return refused(clementineport.Fail(clementineport.FaultNotFound, "no route for %s%s in version %d", r.Host, path(r.URI), version)), version
+	}
+	request := r.OpaqueRequest
+	request.Deadline = earlier(request.Deadline.Add(-replyMargin), request.Arrived.Add(route.Timeout))
+	return c.options.Forward(ctx, route, &request), version
+}
+
+// refused returns the result of a request that was not run.
+func refused(err *clementineport.Error) *cpforward.Result {
+	return &cpforward.Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// path returns the path of a URI.
+func path(uri string) string {
+	p, _, _ := strings.Cut(uri, "?")
+	return p
+}
--- /dev/null
+++ b/cpreroute/receiver_test.go
@@ -0,0 +1,74 @@
+package cpreroute_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cpforward"
+	"github.com/clementineport/clementineport/cpreach"
+	"github.com/clementineport/clementineport/cpreroute"
+)
+
+// receive has a receiver with routes of version 5 run a request, and returns its result and the request that it forwarded.
+func receive(t *testing.T, r *clementineport.ReroutedRequest, opts ...cpreroute.Option) (*clementineport.ReroutedResult, *clementineport.OpaqueRequest) {
+	t.Helper()
+	var forwarded *clementineport.OpaqueRequest
+	view := &cpfleetstate.View{Router: table(5)}
+	c := cpreroute.NewReceiver(append([]cpreroute.Option{
+		cpreroute.WithView(func() *cpfleetstate.View { return view }), cpreroute.WithReach(cpreach.New()),
+		cpreroute.WithForward(func(_ context.Context, _ *clementineport.Route, r *clementineport.OpaqueRequest) *cpforward.Result {
+			forwarded = r
+			return &cpforward.Result{OpaqueResult: served(0).OpaqueResult}
+		}, nil),
+	}, opts...)...)
+	result, err := c.Reroute(t.Context(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, c.InFlight(), 0)
+	return result, forwarded
+}
+
+func rerouted(version clementineport.Revision) *clementineport.ReroutedRequest {
+	return &clementineport.ReroutedRequest{OpaqueRequest: *request(), From: "a", Version: version}
+}
+
+func TestAReceiverRunsARequestByItsOwnRoutes(t *testing.T) {
+	result, forwarded := receive(t, rerouted(4))
+	assert.Assert(t, result.Part != nil)
+	assert.Equal(t, result.Version, clementineport.Revision(5))
+	assert.Assert(t, !forwarded.Deadline.After(forwarded.Arrived.Add(time.Second)), "the timeout of the route")
+	r := rerouted(5)
+	r.Deadline = r.Arrived.Add(500 * time.Millisecond)
+	_, forwarded = receive(t, r)
+	assert.Assert(t, forwarded.Deadline.Before(r.Deadline), "the answer needs time to return")
+	r.URI = "x"
+	result, forwarded = receive(t, r)
+	assert.Equal(t, result.Err.Fault, clementineport.FaultNotFound)
+	assert.Assert(t, forwarded == nil)
+}
+
+// TestAReceiverRunsNothingThatItCannotServe guards against requests that go round between VMs, and against older routes and VMs
+// that are shutting down.
+func TestAReceiverRunsNothingThatItCannotServe(t *testing.T) {
+	draining := cpreroute.WithAdmit(func() *clementineport.Error { return clementineport.Fail(clementineport.FaultDraining, "leaving") })
+	noRoutes := cpreroute.WithView(func() *cpfleetstate.View { return &cpfleetstate.View{} })
+	for _, row := range []struct {
+		version clementineport.Revision
+		opts    []cpreroute.Option
+		fault   clementineport.Fault
+	}{
+		{6, nil, clementineport.FaultStale},
+		{5, []cpreroute.Option{noRoutes}, clementineport.FaultStale},
+		{5, []cpreroute.Option{draining}, clementineport.FaultDraining},
+		{5, []cpreroute.Option{cpreroute.WithReach(lostTracker())}, clementineport.FaultUnreached},
+	} {
+		result, forwarded := receive(t, rerouted(row.version), row.opts...)
+		assert.Equal(t, result.Err.Fault, row.fault)
+		assert.Equal(t, result.Err.Verdict(), clementineport.NotRun)
+		assert.Assert(t, forwarded == nil)
+	}
+}
--- a/cpwire/cpwireconnect/peer.connect.go
+++ b/cpwire/cpwireconnect/peer.connect.go
@@ -43,6 +43,8 @@
 	PeerServiceConfigProcedure = "/clementineport.peer.v1.PeerService/Config"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/clementineport.peer.v1.PeerService/Forward"
+	// PeerServiceRerouteProcedure is the fully-qualified name of the PeerService's Reroute RPC.
+	PeerServiceRerouteProcedure = "/clementineport.peer.v1.PeerService/Reroute"
 )
 
 // PeerServiceClient is a client for the clementineport.peer.v1.PeerService service.
@@ -55,6 +57,8 @@
 	Config(context.Context, *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error)
 	// Forward runs a non-idempotent query at the only process that may run it.
 	Forward(context.Context, *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error)
+	// Reroute runs an opaque request for a VM that reaches no target.
+	Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the clementineport.peer.v1.PeerService service. By
@@ -92,6 +96,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		reroute: connect.NewClient[cpwire.RerouteRequest, cpwire.RerouteResponse](
+			httpClient,
+			baseURL+PeerServiceRerouteProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Reroute")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -101,6 +111,7 @@
 	exchange *connect.Client[cpwire.ExchangeRequest, cpwire.ExchangeResponse]
 	config   *connect.Client[cpwire.ConfigRequest, cpwire.ConfigResponse]
 	forward  *connect.Client[cpwire.ForwardRequest, cpwire.ForwardResponse]
+	reroute  *connect.Client[cpwire.RerouteRequest, cpwire.RerouteResponse]
 }
 
 // Relay calls clementineport.peer.v1.PeerService.Relay.
@@ -123,6 +134,11 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Reroute calls clementineport.peer.v1.PeerService.Reroute.
+func (c *peerServiceClient) Reroute(ctx context.Context, req *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error) {
+	return c.reroute.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the clementineport.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Relay makes calls to targets that the receiver owns and streams the results as they come.
@@ -133,6 +149,8 @@
 	Config(context.Context, *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error)
 	// Forward runs a non-idempotent query at the only process that may run it.
 	Forward(context.Context, *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error)
+	// Reroute runs an opaque request for a VM that reaches no target.
+	Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -166,6 +184,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceRerouteHandler := connect.NewUnaryHandler(
+		PeerServiceRerouteProcedure,
+		svc.Reroute,
+		connect.WithSchema(peerServiceMethods.ByName("Reroute")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/clementineport.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceRelayProcedure:
@@ -176,6 +200,8 @@
 			peerServiceConfigHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceRerouteProcedure:
+			peerServiceRerouteHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -200,3 +226,7 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Forward is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Reroute is not implemented"))
+}
--- a/opaque.go
+++ b/opaque.go
@@ -23,6 +23,8 @@
 	Deadline time.Time
 	// MaxWait is how long the caller states that it will wait, or zero if it does not state it.
 	MaxWait time.Duration
+	// EarlierAttempts is the number of targets of a shard that may have got the request from another VM.
+	EarlierAttempts int
 }
 
 // RequestKey identifies the contents of a request: requests with the same method, host, URI and body have the same key,
@@ -55,3 +57,38 @@
 
 // Success reports whether the response has a 2xx status.
 func (r *OpaqueResponse) Success() bool { return r.Status >= 200 && r.Status < 300 }
+
+// GatheredResponse is a response that is merged from those of several shards.
+type GatheredResponse struct {
+	// Signatures are those of the merged responses.
+	Signatures []string
+	// Missing is the number of shards without a response.
+	Missing int
+	Body    []byte
+}
+
+// OpaqueResult is the result of an opaque request. Exactly one of its fields is set.
+type OpaqueResult struct {
+	// Part is the unchanged response of one target.
+	Part     *OpaqueResponse
+	Gathered *GatheredResponse
+	// Err is the error of a failed request; its verdict states whether the request may have run.
+	Err *Error
+}
+
+// ReroutedRequest is an opaque request that a VM sends to another VM, because it reaches no target itself. The receiver
+// doesn't send it to a further VM.
+type ReroutedRequest struct {
+	OpaqueRequest
+	// From is the VM that sends it.
+	From VMID
+	// Version is the lowest version of the routes by which the request may be handled.
+	Version Revision
+}
+
+// ReroutedResult is the result of a ReroutedRequest.
+type ReroutedResult struct {
+	OpaqueResult
+	// Version is the version of the routes by which the request was handled.
+	Version Revision
+}
--- a/ports.go
+++ b/ports.go
@@ -138,5 +138,8 @@
 	Config(ctx context.Context, have StorePosition) (*Config, error)
 	// Forward sends a non-idempotent query to the only process that may run it.
 	Forward(ctx context.Context, q *Query) (*Answer, error)
+	// Reroute has the peer run an opaque request. Its error means that no result came from the peer; the verdict says
+	// whether the request may have run.
+	Reroute(ctx context.Context, r *ReroutedRequest) (*ReroutedResult, error)
 	Close() error
 }
--- a/verdict.go
+++ b/verdict.go
@@ -97,6 +97,8 @@
 	FaultHistory
 	// FaultMisdirected means that another process answers at the target's address.
 	FaultMisdirected
+	// FaultUnreached means that the VM reaches no target.
+	FaultUnreached
 	numFaults
 )
 
@@ -134,6 +136,7 @@
 	FaultCoverage:     {"coverage", MayHaveRun},
 	FaultHistory:      {"history", NotRun},
 	FaultMisdirected:  {"misdirected", NotRun},
+	FaultUnreached:    {"unreached", NotRun},
 }
 
 // Faults returns every fault.
