Blame no request for a crash while the VM reaches no target

When the links of a VM to targets are reset and then refuse connections, each call looked as if its request had crashed the target. The VM told the others, and requests with the same contents were refused by all VMs, after the links were back too: 'requests with these contents have crashed 3 targets, the latest 40.4 s ago'. A crash is now reported only if another target accepts a connection.

TestAVMThatLosesItsPathBlamesNoRequest: 4 reports before, none now.

--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -50,7 +50,14 @@
 func (c *fakeClient) Resize(int) {}
 
 // Connect implements clementineport.OpaqueTarget.
-func (c *fakeClient) Connect(context.Context) error { return nil }
+func (c *fakeClient) Connect(context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refuses {
+		return clementineport.Fail(clementineport.FaultRefused, "refused")
+	}
+	return nil
+}
 
 // Refuses implements clementineport.OpaqueTarget.
 func (c *fakeClient) Refuses(context.Context) bool {
--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpcrash"
 	"github.com/clementineport/clementineport/cpfanout"
 	"github.com/clementineport/clementineport/cpfleetstate"
@@ -18,6 +19,8 @@
 	// have another problem, which further connections would make worse.
 	crashChecksPerSecond = 2
 	crashChecksBurst     = 5
+	// maxReachChecks is the number of other targets that are connected to after a crash.
+	maxReachChecks = 3
 	// trialDelay is the time from the latest crash to the one trial of a blocked request.
 	trialDelay = 10 * time.Second
 	// blockedRetryAfter is the time after which a caller may send a blocked request again.
@@ -108,8 +111,9 @@
 	}
 }
 
-// checkCrash reports a crash if the target of a call that has lost its connection refuses others as well. A target that was
-// going to end anyway has not crashed, and a request that another target has served is not the cause.
+// checkCrash reports a crash if the target of a call that has lost its connection refuses others as well, while further targets
+// accept them. A target that was going to end anyway has not crashed, and a request that another target has served is not the
+// cause.
 func (r *run) checkCrash(s cpfanout.Send, failedAt time.Time) {
 	client := r.f.client(s.Target)
 	if client == nil || client.Notice().Leaving {
@@ -117,8 +121,32 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if !client.Refuses(ctx) || r.served.Load() {
+	if !client.Refuses(ctx) || r.served.Load() || !r.f.reachesAnother(ctx, s.Target) {
 		return
 	}
 	r.f.options.OnReport(clementineport.RequestReport{Key: r.key, Run: s.Target.Run(), Age: r.f.options.Clock.Now().Sub(failedAt)})
 }
+
+// reachesAnother reports whether a target other than the given one accepts connections. If none does, this VM has probably lost
+// its path to the targets.
+func (f *Forwarder) reachesAnother(ctx context.Context, failed *cpbalancer.Target) bool {
+	left := maxReachChecks
+	for _, targets := range f.options.View().Services {
+		for i := range targets {
+			if targets[i].State == failed {
+				continue
+			}
+			err := targets[i].Client.Connect(ctx)
+			if err == nil {
+				return true
+			}
+			if clementineport.FaultOf(err) == clementineport.FaultUnsent {
+				continue // all connections are in use, which proves nothing
+			}
+			if left--; left == 0 {
+				return false
+			}
+		}
+	}
+	return false
+}
--- a/cpforward/crash_test.go
+++ b/cpforward/crash_test.go
@@ -247,3 +247,22 @@
 	assert.Assert(t, checks.Load() <= allowed, "%d checks", checks.Load())
 	assert.Assert(t, f.vms[0].SkippedCrashChecks() >= 300-uint64(allowed))
 }
+
+// TestAVMThatLosesItsPathBlamesNoRequest guards against requests that are blocked at all VMs because one VM has lost its
+// connections to all targets.
+func TestAVMThatLosesItsPathBlamesNoRequest(t *testing.T) {
+	f := newCrashFleet(2, 6)
+	for _, c := range f.targets {
+		c.crash()
+		c.serve = func(context.Context, *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
+			return nil, clementineport.Fail(clementineport.FaultReset, "reset")
+		}
+	}
+	for range 10 {
+		f.vms[0].Forward(context.Background(), singleRoute(true), request(time.Second, 0))
+	}
+	time.Sleep(200 * time.Millisecond) // the checks for a crash end
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.reports), 0)
+}
