Count a path that carries only open connections as lost, and use VMs that shut down

Three targets of two services that refuse connections, with none opened since, are now a suspicion too, connection attempts to five others decide, and answers on open connections don't end the loss. Calls under way are left to be answered.

--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -55,7 +55,7 @@
 	// probeTimeout limits a connection attempt.
 	probeTimeout = 250 * time.Millisecond
 	// probedTargets is the number of targets that a round of connection attempts is made to.
-	probedTargets = 3
+	probedTargets = 5
 )
 
 // Options are the settings of a Watcher.
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -3,25 +3,23 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/clementineport/clementineport"
-	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cpreach"
 )
 
-// checkReach attempts to connect to some targets while no target answers this VM.
+// checkReach attempts to connect to some targets while others fail in a way that a lost path could explain.
 func (w *Watcher) checkReach(ctx context.Context, now time.Time) {
-	state, silent := w.options.Reach.Suspect(now, len(w.states), len(w.View().Services))
-	w.updateLost(now, silent)
+	state, failing := w.options.Reach.Suspect(now, len(w.states), len(w.View().Services))
+	w.updateLost(now, len(failing))
 	if state == cpreach.Reached || w.probing || now.Before(w.nextProbe) {
 		return
 	}
-	clients := w.clientsToProbe()
+	clients := w.clientsToProbe(failing)
 	if len(clients) == 0 {
 		return
 	}
@@ -31,62 +29,74 @@
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 			w.probing = false
 			if known {
-				w.handleProbe(now, reached, silent)
+				w.handleProbe(now, reached, len(failing))
 			}
 		})
 	}()
 }
 
-// clientsToProbe returns the clients of some targets at random, those with the fewest open connections first.
-func (w *Watcher) clientsToProbe() []clementineport.OpaqueTarget {
-	all := make([]*cpfleetstate.Target, 0, len(w.states))
-	for _, s := range w.states {
-		all = append(all, s)
-	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	slices.SortStableFunc(all, func(a, b *cpfleetstate.Target) int {
-		openA, _ := a.Client.Open()
-		openB, _ := b.Client.Open()
-		return openA - openB
-	})
-	var clients []clementineport.OpaqueTarget
-	for _, s := range all[:min(probedTargets, len(all))] {
-		clients = append(clients, s.Client)
+// clientsToProbe returns the clients of all targets in random order, those of failing targets last, since these may have failed
+// for reasons of their own.
+func (w *Watcher) clientsToProbe(failing map[clementineport.TargetID]clementineport.ServiceID) []clementineport.OpaqueTarget {
+	var preferred, others []clementineport.OpaqueTarget
+	for id, s := range w.states {
+		if _, ok := failing[id]; ok {
+			others = append(others, s.Client)
+		} else {
+			preferred = append(preferred, s.Client)
+		}
 	}
-	return clients
+	rand.Shuffle(len(preferred), func(i, j int) { preferred[i], preferred[j] = preferred[j], preferred[i] })
+	return append(preferred, others...)
 }
 
-// connectAny reports whether any of the targets accepts a connection. known is false if none could be attempted.
+// connectAny reports whether any of probedTargets targets accepts a connection. It passes over targets to which this VM may
+// open no more. known is false if none could be attempted.
 func connectAny(ctx context.Context, clients []clementineport.OpaqueTarget) (reached, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	results := make(chan error, len(clients))
-	for _, c := range clients {
+	connect := func() {
+		c := clients[0]
+		clients = clients[1:]
 		go func() { results <- c.Connect(ctx) }()
 	}
-	for range clients {
+	running := 0
+	for ; running < probedTargets && len(clients) > 0; running++ {
+		connect()
+	}
+	for ; running > 0; running-- {
 		err := <-results
-		if err == nil {
+		switch {
+		case err == nil:
 			return true, true
+		case clementineport.FaultOf(err) != clementineport.FaultUnsent:
+			known = true
+		case len(clients) > 0:
+			connect()
+			running++
 		}
-		known = known || clementineport.FaultOf(err) != clementineport.FaultUnsent
 	}
 	return false, known
 }
 
-// handleProbe handles the result of connection attempts after a number of targets had left this VM without an answer.
-func (w *Watcher) handleProbe(now time.Time, reached bool, silent int) {
-	w.options.Reach.Probed(now, reached)
-	w.updateLost(now, silent)
+// handleProbe handles the result of connection attempts while a number of targets were failing.
+func (w *Watcher) handleProbe(now time.Time, reached bool, failing int) {
+	if reached {
+		w.options.Reach.Connected(now)
+	} else {
+		w.options.Reach.Unreachable()
+	}
+	w.updateLost(now, failing)
 }
 
 // updateLost tells the other VMs when this VM has lost its network path to the targets, and when it has it again.
-func (w *Watcher) updateLost(now time.Time, silent int) {
+func (w *Watcher) updateLost(now time.Time, failing int) {
 	lost := w.options.Reach.State() == cpreach.Lost
 	switch {
 	case lost && w.lostAt.IsZero():
 		w.lostAt = now
-		w.options.Log.Warn(string(cplogevent.TargetsLost), zap.Int("Silent", silent), zap.Int("Targets", len(w.states)))
+		w.options.Log.Warn(string(cplogevent.TargetsLost), zap.Int("Failing", failing), zap.Int("Targets", len(w.states)))
 	case !lost && !w.lostAt.IsZero():
 		w.options.Log.Info(string(cplogevent.TargetsRegained), zap.Duration("Lost", now.Sub(w.lostAt)))
 		w.lostAt = time.Time{}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -67,8 +67,18 @@
 
 // Forward executes a request on a route and returns its result. It returns as soon as ctx is done.
 func (f *Forwarder) Forward(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) *Result {
+	return f.forward(ctx, route, r, false)
+}
+
+// Stay executes a request as Forward does, but goes on if this VM loses its path to the targets.
+func (f *Forwarder) Stay(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) *Result {
+	return f.forward(ctx, route, r, true)
+}
+
+func (f *Forwarder) forward(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest, stay bool) *Result {
 	view, now := f.options.View(), f.options.Clock.Now()
 	run := f.newRun(view, route, r)
+	run.stay = stay
 	refusal := f.refuseClosed(now, view, route, run.shards, r.Deadline)
 	if refusal == nil {
 		run.trial, refusal = f.refuseBlocked(now, view, route, run.key)
@@ -172,6 +182,8 @@
 	running int
 	// attempts counts the calls that may have reached a target.
 	attempts *attempts
+	// stay is true if the request goes on without a path to the targets.
+	stay bool
 	// unreached is true once this VM has lost its path to the targets during the request.
 	unreached bool
 }
@@ -187,9 +199,9 @@
 	timer := time.NewTimer(time.Until(r.request.Deadline))
 	defer timer.Stop()
 	r.send(r.fan.Start(r.now()))
-	lost := r.f.options.Reach.LostSignal()
+	lost := r.lostSignal()
 	for !r.fan.Ended() && !r.mustLeave() {
-		timer.Reset(max(0, r.fan.Wake().Sub(r.now())))
+		timer.Reset(r.wake())
 		select {
 		case <-ctx.Done():
 			r.cancel()
--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpreach"
@@ -50,10 +51,33 @@
 	return called
 }
 
-// mustLeave reports whether the request should be run by another VM, since this one has lost its path to the targets. A request
-// that is not idempotent stays while a call for it may have run.
+// lostSignal returns a channel that is closed when this VM has lost its path to the targets, unless the request stays.
+func (r *run) lostSignal() <-chan struct{} {
+	if r.stay {
+		return nil
+	}
+	return r.f.options.Reach.LostSignal()
+}
+
+// leaveCheckPeriod is the time between two checks whether the calls under way are still answered.
+const leaveCheckPeriod = 100 * time.Millisecond
+
+// mustLeave reports whether the request should be run by another VM, since this one has lost its path to the targets. It stays
+// while calls are under way that may be answered over open connections, or that may have run if it is not idempotent.
 func (r *run) mustLeave() bool {
-	return r.unreached && !r.fan.Sufficient() && (r.route.Idempotent || r.running == 0)
+	if !r.unreached || r.fan.Sufficient() {
+		return false
+	}
+	return r.running == 0 || r.route.Idempotent && r.f.options.Reach.Silent(r.now())
+}
+
+// wake returns how long the request has nothing to do unless a call ends.
+func (r *run) wake() time.Duration {
+	d := max(0, r.fan.Wake().Sub(r.now()))
+	if r.unreached {
+		return min(d, leaveCheckPeriod)
+	}
+	return d
 }
 
 // leave ends the calls of a request that this VM can't complete.
@@ -78,7 +102,7 @@
 // markUnreached marks the result of a request that failed while this VM reached no target and may be run by another one. Calls
 // that may have reached targets are charged to the budget as retries are, since the other VM repeats them.
 func (r *run) markUnreached(answer *Result) {
-	if answer.Err == nil || answer.Err.Fault == clementineport.FaultCanceled || r.f.options.Reach.State() != cpreach.Lost {
+	if r.stay || answer.Err == nil || answer.Err.Fault == clementineport.FaultCanceled || r.f.options.Reach.State() != cpreach.Lost {
 		return
 	}
 	answer.Attempts = r.attempts.most()
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -165,11 +165,11 @@
 		cpforward.WithOnTargetChange(p.targetChanged),
 	)
 	p.sender = cpreroute.NewSender(
-		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.SpendRetry),
+		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
 	)
 	p.receiver = cpreroute.NewReceiver(
-		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.SpendRetry),
+		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
 	)
 	p.front = cpfront.New(
@@ -200,6 +200,7 @@
 		cpopaque.WithConnections(connections),
 		cpopaque.WithReadBudget(p.readBudget),
 		cpopaque.WithNotice(notice),
+		cpopaque.WithOnConnect(func() { p.reach.Connected(p.clock.Now()) }),
 		cpopaque.WithOnLeaving(func() { p.watcher.TargetLeaving(d.Run()) }),
 		cpopaque.WithOnLimit(func(limited bool, rate clementineport.RequestRate) {
 			p.watcher.TargetLimit(clementineport.TargetLimit{Run: d.Run(), Limited: limited, Rate: rate})
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -1,12 +1,14 @@
-// Package cpreach determines whether one VM has lost its network path to all targets, from the calls that it makes, and
-// keeps what VMs state about that.
+// Package cpreach determines whether one VM has lost its network path to the targets, from the calls that it makes, and keeps
+// what VMs state about that.
 //
 // Targets that are slow or down look alike to a VM that has lost its path, so the calls only raise a suspicion: several
-// targets of several services have answered nothing. Connection attempts by the caller of this package decide. The package
-// makes no calls; the current time is passed in.
+// targets of several services have answered nothing, or none of them accepts a new connection. Connection attempts to
+// further targets by the caller of this package decide. A path that carries only the connections that are open already
+// counts as lost, since a VM needs new ones all the time. The package makes no calls; the current time is passed in.
 package cpreach
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,7 +21,7 @@
 const (
 	// Reached means that targets answer, or that too few have been called to tell.
 	Reached State = iota
-	// Suspected means that the targets called last have all left the VM without an answer.
+	// Suspected means that the targets called last have not answered, or refused connections.
 	Suspected
 	// Lost means that connection attempts to further targets have failed as well.
 	Lost
@@ -49,8 +51,10 @@
 	answered    time.Time
 	silentSince time.Time
 	inFlight    map[*Call]struct{}
-	// failed holds the targets whose calls have ended without an answer since then, with their services.
-	failed map[clementineport.TargetID]clementineport.ServiceID
+	// failed holds the targets whose calls have ended without an answer since then, with their services, and unconnected
+	// those that could not be connected to since the last connection was opened.
+	failed      map[clementineport.TargetID]clementineport.ServiceID
+	unconnected map[clementineport.TargetID]clementineport.ServiceID
 	// lost is closed when the state becomes Lost, and replaced when it is no longer.
 	lost chan struct{}
 }
@@ -59,7 +63,8 @@
 func New(opts ...Option) *Tracker {
 	return &Tracker{
 		options: NewOptions(opts...), inFlight: map[*Call]struct{}{}, lost: make(chan struct{}),
-		failed: map[clementineport.TargetID]clementineport.ServiceID{},
+		failed:      map[clementineport.TargetID]clementineport.ServiceID{},
+		unconnected: map[clementineport.TargetID]clementineport.ServiceID{},
 	}
 }
 
@@ -99,17 +104,28 @@
 	delete(t.inFlight, c)
 	switch fault {
 	case clementineport.FaultDeadline:
-	case clementineport.FaultRefused, clementineport.FaultReset:
+	case clementineport.FaultRefused:
+		t.failed[c.target], t.unconnected[c.target] = c.service, c.service
+	case clementineport.FaultReset:
 		t.failed[c.target] = c.service
 	case clementineport.FaultTimeout, clementineport.FaultCanceled, clementineport.FaultUnsent:
 		if t.overdue(now, c) {
 			t.failed[c.target] = c.service
 		}
 	default:
-		t.reach(now)
+		t.answer(now)
 	}
 }
 
+// answer records that a target has answered.
+func (t *Tracker) answer(now time.Time) {
+	t.answered, t.silentSince = now, time.Time{}
+	if len(t.inFlight) > 0 {
+		t.silentSince = now
+	}
+	clear(t.failed)
+}
+
 // overdue reports whether a call has waited too long, counted from its start or from the last answer of any target.
 func (t *Tracker) overdue(now time.Time, c *Call) bool {
 	since := c.sent
@@ -119,47 +135,56 @@
 	return now.Sub(since) >= c.overdueAfter
 }
 
-// reach records that a target was reached.
-func (t *Tracker) reach(now time.Time) {
-	t.answered, t.silentSince = now, time.Time{}
-	if len(t.inFlight) > 0 {
-		t.silentSince = now
-	}
-	clear(t.failed)
+// Connected records that a connection to a target was opened.
+func (t *Tracker) Connected(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answer(now)
+	clear(t.unconnected)
 	if t.state == Lost {
 		t.lost = make(chan struct{})
 	}
 	t.state = Reached
 }
 
-// Suspect moves from Reached to Suspected if enough targets have left the VM without an answer, and returns the state and
-// their number. targets and services are the numbers of those that the VM may call.
-func (t *Tracker) Suspect(now time.Time, targets, services int) (_ State, silent int) {
+// Suspect moves from Reached to Suspected if enough targets have not answered or could not be connected to, and returns the
+// state and these targets. targets and services are the numbers of those that the VM may call.
+func (t *Tracker) Suspect(now time.Time, targets, services int) (State, map[clementineport.TargetID]clementineport.ServiceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.state != Reached {
-		return t.state, len(t.silent(now))
+	failing := t.unconnected
+	if t.silent(now) {
+		failing = t.unanswered(now)
 	}
-	all := t.silent(now)
-	if t.silentSince.IsZero() || now.Sub(t.silentSince) < t.options.MinOverdue {
-		return t.state, len(all) // other calls may still be answered
+	if t.state == Reached && enough(failing, targets, services) {
+		t.state = Suspected
 	}
+	return t.state, maps.Clone(failing)
+}
+
+// enough reports whether so many targets and services are failing that the path may be lost.
+func enough(failing map[clementineport.TargetID]clementineport.ServiceID, targets, services int) bool {
 	named := map[clementineport.ServiceID]bool{}
-	for _, service := range all {
+	for _, service := range failing {
 		named[service] = true
 	}
-	if len(all) >= max(1, min(minSilentTargets, targets)) && len(named) >= min(minSilentServices, services) {
-		t.state = Suspected
-	}
-	return t.state, len(all)
+	return len(failing) >= max(1, min(minFailingTargets, targets)) && len(named) >= min(minFailingServices, services)
 }
 
-// silent returns the targets that count against the path, with their services.
-func (t *Tracker) silent(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
-	all := make(map[clementineport.TargetID]clementineport.ServiceID, len(t.failed))
-	for id, service := range t.failed {
-		all[id] = service
-	}
+// Silent reports whether calls have been sent, and none has been answered for a time.
+func (t *Tracker) Silent(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent(now)
+}
+
+func (t *Tracker) silent(now time.Time) bool {
+	return !t.silentSince.IsZero() && now.Sub(t.silentSince) >= t.options.MinOverdue
+}
+
+// unanswered returns the targets of calls without an answer, with their services.
+func (t *Tracker) unanswered(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
+	all := maps.Clone(t.failed)
 	for c := range t.inFlight {
 		if t.overdue(now, c) {
 			all[c.target] = c.service
@@ -168,14 +193,11 @@
 	return all
 }
 
-// Probed records whether any of several targets has accepted a connection.
-func (t *Tracker) Probed(now time.Time, reached bool) {
+// Unreachable records that none of several further targets has accepted a connection.
+func (t *Tracker) Unreachable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case reached:
-		t.reach(now)
-	case t.state == Suspected:
+	if t.state == Suspected {
 		t.state = Lost
 		close(t.lost)
 	}
--- a/cpreach/options.go
+++ b/cpreach/options.go
@@ -8,10 +8,9 @@
 	DefaultMinOverdue = 200 * time.Millisecond
 	// overdueFactor is the multiple of the typical latency after which an unanswered call counts against the path.
 	overdueFactor = 3
-	// minSilentTargets and minSilentServices are how many targets and services must be silent. Fewer may have crashed
-	// together.
-	minSilentTargets  = 3
-	minSilentServices = 2
+	// minFailingTargets and minFailingServices are how many targets and services must fail. Fewer may have crashed together.
+	minFailingTargets  = 3
+	minFailingServices = 2
 )
 
 // Options are the settings of a Tracker.
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -58,27 +58,38 @@
 	return max(own, s.version), own < s.version
 }
 
-// reroute has another VM run a request, or a second one if the first has not run it.
+// reroute has another VM run a request, or a further one if the first has not run it. If there is none, this VM runs it itself
+// while its open connections still work.
 func (s *Sender) reroute(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) *cpforward.Result {
+	result, again := s.sendToAny(ctx, route, r)
+	if again && !s.options.Reach.Silent(s.options.Clock.Now()) && r.Version <= s.options.View().Router.Table().Version {
+		result = s.options.Stay(ctx, route, &r.OpaqueRequest)
+	}
+	if result.Err != nil && r.EarlierAttempts > 0 && result.Err.Verdict() == clementineport.NotRun {
+		result.Err = &clementineport.Error{Fault: unansweredFault(route), Reason: "an earlier attempt may have run", Err: result.Err}
+	}
+	return result
+}
+
+// sendToAny sends a request to other VMs until one has run it, and returns the last result. again reports whether a further VM
+// could run it, if there were one.
+func (s *Sender) sendToAny(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) (result *cpforward.Result, again bool) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	result := s.noVM()
+	result = s.noVM()
 	tried := map[clementineport.VMID]bool{}
 	for range maxVMs {
 		vm, ok := s.choose(tried)
 		if !ok {
-			break
+			return result, true
 		}
 		tried[vm.ID] = true
 		result = s.send(ctx, vm, r)
 		if !s.mayTryAnother(route, r, result) {
-			break
+			return result, false
 		}
 	}
-	if result.Err != nil && r.EarlierAttempts > 0 && result.Err.Verdict() == clementineport.NotRun {
-		result.Err = &clementineport.Error{Fault: unansweredFault(route), Reason: "an earlier attempt may have run", Err: result.Err}
-	}
-	return result
+	return result, true
 }
 
 // noVM returns the refusal of a request that no VM can run.
@@ -97,12 +108,20 @@
 }
 
 // choose returns another VM that reaches targets, the less used one of two. Each VM uses a few of the others, so that it needs
-// few connections.
+// few connections. VMs that are shutting down still run requests for a while, and are chosen if there are no others.
 func (s *Sender) choose(tried map[clementineport.VMID]bool) (clementineport.VM, bool) {
 	view := s.options.View()
-	ranked := cpowner.Rank(string(view.Self), view.Members, usedVMs, func(m *clementineport.Member) bool {
-		return m.ID != view.Self && m.State == clementineport.MemberAlive && !m.Leaving && m.Peer != "" && !view.Lost[m.ID] && !tried[m.ID]
-	})
+	rank := func(leaving bool) []int32 {
+		return cpowner.Rank(string(view.Self), view.Members, usedVMs, func(m *clementineport.Member) bool {
+			usable := m.State == clementineport.MemberAlive || m.State == clementineport.MemberLeaving
+			isLeaving := m.Leaving || m.State == clementineport.MemberLeaving
+			return m.ID != view.Self && usable && isLeaving == leaving && m.Peer != "" && !view.Lost[m.ID] && !tried[m.ID]
+		})
+	}
+	ranked := rank(false)
+	if len(ranked) == 0 {
+		ranked = rank(true)
+	}
 	if len(ranked) == 0 {
 		return clementineport.VM{}, false
 	}
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -36,7 +36,9 @@
 	// Reach tracks whether this VM reaches targets.
 	Reach *cpreach.Tracker
 	// Forward runs a request on targets.
-	Forward func(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) *cpforward.Result
+	Forward forwardFunc
+	// Stay runs a request on targets although this VM reaches them only over open connections.
+	Stay forwardFunc
 	// SpendRetry takes a retry to each of the services from the budget of this VM.
 	SpendRetry func(services []clementineport.ServiceID) bool
 	Peers      Peers
@@ -75,12 +77,13 @@
 // WithReach sets the tracker of whether this VM reaches targets.
 func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
 
-// WithForward sets the function that runs a request on targets, and the one that takes retries from the budget.
-func WithForward(
-	forward func(context.Context, *clementineport.Route, *clementineport.OpaqueRequest) *cpforward.Result,
-	spendRetry func([]clementineport.ServiceID) bool,
-) Option {
-	return func(o *Options) { o.Forward, o.SpendRetry = forward, spendRetry }
+// forwardFunc runs a request on targets.
+type forwardFunc = func(context.Context, *clementineport.Route, *clementineport.OpaqueRequest) *cpforward.Result
+
+// WithForward sets the function that runs a request on targets, the one that does so while only open connections work, and the
+// one that takes retries from the budget.
+func WithForward(forward, stay forwardFunc, spendRetry func([]clementineport.ServiceID) bool) Option {
+	return func(o *Options) { o.Forward, o.Stay, o.SpendRetry = forward, stay, spendRetry }
 }
 
 // WithPeers sets the clients of other VMs.
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -65,7 +65,7 @@
 	c.pool = cpopaqueconn.New(
 		cpopaqueconn.WithClock(options.Clock), cpopaqueconn.WithAddress(options.Address), cpopaqueconn.WithConnections(options.Connections),
 		cpopaqueconn.WithTimeouts(options.DialTimeout, options.IdleTimeout), cpopaqueconn.WithDial(options.Dial),
-		cpopaqueconn.WithOnExtra(c.readExtraNotice),
+		cpopaqueconn.WithOnExtra(c.readExtraNotice), cpopaqueconn.WithOnConnect(options.OnConnect),
 	)
 	return c
 }
--- a/cptarget/cpopaque/options.go
+++ b/cptarget/cpopaque/options.go
@@ -38,6 +38,8 @@
 	RequireEcho bool
 	// Notice is what the target has asked of an earlier client.
 	Notice clementineport.TargetNotice
+	// OnConnect is called when a connection to the target was opened.
+	OnConnect func()
 	// OnLeaving is called when the target states for the first time that it is shutting down.
 	OnLeaving func()
 	// OnLimit is called when the target states how many requests a second it takes from all VMs together, or no longer does.
@@ -91,6 +93,7 @@
 		IdleMargin:       DefaultIdleMargin,
 		MaxHeaderBytes:   DefaultMaxHeaderBytes,
 		MaxResponseBytes: DefaultMaxResponseBytes,
+		OnConnect:        func() {},
 		OnLeaving:        func() {},
 		OnLimit:          func(bool, clementineport.RequestRate) {},
 		OnInvalidLimit:   func(string) {},
@@ -149,6 +152,9 @@
 // WithNotice sets what the target has asked of an earlier client.
 func WithNotice(n clementineport.TargetNotice) Option { return func(o *Options) { o.Notice = n } }
 
+// WithOnConnect sets the function that is called when a connection to the target was opened.
+func WithOnConnect(f func()) Option { return func(o *Options) { o.OnConnect = f } }
+
 // WithOnLeaving sets the function that is called when the target states for the first time that it is shutting down.
 func WithOnLeaving(f func()) Option { return func(o *Options) { o.OnLeaving = f } }
 
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -124,6 +124,7 @@
 		p.release()
 		return nil, &clementineport.Error{Fault: clementineport.FaultRefused, Reason: "connect to " + p.options.Address, Err: err}
 	}
+	p.options.OnConnect()
 	c := &Conn{raw: raw}
 	c.Reader = bufio.NewReaderSize(countingReader{c}, readBufferBytes)
 	return c, nil
--- a/cptarget/cpopaqueconn/options.go
+++ b/cptarget/cpopaqueconn/options.go
@@ -33,6 +33,8 @@
 	IdleTimeout time.Duration
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnConnect is called when a connection was opened.
+	OnConnect func()
 	// OnExtra is called with the bytes that an idle connection has received.
 	OnExtra func([]byte)
 }
@@ -45,6 +47,7 @@
 	options := Options{
 		Clock: clockwork.NewRealClock(), Connections: DefaultConnections, DialTimeout: DefaultDialTimeout,
 		IdleTimeout: DefaultIdleTimeout, Dial: (&net.Dialer{KeepAlive: -1}).DialContext, OnExtra: func([]byte) {},
+		OnConnect: func() {},
 	}
 	for _, o := range opts {
 		o(&options)
@@ -71,5 +74,8 @@
 	return func(o *Options) { o.Dial = dial }
 }
 
+// WithOnConnect sets the function that is called when a connection was opened.
+func WithOnConnect(f func()) Option { return func(o *Options) { o.OnConnect = f } }
+
 // WithOnExtra sets the function that is called with the bytes that an idle connection has received.
 func WithOnExtra(f func([]byte)) Option { return func(o *Options) { o.OnExtra = f } }
--- a/fleet.go
+++ b/fleet.go
@@ -137,8 +137,8 @@
 	// SetLimit sets the rate limit that this VM knows, so that a response that states another one, or none, is
 	// reported.
 	SetLimit(limited bool, rate RequestRate)
-	// Connect opens a new connection, which is kept for the next request. Its error is an *Error with FaultUnsent if all
-	// connections that this VM may open are in use.
+	// Connect opens a new connection, which is kept for the next request. Its error is an *Error with FaultUnsent if this VM
+	// may open no more of them.
 	Connect(ctx context.Context) error
 	// Refuses reports whether the target refuses connections. It opens one for that if none is open.
 	Refuses(ctx context.Context) bool
