--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -155,3 +155,16 @@
 		return true
 	})
 }
+
+// TestAVMCorrectsAnOldStatementOfItsOwn guards against a VM that callers avoid for good, since another VM still tells what it
+// stated before a restart, or before a pause of that VM.
+func TestAVMCorrectsAnOldStatementOfItsOwn(t *testing.T) {
+	v := startReachableVM(t, "a")
+	old := &clementineport.Digest{From: clementineport.Member{VM: clementineport.VM{ID: "b", Peer: "b"}, Start: "b", Incarnation: 1}}
+	old.Reach = []clementineport.VMReach{{VM: "a", Lost: true}}
+	answer, err := v.Exchange(t.Context(), old)
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Reach), 1)
+	assert.Assert(t, !answer.Reach[0].Lost)
+	assert.Assert(t, !v.View().Lost["a"])
+}
--- a/cppeer/reroute_test.go
+++ b/cppeer/reroute_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cpwire/cpwireconnect"
 )
 
 // anyBytes is no valid UTF-8. Callers and targets may send such bytes.
@@ -64,3 +66,12 @@
 	_, err := implementations(t, h)["connect"].Reroute(t.Context(), reroutedRequest())
 	assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultMalformed)
 }
+
+// TestAVMOfAnEarlierBuildHasNotRunAReroutedRequest guards against requests that are given up because one VM is older.
+func TestAVMOfAnEarlierBuildHasNotRunAReroutedRequest(t *testing.T) {
+	_, service := cpwireconnect.NewPeerServiceHandler(cpwireconnect.UnimplementedPeerServiceHandler{})
+	address := listen(t, service)
+	_, err := cpconnect.New(connectOptions(address, "secret")...).Reroute(t.Context(), reroutedRequest())
+	assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultNotOwner)
+	assert.Equal(t, clementineport.VerdictOf(err), clementineport.NotRun)
+}
