--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	if r.VM == w.options.Self.ID {
-		w.stateReach(now.Add(time.Nanosecond))
+		w.stateReach(now.Add(time.Nanosecond)) // later than the old statement
 		return false
 	}
 	w.options.Log.Info(string(cplogevent.ReachChanged), zap.String("VM", string(r.VM)), zap.Bool("Lost", r.Lost), zap.String("Source", source))
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -115,6 +115,9 @@
 	default:
 		t.answer(now)
 	}
+	if len(t.inFlight) == 0 && len(t.failed) == 0 {
+		t.silentSince = time.Time{}
+	}
 }
 
 // answer records that a target has answered.
--- a/cpreach/cpreach_test.go
+++ b/cpreach/cpreach_test.go
@@ -113,6 +113,14 @@
 	assert.Equal(t, state, cpreach.Suspected)
 }
 
+func TestAVMWithoutCallsIsNotSilent(t *testing.T) {
+	tracker := cpreach.New()
+	tracker.Done(start, tracker.Sent(start, target(0), typical), clementineport.FaultDeadline)
+	assert.Assert(t, !tracker.Silent(start.Add(time.Hour)))
+	tracker.Sent(start, target(0), typical)
+	assert.Assert(t, tracker.Silent(start.Add(time.Hour)))
+}
+
 func TestASlowServiceGetsMoreTime(t *testing.T) {
 	tracker := cpreach.New()
 	for n := range 4 {
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -76,7 +76,7 @@
 func (s *Sender) sendToAny(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) (result *cpforward.Result, again bool) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	result = s.noVM()
+	result = s.noVM(r)
 	tried := map[clementineport.VMID]bool{}
 	for range maxVMs {
 		vm, ok := s.choose(tried)
@@ -93,10 +93,13 @@
 }
 
 // noVM returns the refusal of a request that no VM can run.
-func (s *Sender) noVM() *cpforward.Result {
-	return &cpforward.Result{OpaqueResult: clementineport.OpaqueResult{Err: &clementineport.Error{
-		Fault: clementineport.FaultUnreached, Reason: "this VM reaches no target, and no other VM that does", RetryAfter: s.options.RetryAfter,
-	}}}
+func (s *Sender) noVM(r *clementineport.ReroutedRequest) *cpforward.Result {
+	err := clementineport.Fail(clementineport.FaultUnreached, "this VM reaches no target, and no other VM that does")
+	if own := s.options.View().Router.Table().Version; own < r.Version {
+		err = clementineport.Fail(clementineport.FaultStale, "routes are of version %d, needed is %d, and no other VM can run the request", own, r.Version)
+	}
+	err.RetryAfter = s.options.RetryAfter
+	return &cpforward.Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
 }
 
 // unansweredFault returns the fault of a request that may have run and has no answer.
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -60,8 +60,9 @@
 	}
 }
 
+// lostTracker returns the tracker of a VM that lost its path an hour ago.
 func lostTracker() *cpreach.Tracker {
-	reach, now := cpreach.New(), time.Now()
+	reach, now := cpreach.New(), time.Now().Add(-time.Hour)
 	target := clementineport.TargetInstance{ID: "t"}
 	reach.Done(now, reach.Sent(now, &target, 0), clementineport.FaultRefused)
 	reach.Suspect(now.Add(time.Second), 1, 1)
