Pass on statements about paths for three seconds only

The list of faults that prove that a request has not run names the new one (the test of the root package was red since; I had not run it).

--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -107,6 +107,7 @@
 		return w.newsSince(now, time.Time{})
 	}
 	news := w.newsSince(now, now.Add(-newsTime))
+	news.Reach = w.reach.Since(now, now.Add(-reachNewsTime))
 	news.Leaving = news.Leaving[:min(len(news.Leaving), maxNews)]
 	news.Limits = news.Limits[:min(len(news.Limits), maxNews)]
 	news.Requests = news.Requests[:min(len(news.Requests), maxNews)]
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -41,8 +41,10 @@
 	// each kind of news in one of these messages.
 	newsTime = 10 * time.Second
 	maxNews  = 64
-	// maxReachNews is higher since many VMs may lose their path at the same moment, and each needs a few bytes.
-	maxReachNews = 256
+	// reachNewsTime and maxReachNews are the same for statements about paths to targets. Many VMs may make one at the same
+	// moment, so they are told for a shorter time.
+	reachNewsTime = 3 * time.Second
+	maxReachNews  = 256
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
--- a/verdict_test.go
+++ b/verdict_test.go
@@ -29,6 +29,7 @@
 		clementineport.FaultNotFound:     true,
 		clementineport.FaultHistory:      true,
 		clementineport.FaultMisdirected:  true,
+		clementineport.FaultUnreached:    true,
 	}
 	for _, f := range clementineport.Faults() {
 		t.Run(f.String(), func(t *testing.T) {
