--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -84,7 +84,7 @@
 		run.trial, refusal = f.refuseBlocked(now, view, route, run.key)
 	}
 	if refusal != nil {
-		return failed(refusal)
+		return Failed(refusal)
 	}
 	answer := f.execute(ctx, view, run)
 	if run.trial {
@@ -111,7 +111,7 @@
 func (f *Forwarder) execute(ctx context.Context, view *cpfleetstate.View, run *run) *Result {
 	done, refusal := f.admit(ctx, run, run.shards)
 	if refusal != nil {
-		return failed(refusal)
+		return Failed(refusal)
 	}
 	if run.request.EarlierAttempts == 0 { // else the request has been counted by another VM
 		for _, s := range run.shards {
@@ -225,7 +225,7 @@
 
 // callerGone returns the result for a caller that has disconnected.
 func (r *run) callerGone(ctx context.Context) *Result {
-	return failed(&clementineport.Error{
+	return Failed(&clementineport.Error{
 		Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx),
 	})
 }
--- a/cpforward/result.go
+++ b/cpforward/result.go
@@ -17,7 +17,7 @@
 	Via clementineport.VMID
 }
 
-// failed returns the result of a failed request.
-func failed(err *clementineport.Error) *Result {
+// Failed returns the result of a failed request.
+func Failed(err *clementineport.Error) *Result {
 	return &Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
 }
--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -86,17 +86,9 @@
 	r.attempts.running.Wait() // canceled calls end at once
 	fault := clementineport.FaultUnreached
 	if r.attempts.most() > 0 {
-		fault = r.unansweredFault()
+		fault = r.route.UnansweredFault()
 	}
-	return failed(clementineport.Fail(fault, "this VM reaches no target"))
-}
-
-// unansweredFault returns the fault of a request that may have run and has no answer.
-func (r *run) unansweredFault() clementineport.Fault {
-	if r.route.Gathers() {
-		return clementineport.FaultCoverage
-	}
-	return clementineport.FaultTimeout
+	return Failed(clementineport.Fail(fault, "this VM reaches no target"))
 }
 
 // markUnreached marks the result of a request that failed while this VM reached no target and may be run by another one. Calls
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -66,7 +66,7 @@
 		result = s.options.Stay(ctx, route, &r.OpaqueRequest)
 	}
 	if result.Err != nil && r.EarlierAttempts > 0 && result.Err.Verdict() == clementineport.NotRun {
-		result.Err = &clementineport.Error{Fault: unansweredFault(route), Reason: "an earlier attempt may have run", Err: result.Err}
+		result.Err = &clementineport.Error{Fault: route.UnansweredFault(), Reason: "an earlier attempt may have run", Err: result.Err}
 	}
 	return result
 }
@@ -99,15 +99,7 @@
 		err = clementineport.Fail(clementineport.FaultStale, "routes are of version %d, needed is %d, and no other VM can run the request", own, r.Version)
 	}
 	err.RetryAfter = s.options.RetryAfter
-	return &cpforward.Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
-}
-
-// unansweredFault returns the fault of a request that may have run and has no answer.
-func unansweredFault(route *clementineport.Route) clementineport.Fault {
-	if route.Gathers() {
-		return clementineport.FaultCoverage
-	}
-	return clementineport.FaultTimeout
+	return cpforward.Failed(err)
 }
 
 // choose returns another VM that reaches targets, the less used one of two. Each VM uses a few of the others, so that it needs
@@ -142,6 +134,7 @@
 	s.count(vm.ID, 1)
 	defer s.count(vm.ID, -1)
 	began := s.options.Clock.Now()
+	s.options.Peers.Retain(s.options.View().Members)
 	result := &cpforward.Result{Via: vm.ID}
 	answer, err := s.options.Peers.Get(vm).Reroute(ctx, r)
 	if err != nil {
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -101,6 +101,9 @@
 	}}
 }
 
+// Retain implements cpreroute.Peers.
+func (f *fleet) Retain([]clementineport.Member) {}
+
 func (f *fleet) sender() *cpreroute.Sender {
 	forward := func(context.Context, *clementineport.Route, *clementineport.OpaqueRequest) *cpforward.Result {
 		f.local++
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -26,6 +26,8 @@
 // Peers returns clients of other VMs.
 type Peers interface {
 	Get(vm clementineport.VM) clementineport.Peer
+	// Retain closes the clients of VMs that are not among members.
+	Retain(members []clementineport.Member)
 }
 
 // Options are the settings of a Sender and a Receiver.
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -36,32 +36,27 @@
 // run runs a request, and returns its result and the version of the routes by which it was handled.
 func (c *Receiver) run(ctx context.Context, r *clementineport.ReroutedRequest) (*cpforward.Result, clementineport.Revision) {
 	if err := c.options.Admit(); err != nil {
-		return refused(err), 0
+		return cpforward.Failed(err), 0
 	}
 	view := c.options.View()
 	switch {
 	case view.Router == nil:
-		return refused(clementineport.Fail(clementineport.FaultStale, "routes are not known yet")), 0
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultStale, "routes are not known yet")), 0
 	case view.Router.Table().Version < r.Version:
-		return refused(clementineport.Fail(clementineport.FaultStale, "routes are of version %d, needed is %d", view.Router.Table().Version, r.Version)), 0
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultStale, "routes are of version %d, needed is %d", view.Router.Table().Version, r.Version)), 0
 	case c.options.Reach.State() == cpreach.Lost:
-		return refused(clementineport.Fail(clementineport.FaultUnreached, "this VM reaches no target either")), 0
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultUnreached, "this VM reaches no target either")), 0
 	}
 	version := view.Router.Table().Version
 	route := view.Router.Match(r.Host, path(r.URI))
 	if route == nil {
-		return refused(clementineport.Fail(clementineport.FaultNotFound, "no route for %s%s in version %d", r.Host, path(r.URI), version)), version
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultNotFound, "no route for %s%s in version %d", r.Host, path(r.URI), version)), version
 	}
 	request := r.OpaqueRequest
 	request.Deadline = earlier(request.Deadline.Add(-replyMargin), request.Arrived.Add(route.Timeout))
 	return c.options.Forward(ctx, route, &request), version
 }
 
-// refused returns the result of a request that was not run.
-func refused(err *clementineport.Error) *cpforward.Result {
-	return &cpforward.Result{OpaqueResult: clementineport.OpaqueResult{Err: err}}
-}
-
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/route.go
+++ b/route.go
@@ -39,6 +39,14 @@
 // Gathers reports whether an answer combines one part from each shard.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
+// UnansweredFault returns the fault of a request on the route that may have run and has no sufficient answer.
+func (r *Route) UnansweredFault() Fault {
+	if r.Gathers() {
+		return FaultCoverage
+	}
+	return FaultTimeout
+}
+
 // TargetService is a set of interchangeable targets.
 type TargetService struct {
 	Name ServiceID
