--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -35,8 +35,9 @@
 func (c *fakeClient) Do(ctx context.Context, r *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
 	c.mu.Lock()
 	c.calls++
+	serve := c.serve
 	c.mu.Unlock()
-	return c.serve(ctx, r)
+	return serve(ctx, r)
 }
 
 // Notice implements clementineport.OpaqueTarget.
--- a/cpforward/unreached_test.go
+++ b/cpforward/unreached_test.go
@@ -37,7 +37,9 @@
 func (f *fleet) setServe(serve func(context.Context, *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error)) {
 	for _, clients := range f.clients {
 		for _, c := range clients {
+			c.mu.Lock()
 			c.serve = serve
+			c.mu.Unlock()
 		}
 	}
 }
@@ -49,7 +51,7 @@
 	route.MaxAttempts = 3 // a hedge leaves one
 	reach := cpreach.New()
 	fw := f.forwarder(cpforward.WithReach(reach))
-	for range 5 { // these fill the budget
+	for range 40 { // these fill the budget, for hedges too
 		fw.Forward(context.Background(), route, request(time.Second, 0))
 	}
 	f.setServe(hang)
