Compute news about paths once, copy failing targets once, and share the options of rerouting

Found on reading the change again. Each exchange sorted the statements about paths twice and threw one result away; the targets that count against a path were copied twice while no target answers; the two ends of rerouting repeated their options. Behavior is the same.

--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -106,15 +106,18 @@
 	if all {
 		return w.newsSince(now, time.Time{})
 	}
-	news := w.newsSince(now, now.Add(-newsTime))
-	news.Reach = w.reach.Since(now, now.Add(-reachNewsTime))
-	news.Leaving = news.Leaving[:min(len(news.Leaving), maxNews)]
-	news.Limits = news.Limits[:min(len(news.Limits), maxNews)]
-	news.Requests = news.Requests[:min(len(news.Requests), maxNews)]
-	news.Reach = news.Reach[:min(len(news.Reach), maxReachNews)]
-	return news
+	recent := now.Add(-newsTime)
+	return clementineport.TargetNews{
+		Leaving:  first(w.catalog.LeavingSince(recent), maxNews),
+		Limits:   first(w.catalog.LimitsSince(now, recent), maxNews),
+		Requests: first(w.crashes.Since(now, recent), maxNews),
+		Reach:    first(w.reach.Since(now, now.Add(-reachNewsTime)), maxReachNews),
+	}
 }
 
+// first returns the first n elements, or all if there are fewer.
+func first[T any](all []T, n int) []T { return all[:min(len(all), n)] }
+
 // newsSince returns what this VM learned about targets after a time, the latest first.
 func (w *Watcher) newsSince(now, after time.Time) clementineport.TargetNews {
 	return clementineport.TargetNews{
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -164,14 +164,13 @@
 		cpforward.WithOnReport(p.watcher.RequestReport),
 		cpforward.WithOnTargetChange(p.targetChanged),
 	)
-	p.sender = cpreroute.NewSender(
-		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
+	reroute := []cpreroute.Option{
+		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
+		cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
-	)
-	p.receiver = cpreroute.NewReceiver(
-		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach), cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
-	)
+	}
+	p.sender, p.receiver = cpreroute.NewSender(reroute...), cpreroute.NewReceiver(reroute...)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithAdmit(p.admit),
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -155,14 +155,19 @@
 func (t *Tracker) Suspect(now time.Time, targets, services int) (State, map[clementineport.TargetID]clementineport.ServiceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	failing := t.unconnected
-	if t.silent(now) {
-		failing = t.unanswered(now)
-	}
+	failing := t.failing(now)
 	if t.state == Reached && enough(failing, targets, services) {
 		t.state = Suspected
 	}
-	return t.state, maps.Clone(failing)
+	return t.state, failing
+}
+
+// failing returns the targets that count against the path, with their services.
+func (t *Tracker) failing(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
+	if t.silent(now) {
+		return t.unanswered(now)
+	}
+	return maps.Clone(t.unconnected)
 }
 
 // enough reports whether so many targets and services are failing that the path may be lost.
