--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -25,7 +25,9 @@
 	}
 	w.probing, w.nextProbe = true, now.Add(probePeriod)
 	go func() {
-		reached, known := connectAny(ctx, clients)
+		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		reached, known := cpreach.ConnectAny(attempt, clients, probedTargets, probedTargets)
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) {
 			w.probing = false
 			if known {
@@ -50,36 +52,6 @@
 	return append(preferred, others...)
 }
 
-// connectAny reports whether any of probedTargets targets accepts a connection. It passes over targets to which this VM may
-// open no more. known is false if none could be attempted.
-func connectAny(ctx context.Context, clients []clementineport.OpaqueTarget) (reached, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	results := make(chan error, len(clients))
-	connect := func() {
-		c := clients[0]
-		clients = clients[1:]
-		go func() { results <- c.Connect(ctx) }()
-	}
-	running := 0
-	for ; running < probedTargets && len(clients) > 0; running++ {
-		connect()
-	}
-	for ; running > 0; running-- {
-		err := <-results
-		switch {
-		case err == nil:
-			return true, true
-		case clementineport.FaultOf(err) != clementineport.FaultUnsent:
-			known = true
-		case len(clients) > 0:
-			connect()
-			running++
-		}
-	}
-	return false, known
-}
-
 // handleProbe handles the result of connection attempts while a number of targets were failing.
 func (w *Watcher) handleProbe(now time.Time, reached bool, failing int) {
 	if reached {
--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport/cpfanout"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpowner"
+	"github.com/clementineport/clementineport/cpreach"
 )
 
 const (
@@ -130,23 +131,14 @@
 // reachesAnother reports whether a target other than the given one accepts connections. If none does, this VM has probably lost
 // its path to the targets.
 func (f *Forwarder) reachesAnother(ctx context.Context, failed *cpbalancer.Target) bool {
-	left := maxReachChecks
+	var others []clementineport.OpaqueTarget
 	for _, targets := range f.options.View().Services {
 		for i := range targets {
-			if targets[i].State == failed {
-				continue
-			}
-			err := targets[i].Client.Connect(ctx)
-			if err == nil {
-				return true
-			}
-			if clementineport.FaultOf(err) == clementineport.FaultUnsent {
-				continue // all connections are in use, which proves nothing
-			}
-			if left--; left == 0 {
-				return false
+			if targets[i].State != failed {
+				others = append(others, targets[i].Client)
 			}
 		}
 	}
-	return false
+	reached, _ := cpreach.ConnectAny(ctx, others, maxReachChecks, 1)
+	return reached
 }
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -108,7 +108,7 @@
 	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
-	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or refused a connection, and connection attempts to others have failed"},
+	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -3,8 +3,8 @@
 //
 // Targets that are slow or down look alike to a VM that has lost its path, so the calls only raise a suspicion: several
 // targets of several services have answered nothing, or none of them accepts a new connection. Connection attempts to
-// further targets by the caller of this package decide. A path that carries only the connections that are open already
-// counts as lost, since a VM needs new ones all the time. The package makes no calls; the current time is passed in.
+// further targets (ConnectAny) decide; the caller makes them and reports the result. A path that carries only the
+// connections that are open already counts as lost, since a VM needs new ones all the time. The current time is passed in.
 package cpreach
 
 import (
