Give each subtest of the faults between VMs a handler of its own

All subtests wrote the onCall field of one handler, and the goroutine of a relay whose connection was reset may read it after its subtest and its server have ended. Handlers of earlier subtests outlive their server, since the HTTP/2 server does not wait for them.

The product is not concerned.

--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -276,17 +276,18 @@
 
 func TestPeerFaults(t *testing.T) {
 	hang := func(ctx context.Context) { <-ctx.Done() }
-	resetting := &fakeHandler{}
 	tests := []struct {
 		name    string
 		handler *fakeHandler
-		token   string
-		raw     func(net.Conn)
-		want    []clementineport.Fault
+		// resets makes the handler close the caller's connection.
+		resets bool
+		token  string
+		raw    func(net.Conn)
+		want   []clementineport.Fault
 	}{
 		{name: "wrong token", handler: &fakeHandler{}, token: "other", want: []clementineport.Fault{clementineport.FaultUnauthorized}},
 		{name: "reset before read", raw: func(c net.Conn) { c.Close() }, want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent}},
-		{name: "reset after read", handler: resetting, want: []clementineport.Fault{clementineport.FaultReset}},
+		{name: "reset after read", handler: &fakeHandler{}, resets: true, want: []clementineport.Fault{clementineport.FaultReset}},
 		{name: "hang with heartbeats", handler: &fakeHandler{onCall: hang}, want: []clementineport.Fault{clementineport.FaultTimeout}},
 		{name: "silent", raw: func(net.Conn) {}, want: []clementineport.Fault{clementineport.FaultTimeout}},
 		{name: "malformed", raw: func(c net.Conn) { _, _ = c.Write([]byte("nonsense\r\n\r\n")); c.Close() }, want: []clementineport.Fault{clementineport.FaultReset, clementineport.FaultUnsent}},
@@ -300,7 +301,9 @@
 			} else {
 				server := serve(t, cpconnect.NewHandler(tt.handler, connectOptions("", "secret")...))
 				address = server.Listener.Addr().String()
-				resetting.onCall = func(context.Context) { server.CloseClientConnections() }
+				if tt.resets {
+					tt.handler.onCall = func(context.Context) { server.CloseClientConnections() }
+				}
 			}
 			token := "secret"
 			if tt.token != "" {
