Send calls through the standby owner when the owner reaches no target

On the product's own interface callers lost every call to the targets of an owner VM that had lost its path to them, while the standby owner could have made the calls. Cause: the root took each failure for one of the target, and sent a call through another VM only if the first VM had refused it.

Now the root counts, for each VM that makes calls, those in a row that could not be made or got no answer. From three on the standby owner gets the calls, calls proved not to have run are sent on at once, and the VM gets one a second until a target answers it. Why it works: the count ends with any answer, so that a target that has ended moves no calls of its owner, and refusals without an attempt to connect do not count.

Considered: the platform path's statements between VMs; not needed, since each root learns it from its own calls, and callers of such a VM are served through the others.

--- a/cprelay/cprelay.go
+++ b/cprelay/cprelay.go
@@ -36,12 +36,13 @@
 type Sender struct {
 	opts   Options
 	health *peerHealth
+	paths  *targetPaths
 }
 
 // New returns a Sender.
 func New(opts ...Option) *Sender {
 	o := newOptions(opts)
-	return &Sender{opts: o, health: newPeerHealth(o.RouteBackoff)}
+	return &Sender{opts: o, health: newPeerHealth(o.RouteBackoff), paths: newTargetPaths(o.RouteBackoff)}
 }
 
 // Send makes the calls and delivers exactly one result for each call before it returns.
@@ -68,7 +69,8 @@
 	var resends sync.WaitGroup
 	defer resends.Wait()
 	rest := s.attempt(ctx, router, g, func(r clementineport.CallResult) {
-		if g.standby || !canUseOtherVM(r.Err) {
+		lost := s.paths.observe(g.route.VM, &r, s.opts.Clock.Now())
+		if g.standby || ctx.Err() != nil || !canUseOtherVM(r.Err, lost) {
 			deliver(r)
 			return
 		}
@@ -81,10 +83,12 @@
 	failAll(rest.calls, rest.err, deliver)
 }
 
-// canUseOtherVM reports whether err is the refusal of a VM, so that another VM may still make the call.
-func canUseOtherVM(err error) bool {
+// canUseOtherVM reports whether another VM may still make a call: a VM refused it, or its path to the targets seems to be
+// lost and the call has not run.
+func canUseOtherVM(err error, lost bool) bool {
 	fault := clementineport.FaultOf(err)
-	return fault == clementineport.FaultNotOwner || fault == clementineport.FaultStale
+	refused := fault == clementineport.FaultNotOwner || fault == clementineport.FaultStale
+	return refused || lost && clementineport.VerdictOf(err) == clementineport.NotRun
 }
 
 // resend sends calls that provably did not run at failedVM through other VMs.
--- a/cprelay/group.go
+++ b/cprelay/group.go
@@ -90,16 +90,21 @@
 // route returns the route through the owner, or through the standby owner while the owner is avoided.
 func (s *Sender) route(router Router, t clementineport.TargetID, now time.Time) (route Route, standby, ok bool) {
 	owner, ok := router.Route(t, false)
-	if ok && (owner.Self || s.health.eligible(owner.VM, now)) {
+	if ok && s.eligible(owner, now) {
 		return owner, false, true
 	}
 	other, found := router.Route(t, true)
-	if found && (other.Self || s.health.eligible(other.VM, now)) {
+	if found && s.eligible(other, now) {
 		return other, true, true
 	}
 	return owner, false, ok
 }
 
+// eligible reports whether calls may be sent on a route.
+func (s *Sender) eligible(r Route, now time.Time) bool {
+	return (r.Self || s.health.eligible(r.VM, now)) && s.paths.usable(r.VM, now)
+}
+
 // groupByOtherVM groups calls by the VM to try after failedVM, which did not run them: the standby owner of the
 // target, or its owner if that has changed. Calls without another VM form a group with an empty route.
 func groupByOtherVM(router Router, failedVM clementineport.VMID, calls []clementineport.Call) []*group {
