Estimate the load of targets by the VMs that reach them

While five of six VMs had lost their path to the targets, callers got 503 (overloaded) and answers without some shards through all of the cut, although the targets had free slots. Cause: the VM that still reached them took each of its own requests for six, since it divided the slots by all VMs that are alive and multiplied its own load by them; so it held back calls, left out shards and refused requests.

View.Sending is the number of VMs that send requests: all but those that state that they reach no target. The load of targets and the requests in flight to them follow it. Connections, rate limits, extra calls and cold targets are divided by all VMs as before, since VMs without a path may still hold connections and come back at any moment.

Ruled out: the processor (0.07 of a core at most), connections (six each, more than the two requests in flight), targets of the own domain only (busiest/mean 1.11).

TestTheVMsThatReachTargetsUseAllTheirSlots fails without the change (after 20 s the VM still divides by three).

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -44,6 +44,9 @@
 	Self clementineport.VMID
 	// VMs is the number of VMs by which bounds for all VMs together are divided.
 	VMs int
+	// Sending is the number of these VMs that send requests to targets: all but those that reach none. The load of targets is
+	// estimated with it.
+	Sending int
 	// Registered is the number of VMs that the store lists, reached or not.
 	Registered int
 	// StoreEra is the era of the store that the view is from.
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -46,7 +46,9 @@
 	return &clementineport.FleetUpdate{
 		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Routes: &clementineport.RouteTable{
 			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
-			Services: map[clementineport.ServiceID]clementineport.TargetService{"s": {Name: "s", Connections: 20}},
+			Services: map[clementineport.ServiceID]clementineport.TargetService{
+				"s": {Name: "s", Connections: 20}, "s-0": {Name: "s-0", Connections: 20}, "s-1": {Name: "s-1", Connections: 20},
+			},
 		},
 	}
 }
--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpfleetwatch"
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer"
@@ -93,8 +94,9 @@
 	assert.Equal(t, v.logged(cplogevent.TargetsLost), 0)
 }
 
-// TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore guards against directories that send callers to a VM that can't serve.
-func TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore(t *testing.T) {
+// startReachableFleet starts VMs that know each other.
+func startReachableFleet(t *testing.T, ids ...clementineport.VMID) map[clementineport.VMID]*reachableVM {
+	t.Helper()
 	peers := map[clementineport.VMID]*cpfleetwatch.Watcher{}
 	var mu sync.Mutex
 	dial := cpfleetwatch.WithDial(func(vm clementineport.VM) clementineport.Peer {
@@ -105,7 +107,6 @@
 		}
 		return unreachablePeer{}
 	})
-	ids := []clementineport.VMID{"a", "b", "c"}
 	var vms []clementineport.VM
 	for _, id := range ids {
 		vms = append(vms, clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)})
@@ -117,6 +118,23 @@
 		peers[id] = all[id].Watcher
 		mu.Unlock()
 	}
+	for _, v := range all {
+		v.source.set(func(s *fakeSource) { s.vms = vms })
+	}
+	await(t, "all VMs know each other", func() bool {
+		for _, v := range all {
+			if len(v.View().ServingVMs()) != len(ids) {
+				return false
+			}
+		}
+		return true
+	})
+	return all
+}
+
+// TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore guards against directories that send callers to a VM that can't serve.
+func TestVMsTellEachOtherWhoReachesNoTargetWithoutTheStore(t *testing.T) {
+	all := startReachableFleet(t, "a", "b", "c")
 	serving := func(n int) func() bool {
 		return func() bool {
 			for _, v := range all {
@@ -127,10 +145,6 @@
 			return true
 		}
 	}
-	for _, v := range all {
-		v.source.set(func(s *fakeSource) { s.vms = vms })
-	}
-	await(t, "all VMs know each other", serving(3))
 	for _, v := range all {
 		v.source.set(func(s *fakeSource) { s.unavailable = true })
 	}
@@ -156,6 +170,32 @@
 	})
 }
 
+// TestTheVMsThatReachTargetsUseAllTheirSlots guards against VMs that refuse requests or leave out shards, since they hold targets
+// for loaded by VMs that reach none.
+func TestTheVMsThatReachTargetsUseAllTheirSlots(t *testing.T) {
+	all := startReachableFleet(t, "a", "b", "c")
+	a := all["a"]
+	await(t, "each VM has its part", func() bool { return a.View().Sending == 3 && inFlightLimit(a.View()) == 2 })
+	for _, id := range []clementineport.VMID{"b", "c"} {
+		all[id].cut(true)
+		all[id].failCalls()
+	}
+	await(t, "one VM sends all", func() bool { return a.View().Sending == 1 && inFlightLimit(a.View()) == 4 })
+	assert.Equal(t, a.View().VMs, 3, "the others may still hold connections")
+	a.cut(true)
+	a.failCalls()
+	await(t, "no VM reaches targets", func() bool { return len(a.View().Lost) == 3 })
+	assert.Equal(t, a.View().Sending, 3, "each may still have open connections")
+}
+
+// inFlightLimit returns the number of requests that a VM may have in flight to a target.
+func inFlightLimit(view *cpfleetstate.View) int {
+	for _, targets := range view.Services {
+		return targets[0].InFlightLimit
+	}
+	return 0
+}
+
 // TestAVMCorrectsAnOldStatementOfItsOwn guards against a VM that callers avoid for good, since another VM still tells what it
 // stated before a restart, or before a pause of that VM.
 func TestAVMCorrectsAnOldStatementOfItsOwn(t *testing.T) {
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -29,6 +29,7 @@
 		Suspects:   w.crashes.Suspects(),
 		Lost:       w.reach.Lost(),
 	}
+	view.Sending = sendingVMs(view)
 	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
 		w.registration.Lost()
@@ -75,6 +76,20 @@
 	return n
 }
 
+// sendingVMs returns the number of VMs that send requests to targets. If none reaches any, all may still have open connections.
+func sendingVMs(view *cpfleetstate.View) int {
+	lost := 0
+	for i := range view.Members {
+		if m := &view.Members[i]; m.State != clementineport.MemberDead && view.Lost[m.ID] {
+			lost++
+		}
+	}
+	if lost >= view.VMs {
+		return view.VMs
+	}
+	return view.VMs - lost
+}
+
 // dropTargets closes the connections to targets that are gone or have restarted. It keeps the notice of a target that
 // accepts no requests, which may register again in the same run.
 func (w *Watcher) dropTargets(now time.Time) {
@@ -108,7 +123,7 @@
 	s.Limit, s.Limited = w.catalog.Limit(t)
 	s.Client.SetLimit(s.Limited, s.Limit)
 	s.SameDomain = t.Domain == w.options.Self.Domain
-	s.InFlightLimit = min(share, cpquota.InFlightLimit(t.Slots, w.vmCount))
+	s.InFlightLimit = min(share, cpquota.InFlightLimit(t.Slots, view.Sending))
 	s.Owned = w.ownsTarget(view, id)
 	view.Services[t.Service] = append(view.Services[t.Service], *s)
 }
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -19,7 +19,7 @@
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
 	request := &cpbalancer.Request{
-		TypicalLatency: r.typicalLatency, VMs: view.VMs, Senders: view.Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
+		TypicalLatency: r.typicalLatency, VMs: view.Sending, Senders: view.Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
 		FreeSlotOnly: purpose == cpfanout.Hedge || purpose == cpfanout.Late,
 	}
 	r.f.mu.Lock()
@@ -38,7 +38,7 @@
 func (r *run) Latency(now time.Time, service clementineport.ServiceID) time.Duration {
 	view := r.f.options.View()
 	warm, _ := split(now, view.Services[service])
-	return cpbalancer.ExpectedLatency(now, warm, &cpbalancer.Request{TypicalLatency: r.typicalLatency, VMs: view.VMs})
+	return cpbalancer.ExpectedLatency(now, warm, &cpbalancer.Request{TypicalLatency: r.typicalLatency, VMs: view.Sending})
 }
 
 // split separates the warm targets of a service from the cold ones. It omits those that accept no requests now.
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -312,7 +312,7 @@
 func (r *run) observe(s cpfanout.Send, sent time.Time, result *callResult) {
 	now := r.now()
 	outcome := cpbalancer.Outcome{
-		Fault: result.Fault, Elapsed: now.Sub(sent), TypicalLatency: r.typicalLatency, VMs: r.f.options.View().VMs,
+		Fault: result.Fault, Elapsed: now.Sub(sent), TypicalLatency: r.typicalLatency, VMs: r.f.options.View().Sending,
 	}
 	if result.Part != nil {
 		outcome.OK = result.Part.Success()
