Leave the cold targets of a VM that reaches no target to another VM

A cold target is called by one VM only, its owner, and only while its shard has no warm one. If the owner had lost its path to the targets, no VM called it, and answers lacked the shard until the path was back. Found by looking for uses of cpowner.Rank.

Now the first of those that reach targets owns a cold target. A VM whose path is back takes its targets a second later, when the others know of it; else two or more VMs could call a target at the same time, and the bound on calls to cold targets has room for two. The trial of a request that has crashed targets still ranks all VMs: a second VM could make a second trial.

Evidence: TestColdTargetsOfAVMThatReachesNoTargetAreOwnedByAnother and the new part of TestOnlyTheOwnerSendsToAColdTargetAndSlowly fail without the change.

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -21,6 +21,8 @@
 	WarmAt time.Time
 	// Owned is true if this VM is the one that calls the target while it is cold.
 	Owned bool
+	// OwnedFrom is when this VM may begin to call the target while it is cold, if it owns it.
+	OwnedFrom time.Time
 	// SameDomain is true if the target is in the failure domain of this VM.
 	SameDomain bool
 	// Limited is true while the target states how many requests a second it takes from all VMs together, which is Limit.
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -65,6 +65,8 @@
 	nextProbe        time.Time
 	// lostAt is when this VM found that it reaches no target, or zero while it reaches some.
 	lostAt time.Time
+	// ownsFrom is when the others know that this VM reaches targets again, so that they leave its cold targets to it.
+	ownsFrom time.Time
 }
 
 // event is a function that another goroutine passes to the loop to run there.
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -58,6 +58,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// probedTargets is the number of targets that a round of connection attempts is made to.
 	probedTargets = 5
+	// ownershipDelay is the time after which all VMs know what another one has stated about its path.
+	ownershipDelay = time.Second
 )
 
 // Options are the settings of a Watcher.
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -71,7 +71,7 @@
 		w.options.Log.Warn(string(cplogevent.TargetsLost), zap.Int("Failing", failing), zap.Int("Targets", len(w.states)))
 	case !lost && !w.lostAt.IsZero():
 		w.options.Log.Info(string(cplogevent.TargetsRegained), zap.Duration("Lost", now.Sub(w.lostAt)))
-		w.lostAt = time.Time{}
+		w.lostAt, w.ownsFrom = time.Time{}, now.Add(ownershipDelay)
 	default:
 		return
 	}
--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -188,6 +188,41 @@
 	assert.Equal(t, a.View().Sending, 3, "each may still have open connections")
 }
 
+// TestColdTargetsOfAVMThatReachesNoTargetAreOwnedByAnother guards against cold targets that no VM calls, since their owner can't. A
+// VM whose path is back waits until the others know, so that two don't call a target.
+func TestColdTargetsOfAVMThatReachesNoTargetAreOwnedByAnother(t *testing.T) {
+	all := startReachableFleet(t, "a", "b", "c")
+	owned := func(ids ...clementineport.VMID) (n int) {
+		for _, id := range ids {
+			for _, targets := range all[id].View().Services {
+				for i := range targets {
+					if targets[i].Owned {
+						n++
+					}
+				}
+			}
+		}
+		return n
+	}
+	await(t, "each target has an owner", func() bool { return owned("a", "b", "c") == 4 })
+	before := owned("b", "c")
+	for _, id := range []clementineport.VMID{"b", "c"} {
+		all[id].cut(true)
+		all[id].failCalls()
+	}
+	await(t, "one VM owns all targets", func() bool { return owned("a") == 4 && owned("b", "c") == 0 })
+	regained := time.Now()
+	for _, id := range []clementineport.VMID{"b", "c"} {
+		all[id].cut(false)
+	}
+	await(t, "the targets have their owners again", func() bool { return owned("a") == 4-before && owned("b", "c") == before })
+	for _, id := range []clementineport.VMID{"b", "c"} {
+		for _, targets := range all[id].View().Services {
+			assert.Assert(t, targets[0].OwnedFrom.After(regained.Add(time.Second)))
+		}
+	}
+}
+
 // inFlightLimit returns the number of requests that a VM may have in flight to a target.
 func inFlightLimit(view *cpfleetstate.View) int {
 	for _, targets := range view.Services {
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -124,7 +124,7 @@
 	s.Client.SetLimit(s.Limited, s.Limit)
 	s.SameDomain = t.Domain == w.options.Self.Domain
 	s.InFlightLimit = min(share, cpquota.InFlightLimit(t.Slots, view.Sending))
-	s.Owned = w.ownsTarget(view, id)
+	s.Owned, s.OwnedFrom = w.ownsTarget(view, id), w.ownsFrom
 	view.Services[t.Service] = append(view.Services[t.Service], *s)
 }
 
@@ -138,10 +138,11 @@
 	return 1
 }
 
-// ownsTarget reports whether this VM is the one that sends requests to a target while it is cold.
+// ownsTarget reports whether this VM is the one that sends requests to a target while it is cold: the first of those that reach
+// targets.
 func (w *Watcher) ownsTarget(view *cpfleetstate.View, id clementineport.TargetID) bool {
 	ranked := cpowner.Rank(string(id), view.Members, 1, func(m *clementineport.Member) bool {
-		return m.State == clementineport.MemberAlive
+		return m.State == clementineport.MemberAlive && !view.Lost[m.ID]
 	})
 	return len(ranked) == 1 && view.Members[ranked[0]].ID == w.options.Self.ID
 }
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -69,7 +69,7 @@
 func (f *Forwarder) chooseCold(now time.Time, view *cpfleetstate.View, cold []*cpfleetstate.Target, r *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
 	availability := cpfanout.Unavailable
 	for _, t := range cold {
-		if !t.Owned || r.Excluded(t.State) {
+		if !t.Owned || now.Before(t.OwnedFrom) || r.Excluded(t.State) {
 			continue
 		}
 		availability = cpfanout.Busy
--- a/cpforward/cpforward_test.go
+++ b/cpforward/cpforward_test.go
@@ -284,7 +284,10 @@
 	answer := f.forwarder().Forward(context.Background(), singleRoute(true), request(100*time.Millisecond, 0))
 	assert.Assert(t, answer.Err != nil)
 	assert.Equal(t, f.clients["a"][0].count()+f.clients["a"][1].count(), 0)
-	f.view.Services["a"][0].Owned = true
+	f.view.Services["a"][0].Owned, f.view.Services["a"][0].OwnedFrom = true, time.Now().Add(time.Hour)
+	f.forwarder().Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0))
+	assert.Equal(t, f.clients["a"][0].count(), 0, "another VM may still call it")
+	f.view.Services["a"][0].OwnedFrom = time.Time{}
 	fw := f.forwarder()
 	for range 20 {
 		fw.Forward(context.Background(), singleRoute(true), request(50*time.Millisecond, 0))
