Name the reason for which a call to a target was not sent, whichever error net/http reports

Trace: a write that is refused, since another connection probes the target or the VM may not send, makes the transport close the connection. Its write loop reports the refusal, its read loop the failed read of the closed connection, and the caller gets either. With the second one the call was called unsent instead of unavailable or stale, and counted as a failure of the target. It had not run in either case, as was said.

The connection now keeps why it refused a write, and the fault follows that.

--- a/cpconn/cpconn.go
+++ b/cpconn/cpconn.go
@@ -40,6 +40,8 @@
 
 	mu      sync.Mutex
 	offered int64
+	// refusal is why a write was not passed on, or nil.
+	refusal error
 	sealed  bool
 	stalled bool
 	closed  bool
@@ -96,20 +98,37 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	if err := c.maySend(); err != nil {
+	if err := c.offer(len(b)); err != nil {
 		return 0, err
 	}
-	if !c.generations.allow(c) {
-		return 0, ErrProbing
+	return c.Conn.Write(b)
+}
+
+// offer counts n bytes as passed on for writing, or returns why they may not be written.
+func (c *Conn) offer(n int) error {
+	refusal := c.maySend()
+	if refusal == nil && !c.generations.allow(c) {
+		refusal = ErrProbing
 	}
 	c.mu.Lock()
-	if c.sealed {
-		c.mu.Unlock()
-		return 0, ErrSealed
+	defer c.mu.Unlock()
+	if refusal == nil && c.sealed {
+		return ErrSealed
 	}
-	c.offered += int64(len(b))
-	c.mu.Unlock()
-	return c.Conn.Write(b)
+	if refusal != nil {
+		c.refusal = refusal
+		return refusal
+	}
+	c.offered += int64(n)
+	return nil
+}
+
+// Refusal returns why a write was not passed on, or nil. The HTTP transport closes the connection then, and may report the failed
+// read of the closed connection instead.
+func (c *Conn) Refusal() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusal
 }
 
 // Close implements net.Conn.
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -60,6 +60,9 @@
 }
 
 func (e *exchange) unsentFault(ctx context.Context, err error) clementineport.Fault {
+	if e.conn != nil && e.conn.Refusal() != nil {
+		err = e.conn.Refusal()
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return clementineport.FaultDeadline
--- a/cptarget/cphttp/cphttp_test.go
+++ b/cptarget/cphttp/cphttp_test.go
@@ -181,6 +181,32 @@
 	assert.Equal(t, s.Stats().Calls, 1)
 }
 
+// TestACallThatMayNotBeSentNamesTheReason guards against calls whose failure depends on which of its two goroutines of a connection
+// net/http hears first: the one that may not write, or the one that then reads from a closed connection.
+func TestACallThatMayNotBeSentNamesTheReason(t *testing.T) {
+	const callers, calls = 64, 60
+	s := startTarget(t)
+	c := cphttp.New(cphttp.Address(s.Address()), cphttp.Connections(callers*calls), cphttp.MaySend(func() error {
+		return clementineport.Fail(clementineport.FaultStale, "paused")
+	}))
+	defer c.Close()
+	faults := map[clementineport.Fault]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for range calls {
+				_, err := c.Search(t.Context(), newCall("r", 5*time.Second))
+				mu.Lock()
+				faults[clementineport.FaultOf(err)]++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	assert.DeepEqual(t, faults, map[clementineport.Fault]int{clementineport.FaultStale: callers * calls})
+}
+
 // TestNothingIsWrittenThatMayNotBeSent checks that MaySend is called before each write, on new and on reused
 // connections. A process that resumes after a pause must not send what it may no longer send.
 func TestNothingIsWrittenThatMayNotBeSent(t *testing.T) {
