--- a/cpentryvm/control.go
+++ b/cpentryvm/control.go
@@ -8,7 +8,7 @@
 	"github.com/clementineport/clementineport/cpcontrol"
 	"github.com/clementineport/clementineport/cpentrylist"
 	"github.com/clementineport/clementineport/cpestate"
-	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 	"github.com/clementineport/clementineport/cppick"
 	"github.com/clementineport/clementineport/cpview"
 )
@@ -29,7 +29,7 @@
 		cpcontrol.WithMetrics(n.metrics),
 		cpcontrol.WithLog(n.log),
 		cpcontrol.WithEntryList(cpentrylist.WithTTL(n.settings.Shutdown.AdviceLife)),
-		cpcontrol.WithSize(func(d *clementineport.Digest) int { return proto.Size(cpconnect.DigestMessage(d)) }),
+		cpcontrol.WithSize(func(d *clementineport.Digest) int { return proto.Size(cpmessage.EncodeDigest(d)) }),
 	)
 }
 
--- a/cpmembership/fleet_test.go
+++ b/cpmembership/fleet_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpmembership"
-	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 )
 
 const (
@@ -233,7 +233,7 @@
 
 // measure returns the encoded size of a digest, and records the maximum among joined nodes.
 func (f *fleet) measure(d *clementineport.Digest, joined bool) int {
-	size := proto.Size(cpconnect.DigestMessage(d))
+	size := proto.Size(cpmessage.EncodeDigest(d))
 	if joined {
 		f.longestDigest = max(f.longestDigest, size)
 	}
--- a/cppeer/cpconnect/cpconnect.go
+++ b/cppeer/cpconnect/cpconnect.go
@@ -1,5 +1,5 @@
-// Package cpconnect implements calls between entry VMs with Connect over unencrypted HTTP/2. It encodes messages,
-// carries the token, the revision and the trace context, and determines whether a failed call may have run.
+// Package cpconnect implements calls between entry VMs with Connect over unencrypted HTTP/2. It carries messages,
+// the token, the revision and the trace context, and determines whether a failed call may have run.
 package cpconnect
 
 import (
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 	"github.com/clementineport/clementineport/cpwire"
 )
 
@@ -104,7 +105,7 @@
 		timer.Reset(timeout)
 		c.opts.OnRevision(clementineport.Revision(m.GetRevision()), "")
 		for _, result := range m.GetResults() {
-			deliver(resultFromWire(result, r.Calls[0].Request))
+			deliver(cpmessage.DecodeResult(result, r.Calls[0].Request))
 		}
 	})
 	switch {
@@ -119,7 +120,7 @@
 }
 
 func (c *client) relay(ctx context.Context, conn *connection, r *clementineport.RelayRequest, received func(*cpwire.RelayResponse)) error {
-	req := connect.NewRequest(relayToWire(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
+	req := connect.NewRequest(cpmessage.EncodeRelay(r, c.opts.Clock.Now(), c.opts.Tracer.Inject(ctx)))
 	c.opts.Token.Set(req.Header())
 	stream, err := conn.service.Relay(ctx, req)
 	if err != nil {
@@ -132,38 +133,17 @@
 	return stream.Err()
 }
 
-// DigestMessage returns the message in which a digest is sent.
-func DigestMessage(d *clementineport.Digest) *cpwire.ExchangeRequest {
-	return &cpwire.ExchangeRequest{
-		From:       memberToWire(&d.From),
-		Revision:   uint64(d.Revision),
-		FreshNanos: int64(d.Staleness),
-		Members:    membersToWire(d.Members),
-		Leaving:    runsToWire(d.Leaving),
-		Limits:     limitsToWire(d.Limits),
-		Requests:   reportsToWire(d.Requests),
-		Reach:      reachToWire(d.Reach),
-	}
-}
-
 // Exchange implements clementineport.Peer.
 func (c *client) Exchange(ctx context.Context, d *clementineport.Digest) (*clementineport.Digest, error) {
 	ctx, sent := traceProgress(ctx)
-	req := connect.NewRequest(DigestMessage(d))
+	req := connect.NewRequest(cpmessage.EncodeDigest(d))
 	c.opts.Token.Set(req.Header())
 	conn := c.conn.Load()
 	resp, err := conn.service.Exchange(ctx, req)
 	if err != nil {
 		return nil, c.handleError(ctx, conn, err, sent.maySend(ctx))
 	}
-	m := resp.Msg
-	return &clementineport.Digest{
-		From:       memberFromWire(m.GetFrom()),
-		Revision:   clementineport.Revision(m.GetRevision()),
-		Staleness:  time.Duration(m.GetFreshNanos()),
-		Members:    membersFromWire(m.GetMembers()),
-		TargetNews: newsFromWire(m),
-	}, nil
+	return cpmessage.DecodeDigest(resp.Msg), nil
 }
 
 // Config implements clementineport.Peer.
--- a/cppeer/cpconnect/errors.go
+++ b/cppeer/cpconnect/errors.go
@@ -4,30 +4,12 @@
 	"context"
 	"errors"
 	"net"
-	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/clementineport/clementineport"
 )
 
-// errorToWire returns the fault of an error, its reason and its retry delay.
-func errorToWire(err error) (fault uint32, reason string, retryAfterNanos int64) {
-	e, ok := errors.AsType[*clementineport.Error](err)
-	if !ok {
-		return uint32(clementineport.FaultUnknown), toValidUTF8(err.Error()), 0
-	}
-	return uint32(e.Fault), toValidUTF8(e.Reason), int64(e.RetryAfter)
-}
-
-func errorFromWire(fault uint32, reason string, retryAfterNanos int64) *clementineport.Error {
-	f := clementineport.Fault(fault)
-	if fault > uint32(^clementineport.Fault(0)) {
-		f = clementineport.FaultUnknown
-	}
-	return &clementineport.Error{Fault: f, Reason: reason, RetryAfter: time.Duration(retryAfterNanos)}
-}
-
 // classify returns the error of a failed call between VMs; sent reports whether any bytes may have been sent.
 func classify(ctx context.Context, err error, sent bool) *clementineport.Error {
 	return &clementineport.Error{Fault: faultOf(ctx, err, sent), Err: err}
--- a/cppeer/cpconnect/forward.go
+++ b/cppeer/cpconnect/forward.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 	"github.com/clementineport/clementineport/cpwire"
 )
 
@@ -32,7 +33,7 @@
 	}
 	m := resp.Msg
 	if len(m.GetAnswer()) == 0 {
-		return nil, errorFromWire(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
+		return nil, cpmessage.DecodeError(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
 	}
 	answer := &clementineport.Answer{}
 	if err := json.Unmarshal(m.GetAnswer(), answer); err != nil {
@@ -58,7 +59,7 @@
 	})
 	resp := &cpwire.ForwardResponse{}
 	if err != nil {
-		resp.Fault, resp.Reason, resp.RetryAfterNanos = errorToWire(err)
+		resp.Fault, resp.Reason, resp.RetryAfterNanos = cpmessage.EncodeError(err)
 		return connect.NewResponse(resp), nil
 	}
 	if resp.Answer, err = json.Marshal(answer); err != nil {
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cppeer"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 	"github.com/clementineport/clementineport/cptoken"
 	"github.com/clementineport/clementineport/cpwire"
 	"github.com/clementineport/clementineport/cpwire/cpwireconnect"
@@ -35,7 +36,7 @@
 	m := req.Msg
 	h.opts.OnRevision(clementineport.Revision(m.GetRevision()), clementineport.VMID(m.GetFrom()))
 	ctx = h.opts.Tracer.Extract(ctx, m.GetTraceparent())
-	r := relayFromWire(m, h.opts.Clock.Now())
+	r := cpmessage.DecodeRelay(m, h.opts.Clock.Now())
 	results := make(chan clementineport.CallResult, len(r.Calls))
 	relayErr := make(chan error, 1)
 	go func() {
@@ -65,10 +66,10 @@
 			if !ok {
 				return nil
 			}
-			m.Results = append(m.Results, resultToWire(&first, requestID))
+			m.Results = append(m.Results, cpmessage.EncodeResult(&first, requestID))
 			for more := len(results); more > 0; more-- {
 				r := <-results
-				m.Results = append(m.Results, resultToWire(&r, requestID))
+				m.Results = append(m.Results, cpmessage.EncodeResult(&r, requestID))
 			}
 		case <-ticker.C:
 		}
@@ -89,27 +90,11 @@
 
 // Exchange implements cpwireconnect.PeerServiceHandler.
 func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
-	m := req.Msg
-	reply, err := h.next.Exchange(ctx, &clementineport.Digest{
-		From:       memberFromWire(m.GetFrom()),
-		Revision:   clementineport.Revision(m.GetRevision()),
-		Staleness:  time.Duration(m.GetFreshNanos()),
-		Members:    membersFromWire(m.GetMembers()),
-		TargetNews: newsFromWire(m),
-	})
+	reply, err := h.next.Exchange(ctx, cpmessage.DecodeDigest(req.Msg))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(&cpwire.ExchangeResponse{
-		From:       memberToWire(&reply.From),
-		Revision:   uint64(reply.Revision),
-		FreshNanos: int64(reply.Staleness),
-		Members:    membersToWire(reply.Members),
-		Leaving:    runsToWire(reply.Leaving),
-		Limits:     limitsToWire(reply.Limits),
-		Requests:   reportsToWire(reply.Requests),
-		Reach:      reachToWire(reply.Reach),
-	}), nil
+	return connect.NewResponse(cpmessage.EncodeDigestReply(reply)), nil
 }
 
 // position returns the position that a request for the configuration states. A VM of an earlier build states no era.
--- a/cppeer/cpconnect/convert.go
+++ b/cppeer/cpmessage/digest.go
@@ -1,4 +1,4 @@
-package cpconnect
+package cpmessage
 
 import (
 	"time"
@@ -7,69 +7,58 @@
 	"github.com/clementineport/clementineport/cpwire"
 )
 
-func snapshotToWire(s clementineport.Snapshot) *cpwire.Snapshot {
-	return &cpwire.Snapshot{Version: uint64(s.Version), Layout: uint32(s.Layout)}
-}
-
-func snapshotFromWire(s *cpwire.Snapshot) clementineport.Snapshot {
-	return clementineport.Snapshot{
-		Version: clementineport.IndexVersion(s.GetVersion()),
-		Layout:  clementineport.LayoutID(s.GetLayout()),
-	}
-}
-
-// relayToWire encodes a RelayRequest. All of its calls belong to one query, so the query's fields are sent once.
-func relayToWire(r *clementineport.RelayRequest, now time.Time, traceparent string) *cpwire.RelayRequest {
-	first := &r.Calls[0]
-	calls := make([]cpwire.RelayCall, len(r.Calls))
-	m := &cpwire.RelayRequest{
-		From:        string(r.From),
-		Revision:    uint64(r.Revision),
-		Request:     string(first.Request),
-		Service:     string(first.Service),
-		Class:       uint32(first.Class),
-		Index:       string(first.Index),
-		Snapshot:    snapshotToWire(first.Snapshot),
-		Text:        first.Text,
-		Limit:       int32(first.Limit),
-		LeftNanos:   int64(first.Deadline.Sub(now)),
-		Idempotent:  first.Idempotent,
-		Traceparent: traceparent,
-		Calls:       make([]*cpwire.RelayCall, len(r.Calls)),
-	}
-	for i := range r.Calls {
-		c := &r.Calls[i]
-		calls[i].Attempt, calls[i].Shard, calls[i].Target = int32(c.Attempt), int32(c.Shard), string(c.Target)
-		m.Calls[i] = &calls[i]
-	}
-	return m
+// EncodeDigest returns the request message of an exchange.
+func EncodeDigest(d *clementineport.Digest) *cpwire.ExchangeRequest {
+	return &cpwire.ExchangeRequest{
+		From:       memberToWire(&d.From),
+		Revision:   uint64(d.Revision),
+		FreshNanos: int64(d.Staleness),
+		Members:    membersToWire(d.Members),
+		Leaving:    runsToWire(d.Leaving),
+		Limits:     limitsToWire(d.Limits),
+		Requests:   reportsToWire(d.Requests),
+		Reach:      reachToWire(d.Reach),
+	}
+}
+
+// EncodeDigestReply returns the response message of an exchange.
+func EncodeDigestReply(d *clementineport.Digest) *cpwire.ExchangeResponse {
+	return &cpwire.ExchangeResponse{
+		From:       memberToWire(&d.From),
+		Revision:   uint64(d.Revision),
+		FreshNanos: int64(d.Staleness),
+		Members:    membersToWire(d.Members),
+		Leaving:    runsToWire(d.Leaving),
+		Limits:     limitsToWire(d.Limits),
+		Requests:   reportsToWire(d.Requests),
+		Reach:      reachToWire(d.Reach),
+	}
+}
+
+// ExchangeMessage is the request or response message of an exchange.
+type ExchangeMessage interface {
+	GetFrom() *cpwire.Member
+	GetRevision() uint64
+	GetFreshNanos() int64
+	GetMembers() []*cpwire.Member
+	GetLeaving() []*cpwire.TargetRun
+	GetLimits() []*cpwire.TargetLimit
+	GetRequests() []*cpwire.RequestReport
+	GetReach() []*cpwire.VMReach
 }
 
-func relayFromWire(m *cpwire.RelayRequest, now time.Time) *clementineport.RelayRequest {
-	r := &clementineport.RelayRequest{
-		From:     clementineport.VMID(m.GetFrom()),
-		Revision: clementineport.Revision(m.GetRevision()),
-		Calls:    make([]clementineport.Call, len(m.GetCalls())),
-	}
-	shared := clementineport.Call{
-		Request:    clementineport.RequestID(m.GetRequest()),
-		Service:    clementineport.ServiceID(m.GetService()),
-		Class:      clementineport.Class(m.GetClass()),
-		Index:      clementineport.IndexID(m.GetIndex()),
-		Snapshot:   snapshotFromWire(m.GetSnapshot()),
-		Text:       m.GetText(),
-		Limit:      int(m.GetLimit()),
-		Deadline:   now.Add(time.Duration(m.GetLeftNanos())),
-		Idempotent: m.GetIdempotent(),
-	}
-	for i, c := range m.GetCalls() {
-		call := shared
-		call.Attempt = clementineport.AttemptID(c.GetAttempt())
-		call.Shard = clementineport.ShardID(c.GetShard())
-		call.Target = clementineport.TargetID(c.GetTarget())
-		r.Calls[i] = call
+// DecodeDigest returns the digest of a message.
+func DecodeDigest(m ExchangeMessage) *clementineport.Digest {
+	return &clementineport.Digest{
+		From:      memberFromWire(m.GetFrom()),
+		Revision:  clementineport.Revision(m.GetRevision()),
+		Staleness: time.Duration(m.GetFreshNanos()),
+		Members:   membersFromWire(m.GetMembers()),
+		TargetNews: clementineport.TargetNews{
+			Leaving: runsFromWire(m.GetLeaving()), Limits: limitsFromWire(m.GetLimits()),
+			Requests: reportsFromWire(m.GetRequests()), Reach: reachFromWire(m.GetReach()),
+		},
 	}
-	return r
 }
 
 func memberToWire(m *clementineport.Member) *cpwire.Member {
@@ -109,22 +98,6 @@
 	}
 }
 
-// newsMessage is a message with news, in an exchange or its answer.
-type newsMessage interface {
-	GetLeaving() []*cpwire.TargetRun
-	GetLimits() []*cpwire.TargetLimit
-	GetRequests() []*cpwire.RequestReport
-	GetReach() []*cpwire.VMReach
-}
-
-// newsFromWire decodes the news of a message.
-func newsFromWire(m newsMessage) clementineport.TargetNews {
-	return clementineport.TargetNews{
-		Leaving: runsFromWire(m.GetLeaving()), Limits: limitsFromWire(m.GetLimits()),
-		Requests: reportsFromWire(m.GetRequests()), Reach: reachFromWire(m.GetReach()),
-	}
-}
-
 func reachToWire(reach []clementineport.VMReach) []*cpwire.VMReach {
 	out := make([]*cpwire.VMReach, len(reach))
 	for i, r := range reach {
--- a/cppeer/cpconnect/result.go
+++ b/cppeer/cpmessage/result.go
@@ -1,4 +1,4 @@
-package cpconnect
+package cpmessage
 
 import (
 	"strings"
@@ -12,7 +12,8 @@
 
 var errHitLengths = clementineport.Fail(clementineport.FaultMalformed, "the hits of a relayed reply do not fit their lengths")
 
-func resultToWire(r *clementineport.CallResult, requestID clementineport.RequestID) *cpwire.RelayResult {
+// EncodeResult returns the message of the result of a call for a query. What the reply has in common with the call is not sent.
+func EncodeResult(r *clementineport.CallResult, requestID clementineport.RequestID) *cpwire.RelayResult {
 	m := &cpwire.RelayResult{
 		Attempt:      int32(r.Attempt),
 		Shard:        int32(r.Shard),
@@ -22,14 +23,15 @@
 		ElapsedNanos: int64(r.Elapsed),
 	}
 	if r.Err != nil {
-		m.Fault, m.Reason, m.RetryAfterNanos = errorToWire(r.Err)
+		m.Fault, m.Reason, m.RetryAfterNanos = EncodeError(r.Err)
 		return m
 	}
 	m.Reply = replyToWire(r, requestID)
 	return m
 }
 
-func resultFromWire(m *cpwire.RelayResult, requestID clementineport.RequestID) clementineport.CallResult {
+// DecodeResult returns the result of a message.
+func DecodeResult(m *cpwire.RelayResult, requestID clementineport.RequestID) clementineport.CallResult {
 	r := clementineport.CallResult{
 		Attempt: clementineport.AttemptID(m.GetAttempt()),
 		Shard:   clementineport.ShardID(m.GetShard()),
@@ -39,7 +41,7 @@
 		Elapsed: time.Duration(m.GetElapsedNanos()),
 	}
 	if m.GetReply() == nil {
-		r.Err = errorFromWire(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
+		r.Err = DecodeError(m.GetFault(), m.GetReason(), m.GetRetryAfterNanos())
 		return r
 	}
 	hits, err := hitsFromWire(m.GetReply())
--- a/cppeer/traffic_bench_test.go
+++ b/cppeer/traffic_bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
+	"github.com/clementineport/clementineport/cppeer/cpmessage"
 )
 
 // countingConn counts the bytes read from and written to a connection.
@@ -61,7 +62,7 @@
 				assert.NilError(b, err)
 			}
 			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/exchange")
-			b.ReportMetric(2*float64(proto.Size(cpconnect.DigestMessage(d))), "digest-B/exchange")
+			b.ReportMetric(2*float64(proto.Size(cpmessage.EncodeDigest(d))), "digest-B/exchange")
 		})
 	}
 }
