Check the path to targets when another VM has lost its own

On the large deployment callers of VMs that were cut off still failed four to five seconds into the cut. Cause: a VM found out from its own calls only. Of 174 VMs that were cut off at 4 s, which get a request every two seconds or so, half had found out after 2.0 s, nine tenths after 4.4 s, and 85 not at all by 9 s; until then they failed the first requests that came, and other VMs sent theirs to them.

Now a VM that hears of the loss of another one makes the connection attempts that decide, unless a target has answered it since. It is the same statement and the same check; only what raises the suspicion is new. Ruled out: comparing with the VMs of the domain (cuts do not follow domains), and health checks without a reason (docs/design/reach.md).

TestAVMWithoutCallsLearnsFromOthersThatItsPathMayBeLost fails without the change.

--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -98,6 +98,9 @@
 		w.stateReach(now.Add(time.Nanosecond)) // later than the old statement
 		return false
 	}
+	if r.Lost {
+		w.options.Reach.Doubt(now.Add(-r.Age))
+	}
 	w.options.Log.Info(string(cplogevent.ReachChanged), zap.String("VM", string(r.VM)), zap.Bool("Lost", r.Lost), zap.String("Source", source))
 	return true
 }
--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -231,6 +231,26 @@
 	return 0
 }
 
+// TestAVMWithoutCallsLearnsFromOthersThatItsPathMayBeLost guards against VMs that get few requests, do not know that they reach no
+// target, and fail the first of them and those that other VMs send to them.
+func TestAVMWithoutCallsLearnsFromOthersThatItsPathMayBeLost(t *testing.T) {
+	all := startReachableFleet(t, "a", "b", "c")
+	for _, id := range []clementineport.VMID{"b", "c"} {
+		all[id].cut(true)
+	}
+	all["b"].failCalls()
+	await(t, "all know of both", func() bool {
+		for _, v := range all {
+			if lost := v.View().Lost; !lost["b"] || !lost["c"] {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, all["a"].reach.State(), cpreach.Reached)
+	assert.Assert(t, !all["b"].View().Lost["a"])
+}
+
 // TestAVMCorrectsAnOldStatementOfItsOwn guards against a VM that callers avoid for good, since another VM still tells what it
 // stated before a restart, or before a pause of that VM.
 func TestAVMCorrectsAnOldStatementOfItsOwn(t *testing.T) {
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -2,7 +2,8 @@
 // what VMs state about that.
 //
 // Targets that are slow or down look alike to a VM that has lost its path, so the calls only raise a suspicion: several
-// targets of several services have answered nothing, or none of them accepts a new connection. Connection attempts to
+// targets of several services have answered nothing, or none of them accepts a new connection, or another VM has lost its path
+// and no target has answered since. Connection attempts to
 // further targets (ConnectAny) decide; the caller makes them and reports the result. A path that carries only the
 // connections that are open already counts as lost, since a VM needs new ones all the time. The current time is passed in.
 package cpreach
@@ -162,6 +163,16 @@
 	return t.state, failing
 }
 
+// Doubt moves from Reached to Suspected if no target has answered since a time at which another VM had lost its path. VMs often
+// lose it together, and one that makes few calls would find out late.
+func (t *Tracker) Doubt(since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state == Reached && !t.answered.After(since) {
+		t.state = Suspected
+	}
+}
+
 // failing returns the targets that count against the path, with their services.
 func (t *Tracker) failing(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
 	if t.silent(now) {
--- a/cpreach/cpreach_test.go
+++ b/cpreach/cpreach_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+func TestTheLossOfAnotherVMIsDoubtUnlessATargetHasAnsweredSince(t *testing.T) {
+	tracker := cpreach.New()
+	tracker.Done(start, tracker.Sent(start, target(1), typical), clementineport.FaultUnknown)
+	tracker.Doubt(start.Add(-time.Millisecond))
+	assert.Equal(t, tracker.State(), cpreach.Reached)
+	tracker.Doubt(start)
+	assert.Equal(t, tracker.State(), cpreach.Suspected)
+	tracker.Connected(start.Add(time.Second))
+	assert.Equal(t, tracker.State(), cpreach.Reached)
+	tracker.Doubt(start.Add(2 * time.Second))
+	tracker.Unreachable()
+	assert.Equal(t, tracker.State(), cpreach.Lost)
+	tracker.Doubt(start.Add(3 * time.Second))
+	assert.Equal(t, tracker.State(), cpreach.Lost)
+}
+
 func TestTargetsThatHangButAcceptConnectionsAreNoLostPath(t *testing.T) {
 	tracker := cpreach.New()
 	for n := range 4 {
