--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -51,8 +51,8 @@
 	Sending int
 	// Registered is the number of VMs that the store lists, reached or not.
 	Registered int
-	// StoreEra is the era of the store that the view is from.
-	StoreEra clementineport.StoreEra
+	// AsOf is the position in the store that the view is from.
+	AsOf clementineport.StorePosition
 	// Leaving is the number of registered targets that have stated that they are shutting down.
 	Leaving int
 	// Suspects holds the requests during which targets have crashed.
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -104,7 +104,7 @@
 func (w *Watcher) View() *cpfleetstate.View { return w.view.Load() }
 
 // StoreEra returns the era of the store that the latest view is from.
-func (w *Watcher) StoreEra() clementineport.StoreEra { return w.View().StoreEra }
+func (w *Watcher) StoreEra() clementineport.StoreEra { return w.View().AsOf.Era }
 
 // Age returns the time since the view was last known to be complete.
 func (w *Watcher) Age() time.Duration { return w.options.Clock.Now().Sub(*w.confirmed.Load()) }
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -30,7 +30,7 @@
 		Lost:       w.reach.Lost(),
 	}
 	view.Sending = sendingVMs(view)
-	view.StoreEra, view.Listed = w.catalog.AsOf().Era, w.catalog.Listed(w.options.Self.ID)
+	view.AsOf, view.Listed = w.catalog.AsOf(), w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
 		w.registration.Lost()
 	}
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -14,6 +14,14 @@
 // it, in order of their names, have none.
 const maxServices = 400
 
+// operatorHandler serves the metrics, and the status at its own path.
+func (p *Process) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+pathStatus, p.statusHandler())
+	mux.Handle("/", p.metricsHandler())
+	return mux
+}
+
 // metricsHandler serves the counters and the current state of the process in the Prometheus text format.
 func (p *Process) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -42,13 +50,14 @@
 		{"clementineport_requests_in_flight", float64(p.inFlight())},
 		{"clementineport_view_age_seconds", p.watcher.Age().Seconds()},
 		{"clementineport_routes_version", version},
-		{"clementineport_store_era", float64(view.StoreEra)},
+		{"clementineport_store_era", float64(view.AsOf.Era)},
 		{"clementineport_targets_leaving", float64(view.Leaving)},
 		{"clementineport_targets_lost", lost},
 		{"clementineport_requests_blocked", float64(view.BlockedRequests())},
 		{"clementineport_crash_checks_skipped_total", float64(p.forwarder.SkippedCrashChecks())},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
 		{"clementineport_vms_divided_by", float64(view.VMs)},
+		{"clementineport_vms_sending", float64(view.Sending)},
 		{"clementineport_log_lines_limited_total", float64(limited)},
 		{"clementineport_log_lines_dropped_total", float64(full)},
 	} {
--- a/cpplatformvm/services.go
+++ b/cpplatformvm/services.go
@@ -49,7 +49,7 @@
 		{"ready", s.Ready, cpfront.Ready(p.ready), false},
 		{"directory", s.Directory, cpfront.Directory(p.addresses, p.entryListTTL), false},
 		{"peer", s.Peer, cpconnect.NewHandler(&peerHandler{p.watcher, p.receiver}, p.peerOptions()...), true},
-		{"metrics", p.metricsAddress, p.metricsHandler(), false},
+		{"metrics", p.metricsAddress, p.operatorHandler(), false},
 	} {
 		if l.address == "" {
 			continue
--- /dev/null
+++ b/cpplatformvm/status.go
@@ -0,0 +1,74 @@
+package cpplatformvm
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cpreach"
+)
+
+// pathStatus is the path of the status on the metrics listener.
+const pathStatus = "/status"
+
+// Status is the fleet as this VM sees it.
+type Status struct {
+	VM    clementineport.VMID
+	Start clementineport.StartID
+	// Store is the position in the store that the view is from, and ViewAge the time since the view was last complete.
+	Store   clementineport.StorePosition
+	ViewAge string
+	// RoutesVersion is zero before routes are known.
+	RoutesVersion clementineport.Revision
+	Ready         bool
+	// Isolated is true if the view is too old to act on and no other VM answers.
+	Isolated bool
+	// TargetsLost is true while this VM reaches no target.
+	TargetsLost bool
+	InFlight    int
+	// DividedBy is the number of VMs by which bounds for all VMs together are divided, and Sending the number of those that
+	// send requests to targets.
+	DividedBy int
+	Sending   int
+	VMs       []VMStatus
+	Services  []cpfleetstate.Totals
+}
+
+// VMStatus is the state of one VM.
+type VMStatus struct {
+	ID      clementineport.VMID
+	Domain  clementineport.FailureDomain
+	State   clementineport.MemberState
+	Leaving bool
+	// TargetsLost is true if the VM states that it reaches no target.
+	TargetsLost bool
+}
+
+// status returns the current status.
+func (p *Process) status() *Status {
+	view := p.watcher.View()
+	s := &Status{
+		VM: p.self.ID, Start: p.self.Start, Store: view.AsOf, ViewAge: p.watcher.Age().Round(time.Millisecond).String(),
+		Ready: p.ready(), Isolated: p.watcher.Isolated(), TargetsLost: p.reach.State() == cpreach.Lost, InFlight: p.inFlight(),
+		DividedBy: view.VMs, Sending: view.Sending, Services: view.Totals(p.clock.Now()),
+	}
+	if view.Router != nil {
+		s.RoutesVersion = view.Router.Table().Version
+	}
+	for i := range view.Members {
+		m := &view.Members[i]
+		s.VMs = append(s.VMs, VMStatus{ID: m.ID, Domain: m.Domain, State: m.State, Leaving: m.Leaving, TargetsLost: view.Lost[m.ID]})
+	}
+	return s
+}
+
+// statusHandler serves the status as JSON.
+func (p *Process) statusHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// Encode fails only if the client has gone.
+		_ = json.NewEncoder(w).Encode(p.status())
+	})
+}
