--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -1,11 +1,11 @@
 // Package cpreach determines whether one VM has lost its network path to the targets, from the calls that it makes, and keeps
 // what VMs state about that.
 //
-// Targets that are slow or down look alike to a VM that has lost its path, so the calls only raise a suspicion: several
-// targets of several services have answered nothing, or none of them accepts a new connection, or another VM has lost its path
-// and no target has answered since. Connection attempts to
-// further targets (ConnectAny) decide; the caller makes them and reports the result. A path that carries only the
-// connections that are open already counts as lost, since a VM needs new ones all the time. The current time is passed in.
+// Targets that are slow or down look alike to a VM that has lost its path, so what it sees only raises a suspicion: several
+// targets of several services have answered nothing, or none of them accepts a new connection, or another VM has lost its
+// path and no target has answered since. Connection attempts to further targets (ConnectAny) decide; the caller makes them
+// and reports the result. A path that carries only the connections that are open already counts as lost, since a VM needs
+// new ones all the time. The current time is passed in.
 package cpreach
 
 import (
