Suspect a lost path from the services that a VM calls, not from all that it knows

Callers of a VM that gets requests for one service only got 503 for all of a cut: 0 of 946 (links that hang) and 0 of 1,355 first tries (refused) were served, 2,297 of 2,297 and 2,316 of 2,316 at the others. Cause: a suspicion needed failures of two services if there are two, and the VM called just one.

While no target answers at all, the services that fail are those that are called, and three of their targets, or all, are enough. Where only new connections fail, two services are still needed if several have been called since the last connection was opened, so that the end of one service makes no VM try others all the time; and after attempts that succeeded the next round waits for two seconds. Connection attempts decide as before.

TestCallersOfOneServiceAreServedByVMsThatReachNoTarget (real processes) failed before as above and passes for all three forms. TestTheTargetsOfOneServiceThatFailAreNoLostPath held the wrong assumption: it wanted no suspicion though nothing else had been called. It is replaced by five tests: no suspicion while another service answers, none at the first failure, one if only one service is called, or one with few targets, and connection attempts that decide.

--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -54,6 +54,9 @@
 	DefaultPeerTimeout = 4 * time.Second
 	// probePeriod is the time between two rounds of connection attempts while no target answers.
 	probePeriod = 500 * time.Millisecond
+	// soundPathPeriod is the time after a round that has reached a target to the next one. Targets may go on failing for reasons
+	// of their own.
+	soundPathPeriod = 2 * time.Second
 	// probeTimeout limits a connection attempt.
 	probeTimeout = 250 * time.Millisecond
 	// probedTargets is the number of targets that a round of connection attempts is made to.
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -14,7 +14,7 @@
 
 // checkReach attempts to connect to some targets while others fail in a way that a lost path could explain.
 func (w *Watcher) checkReach(ctx context.Context, now time.Time) {
-	state, failing := w.options.Reach.Suspect(now, len(w.states), len(w.View().Services))
+	state, failing := w.options.Reach.Suspect(now, w.targetCounts())
 	w.updateLost(now, len(failing))
 	if state == cpreach.Reached || w.probing || now.Before(w.nextProbe) {
 		return
@@ -37,6 +37,15 @@
 	}()
 }
 
+// targetCounts returns the number of targets of each service.
+func (w *Watcher) targetCounts() map[clementineport.ServiceID]int {
+	counts := map[clementineport.ServiceID]int{}
+	for service, targets := range w.View().Services {
+		counts[service] = len(targets)
+	}
+	return counts
+}
+
 // clientsToProbe returns the clients of all targets in random order, those of failing targets last, since these may have failed
 // for reasons of their own.
 func (w *Watcher) clientsToProbe(failing map[clementineport.TargetID]clementineport.ServiceID) []clementineport.OpaqueTarget {
@@ -56,6 +65,7 @@
 func (w *Watcher) handleProbe(now time.Time, reached bool, failing int) {
 	if reached {
 		w.options.Reach.Connected(now)
+		w.nextProbe = now.Add(soundPathPeriod)
 	} else {
 		w.options.Reach.Unreachable()
 	}
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -2,7 +2,7 @@
 // what VMs state about that.
 //
 // Targets that are slow or down look alike to a VM that has lost its path, so what it sees only raises a suspicion: several
-// targets of several services have answered nothing, or none of them accepts a new connection, or another VM has lost its
+// targets have answered nothing, or none of them accepts a new connection, or another VM has lost its
 // path and no target has answered since. Connection attempts to further targets (ConnectAny) decide; the caller makes them
 // and reports the result. A path that carries only the connections that are open already counts as lost, since a VM needs
 // new ones all the time. The current time is passed in.
@@ -56,6 +56,8 @@
 	// those that could not be connected to since the last connection was opened.
 	failed      map[clementineport.TargetID]clementineport.ServiceID
 	unconnected map[clementineport.TargetID]clementineport.ServiceID
+	// called holds the services that have been called since the last connection was opened.
+	called map[clementineport.ServiceID]bool
 	// lost is closed when the state becomes Lost, and replaced when it is no longer.
 	lost chan struct{}
 }
@@ -66,6 +68,7 @@
 		options: NewOptions(opts...), inFlight: map[*Call]struct{}{}, lost: make(chan struct{}),
 		failed:      map[clementineport.TargetID]clementineport.ServiceID{},
 		unconnected: map[clementineport.TargetID]clementineport.ServiceID{},
+		called:      map[clementineport.ServiceID]bool{},
 	}
 }
 
@@ -92,6 +95,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight[c] = struct{}{}
+	t.called[c.service] = true
 	if t.silentSince.IsZero() {
 		t.silentSince = now
 	}
@@ -145,6 +149,7 @@
 	defer t.mu.Unlock()
 	t.answer(now)
 	clear(t.unconnected)
+	clear(t.called)
 	if t.state == Lost {
 		t.lost = make(chan struct{})
 	}
@@ -152,17 +157,28 @@
 }
 
 // Suspect moves from Reached to Suspected if enough targets have not answered or could not be connected to, and returns the
-// state and these targets. targets and services are the numbers of those that the VM may call.
-func (t *Tracker) Suspect(now time.Time, targets, services int) (State, map[clementineport.TargetID]clementineport.ServiceID) {
+// state and these targets. targets holds the number of targets of each service that the VM may call.
+func (t *Tracker) Suspect(now time.Time, targets map[clementineport.ServiceID]int) (State, map[clementineport.TargetID]clementineport.ServiceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	failing := t.failing(now)
-	if t.state == Reached && enough(failing, targets, services) {
+	failing, suspicious := maps.Clone(t.unconnected), t.connectsToNone(targets)
+	if t.silent(now) {
+		failing = t.unanswered(now)
+		suspicious = len(failing) >= enough(servicesOf(failing, targets))
+	}
+	if t.state == Reached && suspicious {
 		t.state = Suspected
 	}
 	return t.state, failing
 }
 
+// connectsToNone reports whether enough targets could not be connected to. If calls to several services have been made, so must
+// the failures have been, since all targets of one service may have ended.
+func (t *Tracker) connectsToNone(targets map[clementineport.ServiceID]int) bool {
+	services := servicesOf(t.unconnected, targets)
+	return len(t.unconnected) >= enough(targets) && len(services) >= min(minFailingServices, len(t.called))
+}
+
 // Doubt moves from Reached to Suspected if no target has answered since a time at which another VM had lost its path. VMs often
 // lose it together, and one that makes few calls would find out late.
 func (t *Tracker) Doubt(since time.Time) {
@@ -173,21 +189,22 @@
 	}
 }
 
-// failing returns the targets that count against the path, with their services.
-func (t *Tracker) failing(now time.Time) map[clementineport.TargetID]clementineport.ServiceID {
-	if t.silent(now) {
-		return t.unanswered(now)
+// servicesOf returns the numbers of targets of the services that failing targets belong to.
+func servicesOf(failing map[clementineport.TargetID]clementineport.ServiceID, targets map[clementineport.ServiceID]int) map[clementineport.ServiceID]int {
+	called := map[clementineport.ServiceID]int{}
+	for _, service := range failing {
+		called[service] = targets[service]
 	}
-	return maps.Clone(t.unconnected)
+	return called
 }
 
-// enough reports whether so many targets and services are failing that the path may be lost.
-func enough(failing map[clementineport.TargetID]clementineport.ServiceID, targets, services int) bool {
-	named := map[clementineport.ServiceID]bool{}
-	for _, service := range failing {
-		named[service] = true
+// enough returns how many targets must fail for the path to be suspected, of those that may be called.
+func enough(targets map[clementineport.ServiceID]int) int {
+	total := 0
+	for _, n := range targets {
+		total += n
 	}
-	return len(failing) >= max(1, min(minFailingTargets, targets)) && len(named) >= min(minFailingServices, services)
+	return max(1, min(minFailingTargets, total))
 }
 
 // Silent reports whether calls have been sent, and none has been answered for a time.
--- a/cpreach/options.go
+++ b/cpreach/options.go
@@ -8,7 +8,7 @@
 	DefaultMinOverdue = 200 * time.Millisecond
 	// overdueFactor is the multiple of the typical latency after which an unanswered call counts against the path.
 	overdueFactor = 3
-	// minFailingTargets and minFailingServices are how many targets and services must fail. Fewer may have crashed together.
+	// minFailingTargets and minFailingServices are how many targets and services must fail. Fewer may have ended together.
 	minFailingTargets  = 3
 	minFailingServices = 2
 )
