Check the path to targets within a bound, whatever the latency of the services and the number of calls

A VM waited for three times the typical latency of its calls, without bound, and for failures of three targets, before it checked its path.

A call counts after a quarter of that time at the latest, and then one is enough if no target has answered meanwhile. TestOneCallThatStaysUnansweredIsEnoughInTime and the last row of TestASlowServiceGetsMoreTimeWithinABound fail without the change; the latter replaces TestASlowServiceGetsMoreTime, which wanted three seconds for a service that takes one, more than callers may be made to wait for one that takes two.

--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -111,6 +111,10 @@
 	staleShare = 0.75
 )
 
+// maxOverdueShare sets the time without an answer after which the path to the targets is checked. It is a part of
+// Bounds.UndisturbedTime, within which callers of a VM that reaches no target must be served.
+const maxOverdueShare = 0.25
+
 // share returns a part of d.
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
@@ -132,7 +136,7 @@
 // build creates the registrar, the watcher, the forwarder and the front.
 func (p *Process) build(s *cpconf.Settings) {
 	p.readBudget = newReadBudget(s.Limits)
-	p.reach = cpreach.New()
+	p.reach = cpreach.New(cpreach.WithMaxOverdue(max(cpreach.DefaultMinOverdue, share(s.Bounds.UndisturbedTime, maxOverdueShare))))
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
 	apply := s.Bounds.ConfigApply
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
--- a/cpreach/cpreach.go
+++ b/cpreach/cpreach.go
@@ -90,7 +90,7 @@
 func (t *Tracker) Sent(now time.Time, target *clementineport.TargetInstance, typical time.Duration) *Call {
 	c := &Call{
 		target: target.ID, service: target.Service, sent: now,
-		overdueAfter: max(t.options.MinOverdue, time.Duration(overdueFactor*float64(typical))),
+		overdueAfter: min(t.options.MaxOverdue, max(t.options.MinOverdue, time.Duration(overdueFactor*float64(typical)))),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,7 +164,8 @@
 	failing, suspicious := maps.Clone(t.unconnected), t.connectsToNone(targets)
 	if t.silent(now) {
 		failing = t.unanswered(now)
-		suspicious = len(failing) >= enough(servicesOf(failing, targets))
+		long := now.Sub(t.silentSince) >= t.options.MaxOverdue
+		suspicious = len(failing) >= enough(servicesOf(failing, targets)) || long && len(failing) > 0
 	}
 	if t.state == Reached && suspicious {
 		t.state = Suspected
--- a/cpreach/cpreach_test.go
+++ b/cpreach/cpreach_test.go
@@ -179,14 +179,32 @@
 	assert.Assert(t, tracker.Silent(start.Add(time.Hour)))
 }
 
-func TestASlowServiceGetsMoreTime(t *testing.T) {
-	tracker := cpreach.New()
-	for n := range 4 {
-		tracker.Sent(start, target(n), time.Second)
+// TestASlowServiceGetsMoreTimeWithinABound guards against callers that wait for several times the latency of slow services before
+// a VM begins to check its path.
+func TestASlowServiceGetsMoreTimeWithinABound(t *testing.T) {
+	for _, c := range []struct{ typical, wait time.Duration }{
+		{50 * time.Millisecond, cpreach.DefaultMinOverdue},
+		{200 * time.Millisecond, 600 * time.Millisecond},
+		{10 * time.Second, cpreach.DefaultMaxOverdue},
+	} {
+		tracker := cpreach.New()
+		for n := range 4 {
+			tracker.Sent(start, target(n), c.typical)
+		}
+		state, _ := tracker.Suspect(start.Add(c.wait-1), nineTargets)
+		assert.Equal(t, state, cpreach.Reached)
+		state, _ = tracker.Suspect(start.Add(c.wait), nineTargets)
+		assert.Equal(t, state, cpreach.Suspected)
 	}
-	state, _ := tracker.Suspect(start.Add(2900*time.Millisecond), nineTargets)
+}
+
+// TestOneCallThatStaysUnansweredIsEnoughInTime guards against VMs with few requests that need several to suspect their path.
+func TestOneCallThatStaysUnansweredIsEnoughInTime(t *testing.T) {
+	tracker := cpreach.New()
+	tracker.Sent(start, target(0), typical)
+	state, _ := tracker.Suspect(start.Add(cpreach.DefaultMaxOverdue-1), nineTargets)
 	assert.Equal(t, state, cpreach.Reached)
-	state, _ = tracker.Suspect(start.Add(3*time.Second), nineTargets)
+	state, _ = tracker.Suspect(start.Add(cpreach.DefaultMaxOverdue), nineTargets)
 	assert.Equal(t, state, cpreach.Suspected)
 }
 
