Define the types and messages of workspaces, quotas, loads and rollouts

The parts of docs/WORKSPACES-AND-ROLLOUTS.md are built side by side and need common types first: workspaces with hashed keys, requests for quota tokens between VMs, orders and states of rollouts, what VMs report about them, and the capacity and load of VMs. Nothing uses them yet, so requests take the same way as before.

The request and the response of an exchange had the same fields and become one message with the same field numbers, which earlier builds read as before. Updates between VMs state a format: one of an earlier build lacks workspaces, and taking that for a configuration without any would let requests without keys through.

--- a/cpentry/peer.go
+++ b/cpentry/peer.go
@@ -37,3 +37,8 @@
 func (e *Entry) Reroute(context.Context, *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
 	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM forwards no requests")
 }
+
+// Quota always fails: this path has no workspaces.
+func (e *Entry) Quota(context.Context, *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
+	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM coordinates no quotas")
+}
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -73,3 +73,8 @@
 func (w *Watcher) Forward(context.Context, *clementineport.Query) (*clementineport.Answer, error) {
 	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM runs no queries")
 }
+
+// Quota implements cppeer.Handler. It always fails: a watcher coordinates no quotas.
+func (w *Watcher) Quota(context.Context, *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
+	return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM coordinates no quotas")
+}
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -90,17 +90,24 @@
 	if update.Whole && update.Routes == nil {
 		return nil, nil
 	}
-	text, err := json.Marshal(&wireUpdate{Era: update.AsOf.Era, AsOf: update.AsOf.Revision, FleetUpdate: update})
+	text, err := json.Marshal(&wireUpdate{
+		Format: updateFormat, Era: update.AsOf.Era, AsOf: update.AsOf.Revision, FleetUpdate: update,
+	})
 	if err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultInternal, Reason: "encode news", Err: err}
 	}
 	return &clementineport.Config{Revision: update.AsOf.Revision, Text: text}, nil
 }
 
-// wireUpdate is an update as VMs exchange it. Earlier builds know only the revision of its position.
+// updateFormat is the format of the updates that this build sends. It rises when what an update of an earlier build lacks must
+// not be taken to be absent. Format 1 has workspaces and rollouts.
+const updateFormat = 1
+
+// wireUpdate is an update as VMs exchange it. Earlier builds know only the revision of its position, and state no format.
 type wireUpdate struct {
-	Era  clementineport.StoreEra `json:",omitempty"`
-	AsOf clementineport.Revision
+	Format int                     `json:",omitempty"`
+	Era    clementineport.StoreEra `json:",omitempty"`
+	AsOf   clementineport.Revision
 	*clementineport.FleetUpdate
 }
 
@@ -113,6 +120,9 @@
 	if err := json.Unmarshal(cfg.Text, &wire); err != nil {
 		return nil, &clementineport.Error{Fault: clementineport.FaultMalformed, Reason: "decode news", Err: err}
 	}
+	if wire.Format < updateFormat {
+		return nil, clementineport.Fail(clementineport.FaultMalformed, "the update has format %d, needed is %d", wire.Format, updateFormat)
+	}
 	wire.FleetUpdate.AsOf = clementineport.StorePosition{Era: wire.Era, Revision: wire.AsOf}
 	return wire.FleetUpdate, nil
 }
--- a/cppeer/cpconnect/handler.go
+++ b/cppeer/cpconnect/handler.go
@@ -89,12 +89,12 @@
 }
 
 // Exchange implements cpwireconnect.PeerServiceHandler.
-func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
+func (h *handler) Exchange(ctx context.Context, req *connect.Request[cpwire.Digest]) (*connect.Response[cpwire.Digest], error) {
 	reply, err := h.next.Exchange(ctx, cpmessage.DecodeDigest(req.Msg))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(cpmessage.EncodeDigestReply(reply)), nil
+	return connect.NewResponse(cpmessage.EncodeDigest(reply)), nil
 }
 
 // position returns the position that a request for the configuration states. A VM of an earlier build states no era.
--- a/cppeer/cpmessage/digest.go
+++ b/cppeer/cpmessage/digest.go
@@ -7,9 +7,9 @@
 	"github.com/clementineport/clementineport/cpwire"
 )
 
-// EncodeDigest returns the request message of an exchange.
-func EncodeDigest(d *clementineport.Digest) *cpwire.ExchangeRequest {
-	return &cpwire.ExchangeRequest{
+// EncodeDigest returns the message of a digest.
+func EncodeDigest(d *clementineport.Digest) *cpwire.Digest {
+	return &cpwire.Digest{
 		From:       memberToWire(&d.From),
 		Revision:   uint64(d.Revision),
 		FreshNanos: int64(d.Staleness),
@@ -18,37 +18,13 @@
 		Limits:     limitsToWire(d.Limits),
 		Requests:   reportsToWire(d.Requests),
 		Reach:      reachToWire(d.Reach),
+		Rollouts:   rolloutsToWire(d.Rollouts),
+		Loads:      loadsToWire(d.Loads),
 	}
 }
 
-// EncodeDigestReply returns the response message of an exchange.
-func EncodeDigestReply(d *clementineport.Digest) *cpwire.ExchangeResponse {
-	return &cpwire.ExchangeResponse{
-		From:       memberToWire(&d.From),
-		Revision:   uint64(d.Revision),
-		FreshNanos: int64(d.Staleness),
-		Members:    membersToWire(d.Members),
-		Leaving:    runsToWire(d.Leaving),
-		Limits:     limitsToWire(d.Limits),
-		Requests:   reportsToWire(d.Requests),
-		Reach:      reachToWire(d.Reach),
-	}
-}
-
-// ExchangeMessage is the request or response message of an exchange.
-type ExchangeMessage interface {
-	GetFrom() *cpwire.Member
-	GetRevision() uint64
-	GetFreshNanos() int64
-	GetMembers() []*cpwire.Member
-	GetLeaving() []*cpwire.TargetRun
-	GetLimits() []*cpwire.TargetLimit
-	GetRequests() []*cpwire.RequestReport
-	GetReach() []*cpwire.VMReach
-}
-
 // DecodeDigest returns the digest of a message.
-func DecodeDigest(m ExchangeMessage) *clementineport.Digest {
+func DecodeDigest(m *cpwire.Digest) *clementineport.Digest {
 	return &clementineport.Digest{
 		From:      memberFromWire(m.GetFrom()),
 		Revision:  clementineport.Revision(m.GetRevision()),
@@ -57,6 +33,7 @@
 		TargetNews: clementineport.TargetNews{
 			Leaving: runsFromWire(m.GetLeaving()), Limits: limitsFromWire(m.GetLimits()),
 			Requests: reportsFromWire(m.GetRequests()), Reach: reachFromWire(m.GetReach()),
+			Rollouts: rolloutsFromWire(m.GetRollouts()), Loads: loadsFromWire(m.GetLoads()),
 		},
 	}
 }
@@ -70,6 +47,8 @@
 			Peer:     m.Peer,
 			Operator: m.Operator,
 			Leaving:  m.Leaving,
+			Cores:    m.Capacity.Cores,
+			LinkMbps: m.Capacity.LinkMbps,
 		},
 		Start:       string(m.Start),
 		State:       uint32(m.State),
@@ -89,6 +68,7 @@
 			Peer:     vm.GetPeer(),
 			Operator: vm.GetOperator(),
 			Leaving:  vm.GetLeaving(),
+			Capacity: clementineport.VMCapacity{Cores: vm.GetCores(), LinkMbps: vm.GetLinkMbps()},
 		},
 		Start:       clementineport.StartID(m.GetStart()),
 		State:       clementineport.MemberState(m.GetState()),
--- a/cppeer/cpmessage/reroute.go
+++ b/cppeer/cpmessage/reroute.go
@@ -24,6 +24,7 @@
 		MaxWaitNanos:    int64(r.MaxWait),
 		EarlierAttempts: int32(r.EarlierAttempts),
 		Traceparent:     traceparent,
+		Workspace:       string(r.Workspace),
 	}
 }
 
@@ -40,6 +41,7 @@
 			Arrived:         now.Add(-time.Duration(m.GetElapsedNanos())),
 			Deadline:        now.Add(time.Duration(m.GetLeftNanos())),
 			MaxWait:         time.Duration(m.GetMaxWaitNanos()),
+			Workspace:       clementineport.WorkspaceID(m.GetWorkspace()),
 			EarlierAttempts: int(m.GetEarlierAttempts()),
 		},
 		From:    clementineport.VMID(m.GetFrom()),
--- a/cppeer/cppeer.go
+++ b/cppeer/cppeer.go
@@ -15,6 +15,7 @@
 	Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error)
 	Forward(ctx context.Context, q *clementineport.Query) (*clementineport.Answer, error)
 	Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error)
+	Quota(ctx context.Context, r *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error)
 }
 
 type inProcess struct {
@@ -82,4 +83,15 @@
 	return result, nil
 }
 
+func (p *inProcess) Quota(ctx context.Context, r *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
+	if err := p.opts.before(); err != nil {
+		return nil, err
+	}
+	answer, err := p.opts.Handler.Quota(ctx, r)
+	if err = p.opts.after(err); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
 func (p *inProcess) Close() error { return nil }
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -81,6 +81,15 @@
 	return &clementineport.Config{Revision: 7, Text: []byte("text")}, nil
 }
 
+// Quota grants what it is asked for.
+func (h *fakeHandler) Quota(_ context.Context, r *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
+	answer := &clementineport.QuotaAnswer{Nonce: r.Nonce + 1, Bound: true}
+	for _, d := range r.Demands {
+		answer.Grants = append(answer.Grants, clementineport.QuotaGrant{Tokens: d.Tokens - d.Returned, Wait: time.Second})
+	}
+	return answer, nil
+}
+
 // Reroute returns what it has received, so that a test can compare it.
 func (h *fakeHandler) Reroute(_ context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
 	h.ran.Add(1)
@@ -183,7 +192,9 @@
 			assert.DeepEqual(t, results[0].Signals.Held, []clementineport.Snapshot{{Version: 3, Layout: 1}})
 
 			digest := &clementineport.Digest{
-				From:     clementineport.Member{VM: clementineport.VM{ID: "vm-1", Leaving: true}, Start: "s", Ticket: "s.1"},
+				From: clementineport.Member{VM: clementineport.VM{
+					ID: "vm-1", Leaving: true, Capacity: clementineport.VMCapacity{Cores: 0.5, LinkMbps: 20},
+				}, Start: "s", Ticket: "s.1"},
 				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{}, TargetNews: clementineport.TargetNews{
 					Leaving: []clementineport.TargetRun{{ID: "t-1", Born: 7}},
 					Limits: []clementineport.TargetLimit{
@@ -193,6 +204,14 @@
 					Requests: []clementineport.RequestReport{
 						{Key: 1 << 63, Run: clementineport.TargetRun{ID: "t-4", Born: 10}, Age: time.Second}, {Key: 5, Served: true},
 					},
+					Rollouts: []clementineport.RolloutReport{{
+						VM: "vm-1", Start: "s", Service: "desk", Order: 4, Stopped: true, Age: time.Second,
+						Routes: []clementineport.RolloutCounts{{
+							Route: "r", Old: clementineport.VersionCounts{Sent: 9, Answered: 8, Failed: 1, Slow: 2, Elapsed: time.Second},
+							New: clementineport.VersionCounts{Sent: 1},
+						}},
+					}},
+					Loads: []clementineport.VMLoad{{VM: "vm-1", Rate: 3, Refused: 1, Busy: 0.5, Age: time.Second}},
 				},
 			}
 			echo, err := peer.Exchange(t.Context(), digest)
@@ -206,6 +225,14 @@
 			assert.NilError(t, err)
 			assert.Assert(t, cfg == nil)
 
+			quota, err := peer.Quota(t.Context(), &clementineport.QuotaRequest{
+				From: "vm-1", Nonce: 1 << 63, Demands: []clementineport.QuotaDemand{{Workspace: "w", Tokens: 2.5, Returned: 1}},
+			})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, quota, &clementineport.QuotaAnswer{
+				Nonce: 1<<63 + 1, Bound: true, Grants: []clementineport.QuotaGrant{{Tokens: 1.5, Wait: time.Second}},
+			})
+
 			answer, err := peer.Forward(t.Context(), &clementineport.Query{Request: "q9", Deadline: time.Now().Add(deadline)})
 			assert.NilError(t, err)
 			assert.Equal(t, answer.Request, clementineport.RequestID("q9"))
--- a/cpwire/cpwireconnect/peer.connect.go
+++ b/cpwire/cpwireconnect/peer.connect.go
@@ -45,6 +45,8 @@
 	PeerServiceForwardProcedure = "/clementineport.peer.v1.PeerService/Forward"
 	// PeerServiceRerouteProcedure is the fully-qualified name of the PeerService's Reroute RPC.
 	PeerServiceRerouteProcedure = "/clementineport.peer.v1.PeerService/Reroute"
+	// PeerServiceQuotaProcedure is the fully-qualified name of the PeerService's Quota RPC.
+	PeerServiceQuotaProcedure = "/clementineport.peer.v1.PeerService/Quota"
 )
 
 // PeerServiceClient is a client for the clementineport.peer.v1.PeerService service.
@@ -52,13 +54,15 @@
 	// Relay makes calls to targets that the receiver owns and streams the results as they come.
 	Relay(context.Context, *connect.Request[cpwire.RelayRequest]) (*connect.ServerStreamForClient[cpwire.RelayResponse], error)
 	// Exchange swaps membership digests.
-	Exchange(context.Context, *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error)
+	Exchange(context.Context, *connect.Request[cpwire.Digest]) (*connect.Response[cpwire.Digest], error)
 	// Config returns the receiver's configuration if it is newer.
 	Config(context.Context, *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error)
 	// Forward runs a non-idempotent query at the only process that may run it.
 	Forward(context.Context, *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error)
 	// Reroute runs an opaque request for a VM that reaches no target.
 	Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error)
+	// Quota asks the coordinator of a group of workspaces for tokens of their quotas.
+	Quota(context.Context, *connect.Request[cpwire.QuotaRequest]) (*connect.Response[cpwire.QuotaResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the clementineport.peer.v1.PeerService service. By
@@ -78,7 +82,7 @@
 			connect.WithSchema(peerServiceMethods.ByName("Relay")),
 			connect.WithClientOptions(opts...),
 		),
-		exchange: connect.NewClient[cpwire.ExchangeRequest, cpwire.ExchangeResponse](
+		exchange: connect.NewClient[cpwire.Digest, cpwire.Digest](
 			httpClient,
 			baseURL+PeerServiceExchangeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
@@ -102,16 +106,23 @@
 			connect.WithSchema(peerServiceMethods.ByName("Reroute")),
 			connect.WithClientOptions(opts...),
 		),
+		quota: connect.NewClient[cpwire.QuotaRequest, cpwire.QuotaResponse](
+			httpClient,
+			baseURL+PeerServiceQuotaProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Quota")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	relay    *connect.Client[cpwire.RelayRequest, cpwire.RelayResponse]
-	exchange *connect.Client[cpwire.ExchangeRequest, cpwire.ExchangeResponse]
+	exchange *connect.Client[cpwire.Digest, cpwire.Digest]
 	config   *connect.Client[cpwire.ConfigRequest, cpwire.ConfigResponse]
 	forward  *connect.Client[cpwire.ForwardRequest, cpwire.ForwardResponse]
 	reroute  *connect.Client[cpwire.RerouteRequest, cpwire.RerouteResponse]
+	quota    *connect.Client[cpwire.QuotaRequest, cpwire.QuotaResponse]
 }
 
 // Relay calls clementineport.peer.v1.PeerService.Relay.
@@ -120,7 +131,7 @@
 }
 
 // Exchange calls clementineport.peer.v1.PeerService.Exchange.
-func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
+func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[cpwire.Digest]) (*connect.Response[cpwire.Digest], error) {
 	return c.exchange.CallUnary(ctx, req)
 }
 
@@ -139,18 +150,25 @@
 	return c.reroute.CallUnary(ctx, req)
 }
 
+// Quota calls clementineport.peer.v1.PeerService.Quota.
+func (c *peerServiceClient) Quota(ctx context.Context, req *connect.Request[cpwire.QuotaRequest]) (*connect.Response[cpwire.QuotaResponse], error) {
+	return c.quota.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the clementineport.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Relay makes calls to targets that the receiver owns and streams the results as they come.
 	Relay(context.Context, *connect.Request[cpwire.RelayRequest], *connect.ServerStream[cpwire.RelayResponse]) error
 	// Exchange swaps membership digests.
-	Exchange(context.Context, *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error)
+	Exchange(context.Context, *connect.Request[cpwire.Digest]) (*connect.Response[cpwire.Digest], error)
 	// Config returns the receiver's configuration if it is newer.
 	Config(context.Context, *connect.Request[cpwire.ConfigRequest]) (*connect.Response[cpwire.ConfigResponse], error)
 	// Forward runs a non-idempotent query at the only process that may run it.
 	Forward(context.Context, *connect.Request[cpwire.ForwardRequest]) (*connect.Response[cpwire.ForwardResponse], error)
 	// Reroute runs an opaque request for a VM that reaches no target.
 	Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error)
+	// Quota asks the coordinator of a group of workspaces for tokens of their quotas.
+	Quota(context.Context, *connect.Request[cpwire.QuotaRequest]) (*connect.Response[cpwire.QuotaResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -190,6 +208,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Reroute")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceQuotaHandler := connect.NewUnaryHandler(
+		PeerServiceQuotaProcedure,
+		svc.Quota,
+		connect.WithSchema(peerServiceMethods.ByName("Quota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/clementineport.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceRelayProcedure:
@@ -202,6 +226,8 @@
 			peerServiceForwardHandler.ServeHTTP(w, r)
 		case PeerServiceRerouteProcedure:
 			peerServiceRerouteHandler.ServeHTTP(w, r)
+		case PeerServiceQuotaProcedure:
+			peerServiceQuotaHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -215,7 +241,7 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Relay is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[cpwire.ExchangeRequest]) (*connect.Response[cpwire.ExchangeResponse], error) {
+func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[cpwire.Digest]) (*connect.Response[cpwire.Digest], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Exchange is not implemented"))
 }
 
@@ -230,3 +256,7 @@
 func (UnimplementedPeerServiceHandler) Reroute(context.Context, *connect.Request[cpwire.RerouteRequest]) (*connect.Response[cpwire.RerouteResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Reroute is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Quota(context.Context, *connect.Request[cpwire.QuotaRequest]) (*connect.Response[cpwire.QuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("clementineport.peer.v1.PeerService.Quota is not implemented"))
+}
--- a/fleet.go
+++ b/fleet.go
@@ -20,7 +20,8 @@
 	// Born is the start time that the target reports, in Unix milliseconds.
 	Born int64
 	// Seq counts the registrations of this instance.
-	Seq int64
+	Seq     int64
+	Version TargetVersion `json:",omitempty"`
 }
 
 // Run returns which run of the target this is.
@@ -65,6 +66,18 @@
 	Age time.Duration
 }
 
+// VMLoad is what a VM has stated about the requests of its callers.
+type VMLoad struct {
+	VM VMID
+	// Rate is the rate of requests that arrived, and Refused that of requests that were refused in overload.
+	Rate    RequestRate
+	Refused RequestRate
+	// Busy is the used share of the VM's processor, from 0 to 1.
+	Busy float64
+	// Age is the time since the VM stated it.
+	Age time.Duration
+}
+
 // TargetNews is what VMs tell each other about targets and their paths to them, besides the contents of the store. It holds
 // for any position of the store.
 type TargetNews struct {
@@ -76,10 +89,16 @@
 	Requests []RequestReport `json:",omitempty"`
 	// Reach lists what VMs have stated about their network path to targets.
 	Reach []VMReach `json:",omitempty"`
+	// Rollouts lists what VMs have seen of rollouts.
+	Rollouts []RolloutReport `json:",omitempty"`
+	// Loads lists what VMs have stated about the requests of their callers.
+	Loads []VMLoad `json:",omitempty"`
 }
 
 // Any reports whether there is any news.
-func (n *TargetNews) Any() bool { return len(n.Leaving)+len(n.Limits)+len(n.Requests)+len(n.Reach) > 0 }
+func (n *TargetNews) Any() bool {
+	return len(n.Leaving)+len(n.Limits)+len(n.Requests)+len(n.Reach)+len(n.Rollouts)+len(n.Loads) > 0
+}
 
 // TargetNotice is what a target has asked of a VM in its responses.
 type TargetNotice struct {
@@ -115,6 +134,12 @@
 	Gone    []TargetID
 	VMs     []VM
 	GoneVMs []VMID
+	// Rollouts and RolloutStates are the orders to roll out a version and the stored states of rollouts. GoneRollouts and
+	// GoneRolloutStates list the services whose order or state was removed.
+	Rollouts          []RolloutOrder  `json:",omitempty"`
+	GoneRollouts      []ServiceID     `json:",omitempty"`
+	RolloutStates     []RolloutStatus `json:",omitempty"`
+	GoneRolloutStates []ServiceID     `json:",omitempty"`
 	// TargetNews is only in updates from other VMs.
 	TargetNews
 	// Faults lists entries that could not be decoded, so that no target is known for them.
@@ -123,7 +148,8 @@
 
 // HasChanges reports whether the update contains any change.
 func (u *FleetUpdate) HasChanges() bool {
-	return u.Whole || u.Routes != nil || len(u.Domains)+len(u.Targets)+len(u.Gone)+len(u.VMs)+len(u.GoneVMs)+len(u.Faults) > 0
+	return u.Whole || u.Routes != nil || len(u.Domains)+len(u.Targets)+len(u.Gone)+len(u.VMs)+len(u.GoneVMs)+len(u.Faults) > 0 ||
+		len(u.Rollouts)+len(u.GoneRollouts)+len(u.RolloutStates)+len(u.GoneRolloutStates) > 0
 }
 
 // OpaqueTarget sends requests to one target without interpreting them.
--- a/opaque.go
+++ b/opaque.go
@@ -23,6 +23,8 @@
 	Deadline time.Time
 	// MaxWait is how long the caller states that it will wait, or zero if it does not state it.
 	MaxWait time.Duration
+	// Workspace is the customer on whose behalf the request was sent, or empty.
+	Workspace WorkspaceID
 	// EarlierAttempts is the number of targets of a shard that may have got the request from another VM.
 	EarlierAttempts int
 }
--- a/ports.go
+++ b/ports.go
@@ -53,6 +53,15 @@
 	Peer     string
 	Operator string
 	Leaving  bool
+	Capacity VMCapacity `json:",omitzero"`
+}
+
+// VMCapacity is what a VM can do. It is zero if it is not known.
+type VMCapacity struct {
+	// Cores is the processor time that the VM may use, in seconds a second.
+	Cores float64
+	// LinkMbps is the bandwidth of its network link, in megabits a second.
+	LinkMbps float64
 }
 
 // Directory is the platform's list of live and leaving VMs, which is updated with a delay.
@@ -141,5 +150,7 @@
 	// Reroute has the peer run an opaque request. Its error means that no result came from the peer; the verdict says
 	// whether the request may have run.
 	Reroute(ctx context.Context, r *ReroutedRequest) (*ReroutedResult, error)
+	// Quota asks the peer, as the coordinator of a group of workspaces, for tokens of their quotas.
+	Quota(ctx context.Context, r *QuotaRequest) (*QuotaAnswer, error)
 	Close() error
 }
--- a/route.go
+++ b/route.go
@@ -34,6 +34,8 @@
 	TopRecords int
 	// LeastCoverage is the share of Shards that an answer must cover to be a success.
 	LeastCoverage float64
+	// Public is true if requests need no key of a workspace.
+	Public bool `json:",omitempty"`
 }
 
 // Gathers reports whether an answer combines one part from each shard.
@@ -72,4 +74,6 @@
 	Routes   []Route
 	Services map[ServiceID]TargetService
 	Limits   CallerLimits
+	// Workspaces are empty if requests need no keys.
+	Workspaces []Workspace `json:",omitempty"`
 }
--- a/verdict.go
+++ b/verdict.go
@@ -99,6 +99,8 @@
 	FaultMisdirected
 	// FaultUnreached means that the VM reaches no target.
 	FaultUnreached
+	// FaultQuota means that the quota of the workspace is used up.
+	FaultQuota
 	numFaults
 )
 
@@ -137,6 +139,7 @@
 	FaultHistory:      {"history", NotRun},
 	FaultMisdirected:  {"misdirected", NotRun},
 	FaultUnreached:    {"unreached", NotRun},
+	FaultQuota:        {"quota", NotRun},
 }
 
 // Faults returns every fault.
--- a/verdict_test.go
+++ b/verdict_test.go
@@ -30,6 +30,7 @@
 		clementineport.FaultHistory:      true,
 		clementineport.FaultMisdirected:  true,
 		clementineport.FaultUnreached:    true,
+		clementineport.FaultQuota:        true,
 	}
 	for _, f := range clementineport.Faults() {
 		t.Run(f.String(), func(t *testing.T) {
