Find the workspace of a key and decide whether a request is accepted

A request must be attributed to a workspace by its key, at the same cost for 10,000 keys as for one. Package cpworkspace holds the decisions without I/O; the router of a route table holds the index of its workspaces, so that a view can't have routes without the keys that protect them, and the index is built once for each table and off the request path.

Hashes of keys are written by no verb of package fmt, so that none gets into a log.

Tests: go test -race of the root package, cpworkspace and cproute pass.

--- a/cproute/cproute.go
+++ b/cproute/cproute.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpworkspace"
 )
 
 // Router matches requests to the routes of one table. Its methods are safe for concurrent use.
@@ -15,6 +16,7 @@
 	// hosts holds the routes by host name in lower case, those with the longest prefix first.
 	hosts       map[string][]*clementineport.Route
 	roundRobins map[clementineport.RouteID]*RoundRobin
+	workspaces  *cpworkspace.Index
 }
 
 // New returns a router for a table. A route whose weights are the same in the previous router, which may be nil, keeps
@@ -24,6 +26,7 @@
 		table:       table,
 		hosts:       map[string][]*clementineport.Route{},
 		roundRobins: map[clementineport.RouteID]*RoundRobin{},
+		workspaces:  cpworkspace.NewIndex(table.Workspaces),
 	}
 	for i := range table.Routes {
 		route := &table.Routes[i]
@@ -53,6 +56,9 @@
 // Table returns the table of the router.
 func (r *Router) Table() *clementineport.RouteTable { return r.table }
 
+// Workspaces returns the workspaces of the table.
+func (r *Router) Workspaces() *cpworkspace.Index { return r.workspaces }
+
 // Match returns the route of the host with the longest prefix of the path, or nil.
 func (r *Router) Match(host, path string) *clementineport.Route {
 	for _, route := range r.hosts[strings.ToLower(host)] {
--- a/workspace.go
+++ b/workspace.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 )
 
 // WorkspaceID names a workspace, a customer on whose behalf callers send requests.
@@ -15,6 +16,9 @@
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
+// Format implements fmt.Formatter. It writes no part of the hash, so that none gets into a log.
+func (h KeyHash) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, "(hash)") }
+
 // MarshalText implements encoding.TextMarshaler.
 func (h KeyHash) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, h[:]), nil }
 
