Authenticate requests by the key of a workspace

With strict_revoke, keys are refused at a view older than revoke_ms; the watch of the store is as frequent as that needs. A metric counts requests by the outcome of their authentication, and request lines name the workspace.

--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -73,7 +73,7 @@
 // requestFields are the fields of the events that report the end of a request.
 var requestFields = []string{
 	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
-	"Refused", "Target", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
+	"Refused", "Target", "Workspace", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
 var kinds = []Kind{
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -101,7 +101,8 @@
 // leaseFactor is the number of renewal periods in the lease of a registration.
 const leaseFactor = 3
 
-// Shares of Bounds.ConfigApply, the time within which a new configuration must be in force.
+// Shares of Bounds.ConfigApply, the time within which a new configuration must be in force; those of the watch are shares of
+// watchBound.
 const (
 	// watchPeriodShare sets the minimum time between calls to the store while entries change often.
 	watchPeriodShare = 0.3
@@ -138,7 +139,7 @@
 	p.readBudget = newReadBudget(s.Limits)
 	p.reach = cpreach.New(cpreach.WithMaxOverdue(max(cpreach.DefaultMinOverdue, share(s.Bounds.UndisturbedTime, maxOverdueShare))))
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
-	apply := s.Bounds.ConfigApply
+	apply, watch := s.Bounds.ConfigApply, watchBound(&s.Bounds)
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
 	p.watcher = cpfleetwatch.New(
 		cpfleetwatch.WithSelf(p.self),
@@ -152,8 +153,8 @@
 		cpfleetwatch.WithReach(p.reach),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
-		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
-		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(apply, watchPeriodShare))),
+		cpfleetwatch.WithWatchTimes(share(watch, watchPeriodShare), share(watch, watchWaitShare)),
+		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(watch, watchPeriodShare))),
 		cpfleetwatch.WithIsolation(apply+s.Bounds.ConfigOutageDelay, s.Bounds.UndisturbedTime),
 	)
 	p.forwarder = cpforward.New(
@@ -181,6 +182,7 @@
 		cpfront.WithForward(p.sender.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
+		cpfront.WithMaxKeyAge(maxKeyAge(&s.Bounds)),
 	)
 }
 
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -14,6 +14,7 @@
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cplog"
 	"github.com/clementineport/clementineport/cplogevent"
+	"github.com/clementineport/clementineport/cpworkspace"
 	"github.com/clementineport/clementineport/platform/cpfront"
 )
 
@@ -23,6 +24,9 @@
 	status := strconv.Itoa(e.Status)
 	metrics.GetOrCreateCounter(`clementineport_requests_total{status="` + status + `"}`).Inc()
 	metrics.GetOrCreateHistogram(requestSeconds(e)).Update(e.Elapsed.Seconds())
+	if e.Authentication != cpworkspace.OutcomeOff {
+		metrics.GetOrCreateCounter(`clementineport_authentications_total{outcome="` + e.Authentication.String() + `"}`).Inc()
+	}
 	metrics.GetOrCreateCounter("clementineport_hedges_total").Add(e.Stats.Hedges)
 	metrics.GetOrCreateCounter("clementineport_retries_total").Add(e.Stats.Retries)
 	fields := []zap.Field{
@@ -35,6 +39,9 @@
 	if e.Target != "" {
 		fields = append(fields, zap.String("Target", string(e.Target)))
 	}
+	if e.Workspace != "" {
+		fields = append(fields, zap.String("Workspace", string(e.Workspace)))
+	}
 	if e.Via != "" {
 		fields = append(fields, zap.String("Via", string(e.Via)))
 	}
