Keep the workspace of a request that another VM runs

The VM that receives a rerouted request doesn't authenticate it again: it takes the workspace of the sender, also one whose key has been revoked since, and sets the headers by it. If the sender has older routes without workspaces, or is of an earlier build, the request has no workspace and still has the caller's headers. It is then refused as stale, so that the sender tries another VM, or on a public route stripped of them.

Tests: go test -race ./cpreroute passes.

--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -171,11 +171,11 @@
 	)
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
-		cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
 	}
-	p.sender, p.receiver = cpreroute.NewSender(reroute...), cpreroute.NewReceiver(reroute...)
+	p.sender = cpreroute.NewSender(append(reroute, cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry))...)
+	p.receiver = cpreroute.NewReceiver(append(reroute, cpreroute.WithForward(p.forwardRerouted, nil, nil))...)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithAdmit(p.admit),
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -179,9 +179,12 @@
 	f.localResult = &cpforward.Result{Unreached: true, Attempts: 1}
 	f.answer = func(_ clementineport.VMID, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
 		assert.Equal(t, r.EarlierAttempts, 1)
+		assert.Equal(t, r.Workspace, clementineport.WorkspaceID("a"))
 		return served(5), nil
 	}
-	assert.Assert(t, f.sender().Forward(t.Context(), route(true), request()).Part != nil)
+	r := request()
+	r.Workspace = "a"
+	assert.Assert(t, f.sender().Forward(t.Context(), route(true), r).Part != nil)
 }
 
 // TestNoFailureIsCalledNotRunAfterAnEarlierAttempt guards against a false promise that a request has not run.
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -23,7 +23,8 @@
 // InFlight returns the number of requests in flight.
 func (c *Receiver) InFlight() int { return int(c.inFlight.Load()) }
 
-// Reroute runs a request of another VM. It implements the method of cppeer.Handler.
+// Reroute runs a request of another VM. That VM has authenticated it; this one only checks that the request has a workspace if it
+// needs one. It implements the method of cppeer.Handler.
 func (c *Receiver) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
@@ -52,6 +53,10 @@
 	if route == nil {
 		return cpforward.Failed(clementineport.Fail(clementineport.FaultNotFound, "no route for %s%s in version %d", r.Host, path(r.URI), version)), version
 	}
+	if r.Workspace == "" && !route.Public && view.Router.Workspaces().Required() {
+		// The sender has older routes, by which the request needs no key, or knows no workspaces.
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultStale, "the request needs a workspace in version %d", version)), version
+	}
 	request := r.OpaqueRequest
 	request.Deadline = earlier(request.Deadline.Add(-replyMargin), request.Arrived.Add(route.Timeout))
 	return c.options.Forward(ctx, route, &request), version
--- a/cpreroute/receiver_test.go
+++ b/cpreroute/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpreroute"
+	"github.com/clementineport/clementineport/cproute"
 )
 
 // receive has a receiver with routes of version 5 run a request, and returns its result and the request that it forwarded.
@@ -32,6 +34,30 @@
 	return result, forwarded
 }
 
+// TestAReceiverTakesTheWorkspaceOfTheSender guards against requests that are authenticated twice, and against requests that run
+// without a workspace because the VM that sent them has older routes.
+func TestAReceiverTakesTheWorkspaceOfTheSender(t *testing.T) {
+	for _, row := range []struct {
+		workspace clementineport.WorkspaceID
+		public    bool
+		runs      bool
+	}{{"gone", false, true}, {"gone", true, true}, {"", true, true}, {"", false, false}} {
+		routes := &clementineport.RouteTable{Version: 5, Routes: []clementineport.Route{*route(true)}, Workspaces: []clementineport.Workspace{{Name: "a"}}}
+		routes.Routes[0].Public = row.public
+		view := &cpfleetstate.View{Router: cproute.New(routes, nil)}
+		r := rerouted(4)
+		r.Workspace, r.Header = row.workspace, http.Header{"X": {"y"}}
+		result, forwarded := receive(t, r, cpreroute.WithView(func() *cpfleetstate.View { return view }))
+		if !row.runs {
+			assert.Equal(t, result.Err.Fault, clementineport.FaultStale)
+			assert.Assert(t, forwarded == nil)
+			continue
+		}
+		assert.Equal(t, forwarded.Workspace, row.workspace)
+		assert.DeepEqual(t, forwarded.Header, r.Header)
+	}
+}
+
 func rerouted(version clementineport.Revision) *clementineport.ReroutedRequest {
 	return &clementineport.ReroutedRequest{OpaqueRequest: *request(), From: "a", Version: version}
 }
