--- a/cpcatalog/restore_test.go
+++ b/cpcatalog/restore_test.go
@@ -75,15 +75,17 @@
 	assert.Assert(t, !has(c, "x"))
 }
 
+// TestRoutesDoNotGoBackInARestore also guards against revoked keys, which are part of the routes, that a restore brings back.
 func TestRoutesDoNotGoBackInARestore(t *testing.T) {
 	c := cpcatalog.New()
 	first := full(position(1, 100))
 	first.Routes = &clementineport.RouteTable{Version: 8}
 	apply(c, 0, first)
 	restored := full(position(2, 60))
-	restored.Routes = &clementineport.RouteTable{Version: 5}
+	restored.Routes = &clementineport.RouteTable{Version: 5, Workspaces: []clementineport.Workspace{{Name: "revoked"}}}
 	apply(c, 10, restored)
 	assert.Equal(t, c.Routes().Version, clementineport.Revision(8))
+	assert.Equal(t, len(c.Routes().Workspaces), 0)
 	apply(c, 20, clementineport.FleetUpdate{AsOf: position(2, 61), Routes: &clementineport.RouteTable{Version: 11}})
 	assert.Equal(t, c.Routes().Version, clementineport.Revision(11))
 }
