--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -101,7 +101,8 @@
 // leaseFactor is the number of renewal periods in the lease of a registration.
 const leaseFactor = 3
 
-// Shares of Bounds.ConfigApply, the time within which a new configuration must be in force.
+// Shares of Bounds.ConfigApply, the time within which a new configuration must be in force; those of the watch are shares of
+// watchBound.
 const (
 	// watchPeriodShare sets the minimum time between calls to the store while entries change often.
 	watchPeriodShare = 0.3
@@ -138,7 +139,7 @@
 	p.readBudget = newReadBudget(s.Limits)
 	p.reach = cpreach.New(cpreach.WithMaxOverdue(max(cpreach.DefaultMinOverdue, share(s.Bounds.UndisturbedTime, maxOverdueShare))))
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
-	apply := s.Bounds.ConfigApply
+	apply, watch := s.Bounds.ConfigApply, watchBound(&s.Bounds)
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
 	p.watcher = cpfleetwatch.New(
 		cpfleetwatch.WithSelf(p.self),
@@ -152,8 +153,8 @@
 		cpfleetwatch.WithReach(p.reach),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
-		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
-		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(apply, watchPeriodShare))),
+		cpfleetwatch.WithWatchTimes(share(watch, watchPeriodShare), share(watch, watchWaitShare)),
+		cpfleetwatch.WithCatalog(cpcatalog.WithAssumedColdTime(coldReportHeartbeats*s.Heartbeat+share(watch, watchPeriodShare))),
 		cpfleetwatch.WithIsolation(apply+s.Bounds.ConfigOutageDelay, s.Bounds.UndisturbedTime),
 	)
 	p.forwarder = cpforward.New(
@@ -170,17 +171,18 @@
 	)
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
-		cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
 		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
 	}
-	p.sender, p.receiver = cpreroute.NewSender(reroute...), cpreroute.NewReceiver(reroute...)
+	p.sender = cpreroute.NewSender(append(reroute, cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry))...)
+	p.receiver = cpreroute.NewReceiver(append(reroute, cpreroute.WithForward(p.forwardRerouted, nil, nil))...)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithAdmit(p.admit),
 		cpfront.WithForward(p.sender.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
+		cpfront.WithMaxKeyAge(maxKeyAge(&s.Bounds)),
 	)
 }
 
