Learn the routes that a restore of the store has lost from other VMs

A VM that starts after the store was restored knew only the restored configuration. A key that had been revoked in a later, lost version was valid there until operators wrote the configuration again, while all other VMs refused it. VMs now state the version of their routes in the digests that they exchange, in a field that was unused on this path. A VM that has an older one for longer than a change takes to spread requests the full state from the VM that stated it, and takes the routes even if that state is otherwise older than its own: versions of the routes only rise.

--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -106,10 +106,7 @@
 		c.beginRestore(now)
 		changed = true
 	}
-	if update.Routes != nil && (c.routes == nil || update.Routes.Version > c.routes.Version) {
-		c.routes = update.Routes
-		changed = true
-	}
+	changed = c.ApplyRoutes(update.Routes) || changed
 	changed = c.applyDomains(now, update) || changed
 	changed = c.applyVMs(update) || changed
 	for i := range update.Targets {
@@ -124,6 +121,15 @@
 	return changed
 }
 
+// ApplyRoutes applies a version of the routes, which may be nil, if it is newer than the latest one, and reports whether it is.
+func (c *Catalog) ApplyRoutes(routes *clementineport.RouteTable) (changed bool) {
+	if routes == nil || c.routes != nil && routes.Version <= c.routes.Version {
+		return false
+	}
+	c.routes = routes
+	return true
+}
+
 // confirm records that the catalog was complete at a time. A gap longer than OutageAfter since the last confirmation
 // counts as a store outage, during which live targets could not renew their registrations.
 func (c *Catalog) confirm(at time.Time) {
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -61,6 +61,7 @@
 	dirty            bool
 	catchingUp       bool
 	nextCatchUp      time.Time
+	newerRoutes      newerRoutes
 	probing          bool
 	nextProbe        time.Time
 	// lostAt is when this VM found that it reaches no target, or zero while it reaches some.
@@ -210,14 +211,19 @@
 			zap.Duration("ColdLeft", d.ColdLeft))
 	}
 	if w.routesVersion() != version {
-		w.options.Log.Info(string(cplogevent.RoutesChanged), zap.Uint64("Version", uint64(w.routesVersion())),
-			zap.Int("Routes", len(w.catalog.Routes().Routes)), zap.String("Source", source))
+		w.logRoutes(source)
 	}
 	w.options.Log.Info(string(cplogevent.FleetChanged), zap.Uint64("From", uint64(before.Revision)), cplog.Position(w.catalog.AsOf()),
 		zap.Int("Targets", len(w.catalog.Targets())), zap.Int("VMs", len(w.catalog.VMs())),
 		zap.Int("Registered", len(update.Targets)), zap.Int("Gone", len(update.Gone)), zap.String("Source", source))
 }
 
+// logRoutes logs the version of the routes that is now in force.
+func (w *Watcher) logRoutes(source string) {
+	w.options.Log.Info(string(cplogevent.RoutesChanged), zap.Uint64("Version", uint64(w.routesVersion())),
+		zap.Int("Routes", len(w.catalog.Routes().Routes)), zap.String("Source", source))
+}
+
 // storeRestored logs that the store was restored and makes this VM register again.
 func (w *Watcher) storeRestored(before clementineport.StorePosition, source string) {
 	w.options.Log.Warn(string(cplogevent.StoreRestored), zap.Uint64("FromEra", uint64(before.Era)), zap.Uint64("From", uint64(before.Revision)),
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -16,7 +16,7 @@
 func (w *Watcher) exchange(ctx context.Context, a cpmembership.Action) {
 	now := w.options.Clock.Now()
 	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
-	digest.TargetNews = w.news(now, false)
+	digest.TargetNews, digest.Revision = w.news(now, false), w.routesVersion()
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
@@ -35,6 +35,7 @@
 	}
 	w.lastPeerContact.Store(&now)
 	w.applyNews(now, &answer.TargetNews, string(a.Peer.ID))
+	w.observeRoutes(now, a.Peer, answer.Revision)
 	w.membership.HandleResponse(now, a.Peer.ID, a.Began, answer)
 }
 
@@ -48,7 +49,8 @@
 		w.lastPeerContact.Store(&now)
 		w.applyNews(now, &d.TargetNews, string(d.From.ID))
 		response := w.membership.HandleDigest(now, d)
-		response.TargetNews = w.news(now, isJoining(d))
+		response.TargetNews, response.Revision = w.news(now, isJoining(d)), w.routesVersion()
+		w.observeRoutes(now, d.From.VM, d.Revision)
 		answer <- response
 	})
 	select {
--- a/cpfleetwatch/restore_test.go
+++ b/cpfleetwatch/restore_test.go
@@ -198,3 +198,19 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, r.registrations(), before)
 }
+
+// TestAVMThatStartsAfterARestoreLearnsTheRoutesThatTheStoreHasLost guards against a key that was revoked and is valid again at a VM
+// that knows only the restored store.
+func TestAVMThatStartsAfterARestoreLearnsTheRoutesThatTheStoreHasLost(t *testing.T) {
+	store := &fakeSource{asOf: clementineport.StorePosition{Era: 1, Revision: 100}, version: 9}
+	connected := startWatcher(t, "early", cpfleetwatch.WithSource(store))
+	await(t, "the first state", func() bool { return routesVersion(connected) == 9 })
+	store.restore(60)
+	store.set(func(s *fakeSource) { s.version = 5 })
+	await(t, "the restore", func() bool { return connected.StoreEra() == 2 })
+	restored := &fakeSource{asOf: clementineport.StorePosition{Era: 2, Revision: 900}, version: 5, vms: []clementineport.VM{{ID: "early", Caller: "early", Peer: "early"}}}
+	late := startWatcher(t, "late", cpfleetwatch.WithSource(restored),
+		cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(connected)) }))
+	await(t, "the routes that the store has lost", func() bool { return routesVersion(late) == 9 })
+	assert.Equal(t, late.StoreEra(), clementineport.StoreEra(2))
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -117,15 +117,50 @@
 	}
 }
 
-// catchUp requests the full state from another VM when this VM has not heard from the store for StoreLostAfter.
+// changePeriods is the number of watch periods in which a change reaches a VM that gets its updates from another one: each of the
+// two makes one call a period.
+const changePeriods = 2
+
+// newerRoutes is a VM that has stated a newer version of the routes than this VM's.
+type newerRoutes struct {
+	vm      clementineport.VM
+	version clementineport.Revision
+	// since is when such a VM was first seen.
+	since time.Time
+}
+
+// observeRoutes records the version of the routes that another VM has stated.
+func (w *Watcher) observeRoutes(now time.Time, vm clementineport.VM, version clementineport.Revision) {
+	if version <= max(w.routesVersion(), w.newerRoutes.version) {
+		return
+	}
+	if w.newerRoutes.version <= w.routesVersion() {
+		w.newerRoutes.since = now
+	}
+	w.newerRoutes.vm, w.newerRoutes.version = vm, version
+}
+
+// catchUpFrom returns the VM to request the full state from, if that is needed: any VM when this VM has not heard from the store
+// for StoreLostAfter, or a VM with newer routes when the store has not provided them for longer than a change takes, since a
+// restore has lost them.
+func (w *Watcher) catchUpFrom(now time.Time) (clementineport.VM, bool) {
+	if w.Age() >= w.options.StoreLostAfter() {
+		return cpupstream.RandomPeer(w.options.Self.ID, w.membership.Members(), w.options.Seeds, rand.IntN)
+	}
+	newer := &w.newerRoutes
+	return newer.vm, newer.version > w.routesVersion() && now.Sub(newer.since) >= changePeriods*w.options.WatchPeriod
+}
+
+// catchUp requests the full state from another VM if that is needed.
 func (w *Watcher) catchUp(ctx context.Context, now time.Time) {
-	if w.catchingUp || now.Before(w.nextCatchUp) || w.Age() < w.options.StoreLostAfter() {
+	if w.catchingUp || now.Before(w.nextCatchUp) {
 		return
 	}
-	vm, ok := cpupstream.RandomPeer(w.options.Self.ID, w.membership.Members(), w.options.Seeds, rand.IntN)
+	vm, ok := w.catchUpFrom(now)
 	if !ok {
 		return
 	}
+	w.newerRoutes = newerRoutes{} // a VM that does not answer is replaced by the next one that states newer routes
 	w.catchingUp = true
 	w.nextCatchUp = now.Add(w.options.CatchUpPeriod)
 	peer := w.peers.Get(now, vm)
@@ -153,6 +188,11 @@
 		return
 	}
 	w.apply(now, requestedAt, update, string(from))
+	if w.catalog.ApplyRoutes(update.Routes) {
+		// A restore of the store has lost this version, so the other VM may have it from an earlier position than this VM's.
+		w.dirty = true
+		w.logRoutes(string(from))
+	}
 }
 
 var (
