Hedge the calls of a gather early enough for its objective

A call to an ordinary target takes 16 ms at a VM with a fifth of a core, network included. A hedge was sent after up to 2.5 times the typical latency, 40 ms here, so it could not be answered in time, and the urgent gather lost the shards of slow and paused targets. The less urgent gather has 187 ms and a hedge after at most 75 ms, so its hedges were in time. Deferral, admission and the in-flight limits are not the cause at this load: the simulator counts nearly no deferred, unsent or refused shards.

Change: a call of a gather is hedged early enough for an answer within 1.5 times the typical latency, but no earlier than after 1.5 times the typical latency. It changes nothing while four times the typical latency is less than the time to the objective. The simulator has a delay to callers, a connection limit and the processor time of VMs, which are off by default.

--- a/cpplan/cpplan.go
+++ b/cpplan/cpplan.go
@@ -58,8 +58,12 @@
 	if spent >= route.Objective {
 		return time.Time{}
 	}
-	margin := p.options.ObjectiveMargin + time.Duration(float64(route.Objective)*p.options.ObjectiveMarginShare)
-	return r.Arrived.Add(route.Objective - spent - margin)
+	return r.Arrived.Add(route.Objective - spent - p.objectiveMargin(route))
+}
+
+// objectiveMargin returns how long before the objective of a route an answer must be sent.
+func (p *Planner) objectiveMargin(route *clementineport.Route) time.Duration {
+	return p.options.ObjectiveMargin + time.Duration(float64(route.Objective)*p.options.ObjectiveMarginShare)
 }
 
 // SoftDeadline returns the objective of the request, or its deadline if that is earlier or if earlier attempts have used
@@ -85,7 +89,9 @@
 }
 
 // hedgeAfter returns the delay after which a call is hedged. It exceeds the latency of most calls, and is bounded by a
-// multiple of the typical latency so that it stays short if many targets are slow.
+// multiple of the typical latency so that it stays short if many targets are slow. For a gather it also leaves time for
+// the answer to the hedge before the objective, as far as that is possible without hedging ordinary calls: an answer
+// without a late shard is worth less, and an urgent route may have an objective of only a few times the typical latency.
 func (p *Planner) hedgeAfter(route *clementineport.Route, s RouteStats) time.Duration {
 	if s.HighLatency == 0 {
 		return time.Duration(float64(route.Objective) * p.options.InitialHedgeShare)
@@ -94,5 +100,9 @@
 	if s.TypicalLatency > 0 {
 		after = min(after, time.Duration(float64(s.TypicalLatency)*p.options.MaxHedgeFactor))
 	}
+	if s.TypicalLatency > 0 && route.Gathers() {
+		answer := time.Duration(float64(s.TypicalLatency) * p.options.HedgeAnswerFactor)
+		after = min(after, max(route.Objective-p.objectiveMargin(route)-answer, answer))
+	}
 	return max(after, p.options.MinHedgeDelay)
 }
--- a/cpplan/cpplan_test.go
+++ b/cpplan/cpplan_test.go
@@ -40,3 +40,13 @@
 	assert.Assert(t, last)
 	assert.Equal(t, first.Sub(second), 100*time.Millisecond)
 }
+
+// Guards against a hedge that cannot be answered before the objective, which costs a call and leaves the shard out of the answer.
+func TestAHedgeOfAGatherHasTimeToBeAnswered(t *testing.T) {
+	const typical = 16 * time.Millisecond
+	route := &clementineport.Route{Objective: 60 * time.Millisecond, Shards: []clementineport.ServiceID{"a"}}
+	r := &clementineport.OpaqueRequest{Arrived: start, Deadline: start.Add(time.Second)}
+	p := cpplan.New().Plan(route, route.Shards, r, cpplan.RouteStats{HighLatency: 10 * typical, TypicalLatency: typical})
+	assert.Assert(t, start.Add(p.HedgeAfter+typical).Before(p.Objective))
+	assert.Assert(t, p.HedgeAfter > typical, "ordinary calls would be hedged")
+}
--- a/cpplan/options.go
+++ b/cpplan/options.go
@@ -20,6 +20,8 @@
 	DefaultMinHedgeDelay = 4 * time.Millisecond
 	// DefaultMaxHedgeFactor exceeds the latency of most calls to a healthy target, as a multiple of the typical latency.
 	DefaultMaxHedgeFactor = 2.5
+	// DefaultHedgeAnswerFactor exceeds the latency of an ordinary call, as a multiple of the typical latency.
+	DefaultHedgeAnswerFactor = 1.5
 	// DefaultInitialHedgeShare applies while the latency is not known.
 	DefaultInitialHedgeShare = 0.35
 )
@@ -59,6 +61,9 @@
 	MinHedgeDelay time.Duration
 	// MaxHedgeFactor is the multiple of TypicalLatency after which a call is hedged at the latest.
 	MaxHedgeFactor float64
+	// HedgeAnswerFactor is the multiple of TypicalLatency that a hedge of a gather is given to be answered before the
+	// objective. A call is not hedged sooner than after the same time.
+	HedgeAnswerFactor float64
 	// InitialHedgeShare is the share of the objective after which a call is hedged while no latency is known.
 	InitialHedgeShare float64
 }
@@ -75,6 +80,7 @@
 		HedgeFactor:          DefaultHedgeFactor,
 		MinHedgeDelay:        DefaultMinHedgeDelay,
 		MaxHedgeFactor:       DefaultMaxHedgeFactor,
+		HedgeAnswerFactor:    DefaultHedgeAnswerFactor,
 		InitialHedgeShare:    DefaultInitialHedgeShare,
 	}
 	for _, o := range opts {
--- a/cpsimulator/caller.go
+++ b/cpsimulator/caller.go
@@ -49,9 +49,9 @@
 	c.attempts++
 	v := m.vms[m.random.IntN(len(m.vms))]
 	left := c.deadline.Sub(m.now)
-	m.after(m.cfg.NetworkDelay, func() {
+	m.after(m.callerDelay(), func() {
 		f := &clementineport.OpaqueRequest{Arrived: m.now, Deadline: m.now.Add(left), MaxWait: left}
-		v.receive(c.kind, f, func(r reply) { m.after(m.cfg.NetworkDelay, func() { c.handleReply(r) }) })
+		v.receive(c.kind, f, func(r reply) { m.after(m.callerDelay(), func() { c.handleReply(r) }) })
 	})
 }
 
--- a/cpsimulator/cpsimulator.go
+++ b/cpsimulator/cpsimulator.go
@@ -23,6 +23,8 @@
 	Replicas int
 	Slots    int
 	Queue    int
+	// Connections is the connection limit of a target for all VMs together, or zero for none. A call takes one.
+	Connections int
 	// Pause is the duration of a pause of a target, and PauseEvery the time from the start of one to that of the next.
 	Pause      time.Duration
 	PauseEvery time.Duration
@@ -69,8 +71,12 @@
 	Targets     Targets
 	Kinds       []Kind
 	Disruptions []Disruption
-	// NetworkDelay is the one-way delay between a VM and a target or caller.
+	// NetworkDelay is the one-way delay between a VM and a target.
 	NetworkDelay time.Duration
+	// CallerDelay is the one-way delay between a caller and a VM. If it is zero, NetworkDelay applies.
+	CallerDelay time.Duration
+	// CallTime is how long a VM's processor works on sending a call, and on receiving its result.
+	CallTime time.Duration
 	// Retries limits the extra calls of all VMs to the targets of a shard.
 	Retries cpquota.RetryBound
 	// NoAdmission disables admission control and NoHedges disables hedging, for comparison.
@@ -225,4 +231,18 @@
 }
 
 // inFlightLimit returns the limit for calls in flight from one VM to one target.
-func (m *Model) inFlightLimit() int { return cpquota.InFlightLimit(m.cfg.Targets.Slots, m.cfg.VMs) }
+func (m *Model) inFlightLimit() int {
+	limit := cpquota.InFlightLimit(m.cfg.Targets.Slots, m.cfg.VMs)
+	if m.cfg.Targets.Connections > 0 {
+		limit = min(limit, cpquota.ConnectionLimit(m.cfg.Targets.Connections, m.cfg.VMs))
+	}
+	return limit
+}
+
+// callerDelay returns the one-way delay between a caller and a VM.
+func (m *Model) callerDelay() time.Duration {
+	if m.cfg.CallerDelay > 0 {
+		return m.cfg.CallerDelay
+	}
+	return m.cfg.NetworkDelay
+}
--- a/cpsimulator/scenarios.go
+++ b/cpsimulator/scenarios.go
@@ -60,6 +60,29 @@
 	return cfg
 }
 
+// SmallVMsConfig returns a deployment of VMs with a fifth of a core, which add to the latency of each call, and with an
+// urgent kind whose objective is a few times its latency. The kinds are in the order of their rates.
+func SmallVMsConfig() Config {
+	return Config{
+		Seed: 1, VMs: 40, Duration: 15 * time.Second, NetworkDelay: 1400 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
+		CallTime: 330 * time.Microsecond,
+		Retries:  cpquota.RetryBound{Ratio: 0.2, Slack: 158, Window: 10 * time.Second},
+		Targets: Targets{
+			Shards: 36, Replicas: 3, Slots: 4, Queue: 24, Connections: 73, Pause: 200 * time.Millisecond, PauseEvery: 4500 * time.Millisecond,
+		},
+		Kinds: []Kind{
+			{
+				Name: "medium", Priority: 1, Rate: 63.1, ServiceTime: 20 * time.Millisecond, Objective: 200 * time.Millisecond,
+				Deadline: 2500 * time.Millisecond, MinCoverage: 0.95,
+			},
+			{
+				Name: "urgent", Priority: 0, Rate: 36.5, ServiceTime: 6700 * time.Microsecond, Objective: 50 * time.Millisecond,
+				Deadline: time.Second, MinCoverage: 0.85,
+			},
+		},
+	}
+}
+
 // FirstReplica selects the first replica of each shard.
 func FirstReplica(_, n int) bool { return n == 0 }
 
--- a/cpsimulator/vm.go
+++ b/cpsimulator/vm.go
@@ -26,6 +26,8 @@
 	targets    map[*cpbalancer.Target]*target
 	stats      []*kindStats
 	waiting    map[cpadmit.Ticket]func()
+	// freeAt is when the processor has done the work that it has now.
+	freeAt time.Time
 }
 
 // kindStats holds the measurements for a kind of request at one VM.
@@ -168,14 +170,31 @@
 	sent := m.now
 	s.Target.Sent(sent)
 	r.calls = append(r.calls, pending{call: c, target: t, state: s.Target, sent: sent})
-	c.done = func(o outcome) { m.after(m.cfg.NetworkDelay, func() { r.done(s, c, sent, o) }) }
-	m.after(m.cfg.NetworkDelay, func() {
-		if c.done != nil {
-			t.receive(c)
-		}
+	c.done = func(o outcome) {
+		m.after(m.cfg.NetworkDelay, func() { r.v.process(func() { r.done(s, c, sent, o) }) })
+	}
+	r.v.process(func() {
+		m.after(m.cfg.NetworkDelay, func() {
+			if c.done != nil {
+				t.receive(c)
+			}
+		})
 	})
 }
 
+// process calls f once the processor of the VM has worked on a call.
+func (v *vm) process(f func()) {
+	if v.m.cfg.CallTime == 0 {
+		f()
+		return
+	}
+	if v.freeAt.Before(v.m.now) {
+		v.freeAt = v.m.now
+	}
+	v.freeAt = v.freeAt.Add(v.m.cfg.CallTime)
+	v.m.at(v.freeAt, f)
+}
+
 // done handles the result of a call.
 func (r *request) done(s cpfanout.Send, c *call, sent time.Time, o outcome) {
 	i := slices.IndexFunc(r.calls, func(p pending) bool { return p.call == c })
