Answer gathers earlier on VMs with a small part of a core

Answers left 0.5 to 1 ms after the planned 40 ms and took 10 ms to the callers, who are 6 ms away and back: a VM with 0.192 cores needs some more ms to receive a request, to merge responses and to send the answer than the margin of 9 ms allows for.

Change: the margin before the objective is 6 ms for the round trip and 1.2 ms of processor time at the VM's part of a core, at least the 9 ms of before, which is what 0.4 cores give. So VMs with 0.4 cores or more answer when they did before.

--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -76,6 +76,9 @@
 // WithView sets the function that returns the newest view of the fleet.
 func WithView(view func() *cpfleetstate.View) Option { return func(o *Options) { o.View = view } }
 
+// WithPlanner sets the planner of requests.
+func WithPlanner(p *cpplan.Planner) Option { return func(o *Options) { o.Planner = p } }
+
 // WithSeed sets the seed of the choice of targets and of admission.
 func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
 
--- a/cpplan/cpplan_test.go
+++ b/cpplan/cpplan_test.go
@@ -50,3 +50,12 @@
 	assert.Assert(t, start.Add(p.HedgeAfter+typical).Before(p.Objective))
 	assert.Assert(t, p.HedgeAfter > typical, "ordinary calls would be hedged")
 }
+
+// Guards against answers of a VM with a small part of a core that leave at the objective and arrive after it.
+func TestAVMWithASmallPartOfACoreAnswersEarlier(t *testing.T) {
+	margin := func(cores float64) time.Duration { return cpplan.NewOptions(cpplan.WithCores(cores)).ObjectiveMargin }
+	assert.Equal(t, margin(0), cpplan.DefaultObjectiveMargin)
+	assert.Equal(t, margin(1), cpplan.DefaultObjectiveMargin)
+	assert.Assert(t, margin(0.1) >= margin(0.2)+5*time.Millisecond, "%v, %v", margin(0.1), margin(0.2))
+	assert.Assert(t, margin(0.2) >= 12*time.Millisecond, "%v", margin(0.2))
+}
--- a/cpplan/options.go
+++ b/cpplan/options.go
@@ -26,6 +26,15 @@
 	DefaultInitialHedgeShare = 0.35
 )
 
+// Parts of the objective margin of a VM whose processor is known.
+const (
+	// callerRoundTrip is the time of a round trip between a VM and its callers.
+	callerRoundTrip = 6 * time.Millisecond
+	// answerWork is the processor time of a gather that is spent before the request is read or after its objective: receiving
+	// the request, merging the responses and sending the answer.
+	answerWork = 1200 * time.Microsecond
+)
+
 // Parameters of admission.
 const (
 	// minInProgress lets a VM make progress while some of its targets pause.
@@ -89,6 +98,16 @@
 	return options
 }
 
+// WithCores sets the processor time that the VM has, in seconds a second. A VM with a small part of a core needs a larger
+// margin before the objective. Zero means that it is not known.
+func WithCores(cores float64) Option {
+	return func(o *Options) {
+		if cores > 0 {
+			o.ObjectiveMargin = max(DefaultObjectiveMargin, callerRoundTrip+time.Duration(float64(answerWork)/cores))
+		}
+	}
+}
+
 // WithHedgeFactor sets the multiple of HighLatency after which a call is hedged.
 func WithHedgeFactor(f float64) Option { return func(o *Options) { o.HedgeFactor = f } }
 
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -25,6 +25,7 @@
 	"github.com/clementineport/clementineport/cplogevent"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cppeerconns"
+	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
@@ -159,6 +160,7 @@
 	)
 	p.forwarder = cpforward.New(
 		cpforward.WithReach(p.reach),
+		cpforward.WithPlanner(cpplan.New(cpplan.WithCores(s.Limits.Cores))),
 		cpforward.WithView(p.watcher.View),
 		cpforward.WithSeed(rand.Uint64()),
 		cpforward.WithRetryBound(cpquota.RetryBound{
