Share the quotas of workspaces over all VMs

Requests of workspaces with a quota passed without a limit. An equal division over 82 VMs would give each a hundredth of a request.

cpratelimit keeps the quotas with a coordinator for each group of workspaces, to which VMs bind their weight. cpcoordinator and cpclient are the two state machines, Node combines them at a VM, and Limiter makes the calls. Requests of callers pass it before they are forwarded; requests of other VMs don't.

Idle VMs lend their weight to the coordinator when it asks.

--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -41,6 +41,8 @@
 	TargetsLost        Name = "TargetsLost"
 	TargetsRegained    Name = "TargetsRegained"
 	ReachChanged       Name = "ReachChanged"
+	QuotaCoordinator   Name = "QuotaCoordinator"
+	QuotaLimited       Name = "QuotaLimited"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -111,6 +113,8 @@
 	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
+	{QuotaCoordinator, []string{"Group", "Coordinates"}, "this VM has become the coordinator of the quotas of a group of workspaces (Coordinates is true), or no VM has called it as such for 10 s"},
+	{QuotaLimited, []string{"Workspace", "Limited"}, "at their coordinator, requests of a workspace were refused or delayed by its quota (Limited is true), or none was for 10 s"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -26,6 +26,8 @@
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cppeerconns"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cpratelimit"
+	"github.com/clementineport/clementineport/cpratelimit/cpquotas"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
 	"github.com/clementineport/clementineport/cpreroute"
@@ -51,6 +53,8 @@
 	// sender has requests run by other VMs while this VM reaches no target, and receiver runs those of other VMs.
 	sender   *cpreroute.Sender
 	receiver *cpreroute.Receiver
+	// limiter keeps the quotas of workspaces.
+	limiter *cpratelimit.Limiter
 	// reach tracks whether this VM reaches targets.
 	reach *cpreach.Tracker
 	// readBudget bounds the large responses of all targets.
@@ -148,7 +152,7 @@
 		cpfleetwatch.WithSeeds(seeds(s)...),
 		cpfleetwatch.WithDial(p.dialPeer),
 		cpfleetwatch.WithTargetClient(p.newTargetClient),
-		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
+		cpfleetwatch.WithOnRoutes(p.setRoutes),
 		cpfleetwatch.WithReach(p.reach),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
@@ -168,22 +172,38 @@
 		cpforward.WithOnReport(p.watcher.RequestReport),
 		cpforward.WithOnTargetChange(p.targetChanged),
 	)
+	peers := cppeerconns.NewShared(p.dialPeer)
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
 		cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry),
-		cpreroute.WithPeers(cppeerconns.NewShared(p.dialPeer)), cpreroute.WithOnSent(p.requestRerouted),
+		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
 	}
 	p.sender, p.receiver = cpreroute.NewSender(reroute...), cpreroute.NewReceiver(reroute...)
+	p.limiter = cpratelimit.New(
+		cpratelimit.WithSelf(p.self),
+		cpratelimit.WithView(p.watcher.View),
+		cpratelimit.WithPeers(peers),
+		cpratelimit.WithForward(p.sender.Forward),
+		cpratelimit.WithBounds(cpquotas.Bounds{Window: s.Bounds.QuotaWindow, Overrun: s.Bounds.QuotaOverrun, Slack: s.Bounds.QuotaSlack}),
+		cpratelimit.WithSalt(rand.Uint64()),
+		cpratelimit.WithLog(p.log.Logger),
+	)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithAdmit(p.admit),
-		cpfront.WithForward(p.sender.Forward),
+		cpfront.WithForward(p.limiter.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
 	)
 }
 
+// setRoutes applies a new version of the routes.
+func (p *Process) setRoutes(table *clementineport.RouteTable) {
+	p.forwarder.SetRoutes(table)
+	p.limiter.SetRoutes(table)
+}
+
 // seeds returns the VMs of the settings, except for this one, to contact before other VMs are known.
 func seeds(s *cpconf.Settings) []clementineport.VM {
 	var vms []clementineport.VM
@@ -253,6 +273,12 @@
 type peerHandler struct {
 	*cpfleetwatch.Watcher
 	receiver *cpreroute.Receiver
+	limiter  *cpratelimit.Limiter
+}
+
+// Quota implements cppeer.Handler.
+func (h *peerHandler) Quota(ctx context.Context, r *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
+	return h.limiter.Quota(ctx, r)
 }
 
 // Reroute implements cppeer.Handler.
--- a/cpplatformvm/services.go
+++ b/cpplatformvm/services.go
@@ -40,7 +40,7 @@
 // services opens the listeners and returns the services to supervise.
 func (p *Process) services() ([]suture.Service, error) {
 	s := p.settings.Load()
-	services := []suture.Service{p.watcher, &settingsWatcher{p: p}}
+	services := []suture.Service{p.watcher, p.limiter, &settingsWatcher{p: p}}
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
@@ -48,7 +48,7 @@
 	}{
 		{"ready", s.Ready, cpfront.Ready(p.ready), false},
 		{"directory", s.Directory, cpfront.Directory(p.addresses, p.entryListTTL), false},
-		{"peer", s.Peer, cpconnect.NewHandler(&peerHandler{p.watcher, p.receiver}, p.peerOptions()...), true},
+		{"peer", s.Peer, cpconnect.NewHandler(&peerHandler{p.watcher, p.receiver, p.limiter}, p.peerOptions()...), true},
 		{"metrics", p.metricsAddress, p.operatorHandler(), false},
 	} {
 		if l.address == "" {
--- /dev/null
+++ b/cpratelimit/clock_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package cpratelimit
+
+import "time"
+
+func sinceBoot() (time.Duration, bool) { return 0, false }
