Name only an active set of VMs where connections are scarce

On deployments with many weak VMs each one gets one or two requests a second and a single connection to each target, so it detects slow and paused targets by itself and late. VMs publish their capacity with their registration and member record, and state their load in exchanges while the set is in effect: where an equal share of the connections to a shard's targets is below two. The directory then names the VMs of the set, a weaker one in a part of its answers in proportion to its capacity, since callers choose evenly among the named ones. Shares of bounds don't follow the set yet.

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpcrash"
 	"github.com/clementineport/clementineport/cproute"
@@ -61,6 +62,8 @@
 	Lost map[clementineport.VMID]bool
 	// Listed is true while the store lists this VM.
 	Listed bool
+	// Active is the active set of VMs, or nil if callers use all VMs.
+	Active *cpactiveset.Set
 }
 
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
@@ -135,3 +138,22 @@
 	}
 	return serving
 }
+
+// NamedVMs returns the VMs for one answer of the directory: the serving VMs of the active set, or all if there is none. random
+// returns numbers in [0, 1).
+func (v *View) NamedVMs(random func() float64) []clementineport.Member {
+	serving := v.ServingVMs()
+	if v.Active == nil {
+		return serving
+	}
+	var named []clementineport.Member
+	for i := range serving {
+		if v.Active.Named(serving[i].ID, random()) {
+			named = append(named, serving[i])
+		}
+	}
+	if len(named) == 0 {
+		return serving
+	}
+	return named
+}
--- /dev/null
+++ b/cpfleetwatch/active.go
@@ -0,0 +1,81 @@
+package cpfleetwatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpactiveset"
+	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cplogevent"
+)
+
+// mayHaveActiveSet reports whether this VM may use an active set. It must state its own capacity and load, so that others
+// choose by the same.
+func (w *Watcher) mayHaveActiveSet() bool {
+	return w.options.Load != nil && w.options.Self.Capacity.Cores > 0
+}
+
+// checkActive states the load of this VM if it has changed, and makes a new view if the active set has.
+func (w *Watcher) checkActive(now time.Time) {
+	if !w.mayHaveActiveSet() || now.Before(w.nextActive) {
+		return
+	}
+	w.nextActive = now.Add(activePeriod)
+	load := w.options.Load(now)
+	view := w.view.Load()
+	if view.Active != nil {
+		w.stateLoad(now, load)
+	}
+	if _, changed := w.active.Update(now, w.activeInput(now, view)); changed {
+		w.dirty = true
+	}
+}
+
+// stateLoad tells the other VMs the load of this one if they must know it.
+func (w *Watcher) stateLoad(now time.Time, load clementineport.VMLoad) {
+	load.VM, load.Age = w.options.Self.ID, 0
+	state, atOnce := w.loads.ToState(now, &load)
+	if !state {
+		return
+	}
+	w.loads.Set(now, &load)
+	if atOnce {
+		w.membership.Announce()
+	}
+}
+
+// loadNews returns what another VM is told about loads: what this VM learned lately, or all of it for a VM that has just
+// started.
+func (w *Watcher) loadNews(now time.Time, all bool) []clementineport.VMLoad {
+	if all {
+		return w.loads.Since(now, time.Time{})
+	}
+	return first(w.loads.Since(now, now.Add(-loadNewsTime)), maxLoadNews)
+}
+
+// activeInput returns what the active set of a view is chosen from.
+func (w *Watcher) activeInput(now time.Time, view *cpfleetstate.View) *cpactiveset.Input {
+	return &cpactiveset.Input{
+		Members: view.Members, Lost: view.Lost, Demand: w.loads.Demand(now, view.Members),
+		EqualShare: cpactiveset.EqualShare(w.catalog.Routes(), view.Senders()),
+	}
+}
+
+// chooseActive sets the active set of a view, and logs if its size has changed or this VM has come into it or left it.
+func (w *Watcher) chooseActive(now time.Time, view *cpfleetstate.View) {
+	if !w.mayHaveActiveSet() {
+		return
+	}
+	dead := w.deadVMs()
+	w.loads.Forget(now, func(vm clementineport.VMID) bool { return dead[vm] })
+	view.Active, _ = w.active.Update(now, w.activeInput(now, view))
+	last, self := w.loggedActive, w.options.Self.ID
+	if view.Active.Size() == last.Size() && view.Active.Has(self) == last.Has(self) {
+		return
+	}
+	w.loggedActive = view.Active
+	w.options.Log.Info(string(cplogevent.ActiveSetChanged), zap.Int("VMs", view.Active.Size()), zap.Int("Before", last.Size()),
+		zap.Bool("Member", view.Active.Has(self)), zap.Int("Of", view.Senders()))
+}
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpchangelog"
 	"github.com/clementineport/clementineport/cpcrash"
@@ -63,6 +64,11 @@
 	nextCatchUp      time.Time
 	probing          bool
 	nextProbe        time.Time
+	loads            *cpactiveset.Loads
+	active           *cpactiveset.Tracker
+	nextActive       time.Time
+	// loggedActive is the set of the latest log line.
+	loggedActive *cpactiveset.Set
 	// lostAt is when this VM found that it reaches no target, or zero while it reaches some.
 	lostAt time.Time
 	// ownsFrom is when the others know that this VM reaches targets again, so that they leave its cold targets to it.
@@ -84,6 +90,8 @@
 		history:    cpchangelog.New(),
 		crashes:    cpcrash.New(),
 		reach:      cpreach.NewStatements(),
+		loads:      cpactiveset.NewLoads(),
+		active:     cpactiveset.NewTracker(cpactiveset.WithSelf(options.Self.ID)),
 		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
 		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
 	}
@@ -169,6 +177,7 @@
 	}
 	w.catchUp(ctx, now)
 	w.checkReach(ctx, now)
+	w.checkActive(now)
 	if w.membership.Version() != w.publishedVersion || w.vms.Observe(now, w.activeVMs()) != w.vmCount {
 		w.dirty = true
 	}
--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -32,6 +32,8 @@
 	unavailable    bool
 	historyDropped bool
 	loads          int
+	// shards are the shards of a second route.
+	shards []clementineport.ServiceID
 }
 
 func (f *fakeSource) set(change func(*fakeSource)) {
@@ -45,9 +47,10 @@
 func (f *fakeSource) update() *clementineport.FleetUpdate {
 	return &clementineport.FleetUpdate{
 		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Routes: &clementineport.RouteTable{
-			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
+			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}, {Name: "g", Host: "g", Prefix: "/", Shards: f.shards}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{
 				"s": {Name: "s", Connections: 20}, "s-0": {Name: "s-0", Connections: 20}, "s-1": {Name: "s-1", Connections: 20},
+				"scarce": {Name: "scarce", Connections: 2},
 			},
 		},
 	}
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -55,6 +55,9 @@
 	for i := range news.Reach {
 		changed = w.applyReach(now, &news.Reach[i], source) || changed
 	}
+	for i := range news.Loads {
+		w.loads.Set(now, &news.Loads[i]) // used by the next checkActive
+	}
 	if changed {
 		w.dirty = true
 		w.notifyWaiters()
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -45,6 +45,11 @@
 	// moment, so they are told for a shorter time.
 	reachNewsTime = 3 * time.Second
 	maxReachNews  = 256
+	// loadNewsTime and maxLoadNews are the same for statements about load, which go to other VMs in exchanges only.
+	loadNewsTime = 3 * time.Second
+	maxLoadNews  = 64
+	// activePeriod is the time between two checks of the load and the active set.
+	activePeriod = time.Second
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
@@ -87,6 +92,8 @@
 	Registration []cpregistration.Option
 	// Reach tracks whether this VM reaches targets.
 	Reach *cpreach.Tracker
+	// Load measures the load of this VM since the last call. It is nil if this VM states none; then there is no active set.
+	Load func(now time.Time) clementineport.VMLoad
 	// TickPeriod is the interval at which periodic work is checked.
 	TickPeriod time.Duration
 	// WatchPeriod is the minimum time between the starts of two store calls.
@@ -165,6 +172,11 @@
 // WithReach sets the tracker of whether this VM reaches targets.
 func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
 
+// WithLoad sets the function that measures the load of this VM since its last call.
+func WithLoad(f func(now time.Time) clementineport.VMLoad) Option {
+	return func(o *Options) { o.Load = f }
+}
+
 // WithClock sets the clock.
 func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
 
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -17,6 +17,7 @@
 	now := w.options.Clock.Now()
 	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
 	digest.TargetNews = w.news(now, false)
+	digest.Loads = w.loadNews(now, false)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
@@ -49,6 +50,7 @@
 		w.applyNews(now, &d.TargetNews, string(d.From.ID))
 		response := w.membership.HandleDigest(now, d)
 		response.TargetNews = w.news(now, isJoining(d))
+		response.Loads = w.loadNews(now, isJoining(d))
 		answer <- response
 	})
 	select {
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -117,9 +117,15 @@
 
 // forgetReach drops the statements of VMs that have ended.
 func (w *Watcher) forgetReach() {
+	dead := w.deadVMs()
+	w.reach.Forget(func(vm clementineport.VMID) bool { return dead[vm] })
+}
+
+// deadVMs returns the VMs that have ended.
+func (w *Watcher) deadVMs() map[clementineport.VMID]bool {
 	dead := map[clementineport.VMID]bool{}
 	for _, m := range w.membership.Members() {
 		dead[m.ID] = m.State == clementineport.MemberDead
 	}
-	w.reach.Forget(func(vm clementineport.VMID) bool { return dead[vm] })
+	return dead
 }
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -29,6 +29,7 @@
 		Suspects:   w.crashes.Suspects(),
 		Lost:       w.reach.Lost(),
 	}
+	w.chooseActive(now, view)
 	view.Sending = sendingVMs(view)
 	view.AsOf, view.Listed = w.catalog.AsOf(), w.catalog.Listed(w.options.Self.ID)
 	if last := w.view.Load(); last != nil && last.Listed && !view.Listed {
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -41,6 +41,7 @@
 	TargetsLost        Name = "TargetsLost"
 	TargetsRegained    Name = "TargetsRegained"
 	ReachChanged       Name = "ReachChanged"
+	ActiveSetChanged   Name = "ActiveSetChanged"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -111,6 +112,7 @@
 	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
+	{ActiveSetChanged, []string{"VMs", "Before", "Member", "Of"}, "the active set has another size, VMs, or this VM has come into it or left it; Member is whether it is in it, and Of the number of all VMs; VMs is 0 while callers use all VMs"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpcatalog"
 	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpfleetwatch"
@@ -55,9 +56,11 @@
 	reach *cpreach.Tracker
 	// readBudget bounds the large responses of all targets.
 	readBudget *cpopaque.ReadBudget
-	registrar  clementineport.Registrar
-	front      *cpfront.Front
-	drain      *drainer
+	// meter measures the load of this VM.
+	meter     *cpactiveset.Meter
+	registrar clementineport.Registrar
+	front     *cpfront.Front
+	drain     *drainer
 	// fleet is the name of the fleet.
 	fleet string
 	// metricsAddress is the address of the metrics listener; if empty, there is none.
@@ -90,9 +93,13 @@
 	s := cfg.Settings
 	p.settings.Store(s)
 	p.self = clementineport.Member{
-		VM:    clementineport.VM{ID: s.VM, Domain: s.Domain, Caller: s.Caller, Peer: s.Peer},
+		VM: clementineport.VM{
+			ID: s.VM, Domain: s.Domain, Caller: s.Caller, Peer: s.Peer,
+			Capacity: clementineport.VMCapacity{Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps},
+		},
 		Start: clementineport.StartID(uuid.NewString()),
 	}
+	p.meter = cpactiveset.NewMeter(s.Limits.Cores)
 	p.drain = newDrainer(s, p.clock)
 	p.build(s)
 	return p, nil
@@ -150,6 +157,7 @@
 		cpfleetwatch.WithTargetClient(p.newTargetClient),
 		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
 		cpfleetwatch.WithReach(p.reach),
+		cpfleetwatch.WithLoad(p.load),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
 		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
@@ -263,7 +271,7 @@
 // addresses returns the addresses that callers may connect to.
 func (p *Process) addresses() []string {
 	var addresses []string
-	for _, m := range p.watcher.View().ServingVMs() {
+	for _, m := range p.watcher.View().NamedVMs(rand.Float64) {
 		if m.ID == p.self.ID && !p.ready() {
 			continue
 		}
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -20,6 +20,7 @@
 // requestCompleted counts and logs a request that has ended: at level info if it was answered in full, otherwise at
 // level warn.
 func (p *Process) requestCompleted(e *cpfront.Event) {
+	p.meter.Count(e.Err != nil && e.Err.Fault == clementineport.FaultShed)
 	status := strconv.Itoa(e.Status)
 	metrics.GetOrCreateCounter(`clementineport_requests_total{status="` + status + `"}`).Inc()
 	metrics.GetOrCreateHistogram(requestSeconds(e)).Update(e.Elapsed.Seconds())
