--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -43,6 +43,7 @@
 	ReachChanged       Name = "ReachChanged"
 	QuotaCoordinator   Name = "QuotaCoordinator"
 	QuotaLimited       Name = "QuotaLimited"
+	ActiveSetChanged   Name = "ActiveSetChanged"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -115,6 +116,7 @@
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
 	{QuotaCoordinator, []string{"Group", "Coordinates"}, "this VM has become the coordinator of the quotas of a group of workspaces (Coordinates is true), or no VM has called it as such for 10 s"},
 	{QuotaLimited, []string{"Workspace", "Limited"}, "at their coordinator, requests of a workspace were refused or delayed by its quota (Limited is true), or none was for 10 s"},
+	{ActiveSetChanged, []string{"VMs", "Before", "Member", "Of"}, "the active set has another size, VMs, or this VM has come into it or left it; Member is whether it is in it, and Of the number of all VMs; VMs is 0 while callers use all VMs"},
 	{RequestServed, requestFields, "a request was answered with one call for each shard"},
 	{RequestRepeated, requestFields, "a request was answered after hedges or retries"},
 	{RequestIncomplete, requestFields, "a request was answered without some of its shards"},
