--- a/cppeer/reroute_test.go
+++ b/cppeer/reroute_test.go
@@ -23,6 +23,7 @@
 			ID: "q1" + anyBytes, Method: http.MethodPost, Host: "h", URI: "/a?b=" + anyBytes, Body: []byte(anyBytes),
 			Header:  http.Header{"X-A": {"1", anyBytes}},
 			Arrived: now.Add(-time.Second), Deadline: now.Add(time.Minute), MaxWait: 2 * time.Minute, EarlierAttempts: 1,
+			Workspace: "w\ufffd",
 		},
 		From: "vm-1", Version: 7,
 	}
