Share admission fairly among workspaces and their routes

Cause: within a class, waiting queries were served in rotation by route, so all workspaces on a route waited in one queue. A workspace with seven times its load, or whose callers retry at once, took the places of the others; a retry that could still meet its objective was even put into the most urgent class. A class had a minimum share of starts only while it had queries waiting, but its queries were refused before they could wait.

Change: a gate that is told so (SetFair) keeps its queues by start-time fair queueing of cost: by workspace with equal shares, and within it by route, where each more urgent route has twice the share of the next. The class is that of the workspace's priority if it has one. Each class gets at least a quarter of its share of the arrivals as its share of the starts. Retry-After is that of the workspace: each refused caller is told a later time, at the rate at which the workspace is served, with jitter. Workspaces without requests are forgotten. Without workspaces in the route table a gate isn't told so and takes the same path as before.

--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -22,6 +22,7 @@
 	waiters  map[Ticket]chan struct{}
 	admitted [clementineport.NumClasses]*metrics.Counter
 	refused  [clementineport.NumClasses]*metrics.Counter
+	refusals [NumReasons]uint64
 }
 
 var _ clementineport.Admitter = (*Admitter)(nil)
@@ -57,11 +58,12 @@
 func (a *Admitter) Admit(
 	ctx context.Context, s *clementineport.Service, q *clementineport.Query,
 ) (done func(*clementineport.Answer), err error) {
-	arrival := Arrival{
-		Service:  s.Name,
-		Class:    min(s.Class, clementineport.NumClasses-1),
-		Deadline: q.Deadline,
-	}
+	return a.AdmitArrival(ctx, Arrival{Service: s.Name, Class: s.Class, Deadline: q.Deadline})
+}
+
+// AdmitArrival waits until the query may start, as Admit does.
+func (a *Admitter) AdmitArrival(ctx context.Context, arrival Arrival) (done func(*clementineport.Answer), err error) {
+	arrival.Class = min(arrival.Class, clementineport.NumClasses-1)
 	d, granted := a.offer(arrival)
 	if d.Kind == KindQueued {
 		d = a.wait(ctx, arrival, d, granted)
@@ -83,6 +85,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.gate.Offer(a.clock.Now(), arrival)
+	a.countRefusal(d)
 	if d.Kind != KindQueued {
 		return d, nil
 	}
@@ -102,7 +105,43 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.waiters, d.Ticket)
-	return a.gate.Cancel(d.Ticket, arrival)
+	d = a.gate.Cancel(a.clock.Now(), d.Ticket, arrival)
+	a.countRefusal(d)
+	return d
+}
+
+// countRefusal counts a refusal by its reason.
+func (a *Admitter) countRefusal(d Decision) {
+	if d.Kind == KindRefused {
+		a.refusals[d.Reason]++
+	}
+}
+
+// SetFair makes the gate share its starts among workspaces, or stops that.
+func (a *Admitter) SetFair(fair bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.SetFair(a.clock.Now(), fair)
+}
+
+// Stats are the counts of an Admitter.
+type Stats struct {
+	// Waiting holds the number of waiting queries by class.
+	Waiting    [clementineport.NumClasses]int
+	InProgress int
+	// Refusals holds the number of refused queries by reason.
+	Refusals [NumReasons]uint64
+}
+
+// Stats returns the current counts.
+func (a *Admitter) Stats() Stats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := Stats{InProgress: a.gate.InProgress(), Refusals: a.refusals}
+	for c := range s.Waiting {
+		s.Waiting[c] = a.gate.Waiting(clementineport.Class(c))
+	}
+	return s
 }
 
 func (a *Admitter) done(t Ticket, o Outcome) {
--- a/cpadmit/cpadmit_test.go
+++ b/cpadmit/cpadmit_test.go
@@ -66,7 +66,7 @@
 			return s.goodput("booking-desk", end+5*time.Second, end+simLength) >= 0.95*0.7
 		}},
 		{"a flood of one service leaves another one of its class its share", func(seed uint64, opts ...cpadmit.Option) bool {
-			other := flow{"trainer-portal", clementineport.ClassInteractive, 0.3}
+			other := flow{service: "trainer-portal", class: clementineport.ClassInteractive, share: 0.3}
 			s := newSim(seed, 1, opts...).run(phase{simLength, 1, []flow{interactiveFlow(10), other}})
 			return s.goodput("trainer-portal", simWarmup, simLength) >= 0.95*0.3
 		}},
@@ -149,13 +149,20 @@
 				w := waits[ticket]
 				if !now.Before(w.until) {
 					delete(waits, ticket)
-					refused(g.Cancel(ticket, w.arrival))
+					refused(g.Cancel(now, ticket, w.arrival))
 				}
 			}
 			a := cpadmit.Arrival{
 				Service:  clementineport.ServiceID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "service")),
 				Class:    clementineport.Class(rapid.IntRange(0, 2).Draw(t, "class")),
 				Deadline: now.Add(simDeadline),
+
+				Workspace: clementineport.WorkspaceID(rapid.SampledFrom([]string{"", "u", "v"}).Draw(t, "workspace")),
+				Rank:      rapid.IntRange(0, 2).Draw(t, "rank"),
+				Cost:      rapid.Float64Range(0, 2).Draw(t, "cost"),
+			}
+			if rapid.IntRange(0, 9).Draw(t, "changes") == 0 {
+				g.SetFair(now, rapid.Bool().Draw(t, "fair"))
 			}
 			switch d := g.Offer(now, a); d.Kind {
 			case cpadmit.KindAdmitted:
--- a/cpadmit/gate.go
+++ b/cpadmit/gate.go
@@ -15,6 +15,30 @@
 	Service  clementineport.ServiceID
 	Class    clementineport.Class
 	Deadline time.Time
+	// Workspace is the customer that the query is for, Cost the expected time that it takes at targets in seconds, and Rank the
+	// place of its route in the order of urgency, from 0. They matter only to a fair gate.
+	Workspace clementineport.WorkspaceID
+	Cost      float64
+	Rank      int
+}
+
+// Reason is the reason of a refusal.
+type Reason uint8
+
+const (
+	// ReasonQueue means that the query would have to wait for longer than it may.
+	ReasonQueue Reason = iota
+	// ReasonDeadline means that the query would not end before its deadline.
+	ReasonDeadline
+	// ReasonWaited means that the query has waited for as long as it may, or that its caller has left.
+	ReasonWaited
+	// NumReasons is the number of reasons.
+	NumReasons
+)
+
+// String returns the reason as metrics name it.
+func (r Reason) String() string {
+	return [...]string{ReasonQueue: "queue", ReasonDeadline: "deadline", ReasonWaited: "waited"}[r]
 }
 
 // Outcome describes how a query ended.
@@ -47,6 +71,8 @@
 	WaitUntil time.Time
 	// RetryAfter is the time after which a refused caller may retry.
 	RetryAfter time.Duration
+	// Reason is set if the query is refused.
+	Reason Reason
 }
 
 // runningQuery is an admitted query.
@@ -64,6 +90,7 @@
 	queues  [clementineport.NumClasses]*classQueue
 	running map[Ticket]runningQuery
 	last    Ticket
+	fair    *fairGate
 }
 
 // NewGate returns a gate without queries.
@@ -90,20 +117,31 @@
 func (g *Gate) Offer(now time.Time, a Arrival) Decision {
 	g.limit.tick(now)
 	a.Class = min(a.Class, clementineport.NumClasses-1)
+	if g.fair != nil && !g.opts.Unlimited {
+		return g.offerFair(now, a)
+	}
 	if g.opts.Unlimited || (g.queues[a.Class].length == 0 && g.hasCapacity(a.Class)) {
 		return g.start(now, a)
 	}
 	g.limit.markLimited(a.Class)
 	until := now.Add(time.Duration(g.opts.MaxWaitShare * float64(a.Deadline.Sub(now))))
 	start := now.Add(g.estimateWait(a))
-	if start.After(until) || start.Add(g.serviceTime(a.Service)).After(a.Deadline) {
-		return g.refuse(a.Class)
+	if reason, late := g.late(start, until, &a); late {
+		return g.refuse(a.Class, reason)
 	}
 	g.last++
 	g.queues[a.Class].push(waitingQuery{ticket: g.last, arrival: a, waitUntil: until})
 	return Decision{Kind: KindQueued, Ticket: g.last, WaitUntil: until}
 }
 
+// late reports whether a query that would start at a given time can't wait until then or can't end before its deadline.
+func (g *Gate) late(start, until time.Time, a *Arrival) (Reason, bool) {
+	if start.After(until) {
+		return ReasonQueue, true
+	}
+	return ReasonDeadline, start.Add(g.serviceTime(a.Service)).After(a.Deadline)
+}
+
 // Done records the end of an admitted query and returns the waiting queries that are admitted in its place.
 func (g *Gate) Done(now time.Time, t Ticket, o Outcome) []Ticket {
 	r, known := g.running[t]
@@ -117,10 +155,13 @@
 
 // Cancel refuses a waiting query whose maximum wait has passed or whose caller has canceled it.
 // A query that has been admitted in the meantime stays admitted.
-func (g *Gate) Cancel(t Ticket, a Arrival) Decision {
+func (g *Gate) Cancel(now time.Time, t Ticket, a Arrival) Decision {
 	a.Class = min(a.Class, clementineport.NumClasses-1)
+	if g.fair != nil && g.fair.queues[a.Class].remove(t, &a) {
+		return g.refuseFair(now, &a, ReasonWaited)
+	}
 	if g.queues[a.Class].remove(a.Service, t) {
-		return g.refuse(a.Class)
+		return g.refuse(a.Class, ReasonWaited)
 	}
 	return Decision{Kind: KindAdmitted, Ticket: t}
 }
@@ -144,7 +185,7 @@
 func (g *Gate) dispatch(now time.Time) []Ticket {
 	var started []Ticket
 	for {
-		w, found := g.pop(now)
+		w, found := g.popNext(now)
 		if !found {
 			return started
 		}
@@ -153,6 +194,14 @@
 	}
 }
 
+// popNext removes and returns the next waiting query.
+func (g *Gate) popNext(now time.Time) (waitingQuery, bool) {
+	if g.fair != nil {
+		return g.popFair(now)
+	}
+	return g.pop(now)
+}
+
 // pop removes and returns the next waiting query. A lower class goes first unless a higher one has enough credit for
 // its minimum share.
 func (g *Gate) pop(now time.Time) (waitingQuery, bool) {
@@ -203,11 +252,11 @@
 
 // refuse returns a refusal. RetryAfter grows with the ratio of refused to served queries, and has jitter so that refused
 // callers do not retry at the same time.
-func (g *Gate) refuse(c clementineport.Class) Decision {
+func (g *Gate) refuse(c clementineport.Class, reason Reason) Decision {
 	g.limit.refused++
 	excess := g.limit.refusalRate / max(g.limit.completionRate, 1)
 	after := float64(g.opts.MinRetryAfter) * (1 + excess) * float64(c+1)
 	after = min(after, float64(g.opts.MaxRetryAfter)/1.5)
 	after *= 0.5 + g.rand.Float64()
-	return Decision{Kind: KindRefused, RetryAfter: time.Duration(after)}
+	return Decision{Kind: KindRefused, RetryAfter: time.Duration(after), Reason: reason}
 }
--- a/cpadmit/sim_test.go
+++ b/cpadmit/sim_test.go
@@ -1,6 +1,7 @@
 package cpadmit_test
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand/v2"
@@ -21,7 +22,9 @@
 	simDeadline    = 250 * time.Millisecond
 	simMaxAttempts = 10
 	simBackoff     = 100 * time.Millisecond
-	simCapacity    = float64(simSlots) / 0.040 // queries per second
+	// simInsistentRetry is the time after which insistent callers retry.
+	simInsistentRetry = 5 * time.Millisecond
+	simCapacity       = float64(simSlots) / 0.040 // queries per second
 )
 
 // flow is the arrivals of one service, as a share of the capacity.
@@ -29,6 +32,14 @@
 	service clementineport.ServiceID
 	class   clementineport.Class
 	share   float64
+	// route is the route of the workspace, or empty for one that only this flow has. workspace and rank matter to fair gates.
+	route     clementineport.ServiceID
+	workspace clementineport.WorkspaceID
+	rank      int
+	// work is a multiple of the service time, or zero for one.
+	work float64
+	// insistent callers retry at once, whatever Retry-After they get.
+	insistent bool
 }
 
 // phase is a part of the run with constant flows; slowdown multiplies the service times.
@@ -39,11 +50,11 @@
 }
 
 func interactiveFlow(share float64) flow {
-	return flow{"booking-desk", clementineport.ClassInteractive, share}
+	return flow{service: "booking-desk", class: clementineport.ClassInteractive, share: share}
 }
 
 func batchFlow(share float64) flow {
-	return flow{"certificate-sync", clementineport.ClassBatch, share}
+	return flow{service: "certificate-sync", class: clementineport.ClassBatch, share: share}
 }
 
 type simQuery struct {
@@ -54,6 +65,7 @@
 	queued   time.Duration
 	offered  time.Time
 	attempts int
+	flow     *flow
 }
 
 // waitingKey identifies a waiting query of one VM.
@@ -94,6 +106,8 @@
 	slowestRefusal  time.Duration // from an arrival to its refusal
 	delayedRefusals int           // refusals of queued queries
 	retryAfters     []time.Duration
+	retryAfterOf    map[clementineport.ServiceID][]time.Duration
+	demand          map[clementineport.ServiceID]int // queries without retries
 	refusals        int
 }
 
@@ -107,6 +121,9 @@
 		waiting:  make(map[waitingKey]*simQuery),
 		answered: make(map[clementineport.ServiceID][]time.Time),
 		latency:  make(map[clementineport.ServiceID][]time.Duration),
+
+		retryAfterOf: make(map[clementineport.ServiceID][]time.Duration),
+		demand:       make(map[clementineport.ServiceID]int),
 	}
 	for vm := range vms {
 		seeded := cpadmit.WithSeed(seed + uint64(vm))
@@ -138,13 +155,18 @@
 }
 
 func (s *sim) arrivals(f flow, begin, length time.Duration) {
+	if f.work == 0 {
+		f.work = 1
+	}
 	for at := begin; f.share > 0; {
-		at += time.Duration(s.rand.ExpFloat64() / (f.share * simCapacity) * float64(time.Second))
+		at += time.Duration(s.rand.ExpFloat64() / (f.share * simCapacity / f.work) * float64(time.Second))
 		if at >= begin+length {
 			return
 		}
-		q := &simQuery{Arrival: cpadmit.Arrival{Service: f.service, Class: f.class}}
-		s.after(at, func() { s.offer(q) })
+		q := &simQuery{flow: &f, Arrival: cpadmit.Arrival{
+			Service: cmp.Or(f.route, f.service), Class: f.class, Workspace: f.workspace, Rank: f.rank, Cost: f.work * simServiceTime.Seconds(),
+		}}
+		s.after(at, func() { s.demand[f.service]++; s.offer(q) })
 	}
 }
 
@@ -171,7 +193,7 @@
 		return
 	}
 	delete(s.waiting, w)
-	s.refuse(q, s.gates[w.gate].Cancel(w.ticket, q.Arrival))
+	s.refuse(q, s.gates[w.gate].Cancel(s.now, w.ticket, q.Arrival))
 }
 
 func (s *sim) refuse(q *simQuery, d cpadmit.Decision) {
@@ -181,6 +203,10 @@
 		s.slowestRefusal = max(s.slowestRefusal, delay)
 	}
 	s.retryAfters = append(s.retryAfters, d.RetryAfter)
+	s.retryAfterOf[q.flow.service] = append(s.retryAfterOf[q.flow.service], d.RetryAfter)
+	if q.flow.insistent {
+		d.RetryAfter = simInsistentRetry
+	}
 	s.retry(q, d.RetryAfter)
 }
 
@@ -203,7 +229,7 @@
 		s.busy++
 		q.queued = s.now.Sub(q.called)
 		mean := math.Log(simServiceTime.Seconds()) - simSigma*simSigma/2
-		length := s.slowdown * math.Exp(mean+simSigma*s.rand.NormFloat64())
+		length := q.flow.work * s.slowdown * math.Exp(mean+simSigma*s.rand.NormFloat64())
 		s.after(time.Duration(length*float64(time.Second)), func() { s.finish(q) })
 	}
 }
@@ -213,8 +239,8 @@
 	if s.now.After(q.Deadline) {
 		s.retry(q, simBackoff)
 	} else {
-		s.answered[q.Service] = append(s.answered[q.Service], s.now)
-		s.latency[q.Service] = append(s.latency[q.Service], s.now.Sub(q.offered))
+		s.answered[q.flow.service] = append(s.answered[q.flow.service], s.now)
+		s.latency[q.flow.service] = append(s.latency[q.flow.service], s.now.Sub(q.offered))
 	}
 	for _, t := range s.gates[q.gate].Done(s.now, q.ticket, cpadmit.Outcome{Queued: q.queued}) {
 		w := waitingKey{q.gate, t}
--- a/cpforward/admit.go
+++ b/cpforward/admit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpadmit"
@@ -15,8 +16,12 @@
 type pools struct {
 	options []cpadmit.Option
 	all     map[string]*cpadmit.Admitter
-	// classes maps each priority of the current routes to its class.
+	// classes maps each priority of the current routes and workspaces to its class.
 	classes map[int]clementineport.Class
+	// ranks maps each priority of the current routes to its place in the order of urgency.
+	ranks map[int]int
+	// workspaces holds the current workspaces, or none if requests need no keys.
+	workspaces map[clementineport.WorkspaceID]*clementineport.Workspace
 }
 
 func newPools(options []cpadmit.Option) *pools {
@@ -38,6 +43,7 @@
 	a := p.all[name]
 	if a == nil {
 		a = cpadmit.New(p.options...)
+		a.SetFair(p.fair())
 		p.all[name] = a
 	}
 	return a
@@ -51,8 +57,11 @@
 	return clementineport.ClassStandard
 }
 
-// setRoutes assigns classes to the priorities of the routes, the most urgent one first, and removes the pools that no
-// route uses.
+// fair reports whether requests are shared out among workspaces.
+func (p *pools) fair() bool { return len(p.workspaces) > 0 }
+
+// setRoutes assigns classes to the priorities of the routes and workspaces, the most urgent one first, and removes the pools
+// that no route uses.
 func (p *pools) setRoutes(table *clementineport.RouteTable) {
 	var priorities []int
 	used := map[string]bool{}
@@ -64,32 +73,90 @@
 			used[string(s.Service)] = true
 		}
 	}
-	slices.Sort(priorities)
+	p.ranks = rank(priorities)
+	p.workspaces = make(map[clementineport.WorkspaceID]*clementineport.Workspace, len(table.Workspaces))
+	for i := range table.Workspaces {
+		w := &table.Workspaces[i]
+		p.workspaces[w.Name] = w
+		if w.HasPriority {
+			priorities = append(priorities, w.Priority)
+		}
+	}
 	p.classes = map[int]clementineport.Class{}
-	for rank, priority := range slices.Compact(priorities) {
-		p.classes[priority] = min(clementineport.Class(rank), clementineport.NumClasses-1)
+	for priority, place := range rank(priorities) {
+		p.classes[priority] = clementineport.Class(min(place, int(clementineport.NumClasses)-1))
 	}
-	for name := range p.all {
+	for name, a := range p.all {
 		if !used[name] {
 			delete(p.all, name)
+			continue
 		}
+		a.SetFair(p.fair())
+	}
+}
+
+// rank returns the place of each priority in their order.
+func rank(priorities []int) map[int]int {
+	places := make(map[int]int, len(priorities))
+	for place, priority := range slices.Compact(slices.Sorted(slices.Values(priorities))) {
+		places[priority] = place
+	}
+	return places
+}
+
+// arrival returns the arrival of a request for admission. Its workspace's priority takes precedence over its route's. With
+// workspaces, a retry gets no better class: callers that retry at once would get ahead of others.
+func (p *pools) arrival(r *run, shards int, s cpplan.RouteStats) cpadmit.Arrival {
+	a := cpadmit.Arrival{Service: clementineport.ServiceID(r.route.Name)}
+	if !p.fair() {
+		a.Class = cpplan.Class(r.route, p.class(r.route.Priority), r.request, s)
+		return a
+	}
+	a.Class = p.class(r.route.Priority)
+	if w := p.workspaces[r.request.Workspace]; w != nil && w.HasPriority {
+		a.Class = p.class(w.Priority)
+	}
+	a.Class = max(a.Class, cpplan.Class(r.route, a.Class, r.request, s))
+	a.Workspace, a.Rank = r.request.Workspace, p.ranks[r.route.Priority]
+	work := s.TypicalLatency
+	if work == 0 {
+		work = assumedWork
 	}
+	a.Cost = float64(shards) * work.Seconds()
+	return a
 }
 
+// assumedWork is the work of a call while no latency of its route is known. It is about that of a short call, since a route
+// that is not known yet has few requests.
+const assumedWork = 20 * time.Millisecond
+
 // admit waits until the request may start. It returns a function to call when the request ends, or the refusal.
 func (f *Forwarder) admit(ctx context.Context, r *run, shards []clementineport.ServiceID) (func(*clementineport.Answer), *clementineport.Error) {
+	snapshot := r.stats.snapshot()
 	f.mu.Lock()
-	admitter, routeClass := f.pools.get(shards), f.pools.class(r.route.Priority)
+	admitter, arrival := f.pools.get(shards), f.pools.arrival(r, len(shards), snapshot)
 	f.mu.Unlock()
-	snapshot := r.stats.snapshot()
-	service := &clementineport.Service{
-		Name: clementineport.ServiceID(r.route.Name), Class: cpplan.Class(r.route, routeClass, r.request, snapshot),
-	}
-	done, err := admitter.Admit(ctx, service, &clementineport.Query{
-		Deadline: f.options.Planner.SoftDeadline(r.route, r.request, snapshot),
-	})
+	arrival.Deadline = f.options.Planner.SoftDeadline(r.route, r.request, snapshot)
+	done, err := admitter.AdmitArrival(ctx, arrival)
 	if e, ok := errors.AsType[*clementineport.Error](err); ok {
 		return nil, e
 	}
 	return done, nil
 }
+
+// Admission returns the counts of all pools together. Those of pools that are no longer used are lost.
+func (f *Forwarder) Admission() (total cpadmit.Stats) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.pools.all {
+		s := a.Stats()
+		total.InProgress += s.InProgress
+		for c := range s.Waiting {
+			total.Waiting[c] += s.Waiting[c]
+		}
+		for reason := range s.Refusals {
+			total.Refusals[reason] += s.Refusals[reason]
+		}
+	}
+	return total
+}
--- a/cpsimulator/vm.go
+++ b/cpsimulator/vm.go
@@ -121,7 +121,7 @@
 		return
 	}
 	delete(r.v.waiting, r.ticket)
-	d := r.v.gate.Cancel(r.ticket, arrival)
+	d := r.v.gate.Cancel(r.v.m.now, r.ticket, arrival)
 	r.reply(reply{refused: true, retryAfter: d.RetryAfter})
 }
 
