--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -29,6 +29,7 @@
 		p.writeState(w)
 		p.writeServices(w)
 		p.limiter.WriteMetrics(w)
+		p.writeAdmission(w)
 	})
 }
 
