--- a/cppeer/cpmessage/news.go
+++ b/cppeer/cpmessage/news.go
@@ -34,7 +34,7 @@
 		r := &reports[i]
 		m := &cpwire.RolloutReport{
 			VM: string(r.VM), Start: string(r.Start), Service: string(r.Service), Order: uint64(r.Order), Stopped: r.Stopped,
-			AgeNanos: int64(r.Age),
+			OldEnded: r.OldEnded, AgeNanos: int64(r.Age),
 		}
 		for j := range r.Routes {
 			c := &r.Routes[j]
@@ -53,7 +53,7 @@
 		r := clementineport.RolloutReport{
 			VM: clementineport.VMID(m.GetVM()), Start: clementineport.StartID(m.GetStart()),
 			Service: clementineport.ServiceID(m.GetService()), Order: clementineport.Revision(m.GetOrder()), Stopped: m.GetStopped(),
-			Age: time.Duration(m.GetAgeNanos()),
+			OldEnded: m.GetOldEnded(), Age: time.Duration(m.GetAgeNanos()),
 		}
 		for _, c := range m.GetRoutes() {
 			r.Routes = append(r.Routes, clementineport.RolloutCounts{
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -205,7 +205,7 @@
 						{Key: 1 << 63, Run: clementineport.TargetRun{ID: "t-4", Born: 10}, Age: time.Second}, {Key: 5, Served: true},
 					},
 					Rollouts: []clementineport.RolloutReport{{
-						VM: "vm-1", Start: "s", Service: "desk", Order: 4, Stopped: true, Age: time.Second,
+						VM: "vm-1", Start: "s", Service: "desk", Order: 4, Stopped: true, OldEnded: true, Age: time.Second,
 						Routes: []clementineport.RolloutCounts{{
 							Route: "r", Old: clementineport.VersionCounts{Sent: 9, Answered: 8, Failed: 1, Slow: 2, Elapsed: time.Second},
 							New: clementineport.VersionCounts{Sent: 1},
--- a/rollout.go
+++ b/rollout.go
@@ -1,6 +1,7 @@
 package clementineport
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -15,6 +16,8 @@
 	Duration time.Duration
 	// Revision is the store's revision of the order, which identifies it.
 	Revision Revision
+	// Age is the time since the VM that sends the order to another one learned it. It is zero in updates from the store.
+	Age time.Duration `json:",omitempty"`
 }
 
 // RolloutPhase is a step of a rollout.
@@ -73,8 +76,22 @@
 	Share float64
 	// Driver is the VM that stored the status.
 	Driver VMID
+	// Elapsed is the time from the order to the write. A driver that learned the order later than that counts from it.
+	Elapsed time.Duration
+	// Avoid lists the versions of earlier orders that were rolled back or replaced. They are not used as the old version.
+	Avoid []TargetVersion `json:",omitempty"`
+	// Reason states what led to the phase, for operators.
+	Reason string `json:",omitempty"`
 	// Revision is the store's revision of the status. It is not part of the stored value.
-	Revision Revision `json:"-"`
+	Revision Revision `json:",omitempty"`
+}
+
+// RolloutStore stores the states of rollouts.
+type RolloutStore interface {
+	// SaveRollout stores a status on condition that the order and the stored status are still at the given revisions. A
+	// revision of zero means that there is none. After a FaultConflict error nothing was stored; after an error without a
+	// response the status may have been.
+	SaveRollout(ctx context.Context, order, previous Revision, status *RolloutStatus) error
 }
 
 // RolloutReport is what one process has seen of a rollout since its order.
@@ -85,7 +102,9 @@
 	Order   Revision
 	// Stopped is true once the VM sends no requests to the new version because it found it to be bad.
 	Stopped bool
-	Routes  []RolloutCounts
+	// OldEnded is true while the VM sends no requests to old targets and has none under way there.
+	OldEnded bool
+	Routes   []RolloutCounts
 	// Age is the time since the VM made the report.
 	Age time.Duration
 }
@@ -99,7 +118,8 @@
 
 // VersionCounts counts the calls to the targets of one version.
 type VersionCounts struct {
-	Sent     int64
+	Sent int64
+	// Answered is the number of calls that have ended without a failure. It includes those that were canceled early.
 	Answered int64
 	Failed   int64
 	// Slow is the number of answers that took several times as long as is usual for the old version.
@@ -107,3 +127,18 @@
 	// Elapsed is the total latency of the answers.
 	Elapsed time.Duration
 }
+
+// Bad returns the number of answers that count against the version.
+func (c *VersionCounts) Bad() int64 { return c.Failed + c.Slow }
+
+// Ended returns the number of calls whose outcome is known.
+func (c *VersionCounts) Ended() int64 { return c.Answered + c.Failed }
+
+// Add adds the counts of another VM or route.
+func (c *VersionCounts) Add(other *VersionCounts) {
+	c.Sent += other.Sent
+	c.Answered += other.Answered
+	c.Failed += other.Failed
+	c.Slow += other.Slow
+	c.Elapsed += other.Elapsed
+}
