--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -45,6 +45,7 @@
 	out         map[clementineport.FailureDomain]bool
 	targets     map[clementineport.TargetID]*Target
 	vms         map[clementineport.VMID]clementineport.VM
+	rollouts    map[clementineport.ServiceID]*rolloutEntry
 }
 
 // New returns an empty catalog.
@@ -58,6 +59,8 @@
 		ended:   map[clementineport.TargetID]endedTarget{},
 		leaving: map[clementineport.TargetID]leavingRun{},
 		limits:  map[clementineport.TargetID]statedLimit{},
+
+		rollouts: map[clementineport.ServiceID]*rolloutEntry{},
 	}
 }
 
@@ -112,6 +115,7 @@
 	}
 	changed = c.applyDomains(now, update) || changed
 	changed = c.applyVMs(update) || changed
+	changed = c.applyRollouts(now, update) || changed
 	for i := range update.Targets {
 		changed = c.register(now, &update.Targets[i]) || changed
 	}
@@ -261,6 +265,7 @@
 	c.forgetEnded(now)
 	c.forgetLeaving(now)
 	c.forgetLimits(now)
+	changed = c.dropLostRollouts(now) || changed
 	return c.endRestore(now) || changed
 }
 
@@ -282,5 +287,6 @@
 	for _, vm := range c.vms {
 		update.VMs = append(update.VMs, vm)
 	}
+	c.fillRollouts(now, update)
 	return update
 }
--- a/cpcatalog/restore.go
+++ b/cpcatalog/restore.go
@@ -32,6 +32,7 @@
 	for id, vm := range c.vms {
 		c.restore.vms[id] = vm
 	}
+	c.keepRollouts(now)
 }
 
 // endRestore drops the entries that were not written again in time, and reports whether there were any.
--- a/cpchangelog/cpchangelog.go
+++ b/cpchangelog/cpchangelog.go
@@ -60,8 +60,14 @@
 	to.Domains = append(to.Domains, later.Domains...)
 	to.Targets, to.Gone = mergeEntries(to.Targets, to.Gone, later.Targets, later.Gone, targetID)
 	to.VMs, to.GoneVMs = mergeEntries(to.VMs, to.GoneVMs, later.VMs, later.GoneVMs, vmID)
+	to.Rollouts, to.GoneRollouts = mergeEntries(to.Rollouts, to.GoneRollouts, later.Rollouts, later.GoneRollouts, orderID)
+	to.RolloutStates, to.GoneRolloutStates = mergeEntries(to.RolloutStates, to.GoneRolloutStates, later.RolloutStates, later.GoneRolloutStates, stateID)
 }
 
+func orderID(o *clementineport.RolloutOrder) clementineport.ServiceID { return o.Service }
+
+func stateID(s *clementineport.RolloutStatus) clementineport.ServiceID { return s.Service }
+
 func targetID(d *clementineport.TargetInstance) clementineport.TargetID { return d.ID }
 
 func vmID(vm *clementineport.VM) clementineport.VMID { return vm.ID }
