Follow rollouts on the users' platform

A VM did not look at the versions of targets. The view now has the rollouts; the choice of a target keeps to the version that the rollout gives a call, hedges and retries included. VMs send their reports to the VMs that drive a rollout, which take its steps with a conditional write; a VM that ranks later takes over a step that stays due. Status, metrics, log lines and explain show the rollout.

--- a/cpexplain/write.go
+++ b/cpexplain/write.go
@@ -74,7 +74,11 @@
 			l.number("Covered"), l.number("Shards"), l.number("Sends"), l.number("Hedges"), l.number("Retries"), l.number("Refused"))
 	}
 	if target := l.text("Target"); target != "" {
-		fmt.Fprintf(b, "  The response is that of target %s.\n", target)
+		version := ""
+		if v := l.text("TargetVersion"); v != "" {
+			version = " of version " + v
+		}
+		fmt.Fprintf(b, "  The response is that of target %s%s.\n", target, version)
 	}
 	writeLeftOut(b, l)
 	if reason := l.text("Reason"); reason != "" {
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -10,6 +10,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpcrash"
+	"github.com/clementineport/clementineport/cprollout"
 	"github.com/clementineport/clementineport/cproute"
 )
 
@@ -61,11 +62,25 @@
 	Lost map[clementineport.VMID]bool
 	// Listed is true while the store lists this VM.
 	Listed bool
+	// Rollouts holds the rollouts, under way and ended. Services has no target that a rollout has ended the use of.
+	Rollouts map[clementineport.ServiceID]*cprollout.Rollout
 }
 
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
 func (v *View) Senders() int { return max(v.VMs, v.Registered) }
 
+// RolloutVersion returns the version of a target of a service with a rollout, or an empty one for all others.
+func (v *View) RolloutVersion(id clementineport.TargetID) clementineport.TargetVersion {
+	for service := range v.Rollouts {
+		for i := range v.Services[service] {
+			if t := v.Services[service][i].State; t.ID == id {
+				return t.Version
+			}
+		}
+	}
+	return ""
+}
+
 // BlockedRequests returns the number of requests that are not sent to targets because they crash them.
 func (v *View) BlockedRequests() (n int) {
 	for _, s := range v.Suspects {
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -25,6 +25,7 @@
 	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
+	"github.com/clementineport/clementineport/cprollout"
 )
 
 // eventQueueSize is the number of events that can wait for the loop.
@@ -67,6 +68,10 @@
 	lostAt time.Time
 	// ownsFrom is when the others know that this VM reaches targets again, so that they leave its cold targets to it.
 	ownsFrom time.Time
+	// reports, rollouts and nextRollouts belong to rollouts.
+	reports      *cprollout.Reports
+	rollouts     map[clementineport.ServiceID]*rolloutWatch
+	nextRollouts time.Time
 }
 
 // event is a function that another goroutine passes to the loop to run there.
@@ -86,6 +91,8 @@
 		reach:      cpreach.NewStatements(),
 		states:     map[clementineport.TargetID]*cpfleetstate.Target{},
 		notices:    map[clementineport.TargetRun]clementineport.TargetNotice{},
+		reports:    cprollout.NewReports(),
+		rollouts:   map[clementineport.ServiceID]*rolloutWatch{},
 	}
 	zero := time.Time{}
 	w.confirmed.Store(&zero)
@@ -169,6 +176,7 @@
 	}
 	w.catchUp(ctx, now)
 	w.checkReach(ctx, now)
+	w.checkRollouts(ctx, now)
 	if w.membership.Version() != w.publishedVersion || w.vms.Observe(now, w.activeVMs()) != w.vmCount {
 		w.dirty = true
 	}
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -55,6 +55,9 @@
 	for i := range news.Reach {
 		changed = w.applyReach(now, &news.Reach[i], source) || changed
 	}
+	for i := range news.Rollouts {
+		changed = w.applyRolloutReport(now, &news.Rollouts[i], source) || changed
+	}
 	if changed {
 		w.dirty = true
 		w.notifyWaiters()
@@ -102,9 +105,11 @@
 }
 
 // news returns what another VM is told about targets: what this VM learned lately, or all of it for a VM that has none yet.
-func (w *Watcher) news(now time.Time, all bool) clementineport.TargetNews {
+func (w *Watcher) news(now time.Time, to clementineport.VMID, all bool) clementineport.TargetNews {
 	if all {
-		return w.newsSince(now, time.Time{})
+		everything := w.newsSince(now, time.Time{})
+		everything.Rollouts = w.rolloutNews(now, time.Time{}, to)
+		return everything
 	}
 	recent := now.Add(-newsTime)
 	return clementineport.TargetNews{
@@ -112,6 +117,7 @@
 		Limits:   first(w.catalog.LimitsSince(now, recent), maxNews),
 		Requests: first(w.crashes.Since(now, recent), maxNews),
 		Reach:    first(w.reach.Since(now, now.Add(-reachNewsTime)), maxReachNews),
+		Rollouts: w.rolloutNews(now, now.Add(-rolloutNewsTime), to),
 	}
 }
 
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -11,6 +11,7 @@
 	"github.com/clementineport/clementineport/cpmembership"
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
+	"github.com/clementineport/clementineport/cprollout"
 )
 
 // Defaults of Options.
@@ -45,6 +46,20 @@
 	// moment, so they are told for a shorter time.
 	reachNewsTime = 3 * time.Second
 	maxReachNews  = 256
+	// rolloutNewsTime and maxRolloutNews are the same for reports about rollouts. They change with every request.
+	rolloutNewsTime = 3 * time.Second
+	maxRolloutNews  = 512
+	// rolloutPeriod is the time between two looks at the rollouts, and reportPeriod that between two reports.
+	rolloutPeriod = 200 * time.Millisecond
+	reportPeriod  = 400 * time.Millisecond
+	// saveTimeout limits a write of the state of a rollout, and saveRetryDelay is the time until the next one if the store has
+	// shown no newer state meanwhile.
+	saveTimeout    = time.Second
+	saveRetryDelay = time.Second
+	// rolloutDrivers is the number of VMs that may drive a rollout. Each waits takeOverDelay longer than the one that ranks
+	// before it, which may be paused or cut off from the store.
+	rolloutDrivers = 4
+	takeOverDelay  = 1500 * time.Millisecond
 	// DefaultCatchUpPeriod limits the rate of calls to other VMs from a VM that can't reach the store.
 	DefaultCatchUpPeriod  = 500 * time.Millisecond
 	DefaultCatchUpTimeout = time.Second
@@ -87,6 +102,9 @@
 	Registration []cpregistration.Option
 	// Reach tracks whether this VM reaches targets.
 	Reach *cpreach.Tracker
+	// Rollouts limits and counts the requests to new versions. RolloutStore stores the states of rollouts.
+	Rollouts     *cprollout.Tracker
+	RolloutStore clementineport.RolloutStore
 	// TickPeriod is the interval at which periodic work is checked.
 	TickPeriod time.Duration
 	// WatchPeriod is the minimum time between the starts of two store calls.
@@ -114,6 +132,7 @@
 		Dial:           func(clementineport.VM) clementineport.Peer { return nil },
 		OnRoutes:       func(*clementineport.RouteTable) {},
 		Reach:          cpreach.New(),
+		Rollouts:       cprollout.NewTracker(),
 		TickPeriod:     DefaultTickPeriod,
 		WatchPeriod:    DefaultWatchPeriod,
 		WatchWait:      DefaultWatchWait,
@@ -165,6 +184,11 @@
 // WithReach sets the tracker of whether this VM reaches targets.
 func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
 
+// WithRollouts sets what limits and counts the requests to new versions, and the store of the states of rollouts.
+func WithRollouts(t *cprollout.Tracker, store clementineport.RolloutStore) Option {
+	return func(o *Options) { o.Rollouts, o.RolloutStore = t, store }
+}
+
 // WithClock sets the clock.
 func WithClock(c clementineport.Clock) Option { return func(o *Options) { o.Clock = c } }
 
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -16,7 +16,7 @@
 func (w *Watcher) exchange(ctx context.Context, a cpmembership.Action) {
 	now := w.options.Clock.Now()
 	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
-	digest.TargetNews = w.news(now, false)
+	digest.TargetNews = w.news(now, a.Peer.ID, false)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
@@ -48,7 +48,7 @@
 		w.lastPeerContact.Store(&now)
 		w.applyNews(now, &d.TargetNews, string(d.From.ID))
 		response := w.membership.HandleDigest(now, d)
-		response.TargetNews = w.news(now, isJoining(d))
+		response.TargetNews = w.news(now, d.From.ID, isJoining(d))
 		answer <- response
 	})
 	select {
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -53,7 +53,7 @@
 			update = w.catalog.FullUpdate(now)
 		}
 		update.Age = now.Sub(w.catalog.Confirmed())
-		update.TargetNews = w.news(now, update.Whole)
+		update.TargetNews = w.news(now, "", update.Whole)
 		sinceCall := w.newsSince(now, after)
 		answer <- changes{update, sinceCall.Any()}
 	})
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -36,11 +36,12 @@
 	}
 	w.setRouter(view)
 	w.dropTargets(now)
+	w.setRollouts(now, view)
 	for id, t := range w.catalog.Targets() {
 		if w.catalog.Leaving(t) {
 			view.Leaving++
 		}
-		if t.Draining || w.catalog.Leaving(t) || w.catalog.Out(t.Domain) {
+		if t.Draining || w.catalog.Leaving(t) || w.catalog.Out(t.Domain) || !w.mayUse(view, t) {
 			continue
 		}
 		w.addTarget(view, id, t)
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -17,27 +17,35 @@
 		return nil, cpfanout.Unavailable
 	}
 	view := r.f.options.View()
-	warm, cold := split(now, view.Services[service])
 	request := &cpbalancer.Request{
 		TypicalLatency: r.typicalLatency, VMs: view.Sending, Senders: view.Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
 		FreeSlotOnly: purpose == cpfanout.Hedge || purpose == cpfanout.Late,
 	}
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
-	target, busy := r.f.chooser.Choose(now, warm, request)
+	if rollout := view.Rollouts[service]; rollout != nil && !rollout.Phase.Ended() {
+		return r.chooseVersion(now, view, rollout, service, purpose, request)
+	}
+	return r.f.choose(now, view, view.Services[service], request)
+}
+
+// choose returns one of some targets: a warm one, or a cold one if none is usable. The caller holds f.mu.
+func (f *Forwarder) choose(now time.Time, view *cpfleetstate.View, targets []cpfleetstate.Target, request *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
+	warm, cold := split(now, targets)
+	target, busy := f.chooser.Choose(now, warm, request)
 	if target != nil {
 		return target, cpfanout.Available
 	}
 	if busy {
 		return nil, cpfanout.Busy
 	}
-	return r.f.chooseCold(now, view, cold, request)
+	return f.chooseCold(now, view, cold, request)
 }
 
 // Latency implements cpfanout.Targets.
 func (r *run) Latency(now time.Time, service clementineport.ServiceID) time.Duration {
 	view := r.f.options.View()
-	warm, _ := split(now, view.Services[service])
+	warm, _ := split(now, usable(view, service))
 	return cpbalancer.ExpectedLatency(now, warm, &cpbalancer.Request{TypicalLatency: r.typicalLatency, VMs: view.Sending})
 }
 
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -19,6 +19,7 @@
 	"github.com/clementineport/clementineport/cplatency"
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
+	"github.com/clementineport/clementineport/cprollout"
 )
 
 // Forwarder forwards requests. Its methods are safe for concurrent use.
@@ -186,6 +187,10 @@
 	stay bool
 	// unreached is true once this VM has lost its path to the targets during the request.
 	unreached bool
+	// arrived holds the services with a rollout that count the request, and versions the calls to their targets that have been
+	// chosen and not sent.
+	arrived  map[clementineport.ServiceID]bool
+	versions map[*cpbalancer.Target]*cprollout.Call
 }
 
 // callResult is the result of one call.
@@ -280,13 +285,13 @@
 		r.attempts.running.Add(1)
 		sent := r.now()
 		s.Target.Sent(sent)
-		go r.call(s, sent)
+		go r.call(s, sent, r.takeVersion(s.Target))
 	}
 }
 
 // call makes one call and sends its result to the request. The channel has room for two results per shard; beyond that,
 // a call discards its result once the calls are canceled.
-func (r *run) call(s cpfanout.Send, sent time.Time) {
+func (r *run) call(s cpfanout.Send, sent time.Time, version *cprollout.Call) {
 	result := callResult{Result: cpfanout.Result{Shard: s.Shard, Attempt: s.Attempt}}
 	client := r.f.client(s.Target)
 	if client == nil {
@@ -301,6 +306,7 @@
 	}
 	r.attempts.ended(s.Shard, client != nil && clementineport.VerdictOf(result.err) != clementineport.NotRun)
 	r.observe(s, sent, &result)
+	version.Done(r.now(), versionOutcome(&result), r.now().Sub(sent), r.typicalLatency)
 	r.observeCrash(s, &result)
 	select {
 	case r.results <- result:
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -13,6 +13,7 @@
 	"github.com/clementineport/clementineport/cpplan"
 	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cpreach"
+	"github.com/clementineport/clementineport/cprollout"
 )
 
 // Defaults of Options.
@@ -43,6 +44,9 @@
 	Admit               []cpadmit.Option
 	// Reach tracks whether this VM reaches targets.
 	Reach *cpreach.Tracker
+	// Rollouts limits and counts the requests to new versions, and ViewAge returns the age of the view, by which they are trusted.
+	Rollouts *cprollout.Tracker
+	ViewAge  func() time.Duration
 	// OnCallFailed is called for each failed call, unless its error is context.Canceled.
 	OnCallFailed func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)
 	// OnReport is called with a report about a request during which a target has crashed.
@@ -63,6 +67,8 @@
 		RetryAfter:          DefaultRetryAfter,
 		Admit:               cpplan.AdmissionOptions(),
 		Reach:               cpreach.New(),
+		Rollouts:            cprollout.NewTracker(),
+		ViewAge:             func() time.Duration { return 0 },
 		OnCallFailed:        func(*clementineport.OpaqueRequest, clementineport.TargetID, error, time.Duration) {},
 		OnReport:            func(clementineport.RequestReport) {},
 		OnTargetChange:      func(*clementineport.TargetInstance, cpbalancer.Change) {},
@@ -91,6 +97,11 @@
 // WithReach sets the tracker of whether this VM reaches targets.
 func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
 
+// WithRollouts sets what limits and counts the requests to new versions, and the function that returns the age of the view.
+func WithRollouts(t *cprollout.Tracker, viewAge func() time.Duration) Option {
+	return func(o *Options) { o.Rollouts, o.ViewAge = t, viewAge }
+}
+
 // WithOnCallFailed sets the function that is called for each failed call.
 func WithOnCallFailed(f func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)) Option {
 	return func(o *Options) { o.OnCallFailed = f }
--- /dev/null
+++ b/cpforward/rollout.go
@@ -0,0 +1,100 @@
+package cpforward
+
+import (
+	"time"
+
+	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpbalancer"
+	"github.com/clementineport/clementineport/cpfanout"
+	"github.com/clementineport/clementineport/cpfleetstate"
+	"github.com/clementineport/clementineport/cprollout"
+)
+
+// chooseVersion returns a target of a service whose rollout is under way. The rollout decides which versions the call may use.
+// The caller holds f.mu, so that no other call takes the same room in the bounds.
+func (r *run) chooseVersion(now time.Time, view *cpfleetstate.View, rollout *cprollout.Rollout, service clementineport.ServiceID, purpose cpfanout.Purpose, request *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
+	rollouts := r.f.options.Rollouts
+	if r.arrived == nil {
+		r.arrived, r.versions = map[clementineport.ServiceID]bool{}, map[*cpbalancer.Target]*cprollout.Call{}
+	}
+	if !r.arrived[service] {
+		r.arrived[service] = true
+		rollouts.Arrived(service, r.route.Name, rollout)
+	}
+	first := purpose == cpfanout.First || purpose == cpfanout.Late
+	try := func(age cprollout.Age) (*cpbalancer.Target, cpfanout.Availability) {
+		target, availability := r.f.choose(now, view, ofAge(view.Services[service], rollout, age), request)
+		if target != nil {
+			r.versions[target] = rollouts.Sent(service, r.route.Name, age, isCold(now, view.Services[service], target))
+		}
+		return target, availability
+	}
+	use := rollouts.Plan(service, r.route.Name, rollout, first, r.f.options.ViewAge())
+	switch use {
+	case cprollout.UseNew:
+		return try(cprollout.Fresh)
+	case cprollout.UseNewFirst:
+		if target, _ := try(cprollout.Fresh); target != nil {
+			return target, cpfanout.Available
+		}
+		return try(cprollout.Old)
+	default:
+		target, availability := try(cprollout.Old)
+		if availability == cpfanout.Unavailable && use == cprollout.UseOldFirst {
+			return try(cprollout.Fresh)
+		}
+		return target, availability
+	}
+}
+
+// ofAge returns the targets of the old or of the new version.
+func ofAge(targets []cpfleetstate.Target, rollout *cprollout.Rollout, age cprollout.Age) (of []cpfleetstate.Target) {
+	for i := range targets {
+		if rollout.AgeOf(targets[i].State.Version) == age {
+			of = append(of, targets[i])
+		}
+	}
+	return of
+}
+
+// usable returns the targets of a service that new requests may be sent to.
+func usable(view *cpfleetstate.View, service clementineport.ServiceID) []cpfleetstate.Target {
+	rollout := view.Rollouts[service]
+	if rollout == nil || rollout.Phase != clementineport.RolloutCompleting {
+		return view.Services[service]
+	}
+	return ofAge(view.Services[service], rollout, cprollout.Fresh)
+}
+
+// isCold reports whether a target is in its cold start.
+func isCold(now time.Time, targets []cpfleetstate.Target, target *cpbalancer.Target) bool {
+	for i := range targets {
+		if targets[i].State == target {
+			return targets[i].Cold(now)
+		}
+	}
+	return false
+}
+
+// takeVersion returns the call that a rollout counts for a call to a target, or nil.
+func (r *run) takeVersion(target *cpbalancer.Target) *cprollout.Call {
+	counted := r.versions[target]
+	delete(r.versions, target)
+	return counted
+}
+
+// versionOutcome returns what the end of a call says about the version of its target. A call that has not run says nothing.
+func versionOutcome(result *callResult) cprollout.Outcome {
+	switch {
+	case result.Part != nil && result.Part.Status >= 500:
+		return cprollout.Failed
+	case result.Part != nil:
+		return cprollout.Answered
+	case result.Fault == clementineport.FaultCanceled:
+		return cprollout.Canceled
+	case result.err == nil || clementineport.VerdictOf(result.err) == clementineport.NotRun:
+		return cprollout.Unknown
+	default:
+		return cprollout.Failed
+	}
+}
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -49,6 +49,10 @@
 	RerouteRun         Name = "RerouteRun"
 	RerouteFailed      Name = "RerouteFailed"
 	CallFailed         Name = "CallFailed"
+	RolloutChanged     Name = "RolloutChanged"
+	RolloutStep        Name = "RolloutStep"
+	RolloutNotSaved    Name = "RolloutNotSaved"
+	RolloutStopped     Name = "RolloutStopped"
 	LinesOmitted       Name = "LinesOmitted"
 )
 
@@ -73,7 +77,7 @@
 // requestFields are the fields of the events that report the end of a request.
 var requestFields = []string{
 	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
-	"Refused", "Target", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
+	"Refused", "Target", "TargetVersion", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
 var kinds = []Kind{
@@ -119,6 +123,10 @@
 	{RerouteRun, []string{FieldID, FieldVM, "Version", "Elapsed", "Shards", "Covered", "Sends", "Verdict", "Reason"}, "this VM has run a request for another VM, which reaches no target; Verdict and Reason if it failed"},
 	{RerouteFailed, []string{FieldID, FieldVM, "Fault", "Elapsed", "Reason"}, "another VM did not answer a request that this VM had sent to it, since this VM reaches no target"},
 	{CallFailed, []string{FieldID, "Contents", "Target", "Fault", "Elapsed", "Reason"}, "a call to a target for a request failed; Contents is the same for requests with the same method, host, path, query and body"},
+	{RolloutChanged, []string{"Service", "TargetVersion", "Phase", "Share", "Driver", "Cause"}, "the rollout of a service is in another phase, as this VM has learned; Driver is the VM that decided it, and Cause why"},
+	{RolloutStep, []string{"Service", "TargetVersion", "From", "Phase", "Share", "Cause", "Elapsed", "NewSent", "NewFailed", "NewSlow", "OldSent", "OldFailed", "OldSlow"}, "this VM drives the rollout of a service and has stored its next step; the counts are those of all VMs since the order"},
+	{RolloutNotSaved, []string{"Service", "TargetVersion", "From", "Phase", "Share", "Cause", "Error"}, "this VM could not store the next step of a rollout; it tries again, or another VM does"},
+	{RolloutStopped, []string{"Service", "Order", "Cause"}, "this VM sends no more requests to the new version of a service, since it found it to be bad or another VM did"},
 	{LinesOmitted, []string{"TooManyOfAKind", "WriterFull"}, "lines were left out since the last such line"},
 }
 
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -29,6 +29,7 @@
 	"github.com/clementineport/clementineport/cpreach"
 	"github.com/clementineport/clementineport/cpregistration"
 	"github.com/clementineport/clementineport/cpreroute"
+	"github.com/clementineport/clementineport/cprollout"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/cptoken"
 	"github.com/clementineport/clementineport/platform/cpconf"
@@ -53,6 +54,8 @@
 	receiver *cpreroute.Receiver
 	// reach tracks whether this VM reaches targets.
 	reach *cpreach.Tracker
+	// rollouts limits and counts the requests to new versions.
+	rollouts *cprollout.Tracker
 	// readBudget bounds the large responses of all targets.
 	readBudget *cpopaque.ReadBudget
 	registrar  clementineport.Registrar
@@ -137,6 +140,7 @@
 func (p *Process) build(s *cpconf.Settings) {
 	p.readBudget = newReadBudget(s.Limits)
 	p.reach = cpreach.New(cpreach.WithMaxOverdue(max(cpreach.DefaultMinOverdue, share(s.Bounds.UndisturbedTime, maxOverdueShare))))
+	p.rollouts = cprollout.NewTracker(cprollout.WithBounds(rolloutBounds(s.Bounds)), cprollout.WithStart(string(p.self.Start)))
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
 	apply := s.Bounds.ConfigApply
 	p.registrar = cpschema.NewRegistrar(store, max(s.Store.MinLeaseTTL, leaseFactor*cpregistration.DefaultRenewPeriod))
@@ -150,6 +154,7 @@
 		cpfleetwatch.WithTargetClient(p.newTargetClient),
 		cpfleetwatch.WithOnRoutes(func(table *clementineport.RouteTable) { p.forwarder.SetRoutes(table) }),
 		cpfleetwatch.WithReach(p.reach),
+		cpfleetwatch.WithRollouts(p.rollouts, cpschema.NewRolloutStore(store)),
 		cpfleetwatch.WithLog(p.log.Logger),
 		cpfleetwatch.WithSeed(rand.Uint64()),
 		cpfleetwatch.WithWatchTimes(share(apply, watchPeriodShare), share(apply, watchWaitShare)),
@@ -158,6 +163,7 @@
 	)
 	p.forwarder = cpforward.New(
 		cpforward.WithReach(p.reach),
+		cpforward.WithRollouts(p.rollouts, p.watcher.Age),
 		cpforward.WithView(p.watcher.View),
 		cpforward.WithSeed(rand.Uint64()),
 		cpforward.WithRetryBound(cpquota.RetryBound{
@@ -184,6 +190,11 @@
 	)
 }
 
+// rolloutBounds returns the fleet-wide limits of rollouts. Without a share in the settings, orders are ignored.
+func rolloutBounds(b cpconf.Bounds) cprollout.Bounds {
+	return cprollout.Bounds{Share: b.CanaryShare, Slack: b.CanarySlack, Contact: b.UndisturbedTime, Outage: b.ConfigOutageDelay}
+}
+
 // seeds returns the VMs of the settings, except for this one, to contact before other VMs are known.
 func seeds(s *cpconf.Settings) []clementineport.VM {
 	var vms []clementineport.VM
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -28,6 +28,7 @@
 		metrics.WritePrometheus(w, true)
 		p.writeState(w)
 		p.writeServices(w)
+		p.writeRollouts(w)
 	})
 }
 
@@ -87,3 +88,12 @@
 		}
 	}
 }
+
+// writeRollouts writes the phase and the share of each rollout.
+func (p *Process) writeRollouts(w io.Writer) {
+	rollouts := p.rolloutStatuses(p.watcher.View())
+	for _, r := range rollouts[:min(len(rollouts), maxServices)] {
+		fmt.Fprintf(w, "clementineport_rollout_phase{service=%q} %d\n", string(r.Service), r.Phase)
+		fmt.Fprintf(w, "clementineport_rollout_share{service=%q} %v\n", string(r.Service), r.Share)
+	}
+}
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -34,6 +34,9 @@
 	}
 	if e.Target != "" {
 		fields = append(fields, zap.String("Target", string(e.Target)))
+		if version := p.watcher.View().RolloutVersion(e.Target); version != "" {
+			fields = append(fields, zap.String("TargetVersion", string(version)))
+		}
 	}
 	if e.Via != "" {
 		fields = append(fields, zap.String("Via", string(e.Via)))
--- a/cpplatformvm/status.go
+++ b/cpplatformvm/status.go
@@ -1,8 +1,10 @@
 package cpplatformvm
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -34,6 +36,20 @@
 	Sending   int
 	VMs       []VMStatus
 	Services  []cpfleetstate.Totals
+	// Rollouts are the rollouts, under way and ended.
+	Rollouts []RolloutStatus `json:",omitempty"`
+}
+
+// RolloutStatus is the rollout of a service.
+type RolloutStatus struct {
+	Service clementineport.ServiceID
+	Version clementineport.TargetVersion
+	Phase   clementineport.RolloutPhase
+	Share   float64
+	Driver  clementineport.VMID
+	Reason  string
+	// Elapsed is the time since the order, if it has not ended.
+	Elapsed string `json:",omitempty"`
 }
 
 // VMStatus is the state of one VM.
@@ -61,9 +77,26 @@
 		m := &view.Members[i]
 		s.VMs = append(s.VMs, VMStatus{ID: m.ID, Domain: m.Domain, State: m.State, Leaving: m.Leaving, TargetsLost: view.Lost[m.ID]})
 	}
+	s.Rollouts = p.rolloutStatuses(view)
 	return s
 }
 
+// rolloutStatuses returns the rollouts of a view, sorted by service.
+func (p *Process) rolloutStatuses(view *cpfleetstate.View) []RolloutStatus {
+	var all []RolloutStatus
+	for service, r := range view.Rollouts {
+		status := RolloutStatus{
+			Service: service, Version: r.Version, Phase: r.Phase, Share: r.Share, Driver: r.Stored.Driver, Reason: r.Stored.Reason,
+		}
+		if r.Active() {
+			status.Elapsed = p.clock.Now().Sub(r.OrderedAt).Round(time.Millisecond).String()
+		}
+		all = append(all, status)
+	}
+	slices.SortFunc(all, func(a, b RolloutStatus) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
 // statusHandler serves the status as JSON.
 func (p *Process) statusHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
