Keep the promise of a VM that its calls to old targets have ended, and test rollouts with processes

A VM whose view was a second old took back its statement, so a rollout waited for the contact time and longer, and was completed after its deadline in a process test (25.8 s of 24). The statement now stays: a VM that loses contact after it uses no target until its view is confirmed. The VM that took the latest step takes the next one without delay. go test ./platform/cpfakesite -run TestRollouts passes (good, bad and late-bad versions, with a VM killed and one without the store); go test ./cprollout and -race ./cpforward pass; -race ./cpfleetwatch fails only in the known red test.

--- a/cpfleetwatch/rollout.go
+++ b/cpfleetwatch/rollout.go
@@ -136,7 +136,8 @@
 		return
 	}
 	report.VM, report.Start = w.options.Self.ID, w.options.Self.Start
-	report.OldEnded = cprollout.MayReportOldEnded(now, r, w.Age(), w.bounds()) && !w.callsOld(service, r)
+	promised := cprollout.MayPromise(now, r, w.Age(), w.bounds()) && w.options.Rollouts.Promise(service, r.Order.Revision)
+	report.OldEnded = promised && !w.callsOld(service, r)
 	if report.OldEnded != watch.oldEnded {
 		watch.oldEnded = report.OldEnded
 		w.membership.Announce()
@@ -224,7 +225,7 @@
 	if watch.pendingSince.IsZero() {
 		watch.pendingSince = now
 	}
-	if now.Before(watch.nextSave) || now.Sub(watch.pendingSince) < time.Duration(rank)*takeOverDelay {
+	if now.Before(watch.nextSave) || now.Sub(watch.pendingSince) < takeOver(rank, r.Stored.Driver == w.options.Self.ID) {
 		return
 	}
 	next.Driver = w.options.Self.ID
@@ -234,6 +235,15 @@
 	w.save(ctx, r, watch, next)
 }
 
+// takeOver returns how long a step must have been due before a VM of a rank takes it. The VM that took the last one goes on at
+// once: those that rank before it did not take that step in time.
+func takeOver(rank int, last bool) time.Duration {
+	if last {
+		return 0
+	}
+	return time.Duration(rank) * takeOverDelay
+}
+
 // save stores a state on condition that the order and the state are still those of the rollout.
 func (w *Watcher) save(ctx context.Context, r *cprollout.Rollout, watch *rolloutWatch, next *clementineport.RolloutStatus) {
 	watch.saving = true
--- a/cpforward/rollout.go
+++ b/cpforward/rollout.go
@@ -31,6 +31,8 @@
 	}
 	use := rollouts.Plan(service, r.route.Name, rollout, first, r.f.options.ViewAge())
 	switch use {
+	case cprollout.UseNone:
+		return nil, cpfanout.Unavailable
 	case cprollout.UseNew:
 		return try(cprollout.Fresh)
 	case cprollout.UseNewFirst:
--- a/cprollout/driver.go
+++ b/cprollout/driver.go
@@ -176,8 +176,8 @@
 	return duration - min(before, contactsBeforeEnd*b.Contact)
 }
 
-// MayReportOldEnded reports whether a VM may state that its calls to old targets have ended, if none is under way: it has
-// known for a while that they get none, and its view is recent enough for this to stay so.
-func MayReportOldEnded(now time.Time, r *Rollout, viewAge time.Duration, b *Bounds) bool {
-	return r.Phase == clementineport.RolloutCompleting && now.Sub(r.PhaseAt) >= settleTime && viewAge+maxReportAge <= b.Contact
+// MayPromise reports whether a VM may promise to send no more requests to old targets: it has known for a while that they get none,
+// and its view is recent enough to use the new version.
+func MayPromise(now time.Time, r *Rollout, viewAge time.Duration, b *Bounds) bool {
+	return r.Phase == clementineport.RolloutCompleting && now.Sub(r.PhaseAt) >= settleTime && viewAge <= b.Contact
 }
--- a/cprollout/options.go
+++ b/cprollout/options.go
@@ -83,9 +83,8 @@
 	// how much of the duration has passed. minSaveInterval limits the writes for short durations.
 	saveInterval    = 0.1
 	minSaveInterval = 5 * time.Second
-	// maxReportAge is the age up to which a report proves that the calls to old targets have ended. It is well below the time
-	// for which a VM without contact may go on by its view.
-	maxReportAge = 2 * time.Second
+	// maxReportAge is the age up to which a report shows that a VM still makes some.
+	maxReportAge = 3 * time.Second
 	// settleTime is the time after which requests that were planned by an earlier view have been sent.
 	settleTime = 500 * time.Millisecond
 	// recentTime and longTime are the time constants of the two averages of the old version's bad answers.
--- a/cprollout/reports.go
+++ b/cprollout/reports.go
@@ -49,18 +49,16 @@
 		return false
 	case after > before:
 		next.Stopped = r.Stopped || known.Stopped
+		next.OldEnded = r.OldEnded || known.OldEnded
 		s.all[key] = next
 		return true
 	}
 	if !next.at.After(known.at) {
 		return false
 	}
-	changed = r.Stopped && !known.Stopped || r.OldEnded != known.OldEnded
-	known.at, known.OldEnded, known.Stopped = next.at, r.OldEnded, r.Stopped || known.Stopped
-	// Others need to know that the process still says that its calls to old targets have ended.
-	if changed || r.OldEnded {
-		known.learnedAt = now
-	}
+	changed = r.Stopped && !known.Stopped || r.OldEnded && !known.OldEnded
+	known.at, known.OldEnded, known.Stopped = next.at, r.OldEnded || known.OldEnded, r.Stopped || known.Stopped
+	known.learnedAt = now // drivers need to know that the process still makes reports
 	return changed
 }
 
@@ -121,14 +119,14 @@
 	return vm
 }
 
-// OldEnded reports whether a process has recently stated that its calls to old targets have ended, and whether it has made any
-// recent report.
+// OldEnded reports whether a process has stated that its calls to old targets have ended, which stays so, and whether it has made
+// any recent report.
 func (s *Reports) OldEnded(now time.Time, service clementineport.ServiceID, order clementineport.Revision, m *clementineport.Member) (ended, recent bool) {
 	r := s.all[reportKey{service, m.ID, m.Start}]
-	if r == nil || r.Order != order || now.Sub(r.at) > maxReportAge {
+	if r == nil || r.Order != order {
 		return false, false
 	}
-	return r.OldEnded, true
+	return r.OldEnded, r.OldEnded || now.Sub(r.at) <= maxReportAge
 }
 
 // Keep drops the reports about orders for which keep returns false.
--- a/cprollout/tracker.go
+++ b/cprollout/tracker.go
@@ -23,6 +23,8 @@
 	UseNewFirst
 	// UseNew means that only the new version is used.
 	UseNew
+	// UseNone means that no target is used until the view is confirmed.
+	UseNone
 )
 
 // Tracker is the part that one VM has in rollouts. It is safe for concurrent use.
@@ -53,6 +55,8 @@
 	bad       int64
 	ended     int64
 	stopped   bool
+	// promised is true once this VM has stated that it sends no requests to old targets any more.
+	promised bool
 }
 
 // routeMeter counts the requests of one route.
@@ -169,10 +173,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.meters[service]
-	if m == nil || m.stopped || m.order != r.Order.Revision || viewAge > t.options.Bounds.Contact {
-		return UseOld
-	}
+	stale := viewAge > t.options.Bounds.Contact
 	switch {
+	case m == nil || m.stopped || m.order != r.Order.Revision:
+		return UseOld
+	case stale && m.promised:
+		// The version may have been rolled back, or the old targets may have been stopped.
+		return UseNone
+	case stale:
+		return UseOld
 	case r.Phase == clementineport.RolloutCompleting:
 		return UseNew
 	case !m.room(&t.options.Bounds):
@@ -288,6 +297,19 @@
 	return true
 }
 
+// Promise ends the requests to old targets of an order, unless the version is found to be bad. It reports whether they had been
+// ended before, so that all that were planned earlier have been sent.
+func (t *Tracker) Promise(service clementineport.ServiceID, order clementineport.Revision) (before bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.meters[service]
+	if m == nil || m.order != order || m.stopped {
+		return false
+	}
+	before, m.promised = m.promised, true
+	return before
+}
+
 // Report returns what this process has seen of the rollout of a service, or false if it has no part in one.
 func (t *Tracker) Report(service clementineport.ServiceID) (clementineport.RolloutReport, bool) {
 	t.mu.Lock()
