Test the choice of versions and the drivers of rollouts, and keep hedges on the old version

A hedge that found no further old target used the room of the new version; it now stays with the old one, and nothing goes to the new version while a rollout waits. The state of an ended rollout without an order is written again after a restore. go test -race ./cpforward -run 'Rollout|Versions' -count 3, ./cpfleetwatch with the new tests and go test ./cprollout pass.

--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -32,6 +32,8 @@
 	unavailable    bool
 	historyDropped bool
 	loads          int
+	rollouts       []clementineport.RolloutOrder
+	states         []clementineport.RolloutStatus
 }
 
 func (f *fakeSource) set(change func(*fakeSource)) {
@@ -44,7 +46,7 @@
 // update returns the full state. The caller holds the lock.
 func (f *fakeSource) update() *clementineport.FleetUpdate {
 	return &clementineport.FleetUpdate{
-		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Routes: &clementineport.RouteTable{
+		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Rollouts: f.rollouts, RolloutStates: f.states, Routes: &clementineport.RouteTable{
 			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{
 				"s": {Name: "s", Connections: 20}, "s-0": {Name: "s-0", Connections: 20}, "s-1": {Name: "s-1", Connections: 20},
--- a/cpforward/rollout.go
+++ b/cpforward/rollout.go
@@ -42,7 +42,8 @@
 		return try(cprollout.Old)
 	default:
 		target, availability := try(cprollout.Old)
-		if availability == cpfanout.Unavailable && use == cprollout.UseOldFirst {
+		// A hedge finds no old target if all are called already, which says nothing about whether they are usable.
+		if availability == cpfanout.Unavailable && use == cprollout.UseOldFirst && purpose != cpfanout.Hedge {
 			return try(cprollout.Fresh)
 		}
 		return target, availability
--- a/cprollout/driver.go
+++ b/cprollout/driver.go
@@ -60,12 +60,16 @@
 	return r.Stored.Service
 }
 
-// abandon returns the state after the order was removed, or nil if the rollout had ended.
+// abandon returns the state after the order was removed, or nil if the rollout had ended and the store has its state.
 func abandon(r *Rollout, next *clementineport.RolloutStatus) *clementineport.RolloutStatus {
-	if r.Stored.Phase.Ended() {
+	next.Order, next.Elapsed = r.Stored.Order, r.Stored.Elapsed
+	switch {
+	case r.Stored.Phase.Ended() && !r.Lost:
 		return nil
+	case r.Stored.Phase.Ended():
+		next.Phase, next.Share, next.Reason = r.Stored.Phase, r.Stored.Share, r.Stored.Reason
+		return next
 	}
-	next.Order, next.Elapsed = r.Stored.Order, r.Stored.Elapsed
 	next.Phase, next.Reason = clementineport.RolloutRolledBack, "the order was removed"
 	return next
 }
--- a/cprollout/tracker.go
+++ b/cprollout/tracker.go
@@ -166,7 +166,7 @@
 	switch r.Phase {
 	case clementineport.RolloutCompleted:
 		return UseNew
-	case clementineport.RolloutRolledBack:
+	case clementineport.RolloutRolledBack, clementineport.RolloutWaiting:
 		return UseOld
 	default:
 	}
