--- a/cpfleetwatch/cpfleetwatch_test.go
+++ b/cpfleetwatch/cpfleetwatch_test.go
@@ -33,7 +33,9 @@
 	historyDropped bool
 	loads          int
 	// shards are the shards of a second route.
-	shards []clementineport.ServiceID
+	shards   []clementineport.ServiceID
+	rollouts []clementineport.RolloutOrder
+	states   []clementineport.RolloutStatus
 }
 
 func (f *fakeSource) set(change func(*fakeSource)) {
@@ -46,7 +48,7 @@
 // update returns the full state. The caller holds the lock.
 func (f *fakeSource) update() *clementineport.FleetUpdate {
 	return &clementineport.FleetUpdate{
-		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Routes: &clementineport.RouteTable{
+		AsOf: f.asOf, Whole: true, Targets: f.targets, VMs: f.vms, Rollouts: f.rollouts, RolloutStates: f.states, Routes: &clementineport.RouteTable{
 			Version: f.version, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}, {Name: "g", Host: "g", Prefix: "/", Shards: f.shards}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{
 				"s": {Name: "s", Connections: 20}, "s-0": {Name: "s-0", Connections: 20}, "s-1": {Name: "s-1", Connections: 20},
--- a/cpfleetwatch/peers.go
+++ b/cpfleetwatch/peers.go
@@ -16,7 +16,7 @@
 func (w *Watcher) exchange(ctx context.Context, a cpmembership.Action) {
 	now := w.options.Clock.Now()
 	peer, digest := w.peers.Get(now, a.Peer), w.membership.Digest(a.Peer.ID)
-	digest.TargetNews, digest.Revision = w.news(now, false), w.routesVersion()
+	digest.TargetNews, digest.Revision = w.news(now, a.Peer.ID, false), w.routesVersion()
 	digest.Loads = w.loadNews(now, false)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, a.Timeout)
@@ -50,7 +50,7 @@
 		w.lastPeerContact.Store(&now)
 		w.applyNews(now, &d.TargetNews, string(d.From.ID))
 		response := w.membership.HandleDigest(now, d)
-		response.TargetNews, response.Revision = w.news(now, isJoining(d)), w.routesVersion()
+		response.TargetNews, response.Revision = w.news(now, d.From.ID, isJoining(d)), w.routesVersion()
 		response.Loads = w.loadNews(now, isJoining(d))
 		w.observeRoutes(now, d.From.VM, d.Revision)
 		answer <- response
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -39,6 +39,9 @@
 	}
 	if e.Target != "" {
 		fields = append(fields, zap.String("Target", string(e.Target)))
+		if version := p.watcher.View().RolloutVersion(e.Target); version != "" {
+			fields = append(fields, zap.String("TargetVersion", string(version)))
+		}
 	}
 	if e.Workspace != "" {
 		fields = append(fields, zap.String("Workspace", string(e.Workspace)))
