Test the bound of quotas under faults, and mend a busy loop

A VM whose number of VMs crossed a multiple of 128 while requests waited divided the workspaces anew and never called for them, and woke at once again and again: the new group did not count as used. The use is now carried over, and wake-ups have a least distance.

The property tests split the fleet, kill, pause and restart VMs, and delay and lose calls.

--- a/cpratelimit/cpclient/cpclient.go
+++ b/cpratelimit/cpclient/cpclient.go
@@ -112,15 +112,17 @@
 		return
 	}
 	waiting := map[clementineport.WorkspaceID]*store{}
+	var used time.Time
 	for _, g := range c.groups {
-		c.free = cpquotas.Later(c.free, g.free)
+		c.free, used = cpquotas.Later(c.free, g.free), cpquotas.Later(used, g.used)
 		maps.Copy(waiting, g.waiting)
 	}
 	c.groupCount, c.groups = count, map[int]*clientGroup{}
 	for name, s := range c.stores {
 		s.level, s.bindings = 0, 0
 		if waiting[name] != nil {
-			c.group(c.Group(name)).waiting[name] = s
+			g := c.group(c.Group(name))
+			g.waiting[name], g.used = s, used
 		}
 	}
 }
--- a/cpratelimit/cpclient/store.go
+++ b/cpratelimit/cpclient/store.go
@@ -127,6 +127,14 @@
 	return s.level
 }
 
+// OwnWeight returns the weight that this VM may use by itself for a workspace.
+func (c *Client) OwnWeight(now time.Time, name clementineport.WorkspaceID) float64 {
+	if now.Before(c.group(c.Group(name)).free) {
+		return 0
+	}
+	return c.weight
+}
+
 // Request records that a request of a workspace has arrived.
 func (c *Client) Request(now time.Time, name clementineport.WorkspaceID) {
 	c.group(c.Group(name)).used = now
--- a/cpratelimit/cpcoordinator/cpcoordinator.go
+++ b/cpratelimit/cpcoordinator/cpcoordinator.go
@@ -243,3 +243,18 @@
 	age := uint64(now.Sub(c.epoch)) - (uint64(nonce) - c.options.Salt)
 	return nonce != 0 && age < uint64(c.options.BindingTime)
 }
+
+// Weight returns the sum of the weights that are counted for a workspace at a time.
+func (c *Coordinator) Weight(now time.Time, workspace clementineport.WorkspaceID) (sum float64) {
+	for id, g := range c.groups {
+		if !cpquotas.IsIn(workspace, id) {
+			continue
+		}
+		for _, b := range g.bindings {
+			if b.until.After(now) {
+				sum += b.weight
+			}
+		}
+	}
+	return sum
+}
--- a/cpratelimit/cpratelimit.go
+++ b/cpratelimit/cpratelimit.go
@@ -280,5 +280,7 @@
 	return at
 }
 
-// Tokens returns the totals of tokens and calls.
-func (n *Node) Tokens() cpclient.Counts { return n.client.Counts() }
+// Weight returns the weight that this VM counts for a workspace: as coordinator, or because it may use its own.
+func (n *Node) Weight(now time.Time, workspace clementineport.WorkspaceID) float64 {
+	return n.coordinator.Weight(now, workspace) + n.client.OwnWeight(now, workspace)
+}
--- a/cpratelimit/limiter.go
+++ b/cpratelimit/limiter.go
@@ -71,7 +71,7 @@
 	}
 	calls := l.node.Advance(now)
 	if at := l.node.Wake(); !at.IsZero() {
-		l.wake.Reset(max(0, at.Sub(now)))
+		l.wake.Reset(max(minWake, at.Sub(now)))
 	}
 	l.mu.Unlock()
 	for i := range calls {
--- a/cpratelimit/options.go
+++ b/cpratelimit/options.go
@@ -15,6 +15,8 @@
 	callTimeout = 300 * time.Millisecond
 	// tickPeriod is short against the time between two calls that renew a binding.
 	tickPeriod = 100 * time.Millisecond
+	// minWake bounds how often waiting requests are checked.
+	minWake = time.Millisecond
 	// minPatience and patienceShare limit how long a request waits for a token: a share of the time left to its objective, but at
 	// least minPatience.
 	minPatience   = 100 * time.Millisecond
--- a/cpratelimit/sim_test.go
+++ b/cpratelimit/sim_test.go
@@ -52,6 +52,8 @@
 	paused time.Time
 	open   []*cpratelimit.Request
 	wake   time.Time
+	// asked is the number of calls that it has got.
+	asked int
 }
 
 type event struct {
@@ -174,6 +176,7 @@
 	v.decided()
 	if at := v.node.Wake(); !at.IsZero() && (at.Before(v.wake) || !v.wake.After(v.f.now)) {
 		v.wake = at
+		at = cpquotas.Later(at, v.f.now.Add(time.Millisecond))
 		v.f.at(at, func() { v.doAs(start, func() {}) })
 	}
 }
@@ -234,6 +237,7 @@
 			return
 		}
 		to.do(func() {
+			to.asked++
 			answer := to.node.Handle(f.now, c.Request)
 			if back, ok := f.delay(to.i, v.i); ok || to == v {
 				f.after(back, func() { finish(answer, nil) })
