Report admission: refusals by reason, queues by class, begin and end of an overload

Cause: on the users' platform nothing showed how many requests wait for admission, nor why requests are refused.

Change: metrics of the requests in progress, of those waiting by class, of refusals by reason, and of the number of workspaces that are kept; none by workspace, since there may be too many. One log line when a VM begins to refuse requests for a set of services, and one when it has refused none for five seconds and gets another one.

--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -23,14 +23,22 @@
 	admitted [clementineport.NumClasses]*metrics.Counter
 	refused  [clementineport.NumClasses]*metrics.Counter
 	refusals [NumReasons]uint64
+	// onOverload is called with mu held.
+	onOverload  func(bool)
+	overloaded  bool
+	lastRefusal time.Time
 }
 
+// overloadEnd is the time without refusals after which an overload has ended. It exceeds the time after which most refused callers
+// return.
+const overloadEnd = 5 * time.Second
+
 var _ clementineport.Admitter = (*Admitter)(nil)
 
 // New returns an Admitter without queries.
 func New(opts ...Option) *Admitter {
 	o := NewOptions(opts...)
-	a := &Admitter{clock: o.Clock, gate: NewGate(o), waiters: make(map[Ticket]chan struct{})}
+	a := &Admitter{clock: o.Clock, gate: NewGate(o), waiters: make(map[Ticket]chan struct{}), onOverload: o.OnOverload}
 	for c := range clementineport.NumClasses {
 		a.admitted[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`clementineport_admit_admitted_total{class=%q}`, c))
 		a.refused[c] = o.Metrics.GetOrCreateCounter(fmt.Sprintf(`clementineport_admit_refused_total{class=%q}`, c))
@@ -85,7 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.gate.Offer(a.clock.Now(), arrival)
-	a.countRefusal(d)
+	a.record(d)
 	if d.Kind != KindQueued {
 		return d, nil
 	}
@@ -106,14 +114,20 @@
 	defer a.mu.Unlock()
 	delete(a.waiters, d.Ticket)
 	d = a.gate.Cancel(a.clock.Now(), d.Ticket, arrival)
-	a.countRefusal(d)
+	a.record(d)
 	return d
 }
 
-// countRefusal counts a refusal by its reason.
-func (a *Admitter) countRefusal(d Decision) {
+// record counts a refusal by its reason, and reports the begin and end of an overload.
+func (a *Admitter) record(d Decision) {
+	now := a.clock.Now()
 	if d.Kind == KindRefused {
 		a.refusals[d.Reason]++
+		a.lastRefusal = now
+	}
+	if overloaded := a.overloaded && now.Sub(a.lastRefusal) < overloadEnd || d.Kind == KindRefused; overloaded != a.overloaded {
+		a.overloaded = overloaded
+		a.onOverload(overloaded)
 	}
 }
 
@@ -129,6 +143,8 @@
 	// Waiting holds the number of waiting queries by class.
 	Waiting    [clementineport.NumClasses]int
 	InProgress int
+	// Workspaces is the number of workspaces that are kept, counted in each class.
+	Workspaces int
 	// Refusals holds the number of refused queries by reason.
 	Refusals [NumReasons]uint64
 }
@@ -137,7 +153,7 @@
 func (a *Admitter) Stats() Stats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := Stats{InProgress: a.gate.InProgress(), Refusals: a.refusals}
+	s := Stats{InProgress: a.gate.InProgress(), Workspaces: a.gate.Workspaces(), Refusals: a.refusals}
 	for c := range s.Waiting {
 		s.Waiting[c] = a.gate.Waiting(clementineport.Class(c))
 	}
--- a/cpadmit/fair_test.go
+++ b/cpadmit/fair_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
@@ -118,3 +119,32 @@
 	}
 	assert.Assert(t, g.Workspaces() <= 2_000, "%d workspaces are kept, of which 100 a second came for one request", g.Workspaces())
 }
+
+// Guards against a log line for each refusal, and against none at all: only the begin and the end of an overload are reported.
+func TestOnlyTheBeginAndEndOfAnOverloadAreReported(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var reports []bool
+	a := cpadmit.New(cpadmit.WithClock(clock), cpadmit.WithLimits(1, 1, 1), cpadmit.WithMaxWaitShare(0),
+		cpadmit.WithOnOverload(func(overloaded bool) { reports = append(reports, overloaded) }))
+	a.SetFair(true)
+	offer := func() (func(*clementineport.Answer), error) {
+		return a.AdmitArrival(t.Context(), cpadmit.Arrival{Workspace: "w", Cost: 1, Deadline: clock.Now().Add(time.Second)})
+	}
+	done, err := offer()
+	assert.NilError(t, err)
+	clock.Advance(2 * time.Second) // the latency is known once a window has ended
+	done(&clementineport.Answer{})
+	done, err = offer()
+	assert.NilError(t, err)
+	for range 3 {
+		_, err := offer()
+		assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultShed)
+	}
+	assert.Equal(t, a.Stats().Refusals[cpadmit.ReasonQueue], uint64(3))
+	assert.DeepEqual(t, reports, []bool{true})
+	done(nil)
+	clock.Advance(10 * time.Second)
+	_, err = offer()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reports, []bool{true, false})
+}
--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -49,6 +49,9 @@
 	Clock clementineport.Clock
 	// Metrics is the set in which the metrics are registered.
 	Metrics *metrics.Set
+	// OnOverload is called when an Admitter begins to refuse queries, and when it has refused none for some seconds and gets
+	// another one. It must not block.
+	OnOverload func(overloaded bool)
 }
 
 // Option changes Options.
@@ -90,6 +93,11 @@
 	return func(o *Options) { o.Metrics = s }
 }
 
+// WithOnOverload sets the function that is called when queries begin or cease to be refused.
+func WithOnOverload(f func(overloaded bool)) Option {
+	return func(o *Options) { o.OnOverload = f }
+}
+
 // NewOptions returns the default options changed by opts.
 func NewOptions(opts ...Option) Options {
 	o := Options{
@@ -102,6 +110,7 @@
 		MinRetryAfter:   DefaultMinRetryAfter,
 		MaxRetryAfter:   DefaultMaxRetryAfter,
 		Clock:           clockwork.NewRealClock(),
+		OnOverload:      func(bool) {},
 	}
 	o.ClassShare = [...]float64{
 		clementineport.ClassInteractive: 1, clementineport.ClassStandard: 0.85, clementineport.ClassBatch: 0.7,
--- a/cpforward/admit.go
+++ b/cpforward/admit.go
@@ -15,7 +15,10 @@
 // pools holds one admitter for each set of services, so that requests for the same targets share a queue.
 type pools struct {
 	options []cpadmit.Option
-	all     map[string]*cpadmit.Admitter
+	// onOverload is called when requests for some services begin or cease to be refused.
+	onOverload func(services []clementineport.ServiceID, overloaded bool)
+
+	all map[string]*cpadmit.Admitter
 	// classes maps each priority of the current routes and workspaces to its class.
 	classes map[int]clementineport.Class
 	// ranks maps each priority of the current routes to its place in the order of urgency.
@@ -24,8 +27,8 @@
 	workspaces map[clementineport.WorkspaceID]*clementineport.Workspace
 }
 
-func newPools(options []cpadmit.Option) *pools {
-	return &pools{options: options, all: map[string]*cpadmit.Admitter{}}
+func newPools(options []cpadmit.Option, onOverload func([]clementineport.ServiceID, bool)) *pools {
+	return &pools{options: options, onOverload: onOverload, all: map[string]*cpadmit.Admitter{}}
 }
 
 // poolName returns the key of the pool for a set of services.
@@ -42,7 +45,8 @@
 	name := poolName(shards)
 	a := p.all[name]
 	if a == nil {
-		a = cpadmit.New(p.options...)
+		report := cpadmit.WithOnOverload(func(overloaded bool) { p.onOverload(shards, overloaded) })
+		a = cpadmit.New(append(slices.Clone(p.options), report)...)
 		a.SetFair(p.fair())
 		p.all[name] = a
 	}
@@ -144,13 +148,14 @@
 	return done, nil
 }
 
-// Admission returns the counts of all pools together. Those of pools that are no longer used are lost.
+// Admission returns the counts of all pools together. The refusals of pools that have been removed are lost.
 func (f *Forwarder) Admission() (total cpadmit.Stats) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, a := range f.pools.all {
 		s := a.Stats()
 		total.InProgress += s.InProgress
+		total.Workspaces += s.Workspaces
 		for c := range s.Waiting {
 			total.Waiting[c] += s.Waiting[c]
 		}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -61,7 +61,7 @@
 		trials:  map[clementineport.RequestKey]bool{},
 
 		crashChecks: rate.NewLimiter(crashChecksPerSecond, crashChecksBurst),
-		pools:       newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...)),
+		pools:       newPools(append([]cpadmit.Option{cpadmit.WithClock(options.Clock), cpadmit.WithSeed(options.Seed)}, options.Admit...), options.OnOverload),
 	}
 }
 
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -49,6 +49,8 @@
 	OnReport func(clementineport.RequestReport)
 	// OnTargetChange is called when a target becomes unresponsive or responsive.
 	OnTargetChange func(target *clementineport.TargetInstance, change cpbalancer.Change)
+	// OnOverload is called when admission begins or ceases to refuse requests for some services. It must not block.
+	OnOverload func(services []clementineport.ServiceID, overloaded bool)
 }
 
 // Option changes Options.
@@ -66,6 +68,7 @@
 		OnCallFailed:        func(*clementineport.OpaqueRequest, clementineport.TargetID, error, time.Duration) {},
 		OnReport:            func(clementineport.RequestReport) {},
 		OnTargetChange:      func(*clementineport.TargetInstance, cpbalancer.Change) {},
+		OnOverload:          func([]clementineport.ServiceID, bool) {},
 	}
 	for _, o := range opts {
 		o(&options)
@@ -105,3 +108,11 @@
 func WithOnTargetChange(f func(target *clementineport.TargetInstance, change cpbalancer.Change)) Option {
 	return func(o *Options) { o.OnTargetChange = f }
 }
+
+// WithAdmission sets the options of admission.
+func WithAdmission(opts ...cpadmit.Option) Option { return func(o *Options) { o.Admit = opts } }
+
+// WithOnOverload sets the function that is called when admission begins or ceases to refuse requests for some services.
+func WithOnOverload(f func(services []clementineport.ServiceID, overloaded bool)) Option {
+	return func(o *Options) { o.OnOverload = f }
+}
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -41,6 +41,8 @@
 	TargetsLost        Name = "TargetsLost"
 	TargetsRegained    Name = "TargetsRegained"
 	ReachChanged       Name = "ReachChanged"
+	AdmissionLimited   Name = "AdmissionLimited"
+	AdmissionUnlimited Name = "AdmissionUnlimited"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -108,6 +110,8 @@
 	{RetryAfterRejected, []string{"Target", "Service", "Stated", "For"}, "a target asked for no requests for a time that can't be read or is too long; For is used in its place"},
 	{TargetUnresponsive, []string{"Target", "Service"}, "a target has left several calls without an answer; this VM asks it one call at a time"},
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
+	{AdmissionLimited, []string{"Service", "Services"}, "this VM begins to refuse requests for these services, of which Service is the first, since they would wait too long"},
+	{AdmissionUnlimited, []string{"Service", "Services"}, "this VM has refused no request for these services for five seconds"},
 	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -166,7 +166,7 @@
 		cpforward.WithColdBound(s.Bounds.ColdOverrun, s.Bounds.ColdSlack),
 		cpforward.WithOnCallFailed(p.callFailed),
 		cpforward.WithOnReport(p.watcher.RequestReport),
-		cpforward.WithOnTargetChange(p.targetChanged),
+		cpforward.WithOnTargetChange(p.targetChanged), cpforward.WithOnOverload(p.admissionChanged),
 	)
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -28,6 +28,7 @@
 		metrics.WritePrometheus(w, true)
 		p.writeState(w)
 		p.writeServices(w)
+		p.writeAdmission(w)
 	})
 }
 
