Count the bound of rollouts to the deadline only, and leave more of it for the full load

Less is used before all requests go to the new version, a service with few requests returns to the canary share once it has enough answers, and the trial under the full load takes longer. A rollout was also completed without any answer under the full load, when the only VM was cut off, and with 35 answers of which too many had failed: it now needs answers and no test close to an alarm.

--- a/cprollout/cprollout_test.go
+++ b/cprollout/cprollout_test.go
@@ -87,6 +87,10 @@
 		{"bad under load", func(s *site, r *rand.Rand) {
 			s.new = version(r, 0.5, func(_ time.Duration, _ clementineport.RouteID, load float64) bool { return load > 0.4 })
 		}, back, true},
+		{"bad under the full load", func(s *site, r *rand.Rand) {
+			s.new = version(r, 0.5, func(_ time.Duration, _ clementineport.RouteID, load float64) bool { return load > 0.85 })
+		}, back, true},
+		{"bad at the end of the trial", func(s *site, r *rand.Rand) { s.new = version(r, 0.4, after(45*time.Second)) }, back, true},
 		{"bad on one route", func(s *site, r *rand.Rand) {
 			s.new = version(r, 0.4, func(_ time.Duration, route clementineport.RouteID, _ float64) bool { return route == "b" })
 		}, back, true},
--- a/cprollout/driver.go
+++ b/cprollout/driver.go
@@ -80,7 +80,7 @@
 	if reason, bad := e.verdict(); bad {
 		return clementineport.RolloutRolledBack, 0, reason
 	}
-	if r.Phase == clementineport.RolloutCompleting && e.OldEnded && e.NewSlots > 0 && e.triedFully(elapsed) && elapsed < r.Order.Duration+b.Outage {
+	if r.Phase == clementineport.RolloutCompleting && e.OldEnded && e.NewSlots > 0 && e.triedFully(elapsed) && e.Judge.Holds() && elapsed < r.Order.Duration+b.Outage {
 		return clementineport.RolloutCompleted, 1, fmt.Sprintf("the calls to old targets have ended; %d answers of the new version since, %d since the order", e.TrialAnswers, e.Judge.Ended())
 	}
 	if elapsed >= r.Order.Duration {
@@ -137,6 +137,8 @@
 		return next, 1, fmt.Sprintf("%d answers of the new version are as good as those of the old one", e.Judge.Ended())
 	case r.Share < scarceShare && !accepted && e.scarce(elapsed, trialAt):
 		return r.Phase, scarceShare, fmt.Sprintf("%d answers of the new version are too few", e.Judge.Ended())
+	case r.Share >= scarceShare && accepted && elapsed < trialAt:
+		return r.Phase, canaryPart * b.Share, fmt.Sprintf("%d answers of the new version are enough for now", e.Judge.Ended())
 	default:
 		return r.Phase, r.Share, r.Stored.Reason
 	}
@@ -167,11 +169,12 @@
 }
 
 // triedFully reports whether the new version has had as many answers since it gets all requests as the service usually has in
-// fullTime, or has got all requests for long.
+// fullTime, or some if it has got all requests for long.
 func (e *Evidence) triedFully(elapsed time.Duration) bool {
 	lasted := e.Now.Sub(e.Rollout.PhaseAt)
-	usual := float64(e.Judge.All()) / elapsed.Seconds() * fullTime.Seconds()
-	return lasted >= minTrialTime && float64(e.TrialAnswers) >= max(trialAnswers, usual) || lasted >= maxFullTime
+	full := min(fullTime.Seconds(), fullPart*e.Rollout.Order.Duration.Seconds())
+	usual := float64(e.Judge.All()) / elapsed.Seconds() * full
+	return lasted >= minTrialTime && float64(e.TrialAnswers) >= max(trialAnswers, usual) || lasted >= maxFullTime && e.TrialAnswers >= minAnswers
 }
 
 // TrialAt returns the time from the order to the trial of the new version with all requests.
--- a/cprollout/options.go
+++ b/cprollout/options.go
@@ -18,14 +18,14 @@
 const (
 	// cautiousPart limits the requests to the new version before the step to all of them. The rest is for that step, and for
 	// VMs that learn late that it has ended.
-	cautiousPart = 0.5
+	cautiousPart = 0.35
 	// canaryPart is the part of Bounds.Share that the new version gets at first, so that most of what is allowed is left for
 	// the time when the version gets all requests.
 	canaryPart = 0.25
 	// scarceShare is the share of the requests at a service with too few of them for canaryPart to give enough evidence. Each VM
 	// then keeps to scarcePart of the bounds.
 	scarceShare = 0.5
-	scarcePart  = 0.8
+	scarcePart  = 0.65
 	// slackPart is the part of Bounds.Slack that is divided among the VMs. Processes that replace others divide it again.
 	slackPart = 0.9
 )
@@ -51,7 +51,7 @@
 	// minAnswers is the number of answers of the new version that a route needs.
 	minAnswers = 8
 	// enoughAnswers is the number of answers that is likely to be enough for a service with several routes.
-	enoughAnswers = 80
+	enoughAnswers = 50
 	// minRouteShare is the share of the answers of a service below which a route needs none of its own.
 	minRouteShare = 0.02
 	// maxBadAnswers is the number of bad answers after which a VM stops, unless the old version fails as often.
@@ -75,9 +75,11 @@
 	trialAnswers = 30
 	trialTime    = 4 * time.Second
 	minTrialTime = 1500 * time.Millisecond
-	// fullTime is the time whose usual number of answers the new version must give while it gets all requests. VMs begin to send
-	// it all requests at different times, so fewer answers would not be from the full load. maxFullTime limits the wait for them.
-	fullTime    = 1500 * time.Millisecond
+	// fullTime is the time whose usual number of answers the new version must give while it gets all requests, and fullPart the part
+	// of the duration that it is at most, since all requests of that time count against Bounds.Share. VMs begin to send it all
+	// requests at different times, so fewer answers would not be from the full load. maxFullTime limits the wait for them.
+	fullTime    = 2500 * time.Millisecond
+	fullPart    = 0.04
 	maxFullTime = 6 * time.Second
 	// saveInterval is the part of the duration after which the state is stored again, so that a driver that starts later knows
 	// how much of the duration has passed. minSaveInterval limits the writes for short durations.
--- a/cprollout/sim_test.go
+++ b/cprollout/sim_test.go
@@ -133,7 +133,9 @@
 			for n := s.arrivals(); n > 0; n-- {
 				toNew, ok := s.send(vm, at, now, recentNew/max(1, recentAll), out)
 				recentAll++
-				out.total++
+				if at < s.duration {
+					out.total++ // the bound is for the time until the deadline
+				}
 				if toNew {
 					recentNew++
 				}
