Let shares of bounds follow the active set

The VMs of the set get nearly all requests, but each had the share of one VM of all: one connection to each target and a hundredth of the retry slack and of rate limits. All VMs now share a reserved part of each bound equally, and those of the set the rest by capacity. A VM uses its part from ten seconds after it has come into the set, and gives it up six seconds after it has left, so that parts add up to one at most while the set changes; a half is left for a second, differing view, and a VM counts only for the part of the fleet that it sees. Cold targets are owned by VMs that are in the set for any load. Load estimates of targets count the VMs of the set.

Connections keep the minimum of one for each VM, so their sum is within the limit only if half of it is at least one each.

--- a/cpactiveset/options.go
+++ b/cpactiveset/options.go
@@ -35,14 +35,15 @@
 	// minEqualShare is the number of connections to a target below which VMs that share them equally get too few: with one,
 	// each pause of the target stops all its requests from this VM.
 	minEqualShare = 2
-	// endEqualShare is the number from which VMs share them equally again, once that has lasted for EndDelay, so that the
-	// death and the return of some VMs don't end the set.
-	endEqualShare = 2.5
 )
 
+// viewsAllowance is the number of different sets that VMs may see for long. Each set's parts add up to one.
+const viewsAllowance = 2
+
 // Defaults of Options.
 const (
-	// DefaultEndDelay is much longer than the restart of a VM.
+	// DefaultEndDelay is how long an equal share must be high enough before the set ends. It is much longer than the restart
+	// of a VM, so that the death and the return of some VMs don't end the set.
 	DefaultEndDelay = time.Minute
 	// DefaultShrinkPeriod is the time after which a lower demand makes the set smaller by a step. It is longer than bursts,
 	// which often come in a row.
--- a/cpactiveset/tracker.go
+++ b/cpactiveset/tracker.go
@@ -31,11 +31,15 @@
 	need     Need
 	neededAt time.Time
 	set      *Set
-	// joinedAt is when this VM came into the set, and leftAt when it left it after it had used the share of a VM of the set.
+	// joinedAt is when this VM came into the set for the present demand, and leftAt when it left that after it had used the
+	// share of a VM of the set.
 	joinedAt, leftAt time.Time
-	capacity         Millicores
-	totals           cpquota.VMCount
-	total            Millicores
+	// capacity is that of this VM when it was last in that set, and total the highest one of the set lately.
+	capacity Millicores
+	totals   cpquota.VMCount
+	total    Millicores
+	// stating is the number of VMs that state their capacity, and so share by the set.
+	stating int
 }
 
 // NewTracker returns a tracker without a set.
@@ -50,7 +54,13 @@
 	}
 	t.updateNeed(now, in)
 	t.set = Choose(in.Members, in.Lost, t.need)
-	t.updateSelf(now)
+	t.updateSelf(now, Choose(in.Members, in.Lost, Need{Demand: scale(in.Demand, growMargin)}))
+	t.stating = 0
+	for i := range in.Members {
+		if m := &in.Members[i]; m.State != clementineport.MemberDead && CapacityOf(m.Capacity) > 0 {
+			t.stating++
+		}
+	}
 	return t.set, !t.set.equal(before)
 }
 
@@ -64,8 +74,7 @@
 		t.inEffect = false
 	case in.EqualShare < minEqualShare:
 		t.inEffect, t.enoughSince = true, time.Time{}
-	case in.EqualShare < endEqualShare || !t.inEffect:
-		t.enoughSince = time.Time{}
+	case !t.inEffect:
 	case t.enoughSince.IsZero():
 		t.enoughSince = now
 	case now.Sub(t.enoughSince) >= t.options.EndDelay:
@@ -95,11 +104,12 @@
 // scale returns a multiple of a capacity.
 func scale(m Millicores, factor float64) Millicores { return Millicores(float64(m) * factor) }
 
-// updateSelf records whether this VM is in the set.
-func (t *Tracker) updateSelf(now time.Time) {
-	t.total = Millicores(t.totals.Observe(now, int(t.set.Total())))
-	if t.set.Has(t.options.Self) {
-		t.capacity = t.set.Capacity(t.options.Self)
+// updateSelf records whether this VM is in the set for the present demand. Shares follow that one: the set that the directory
+// names depends on the past as well, which VMs that have started lately don't know.
+func (t *Tracker) updateSelf(now time.Time, present *Set) {
+	t.total = Millicores(t.totals.Observe(now, int(present.Total())))
+	if present.Has(t.options.Self) {
+		t.capacity = present.Capacity(t.options.Self)
 		if t.joinedAt.IsZero() {
 			t.joinedAt = now
 		}
@@ -111,6 +121,29 @@
 	t.joinedAt = time.Time{}
 }
 
+// Share returns this VM's share of bounds that apply to all VMs together, of which vms may send requests.
+//
+// The parts of all VMs add up to one at most. A VM that comes into the set begins to use its part when the VMs that have left
+// have given up theirs, so those that use one at any time were all in one earlier set, as long as all VMs learn of a change
+// within SettleTime less Retention; the highest total of the last seconds covers that set. Two views that differ for longer are
+// allowed for by viewsAllowance. If the fleet is split into any number of views without common VMs, each has the part of
+// the VMs that it sees.
+func (t *Tracker) Share(now time.Time, vms int) cpquota.Share {
+	if !t.inEffect {
+		// Other VMs may still use their parts.
+		ending := !t.endedAt.IsZero() && now.Sub(t.endedAt) < t.options.SettleTime
+		return cpquota.Share{VMs: vms, Set: ending}
+	}
+	share := cpquota.Share{VMs: vms, Set: true}
+	settled := !t.joinedAt.IsZero() && now.Sub(t.joinedAt) >= t.options.SettleTime
+	retained := !t.leftAt.IsZero() && now.Sub(t.leftAt) < t.options.Retention
+	if settled || retained {
+		inView := min(1, float64(t.stating)/float64(max(vms, 1)))
+		share.Part = inView * float64(t.capacity) / float64(t.total) / viewsAllowance
+	}
+	return share
+}
+
 // EqualShare returns the number of connections that each of a number of VMs gets to a target of a shard if they share them
 // equally, for the shard whose targets accept the fewest, or zero if there are no shards.
 func EqualShare(table *clementineport.RouteTable, vms int) float64 {
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -11,6 +11,7 @@
 	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpcrash"
+	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cproute"
 )
 
@@ -64,11 +65,21 @@
 	Listed bool
 	// Active is the active set of VMs, or nil if callers use all VMs.
 	Active *cpactiveset.Set
+	// ActiveShare is this VM's share of bounds that apply to all VMs together, if its Set is true; otherwise all share equally.
+	ActiveShare cpquota.Share
 }
 
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
 func (v *View) Senders() int { return max(v.VMs, v.Registered) }
 
+// Share returns this VM's share of bounds that apply to all VMs together.
+func (v *View) Share() cpquota.Share {
+	if v.ActiveShare.Set {
+		return v.ActiveShare
+	}
+	return cpquota.Equal(v.Senders())
+}
+
 // BlockedRequests returns the number of requests that are not sent to targets because they crash them.
 func (v *View) BlockedRequests() (n int) {
 	for _, s := range v.Suspects {
--- a/cpfleetwatch/active.go
+++ b/cpfleetwatch/active.go
@@ -28,7 +28,7 @@
 	if view.Active != nil {
 		w.stateLoad(now, load)
 	}
-	if _, changed := w.active.Update(now, w.activeInput(now, view)); changed {
+	if _, changed := w.active.Update(now, w.activeInput(now, view)); changed || w.active.Share(now, view.Senders()) != view.ActiveShare {
 		w.dirty = true
 	}
 }
@@ -63,7 +63,7 @@
 	}
 }
 
-// chooseActive sets the active set of a view, and logs if its size has changed or this VM has come into it or left it.
+// chooseActive sets the active set of a view and this VM's share, and logs if its size has changed or this VM has come into it or left it.
 func (w *Watcher) chooseActive(now time.Time, view *cpfleetstate.View) {
 	if !w.mayHaveActiveSet() {
 		return
@@ -71,6 +71,7 @@
 	dead := w.deadVMs()
 	w.loads.Forget(now, func(vm clementineport.VMID) bool { return dead[vm] })
 	view.Active, _ = w.active.Update(now, w.activeInput(now, view))
+	view.ActiveShare = w.active.Share(now, view.Senders())
 	last, self := w.loggedActive, w.options.Self.ID
 	if view.Active.Size() == last.Size() && view.Active.Has(self) == last.Has(self) {
 		return
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -77,8 +77,11 @@
 	return n
 }
 
-// sendingVMs returns the number of VMs that send requests to targets. If none reaches any, all may still have open connections.
+// sendingVMs returns the number of VMs that send requests to targets: those of the active set if there is one. If none reaches any, all may still have open connections.
 func sendingVMs(view *cpfleetstate.View) int {
+	if view.Active.Size() > 0 {
+		return view.Active.Size()
+	}
 	lost := 0
 	for i := range view.Members {
 		if m := &view.Members[i]; m.State != clementineport.MemberDead && view.Lost[m.ID] {
@@ -110,7 +113,7 @@
 
 // addTarget adds a target to its service in the view, with this VM's share of its connections and slots.
 func (w *Watcher) addTarget(view *cpfleetstate.View, id clementineport.TargetID, t *cpcatalog.Target) {
-	share := cpquota.ConnectionLimit(w.connectionLimit(t.Service), w.vmCount)
+	share := w.connectionShare(view, t.Service)
 	s := w.states[id]
 	if s == nil {
 		s = &cpfleetstate.Target{
@@ -129,6 +132,14 @@
 	view.Services[t.Service] = append(view.Services[t.Service], *s)
 }
 
+// connectionShare returns this VM's share of the connection limit of each target of a service.
+func (w *Watcher) connectionShare(view *cpfleetstate.View, service clementineport.ServiceID) int {
+	if !view.ActiveShare.Set {
+		return cpquota.ConnectionLimit(w.connectionLimit(service), w.vmCount)
+	}
+	return view.ActiveShare.Connections(w.connectionLimit(service))
+}
+
 // connectionLimit returns the connection limit of each target of a service, for all VMs together.
 func (w *Watcher) connectionLimit(service clementineport.ServiceID) int {
 	if routes := w.catalog.Routes(); routes != nil {
@@ -140,10 +151,10 @@
 }
 
 // ownsTarget reports whether this VM is the one that sends requests to a target while it is cold: the first of those that reach
-// targets.
+// targets and, if there is an active set, are in it for any load.
 func (w *Watcher) ownsTarget(view *cpfleetstate.View, id clementineport.TargetID) bool {
 	ranked := cpowner.Rank(string(id), view.Members, 1, func(m *clementineport.Member) bool {
-		return m.State == clementineport.MemberAlive && !view.Lost[m.ID]
+		return m.State == clementineport.MemberAlive && !view.Lost[m.ID] && (view.Active == nil || view.Active.Owns(m.ID))
 	})
 	return len(ranked) == 1 && view.Members[ranked[0]].ID == w.options.Self.ID
 }
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -19,7 +19,7 @@
 	view := r.f.options.View()
 	warm, cold := split(now, view.Services[service])
 	request := &cpbalancer.Request{
-		TypicalLatency: r.typicalLatency, VMs: view.Sending, Senders: view.Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
+		TypicalLatency: r.typicalLatency, VMs: view.Sending, Senders: view.Share().Senders(), Excluded: excluded, PickBest: purpose == cpfanout.Hedge || purpose == cpfanout.Retry,
 		FreeSlotOnly: purpose == cpfanout.Hedge || purpose == cpfanout.Late,
 	}
 	r.f.mu.Lock()
@@ -90,5 +90,11 @@
 
 // SpendExtraCall implements cpfanout.Targets.
 func (r *run) SpendExtraCall(service clementineport.ServiceID, value float64) bool {
-	return r.f.budgets.Spend(r.now(), service, value)
+	return r.f.spend(r.now(), service, value)
+}
+
+// spend takes an extra call from the budget of a service, with this VM's present share of it.
+func (f *Forwarder) spend(now time.Time, service clementineport.ServiceID, value float64) bool {
+	f.budgets.SetShare(now, f.options.View().Share())
+	return f.budgets.Spend(now, service, value)
 }
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -115,7 +115,7 @@
 	}
 	if run.request.EarlierAttempts == 0 { // else the request has been counted by another VM
 		for _, s := range run.shards {
-			f.budgets.Earn(run.now(), s, view.Senders())
+			f.budgets.Earn(run.now(), s, view.Share())
 		}
 	}
 	run.calls, run.cancel = context.WithDeadline(context.WithoutCancel(ctx), run.request.Deadline)
--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -108,7 +108,7 @@
 func (f *Forwarder) SpendRetry(services []clementineport.ServiceID) bool {
 	const value = 1
 	for _, s := range services {
-		if !f.budgets.Spend(f.options.Clock.Now(), s, value) {
+		if !f.spend(f.options.Clock.Now(), s, value) {
 			return false
 		}
 	}
--- a/cpquota/budgets.go
+++ b/cpquota/budgets.go
@@ -35,14 +35,14 @@
 
 // NewBudgets returns empty budgets that start to fill now.
 func NewBudgets(now time.Time, bound RetryBound) *Budgets {
-	return &Budgets{bound: bound, startedAt: now, slack: shareSlack(bound, 1), services: map[clementineport.ServiceID]*serviceBudget{}}
+	return &Budgets{bound: bound, startedAt: now, slack: shareSlack(bound, Equal(1)), services: map[clementineport.ServiceID]*serviceBudget{}}
 }
 
-// Earn credits a request for a service. vms is the number of VMs that share the slack.
-func (b *Budgets) Earn(now time.Time, service clementineport.ServiceID, vms int) {
+// Earn credits a request for a service. share is this VM's share of the slack.
+func (b *Budgets) Earn(now time.Time, service clementineport.ServiceID, share Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.setVMs(vms)
+	b.setShare(now, share)
 	s := b.services[service]
 	if s == nil {
 		s = &serviceBudget{bucket: cpbudget.New(cpbudget.WithShare(b.bound.Ratio * RetryShare)), creditedUntil: b.startedAt}
@@ -53,12 +53,22 @@
 	s.bucket.Earn(1)
 }
 
-// setVMs sets the number of VMs that share the slack. Extra calls beyond the new burst are lost.
-func (b *Budgets) setVMs(vms int) {
-	slack := shareSlack(b.bound, vms)
+// SetShare sets this VM's share of the slack, which may change while it gets no requests.
+func (b *Budgets) SetShare(now time.Time, share Share) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setShare(now, share)
+}
+
+// setShare credits the share up to now and sets the new one. Extra calls beyond the new burst are lost.
+func (b *Budgets) setShare(now time.Time, share Share) {
+	slack := shareSlack(b.bound, share)
 	if slack == b.slack {
 		return
 	}
+	for _, s := range b.services {
+		b.credit(now, s)
+	}
 	b.slack = slack
 	for _, s := range b.services {
 		s.bucket.SetBurst(slack.burst)
--- a/cpquota/cpquota.go
+++ b/cpquota/cpquota.go
@@ -40,7 +40,7 @@
 }
 
 // ConnectionLimit returns one of n VMs' share of a target's connection limit, at least one.
-func ConnectionLimit(limit, n int) int { return max(1, limit/(n+unseenVMs)) }
+func ConnectionLimit(limit, n int) int { return Equal(n).Connections(limit) }
 
 // Bounds of the requests in flight from one VM to a target.
 const (
@@ -71,9 +71,9 @@
 	perSecond float64
 }
 
-// shareSlack returns one of n VMs' share of the slack.
-func shareSlack(bound RetryBound, n int) slackShare {
-	own := bound.Slack * RetryShare / float64(max(n, 1)+unseenVMs)
+// shareSlack returns a VM's share of the slack.
+func shareSlack(bound RetryBound, share Share) slackShare {
+	own := share.slack(bound.Slack * RetryShare)
 	burst := max(1, own*burstShare)
 	if own <= burst || bound.Window <= 0 {
 		return slackShare{burst: burst}
--- a/cpsimulator/vm.go
+++ b/cpsimulator/vm.go
@@ -133,7 +133,7 @@
 func (r *request) start() {
 	delete(r.v.waiting, r.ticket)
 	for _, s := range r.route.Shards {
-		r.v.budgets.Earn(r.v.m.now, s, r.v.m.cfg.VMs)
+		r.v.budgets.Earn(r.v.m.now, s, cpquota.Equal(r.v.m.cfg.VMs))
 	}
 	plan := r.v.m.planner.Plan(r.route, r.route.Shards, r.opaque, r.v.routeStats(r.kind))
 	if r.v.m.cfg.NoHedges {
