--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -39,10 +39,13 @@
 	if view.Router != nil {
 		version = float64(view.Router.Table().Version)
 	}
-	lost := 0.0
+	lost, member := 0.0, 0.0
 	if p.reach.State() == cpreach.Lost {
 		lost = 1
 	}
+	if view.Active.Has(p.self.ID) {
+		member = 1
+	}
 	for _, m := range []struct {
 		name  string
 		value float64
@@ -56,6 +59,8 @@
 		{"clementineport_requests_blocked", float64(view.BlockedRequests())},
 		{"clementineport_crash_checks_skipped_total", float64(p.forwarder.SkippedCrashChecks())},
 		{"clementineport_vms_alive", float64(len(view.ServingVMs()))},
+		{"clementineport_vms_active", float64(view.Active.Size())},
+		{"clementineport_vm_active", member},
 		{"clementineport_vms_divided_by", float64(view.VMs)},
 		{"clementineport_vms_sending", float64(view.Sending)},
 		{"clementineport_log_lines_limited_total", float64(limited)},
--- a/cpplatformvm/status.go
+++ b/cpplatformvm/status.go
@@ -44,6 +44,8 @@
 	Leaving bool
 	// TargetsLost is true if the VM states that it reaches no target.
 	TargetsLost bool
+	// Active is true if the VM is in the active set. It is false for all VMs if there is none.
+	Active bool
 }
 
 // status returns the current status.
@@ -59,7 +61,9 @@
 	}
 	for i := range view.Members {
 		m := &view.Members[i]
-		s.VMs = append(s.VMs, VMStatus{ID: m.ID, Domain: m.Domain, State: m.State, Leaving: m.Leaving, TargetsLost: view.Lost[m.ID]})
+		s.VMs = append(s.VMs, VMStatus{
+			ID: m.ID, Domain: m.Domain, State: m.State, Leaving: m.Leaving, TargetsLost: view.Lost[m.ID], Active: view.Active.Has(m.ID),
+		})
 	}
 	return s
 }
