Close expired idle connections while there is an active set

A VM outside the set has few callers, and its clients closed idle connections only when the next request found them expired. They counted at the target until it closed them, and left fewer to the VMs of the set.

--- a/cpfleetwatch/active.go
+++ b/cpfleetwatch/active.go
@@ -31,6 +31,17 @@
 	if _, changed := w.active.Update(now, w.activeInput(now, view)); changed || w.active.Share(now, view.Senders()) != view.ActiveShare {
 		w.dirty = true
 	}
+	if view.ActiveShare.Set {
+		w.closeIdle(view)
+	}
+}
+
+// closeIdle closes connections to targets that have been idle for long. A VM outside the set has few callers, so its clients
+// would keep them.
+func (w *Watcher) closeIdle(view *cpfleetstate.View) {
+	for _, s := range w.states {
+		s.Client.Resize(w.connectionShare(view, s.State.Service))
+	}
 }
 
 // stateLoad tells the other VMs the load of this one if they must know it.
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -73,7 +73,7 @@
 // Close closes the idle connections now and the others when their calls end.
 func (c *Client) Close() { c.pool.Close() }
 
-// Resize sets the maximum number of open connections.
+// Resize sets the maximum number of open connections, and closes idle ones that have expired.
 func (c *Client) Resize(connections int) { c.pool.Resize(connections) }
 
 // Open returns the number of open connections and the total number opened so far.
--- a/cptarget/cpopaque/notice_test.go
+++ b/cptarget/cpopaque/notice_test.go
@@ -223,3 +223,20 @@
 	c, clock := noticeClient("127.0.0.1:1", cpopaque.WithNotice(notice))
 	assert.Equal(t, clementineport.FaultOf(call(t, c, clock, "first")), clementineport.FaultUnsent)
 }
+
+// Guards against connections of a VM without callers that count at the target for as long as that keeps them: all VMs
+// together may open only so many.
+func TestIdleConnectionsAreClosedOnceTheyHaveExpired(t *testing.T) {
+	address, _ := target(t, func(c *connection) { _, _, _ = c.read() })
+	c, clock := noticeClient(address, cpopaque.WithIdleTimeout(4*time.Second))
+	for i, want := range []int{1, 1, 0} {
+		if i == 0 {
+			assert.NilError(t, c.Connect(t.Context()))
+		} else {
+			clock.Advance(2 * time.Second)
+		}
+		c.Resize(5)
+		open, _ := c.Open()
+		assert.Equal(t, open, want, "after %d s", 2*i)
+	}
+}
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -183,11 +184,20 @@
 	p.mu.Unlock()
 }
 
-// Resize sets the maximum number of open connections.
+// Resize sets the maximum number of open connections, and closes idle ones that have expired: they are not used again, and
+// count at the target until it closes them.
 func (p *Pool) Resize(limit int) {
+	now := p.options.Clock.Now()
 	p.mu.Lock()
 	p.limit = limit
 	var excess []*Conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		expired := !now.Before(c.expires)
+		if expired {
+			excess = append(excess, c)
+		}
+		return expired
+	})
 	for len(p.idle) > 0 && p.open-len(excess) > limit {
 		excess = append(excess, p.idle[0])
 		p.idle = p.idle[1:]
--- a/fleet.go
+++ b/fleet.go
@@ -158,7 +158,7 @@
 	Do(ctx context.Context, r *OpaqueRequest) (*OpaqueResponse, error)
 	// Notice returns what the target has asked of this VM so far.
 	Notice() TargetNotice
-	// Resize sets the maximum number of open connections.
+	// Resize sets the maximum number of open connections, and closes idle ones that have expired.
 	Resize(connections int)
 	// SetLimit sets the rate limit that this VM knows, so that a response that states another one, or none, is
 	// reported.
