--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -11,6 +11,7 @@
 	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpbalancer"
 	"github.com/clementineport/clementineport/cpcrash"
+	"github.com/clementineport/clementineport/cpquota"
 	"github.com/clementineport/clementineport/cprollout"
 	"github.com/clementineport/clementineport/cproute"
 )
@@ -67,6 +68,8 @@
 	Active *cpactiveset.Set
 	// Rollouts holds the rollouts, under way and ended. Services has no target that a rollout has ended the use of.
 	Rollouts map[clementineport.ServiceID]*cprollout.Rollout
+	// ActiveShare is this VM's share of bounds that apply to all VMs together, if its Set is true; otherwise all share equally.
+	ActiveShare cpquota.Share
 }
 
 // Senders returns the number of VMs that may send requests to targets, whether this VM has reached them or not.
@@ -84,6 +87,14 @@
 	return ""
 }
 
+// Share returns this VM's share of bounds that apply to all VMs together.
+func (v *View) Share() cpquota.Share {
+	if v.ActiveShare.Set {
+		return v.ActiveShare
+	}
+	return cpquota.Equal(v.Senders())
+}
+
 // BlockedRequests returns the number of requests that are not sent to targets because they crash them.
 func (v *View) BlockedRequests() (n int) {
 	for _, s := range v.Suspects {
