Refuse requests beyond a quota sooner

A caller that is refused so late can't come back in time.

Change: a request waits for a quarter of its objective, from 20 to 100 ms, in place of a tenth of the time to its objective but at least 100 ms.

--- a/cpratelimit/limiter.go
+++ b/cpratelimit/limiter.go
@@ -128,10 +128,14 @@
 		result.Stats.Sends == 0 && result.Attempts == 0 && result.Via == ""
 }
 
+// patienceFor returns how long a request with an objective waits for a token.
+func patienceFor(objective time.Duration) time.Duration {
+	return min(max(minPatience, time.Duration(float64(objective)*patienceShare)), maxPatience)
+}
+
 // take waits for a token. The request is nil if the workspace has no quota.
 func (l *Limiter) take(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) (*Request, *clementineport.Error) {
-	patience := max(minPatience, time.Duration(float64(time.Until(r.Arrived.Add(route.Objective)))*patienceShare))
-	patience = min(patience, time.Until(r.Deadline))
+	patience := min(patienceFor(route.Objective), time.Until(r.Deadline))
 	var request *Request
 	l.update(func(now time.Time) {
 		if l.node.Limited(r.Workspace) {
--- a/cpratelimit/options.go
+++ b/cpratelimit/options.go
@@ -17,10 +17,11 @@
 	tickPeriod = 100 * time.Millisecond
 	// minWake bounds how often waiting requests are checked.
 	minWake = time.Millisecond
-	// minPatience and patienceShare limit how long a request waits for a token: a share of the time left to its objective, but at
-	// least minPatience.
-	minPatience   = 100 * time.Millisecond
-	patienceShare = 0.1
+	// patienceShare is the share of the objective for which a request waits for a token. A refusal leaves its caller enough time to
+	// come back. minPatience covers some round trips to the coordinator, and maxPatience bounds the number of waiting requests.
+	patienceShare = 0.25
+	minPatience   = 20 * time.Millisecond
+	maxPatience   = 100 * time.Millisecond
 	// maxCollecting is the number of calls to idle VMs under way at the same time.
 	maxCollecting = 16
 )
