Hand over tokens before they are asked for, and close unused connections

A call that binds a weight asked for tokens before it handed its own over, so a demand could fail that they would have met. Connections to VMs that are gone were closed only when a request was rerouted.

--- a/cpratelimit/cpclient/cpclient.go
+++ b/cpratelimit/cpclient/cpclient.go
@@ -200,14 +200,14 @@
 	}
 	r := &clementineport.QuotaRequest{From: c.self, Start: c.start, Group: id, Weight: c.weight, Version: c.version}
 	free, binds := g.free, c.nonceUsable(now, g) && g.mayBind(now, coordinator)
-	for _, name := range wanted {
-		r.Demands = append(r.Demands, clementineport.QuotaDemand{Workspace: name, Tokens: c.stores[name].demand(now, c.options.Lifetime())})
-	}
 	if binds {
 		r.Nonce = g.nonce
-		r.Demands = append(r.Demands, c.handOver(now, g, id)...)
+		r.Demands = c.handOver(now, g, id) // first, so that the demands can be met from it
 		g.bind(coordinator, now.Add(c.options.LostCallTime()))
 	}
+	for _, name := range wanted {
+		r.Demands = append(r.Demands, clementineport.QuotaDemand{Workspace: name, Tokens: c.stores[name].demand(now, c.options.Lifetime())})
+	}
 	g.call, g.called, g.again = &call{sent: now, free: free, request: r}, now, false
 	c.counts.Calls++
 	return r
--- a/cpratelimit/limiter.go
+++ b/cpratelimit/limiter.go
@@ -166,10 +166,15 @@
 	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	retain := time.NewTicker(retainPeriod)
+	defer retain.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-retain.C:
+			l.options.Peers.Retain(l.options.View().Members)
+			continue
 		case <-ticker.C:
 		}
 		l.update(l.report)
--- a/cpratelimit/limiter_test.go
+++ b/cpratelimit/limiter_test.go
@@ -32,6 +32,9 @@
 	return &quotaPeer{p: p, l: p.limiters[vm.ID]}
 }
 
+// Retain implements cpratelimit.Peers.
+func (*peers) Retain([]clementineport.Member) {}
+
 // Quota implements clementineport.Peer.
 func (q *quotaPeer) Quota(ctx context.Context, r *clementineport.QuotaRequest) (*clementineport.QuotaAnswer, error) {
 	q.p.calls.Add(1)
--- a/cpratelimit/options.go
+++ b/cpratelimit/options.go
@@ -15,6 +15,8 @@
 	callTimeout = 300 * time.Millisecond
 	// tickPeriod is short against the time between two calls that renew a binding.
 	tickPeriod = 100 * time.Millisecond
+	// retainPeriod is the time between two checks for connections to VMs that are gone.
+	retainPeriod = time.Minute
 	// minWake bounds how often waiting requests are checked.
 	minWake = time.Millisecond
 	// minPatience and patienceShare limit how long a request waits for a token: a share of the time left to its objective, but at
@@ -28,6 +30,8 @@
 // Peers returns clients of other VMs.
 type Peers interface {
 	Get(vm clementineport.VM) clementineport.Peer
+	// Retain closes the clients of VMs that are not among members.
+	Retain(members []clementineport.Member)
 }
 
 // Options are the settings of a Limiter.
