Limit less urgent classes while a more urgent one misses its objectives

Cause: the second reason why an urgent gather is worse off than a less urgent one, under overload. Admission measures how long calls wait at the VM, but at 12 VMs four requests in progress at each exceed the slots of the targets, so calls wait at the targets, which serve them in the order of arrival. The medium gather has 187 ms and bears that wait; the urgent one has 40 ms.

Change: a fair gate compares the shares of queries of each class that are refused or end after their objective. While a class misses a tenth more often than a less urgent one, the queries of the latter in progress are limited. Gates without workspaces are unchanged. docs/design/fair-admission.md describes fair admission as a whole.

Tests: go test -race ./cpadmit ./cpsimulator passes; the new test once more with a shorter run; make lint passes.

--- a/cpadmit/fairgate.go
+++ b/cpadmit/fairgate.go
@@ -27,6 +27,7 @@
 	// arrivals and starts hold the share of each class in the arrivals and in the starts, as moving averages.
 	arrivals shares
 	starts   shares
+	classLimits
 	// cost is the mean cost of the started queries, a moving average.
 	cost float64
 }
@@ -61,6 +62,9 @@
 		return
 	}
 	g.fair = &fairGate{}
+	for _, r := range g.running {
+		g.fair.running[r.arrival.Class]++
+	}
 	for c := range g.queues {
 		g.fair.queues[c] = newFairQueue()
 		for _, queue := range g.queues[c].queues {
@@ -172,6 +176,7 @@
 // refuseFair returns a refusal. RetryAfter has jitter so that refused callers do not retry at the same time.
 func (g *Gate) refuseFair(now time.Time, a *Arrival, reason Reason) Decision {
 	g.limit.refused++
+	g.fair.observeMiss(a.Class, true)
 	most := time.Duration(float64(g.opts.MaxRetryAfter) / 1.5)
 	after := g.fair.queues[a.Class].retryAfter(now, a, g.estimateFairWait(a), most)
 	after = time.Duration(float64(max(after, g.opts.MinRetryAfter)) * (0.5 + g.rand.Float64()))
--- a/cpadmit/gate.go
+++ b/cpadmit/gate.go
@@ -149,6 +149,9 @@
 		return nil
 	}
 	delete(g.running, t)
+	if g.fair != nil {
+		g.observeEnd(now, &r.arrival, o)
+	}
 	g.limit.sample(now, r.arrival.Service, now.Sub(r.started), o)
 	return g.dispatch(now)
 }
@@ -174,11 +177,17 @@
 
 func (g *Gate) run(now time.Time, t Ticket, a Arrival) {
 	g.running[t] = runningQuery{a, now}
+	if g.fair != nil {
+		g.fair.running[a.Class]++
+	}
 	g.limit.peak = max(g.limit.peak, len(g.running))
 }
 
 // hasCapacity reports whether one more query fits in the class's share of the limit.
 func (g *Gate) hasCapacity(c clementineport.Class) bool {
+	if g.fair != nil && g.fair.atLimit(c) {
+		return false
+	}
 	return float64(len(g.running)+1) <= max(g.limit.value*g.opts.ClassShare[c], 1)
 }
 
--- a/cpsimulator/cpsimulator.go
+++ b/cpsimulator/cpsimulator.go
@@ -79,6 +79,8 @@
 	CallTime time.Duration
 	// Retries limits the extra calls of all VMs to the targets of a shard.
 	Retries cpquota.RetryBound
+	// FairAdmission makes VMs share admission among workspaces. All requests are of one.
+	FairAdmission bool
 	// NoAdmission disables admission control and NoHedges disables hedging, for comparison.
 	NoAdmission bool
 	NoHedges    bool
@@ -227,7 +229,9 @@
 	if m.cfg.NoAdmission {
 		opts = append(opts, cpadmit.WithoutLimit())
 	}
-	return cpadmit.NewGate(cpadmit.NewOptions(opts...))
+	gate := cpadmit.NewGate(cpadmit.NewOptions(opts...))
+	gate.SetFair(m.now, m.cfg.FairAdmission)
+	return gate
 }
 
 // inFlightLimit returns the limit for calls in flight from one VM to one target.
--- a/cpsimulator/urgent_test.go
+++ b/cpsimulator/urgent_test.go
@@ -40,3 +40,15 @@
 	}
 	checkUrgent(t, cfg)
 }
+
+// Guards against queues at targets that a less urgent kind can bear and an urgent one cannot.
+func TestAnOverloadCostsAnUrgentKindNoMoreThanTheOther(t *testing.T) {
+	for _, factor := range []float64{6, 9} {
+		cfg := cpsimulator.SmallVMsConfig()
+		cfg.Duration, cfg.VMs, cfg.CallTime, cfg.FairAdmission = 3*time.Second, 12, 100*time.Microsecond, true
+		for i := range cfg.Kinds {
+			cfg.Kinds[i].Rate *= factor
+		}
+		checkUrgent(t, cfg)
+	}
+}
