Keep a VM that stops after its promise off old targets, and don't count slowness while connections are opened

In one of four runs of TestRollouts/good with -race on a busy machine, the judge took slow answers in the first second of all requests for a bad version (61 of 906 slow, 137 of 4,481 of the old one); the VM stopped and used old targets while another one stored 'completed': 36 requests to old targets after it.

--- a/cprollout/options.go
+++ b/cprollout/options.go
@@ -89,6 +89,10 @@
 	maxReportAge = 3 * time.Second
 	// settleTime is the time after which requests that were planned by an earlier view have been sent.
 	settleTime = 500 * time.Millisecond
+	// openTime is the time after the step to all requests in which slowness isn't counted, since many connections are opened.
+	openTime = time.Second
+	// reconsiderTime is the time in which the driver learns that a VM has stopped, or the VM that the rollout was completed.
+	reconsiderTime = 2 * time.Second
 	// recentTime and longTime are the time constants of the two averages of the old version's bad answers.
 	recentTime = 2 * time.Second
 	longTime   = 10 * time.Second
--- a/cprollout/tracker.go
+++ b/cprollout/tracker.go
@@ -55,6 +55,9 @@
 	bad       int64
 	ended     int64
 	stopped   bool
+	// stoppedAt is when this VM found that it had stopped, and fullFrom when it began to send all requests to the new version.
+	stoppedAt time.Time
+	fullFrom  time.Time
 	// promised is true once this VM has stated that it sends no requests to old targets any more.
 	promised bool
 }
@@ -100,7 +103,13 @@
 			}
 			t.meters[service] = m
 		}
+		if r.Phase == clementineport.RolloutCompleting && m.phase != r.Phase {
+			m.fullFrom = now
+		}
 		m.phase, m.share = r.Phase, r.Share
+		if m.stopped && m.stoppedAt.IsZero() {
+			m.stoppedAt = now
+		}
 		m.earn(now, &t.options.Bounds, r.Order.Duration, vms)
 	}
 }
@@ -175,7 +184,12 @@
 	m := t.meters[service]
 	stale := viewAge > t.options.Bounds.Contact
 	switch {
-	case m == nil || m.stopped || m.order != r.Order.Revision:
+	case m == nil || m.order != r.Order.Revision:
+		return UseOld
+	case m.stopped && m.promised && (m.stoppedAt.IsZero() || m.slackAt.Sub(m.stoppedAt) < reconsiderTime):
+		// The driver may be about to store that the rollout is completed, by the promise of this VM.
+		return UseNone
+	case m.stopped:
 		return UseOld
 	case stale && m.promised:
 		// The version may have been rolled back, or the old targets may have been stopped.
@@ -244,7 +258,8 @@
 	}
 	c.t.mu.Lock()
 	defer c.t.mu.Unlock()
-	slow := outcome != Failed && !c.cold && c.r.slow(elapsed, usual)
+	opening := now.Add(-elapsed).Before(c.m.fullFrom.Add(openTime))
+	slow := outcome != Failed && !c.cold && !opening && c.r.slow(elapsed, usual)
 	counts := &c.r.counts.Old
 	if c.fresh {
 		counts = &c.r.counts.New
