--- a/cprollout/driver.go
+++ b/cprollout/driver.go
@@ -174,7 +174,7 @@
 	lasted := e.Now.Sub(e.Rollout.PhaseAt)
 	full := min(fullTime.Seconds(), fullPart*e.Rollout.Order.Duration.Seconds())
 	usual := float64(e.Judge.All()) / elapsed.Seconds() * full
-	return lasted >= minTrialTime && float64(e.TrialAnswers) >= max(trialAnswers, usual) || lasted >= maxFullTime && e.TrialAnswers >= minAnswers
+	return lasted >= minTrialTime && float64(e.TrialAnswers) >= max(trialAnswers, usual) || lasted >= maxFullTime && e.TrialAnswers >= fewAnswers
 }
 
 // TrialAt returns the time from the order to the trial of the new version with all requests.
--- a/cprollout/options.go
+++ b/cprollout/options.go
@@ -81,6 +81,8 @@
 	fullTime    = 2500 * time.Millisecond
 	fullPart    = 0.04
 	maxFullTime = 6 * time.Second
+	// fewAnswers is the number of answers that the new version must give in any case while it gets all requests.
+	fewAnswers = 20
 	// saveInterval is the part of the duration after which the state is stored again, so that a driver that starts later knows
 	// how much of the duration has passed. minSaveInterval limits the writes for short durations.
 	saveInterval    = 0.1
