--- a/cprollout/options.go
+++ b/cprollout/options.go
@@ -81,6 +81,8 @@
 	fullTime    = 2500 * time.Millisecond
 	fullPart    = 0.04
 	maxFullTime = 6 * time.Second
+	// fewAnswers is the number of answers that the new version must give in any case while it gets all requests.
+	fewAnswers = 20
 	// saveInterval is the part of the duration after which the state is stored again, so that a driver that starts later knows
 	// how much of the duration has passed. minSaveInterval limits the writes for short durations.
 	saveInterval    = 0.1
@@ -89,6 +91,10 @@
 	maxReportAge = 3 * time.Second
 	// settleTime is the time after which requests that were planned by an earlier view have been sent.
 	settleTime = 500 * time.Millisecond
+	// openTime is the time after the step to all requests in which slowness isn't counted, since many connections are opened.
+	openTime = time.Second
+	// reconsiderTime is the time in which the driver learns that a VM has stopped, or the VM that the rollout was completed.
+	reconsiderTime = 2 * time.Second
 	// recentTime and longTime are the time constants of the two averages of the old version's bad answers.
 	recentTime = 2 * time.Second
 	longTime   = 10 * time.Second
