--- a/cpadmit/classlimit.go
+++ b/cpadmit/classlimit.go
@@ -10,8 +10,9 @@
 const (
 	// missWeight is the weight of one query in the share of the queries of a class that miss their objective.
 	missWeight = 0.05
-	// missMargin is how much more often than a less urgent class a class may miss its objectives. It exceeds the variation of
-	// the shares, and is less than the part of its value that a more urgent kind may lose against another.
+	// missMargin is by how much the share of the queries of a class that miss their objectives may exceed that of a less urgent
+	// class. It exceeds the random variation of the shares, and is less than the part of its value that a more urgent kind may
+	// lose compared with a less urgent one (0.15).
 	missMargin = 0.1
 	// classCut and classGrowth are the factors of one change of the limit of a class. Cuts are the larger steps, so that the queues
 	// at targets empty quickly.
@@ -23,10 +24,11 @@
 // Targets serve calls in the order of their arrival, and gates don't see those queues: a wait that a less urgent query can
 // bear may be too long for a more urgent one.
 type classLimits struct {
+	// running is the number of queries in progress of each class.
 	running [clementineport.NumClasses]int
 	// missed is the share of the queries of each class that were refused or ended after their objective, a moving average.
 	missed [clementineport.NumClasses]float64
-	// limits holds the limit of each class, or zero for none.
+	// limits holds the limit on the queries in progress of each class, or zero for none.
 	limits [clementineport.NumClasses]float64
 }
 
@@ -44,7 +46,8 @@
 	l.missed[c] += missWeight * (value - l.missed[c])
 }
 
-// observeEnd adjusts the limits of the less urgent classes when a query has ended.
+// observeEnd adjusts the limits of the less urgent classes when a query has ended. A limit that has grown to that of the gate is
+// removed.
 func (g *Gate) observeEnd(now time.Time, a *Arrival, o Outcome) {
 	l := &g.fair.classLimits
 	l.running[a.Class]--
--- a/cpadmit/cpadmit.go
+++ b/cpadmit/cpadmit.go
@@ -29,8 +29,8 @@
 	lastRefusal time.Time
 }
 
-// overloadEnd is the time without refusals after which an overload has ended. It exceeds the time after which most refused callers
-// return.
+// overloadEnd is the time without refusals after which an overload has ended. It exceeds DefaultMaxRetryAfter, so that
+// refused callers which return count as the same overload.
 const overloadEnd = 5 * time.Second
 
 var _ clementineport.Admitter = (*Admitter)(nil)
@@ -69,7 +69,7 @@
 	return a.AdmitArrival(ctx, Arrival{Service: s.Name, Class: s.Class, Deadline: q.Deadline})
 }
 
-// AdmitArrival waits until the query may start, as Admit does.
+// AdmitArrival waits until the query may start. The error and done are as those of clementineport.Admitter.Admit.
 func (a *Admitter) AdmitArrival(ctx context.Context, arrival Arrival) (done func(*clementineport.Answer), err error) {
 	arrival.Class = min(arrival.Class, clementineport.NumClasses-1)
 	d, granted := a.offer(arrival)
@@ -118,7 +118,7 @@
 	return d
 }
 
-// record counts a refusal by its reason, and reports the begin and end of an overload.
+// record counts a refusal by its reason, and reports the begin and end of an overload. The caller holds mu.
 func (a *Admitter) record(d Decision) {
 	now := a.clock.Now()
 	if d.Kind == KindRefused {
@@ -131,7 +131,7 @@
 	}
 }
 
-// SetFair makes the gate share its starts among workspaces, or stops that.
+// SetFair sets whether starts are shared among workspaces.
 func (a *Admitter) SetFair(fair bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -143,7 +143,7 @@
 	// Waiting holds the number of waiting queries by class.
 	Waiting    [clementineport.NumClasses]int
 	InProgress int
-	// Workspaces is the number of workspaces that are kept, counted in each class.
+	// Workspaces is the number of workspaces whose state is kept. A workspace counts once in each class that it uses.
 	Workspaces int
 	// Refusals holds the number of refused queries by reason.
 	Refusals [NumReasons]uint64
--- a/cpadmit/fair.go
+++ b/cpadmit/fair.go
@@ -16,17 +16,20 @@
 	routeWeight = 2
 	// maxRank bounds the rank of a route, and so the ratio of shares.
 	maxRank = 4
-	// idleRetention is how long a workspace without requests is kept. Its Retry-After may be that far ahead.
+	// idleRetention is how long a workspace without requests is kept. It exceeds the longest Retry-After, so that a caller that
+	// honours it finds the state of its workspace.
 	idleRetention = 2 * DefaultMaxRetryAfter
-	// rateSpan is the span over which the served requests of a workspace are averaged.
+	// rateSpan is the time constant of the moving average of the served requests of a workspace.
 	rateSpan = time.Second
-	// Each query that has waited in vain raises the factor of the estimated waits of its workspace, up to maxWaitFactor, and each
-	// that starts lowers it. The ratio of the two steps is about the share that may wait in vain.
+	// waitFactorRise is the factor by which a query that leaves the queue without starting raises the wait factor of its
+	// workspace, up to maxWaitFactor, and waitFactorFall the one by which a query that starts lowers it. The ratio of the two
+	// steps is about the share of the waiting queries that may leave without starting.
 	waitFactorRise = 1.1
 	waitFactorFall = 0.99
 	maxWaitFactor  = 4
-	// minServedRate is the rate in requests per second that is assumed for a workspace of which few requests were served.
-	minServedRate = 1
+	// minServedRate is the lowest rate that is assumed for a workspace, so that Retry-After stays finite if few of its requests
+	// were served.
+	minServedRate = 1 // requests per second
 )
 
 // fairQueue holds the waiting queries of one class by start-time fair queueing of their cost: by workspace with equal shares, and
@@ -43,16 +46,19 @@
 type workspaceFlow struct {
 	// tag is the start tag of its next query, on the scale of fairQueue.virtual.
 	tag float64
-	// since is the ticket of the query with which it began to wait.
-	since   Ticket
+	// since is the ticket of the query that found no other one of the workspace waiting. It decides between equal tags.
+	since Ticket
+	// virtual is the start tag of the route whose query started last.
 	virtual float64
 	routes  map[clementineport.ServiceID]*routeFlow
-	length  int
-	cost    float64
-	// waitFactor is the ratio of actual to estimated waits, at least one. Queries that arrive later may start earlier, if they are
-	// of workspaces that use less.
+	// length and cost are the number and the total cost in seconds of its waiting queries.
+	length int
+	cost   float64
+	// waitFactor is the ratio of actual to estimated waits, at least one. Waits exceed the estimate if queries of workspaces with
+	// less use arrive later and start earlier.
 	waitFactor float64
-	// served is the number of started queries, decayed over rateSpan.
+	// served is the number of started queries, which decays exponentially with rateSpan. lastSeen is the time of the
+	// latest arrival, when it decayed last.
 	served   float64
 	lastSeen time.Time
 	// nextRetry is the latest time for which a refused caller was told to retry, without jitter.
@@ -61,9 +67,12 @@
 
 // routeFlow is the state of one route of a workspace.
 type routeFlow struct {
-	tag     float64
-	rank    int
-	cost    float64
+	// tag is the start tag of its next query, on the scale of workspaceFlow.virtual.
+	tag  float64
+	rank int
+	// cost is the total cost of the waiting queries in seconds.
+	cost float64
+	// waiting is sorted by deadline.
 	waiting []waitingQuery
 }
 
@@ -74,7 +83,7 @@
 // weight returns the weight of the route within its workspace.
 func (r *routeFlow) weight() float64 { return math.Pow(routeWeight, -float64(r.rank)) }
 
-// flow returns the state of a workspace and a route. It forgets idle workspaces now and then.
+// flow returns the state of a workspace and a route, which it creates if necessary. It also removes idle workspaces.
 func (q *fairQueue) flow(now time.Time, a *Arrival) (*workspaceFlow, *routeFlow) {
 	q.sweep(now)
 	w := q.flows[a.Workspace]
@@ -92,7 +101,7 @@
 	return w, r
 }
 
-// decay lets the count of served queries age.
+// decay applies the exponential decay to the count of served queries.
 func (w *workspaceFlow) decay(now time.Time) {
 	if elapsed := now.Sub(w.lastSeen); elapsed > 0 {
 		w.served *= math.Exp(-float64(elapsed) / float64(rateSpan))
@@ -100,8 +109,8 @@
 	}
 }
 
-// sweep forgets workspaces that have been idle for idleRetention, so that the memory is bounded by those in use. After that time
-// their tags are of no importance: they would begin at the virtual time.
+// sweep removes workspaces that have been idle for idleRetention, so that the memory is bounded by those in use. A removed
+// workspace that returns begins at the virtual time.
 func (q *fairQueue) sweep(now time.Time) {
 	if now.Sub(q.swept) < idleRetention {
 		return
@@ -114,7 +123,8 @@
 	}
 }
 
-// push adds a waiting query. A workspace or route that has not waited begins at the virtual time.
+// push adds a waiting query. A workspace or route without waiting queries begins at the virtual time, so that it gains nothing
+// by having been idle.
 func (q *fairQueue) push(now time.Time, item waitingQuery) {
 	w, r := q.flow(now, &item.arrival)
 	if w.length == 0 {
@@ -222,8 +232,8 @@
 	return 1
 }
 
-// ahead returns the cost of the queries that start before a new one, including its own. By the time that a workspace has had a
-// cost served, each of the others has had as much.
+// ahead returns the cost in seconds of the queries that start before a new one, including its own. Shares are equal, so while a
+// workspace is served a cost, each other one with waiting queries is served as much, or all that it has.
 func (q *fairQueue) ahead(a *Arrival) float64 {
 	own := a.Cost
 	if w := q.flows[a.Workspace]; w != nil {
@@ -238,7 +248,8 @@
 	return total
 }
 
-// ahead returns the cost of the queries of the workspace that start before a new one, including its own.
+// ahead returns the cost in seconds of the queries of the workspace that start before a new one, including its own. Routes count
+// by their weights.
 func (w *workspaceFlow) ahead(a *Arrival) float64 {
 	own := routeFlow{rank: min(max(a.Rank, 0), maxRank)}
 	if r := w.routes[a.Service]; r != nil {
@@ -254,8 +265,9 @@
 	return total
 }
 
-// retryAfter returns when a refused caller of a workspace may retry. Each refused caller gets a later time than the one before
-// it, at the rate at which the workspace is served, so that the queue will have room for it.
+// retryAfter returns the time after which a refused caller of a workspace may retry, at least wait and at most most. Each refused
+// caller gets a later time than the one before it, at the rate at which the workspace is served, so that the queue will have
+// room for it.
 func (q *fairQueue) retryAfter(now time.Time, a *Arrival, wait, most time.Duration) time.Duration {
 	w, _ := q.flow(now, a)
 	if earliest := now.Add(wait); w.nextRetry.Before(earliest) {
--- a/cpadmit/fairgate.go
+++ b/cpadmit/fairgate.go
@@ -8,13 +8,13 @@
 
 // Parameters of a fair gate.
 const (
-	// leastServed is the share of the arrivals of a class that it gets of the starts at least.
-	// Every class is then served at least that often in proportion to all.
+	// leastServed is the minimum share of the starts of a class, as a part of its share of the arrivals. No class is then served
+	// less than that often, compared with all queries.
 	leastServed = 0.25
-	// classWeight is the weight of one arrival or start in the shares of the classes.
+	// classWeight is the weight of one arrival or start in the moving averages of the shares of the classes.
 	classWeight = 0.01
 	// maxCredit bounds the starts that a class has in reserve, so that they don't delay the other classes for long.
-	maxCredit = 2
+	maxCredit = 2 // starts
 	// costWeight is the weight of one start in the mean cost.
 	costWeight = 0.05
 )
@@ -28,11 +28,11 @@
 	arrivals shares
 	starts   shares
 	classLimits
-	// cost is the mean cost of the started queries, a moving average.
+	// cost is the mean cost of the started queries in seconds, a moving average.
 	cost float64
 }
 
-// shares holds the share of each class in a number of events.
+// shares holds the share of each class in the recent events, as a moving average.
 type shares [clementineport.NumClasses]float64
 
 // add records an event of a class.
@@ -43,7 +43,7 @@
 	s[class] += classWeight
 }
 
-// SetFair makes the gate share its starts among workspaces, or stops that. Waiting queries keep waiting.
+// SetFair sets whether the gate shares its starts among workspaces. Waiting queries keep their tickets and their maximum waits.
 func (g *Gate) SetFair(now time.Time, fair bool) {
 	if fair == (g.fair != nil) {
 		return
@@ -84,7 +84,7 @@
 	return g.queues[c].length
 }
 
-// Workspaces returns the number of workspaces that the gate keeps, counted in each class.
+// Workspaces returns the number of workspaces whose state the gate keeps. A workspace counts once in each class that it uses.
 func (g *Gate) Workspaces() (n int) {
 	if g.fair != nil {
 		for _, q := range g.fair.queues {
@@ -134,13 +134,13 @@
 	return time.Duration(q.waitFactor(a.Workspace) * ahead * perStart / max(1-urgent, f.minShare(a.Class, &g.opts)))
 }
 
-// minShare returns the share of the starts that a class gets at least.
+// minShare returns the minimum share of the starts of a class. It is above zero, as estimateFairWait divides by it.
 func (f *fairGate) minShare(c clementineport.Class, o *Options) float64 {
 	return max(o.ClassMinShare[c], leastServed*f.arrivals[c], classWeight)
 }
 
 // popFair removes and returns the next waiting query. A lower class goes first unless a higher one has enough credit for its
-// minimum share.
+// minimum share. A class with credit may use as much of the limit as the most urgent one, whatever its own limit.
 func (g *Gate) popFair(now time.Time) (waitingQuery, bool) {
 	for c, q := range g.fair.queues {
 		if q.length > 0 && g.fair.credit[c] >= 1 && g.hasCapacity(0) {
@@ -173,7 +173,8 @@
 	f.credit[a.Class] = max(f.credit[a.Class]-1, 0)
 }
 
-// refuseFair returns a refusal. RetryAfter has jitter so that refused callers do not retry at the same time.
+// refuseFair returns a refusal. RetryAfter has jitter so that refused callers do not retry at the same time; it is at most
+// MaxRetryAfter with the jitter.
 func (g *Gate) refuseFair(now time.Time, a *Arrival, reason Reason) Decision {
 	g.limit.refused++
 	g.fair.observeMiss(a.Class, true)
--- a/cpadmit/gate.go
+++ b/cpadmit/gate.go
@@ -15,11 +15,13 @@
 	Service  clementineport.ServiceID
 	Class    clementineport.Class
 	Deadline time.Time
-	// Workspace is the customer that the query is for, Cost the expected time that it takes at targets in seconds, and Rank the
-	// place of its route in the order of urgency, from 0. They matter only to a fair gate.
+	// Workspace is the customer that the query is for. Workspace, Cost and Rank are used only while the gate shares its starts
+	// among workspaces (SetFair).
 	Workspace clementineport.WorkspaceID
-	Cost      float64
-	Rank      int
+	// Cost is the expected time in seconds that the query takes at targets.
+	Cost float64
+	// Rank is the place of the route in the order of urgency. The most urgent one has 0.
+	Rank int
 }
 
 // Reason is the reason of a refusal.
@@ -30,13 +32,13 @@
 	ReasonQueue Reason = iota
 	// ReasonDeadline means that the query would not end before its deadline.
 	ReasonDeadline
-	// ReasonWaited means that the query has waited for as long as it may, or that its caller has left.
+	// ReasonWaited means that the query has waited for its maximum wait, or that its caller has canceled it.
 	ReasonWaited
 	// NumReasons is the number of reasons.
 	NumReasons
 )
 
-// String returns the reason as metrics name it.
+// String returns the value of the reason in metrics.
 func (r Reason) String() string {
 	return [...]string{ReasonQueue: "queue", ReasonDeadline: "deadline", ReasonWaited: "waited"}[r]
 }
@@ -90,7 +92,8 @@
 	queues  [clementineport.NumClasses]*classQueue
 	running map[Ticket]runningQuery
 	last    Ticket
-	fair    *fairGate
+	// fair is nil while starts are not shared among workspaces.
+	fair *fairGate
 }
 
 // NewGate returns a gate without queries.
@@ -134,7 +137,7 @@
 	return Decision{Kind: KindQueued, Ticket: g.last, WaitUntil: until}
 }
 
-// late reports whether a query that would start at a given time can't wait until then or can't end before its deadline.
+// late reports whether a query that would start at a given time would exceed its maximum wait, which ends at until, or its deadline.
 func (g *Gate) late(start, until time.Time, a *Arrival) (Reason, bool) {
 	if start.After(until) {
 		return ReasonQueue, true
--- a/cpadmit/options.go
+++ b/cpadmit/options.go
@@ -49,8 +49,8 @@
 	Clock clementineport.Clock
 	// Metrics is the set in which the metrics are registered.
 	Metrics *metrics.Set
-	// OnOverload is called when an Admitter begins to refuse queries, and when it has refused none for some seconds and gets
-	// another one. It must not block.
+	// OnOverload is called when an Admitter begins to refuse queries, and with the first query after it has refused none for 5 s.
+	// It must not block, nor call the Admitter, whose lock is held.
 	OnOverload func(overloaded bool)
 }
 
--- a/cpcatalog/rollouts.go
+++ b/cpcatalog/rollouts.go
@@ -87,7 +87,7 @@
 		e.orderedAt = at
 	case known.Order.Revision != o.Revision && e.orderLost:
 		if e.stored != nil && e.stored.Order == known.Order.Revision {
-			// What this VM has accepted doesn't go back.
+			// The state that this VM has accepted also belongs to the order that was written again.
 			continued := *e.stored
 			continued.Order = o.Revision
 			e.stored = &continued
@@ -120,7 +120,7 @@
 	}
 }
 
-// refresh derives the rollout, and reports whether it has changed.
+// refresh derives the rollout from the order and the stored state, and reports whether it has changed.
 func (e *rolloutEntry) refresh(now time.Time) bool {
 	last, next := e.rollout, cprollout.New(e.order, e.stored)
 	if next == nil {
--- a/cpfleetwatch/active.go
+++ b/cpfleetwatch/active.go
@@ -11,13 +11,14 @@
 	"github.com/clementineport/clementineport/cplogevent"
 )
 
-// mayHaveActiveSet reports whether this VM may use an active set. It must state its own capacity and load, so that others
-// choose by the same.
+// mayHaveActiveSet reports whether this VM may use an active set. It must state its own capacity and load, so that all VMs
+// choose the set from the same input.
 func (w *Watcher) mayHaveActiveSet() bool {
 	return w.options.Load != nil && w.options.Self.Capacity.Cores > 0
 }
 
-// checkActive states the load of this VM if it has changed, and makes a new view if the active set has.
+// checkActive measures the load of this VM and states it to others if they need it, and requests a new view if the active set or
+// this VM's share has changed.
 func (w *Watcher) checkActive(now time.Time) {
 	if !w.mayHaveActiveSet() || now.Before(w.nextActive) {
 		return
@@ -36,15 +37,15 @@
 	}
 }
 
-// closeIdle closes connections to targets that have been idle for long. A VM outside the set has few callers, so its clients
-// would keep them.
+// closeIdle closes the expired connections to targets. A VM outside the set has few callers, so its clients would keep them.
 func (w *Watcher) closeIdle(view *cpfleetstate.View) {
 	for _, s := range w.states {
 		s.Client.Resize(w.connectionShare(view, s.State.Service))
 	}
 }
 
-// stateLoad tells the other VMs the load of this one if they must know it.
+// stateLoad records the load of this VM for the other VMs if it has changed enough or its last statement is old, and announces
+// it at once if it has risen steeply or refusals have begun.
 func (w *Watcher) stateLoad(now time.Time, load clementineport.VMLoad) {
 	load.VM, load.Age = w.options.Self.ID, 0
 	state, atOnce := w.loads.ToState(now, &load)
@@ -57,7 +58,7 @@
 	}
 }
 
-// loadNews returns what another VM is told about loads: what this VM learned lately, or all of it for a VM that has just
+// loadNews returns what another VM is told about loads: what this VM learned recently, or all of it for a VM that has just
 // started.
 func (w *Watcher) loadNews(now time.Time, all bool) []clementineport.VMLoad {
 	if all {
@@ -74,7 +75,8 @@
 	}
 }
 
-// chooseActive sets the active set of a view and this VM's share, and logs if its size has changed or this VM has come into it or left it.
+// chooseActive sets the active set of a view and this VM's share. It logs if the size of the set has changed, or if this VM has
+// come into it or left it.
 func (w *Watcher) chooseActive(now time.Time, view *cpfleetstate.View) {
 	if !w.mayHaveActiveSet() {
 		return
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -107,7 +107,8 @@
 	return true
 }
 
-// news returns what another VM is told about targets: what this VM learned lately, or all of it for a VM that has none yet.
+// news returns what another VM is told about targets: what this VM learned recently, or all of it for a VM that has none yet.
+// Which reports about rollouts it contains depends on the other VM; they are those for a VM that drives none if to is empty.
 func (w *Watcher) news(now time.Time, to clementineport.VMID, all bool) clementineport.TargetNews {
 	if all {
 		everything := w.newsSince(now, time.Time{})
--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -54,7 +54,7 @@
 	// rolloutNewsTime and maxRolloutNews are the same for reports about rollouts. They change with every request.
 	rolloutNewsTime = 3 * time.Second
 	maxRolloutNews  = 512
-	// rolloutPeriod is the time between two looks at the rollouts, and reportPeriod that between two reports.
+	// rolloutPeriod is the time between two checks of the rollouts, and reportPeriod that between two reports.
 	rolloutPeriod = 200 * time.Millisecond
 	reportPeriod  = 400 * time.Millisecond
 	// saveTimeout limits a write of the state of a rollout, and saveRetryDelay is the time until the next one if the store has
@@ -196,7 +196,7 @@
 	return func(o *Options) { o.Load = f }
 }
 
-// WithRollouts sets what limits and counts the requests to new versions, and the store of the states of rollouts.
+// WithRollouts sets the tracker that limits and counts the requests to new versions, and the store of the states of rollouts.
 func WithRollouts(t *cprollout.Tracker, store clementineport.RolloutStore) Option {
 	return func(o *Options) { o.Rollouts, o.RolloutStore = t, store }
 }
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -78,7 +78,8 @@
 	return n
 }
 
-// sendingVMs returns the number of VMs that send requests to targets: those of the active set if there is one. If none reaches any, all may still have open connections.
+// sendingVMs returns the number of VMs that send requests to targets: those of the active set if there is one. If none reaches
+// any target, all may still have open connections.
 func sendingVMs(view *cpfleetstate.View) int {
 	if view.Active.Size() > 0 {
 		return view.Active.Size()
--- a/cpforward/admit.go
+++ b/cpforward/admit.go
@@ -15,7 +15,7 @@
 // pools holds one admitter for each set of services, so that requests for the same targets share a queue.
 type pools struct {
 	options []cpadmit.Option
-	// onOverload is called when requests for some services begin or cease to be refused.
+	// onOverload is called when requests for some services begin or cease to be refused, with the lock of their admitter held.
 	onOverload func(services []clementineport.ServiceID, overloaded bool)
 
 	all map[string]*cpadmit.Admitter
@@ -61,7 +61,7 @@
 	return clementineport.ClassStandard
 }
 
-// fair reports whether requests are shared out among workspaces.
+// fair reports whether admission is shared among workspaces.
 func (p *pools) fair() bool { return len(p.workspaces) > 0 }
 
 // setRoutes assigns classes to the priorities of the routes and workspaces, the most urgent one first, and removes the pools
@@ -99,7 +99,7 @@
 	}
 }
 
-// rank returns the place of each priority in their order.
+// rank returns the place of each priority in ascending order, from 0. Equal priorities have the same place.
 func rank(priorities []int) map[int]int {
 	places := make(map[int]int, len(priorities))
 	for place, priority := range slices.Compact(slices.Sorted(slices.Values(priorities))) {
@@ -108,8 +108,8 @@
 	return places
 }
 
-// arrival returns the arrival of a request for admission. Its workspace's priority takes precedence over its route's. With
-// workspaces, a retry gets no better class: callers that retry at once would get ahead of others.
+// arrival returns the arrival of a request for admission, without its deadline. The priority of the workspace takes precedence
+// over that of the route. With workspaces, a retry gets no better class: callers that retry at once would get ahead of others.
 func (p *pools) arrival(r *run, shards int, s cpplan.RouteStats) cpadmit.Arrival {
 	a := cpadmit.Arrival{Service: clementineport.ServiceID(r.route.Name)}
 	if !p.fair() {
@@ -130,8 +130,8 @@
 	return a
 }
 
-// assumedWork is the work of a call while no latency of its route is known. It is about that of a short call, since a route
-// that is not known yet has few requests.
+// assumedWork is the assumed latency of a call while none of its route is known. It is that of a short call, since a route
+// whose latency is not known has few requests.
 const assumedWork = 20 * time.Millisecond
 
 // admit waits until the request may start. It returns a function to call when the request ends, or the refusal.
--- a/cpforward/choose.go
+++ b/cpforward/choose.go
@@ -29,7 +29,7 @@
 	return r.f.choose(now, view, view.Services[service], request)
 }
 
-// choose returns one of some targets: a warm one, or a cold one if none is usable. The caller holds f.mu.
+// choose returns one of the given targets: a warm one, or a cold one if no warm one is usable. The caller holds f.mu.
 func (f *Forwarder) choose(now time.Time, view *cpfleetstate.View, targets []cpfleetstate.Target, request *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
 	warm, cold := split(now, targets)
 	target, busy := f.chooser.Choose(now, warm, request)
@@ -101,7 +101,8 @@
 	return r.f.spend(r.now(), service, value)
 }
 
-// spend takes an extra call from the budget of a service, with this VM's present share of it.
+// spend takes an extra call from the budget of a service, and reports whether the budget has one. It first applies this VM's
+// present share of the budget.
 func (f *Forwarder) spend(now time.Time, service clementineport.ServiceID, value float64) bool {
 	f.budgets.SetShare(now, f.options.View().Share())
 	return f.budgets.Spend(now, service, value)
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -187,8 +187,8 @@
 	stay bool
 	// unreached is true once this VM has lost its path to the targets during the request.
 	unreached bool
-	// arrived holds the services with a rollout that count the request, and versions the calls to their targets that have been
-	// chosen and not sent.
+	// arrived holds the services with a rollout that have counted the request. versions holds the counted calls to targets that
+	// have been chosen but not sent yet.
 	arrived  map[clementineport.ServiceID]bool
 	versions map[*cpbalancer.Target]*cprollout.Call
 }
--- a/cpforward/options.go
+++ b/cpforward/options.go
@@ -44,16 +44,19 @@
 	Admit               []cpadmit.Option
 	// Reach tracks whether this VM reaches targets.
 	Reach *cpreach.Tracker
-	// Rollouts limits and counts the requests to new versions, and ViewAge returns the age of the view, by which they are trusted.
+	// Rollouts limits and counts the requests to new versions.
 	Rollouts *cprollout.Tracker
-	ViewAge  func() time.Duration
+	// ViewAge returns the age of the view. While it is above the contact time, no request is sent to a version that may have
+	// been rolled back.
+	ViewAge func() time.Duration
 	// OnCallFailed is called for each failed call, unless its error is context.Canceled.
 	OnCallFailed func(r *clementineport.OpaqueRequest, target clementineport.TargetID, err error, elapsed time.Duration)
 	// OnReport is called with a report about a request during which a target has crashed.
 	OnReport func(clementineport.RequestReport)
 	// OnTargetChange is called when a target becomes unresponsive or responsive.
 	OnTargetChange func(target *clementineport.TargetInstance, change cpbalancer.Change)
-	// OnOverload is called when admission begins or ceases to refuse requests for some services. It must not block.
+	// OnOverload is called when admission begins or ceases to refuse requests for some services. It must not block, nor call
+	// the Forwarder.
 	OnOverload func(services []clementineport.ServiceID, overloaded bool)
 }
 
@@ -103,7 +106,8 @@
 // WithReach sets the tracker of whether this VM reaches targets.
 func WithReach(t *cpreach.Tracker) Option { return func(o *Options) { o.Reach = t } }
 
-// WithRollouts sets what limits and counts the requests to new versions, and the function that returns the age of the view.
+// WithRollouts sets the tracker that limits and counts the requests to new versions, and the function that returns the age of
+// the view.
 func WithRollouts(t *cprollout.Tracker, viewAge func() time.Duration) Option {
 	return func(o *Options) { o.Rollouts, o.ViewAge = t, viewAge }
 }
--- a/cpforward/rollout.go
+++ b/cpforward/rollout.go
@@ -11,7 +11,7 @@
 )
 
 // chooseVersion returns a target of a service whose rollout is under way. The rollout decides which versions the call may use.
-// The caller holds f.mu, so that no other call takes the same room in the bounds.
+// The caller holds f.mu, so that concurrent calls don't exceed the bounds.
 func (r *run) chooseVersion(now time.Time, view *cpfleetstate.View, rollout *cprollout.Rollout, service clementineport.ServiceID, purpose cpfanout.Purpose, request *cpbalancer.Request) (*cpbalancer.Target, cpfanout.Availability) {
 	rollouts := r.f.options.Rollouts
 	if r.arrived == nil {
@@ -42,7 +42,7 @@
 		return try(cprollout.Old)
 	default:
 		target, availability := try(cprollout.Old)
-		// A hedge finds no old target if all are called already, which says nothing about whether they are usable.
+		// A hedge finds no old target if all have been called for the request, although they may be usable.
 		if availability == cpfanout.Unavailable && use == cprollout.UseOldFirst && purpose != cpfanout.Hedge {
 			return try(cprollout.Fresh)
 		}
@@ -50,7 +50,7 @@
 	}
 }
 
-// ofAge returns the targets of the old or of the new version.
+// ofAge returns the targets whose version is the old one, the new one or one to avoid.
 func ofAge(targets []cpfleetstate.Target, rollout *cprollout.Rollout, age cprollout.Age) (of []cpfleetstate.Target) {
 	for i := range targets {
 		if rollout.AgeOf(targets[i].State.Version) == age {
@@ -79,14 +79,14 @@
 	return false
 }
 
-// takeVersion returns the call that a rollout counts for a call to a target, or nil.
+// takeVersion removes and returns the counted call to a target that has been chosen, or nil if its service has no rollout.
 func (r *run) takeVersion(target *cpbalancer.Target) *cprollout.Call {
 	counted := r.versions[target]
 	delete(r.versions, target)
 	return counted
 }
 
-// versionOutcome returns what the end of a call says about the version of its target. A call that has not run says nothing.
+// versionOutcome returns the outcome of a call as a rollout counts it. A call that has not run is not counted.
 func versionOutcome(result *callResult) cprollout.Outcome {
 	switch {
 	case result.Part != nil && result.Part.Status >= 500:
--- a/cpplan/options.go
+++ b/cpplan/options.go
@@ -28,7 +28,7 @@
 
 // Parts of the objective margin of a VM whose processor is known.
 const (
-	// callerRoundTrip is the time of a round trip between a VM and its callers.
+	// callerRoundTrip is the round-trip time between a VM and its callers, whose one-way latency is 3 ms.
 	callerRoundTrip = 6 * time.Millisecond
 	// answerWork is the processor time of a gather that is spent before the request is read or after its objective: receiving
 	// the request, merging the responses and sending the answer.
@@ -70,8 +70,8 @@
 	MinHedgeDelay time.Duration
 	// MaxHedgeFactor is the multiple of TypicalLatency after which a call is hedged at the latest.
 	MaxHedgeFactor float64
-	// HedgeAnswerFactor is the multiple of TypicalLatency that a hedge of a gather is given to be answered before the
-	// objective. A call is not hedged sooner than after the same time.
+	// HedgeAnswerFactor is the multiple of TypicalLatency that a hedge of a gather has to be answered before the objective.
+	// The objective doesn't shorten the hedge delay below the same multiple, so that ordinary calls are not hedged.
 	HedgeAnswerFactor float64
 	// InitialHedgeShare is the share of the objective after which a call is hedged while no latency is known.
 	InitialHedgeShare float64
@@ -98,8 +98,8 @@
 	return options
 }
 
-// WithCores sets the processor time that the VM has, in seconds a second. A VM with a small part of a core needs a larger
-// margin before the objective. Zero means that it is not known.
+// WithCores sets the number of cores of the VM, which may be a fraction. A VM with a small part of a core needs a larger margin
+// before the objective. Zero means that the number is not known; the margin stays as it is then.
 func WithCores(cores float64) Option {
 	return func(o *Options) {
 		if cores > 0 {
--- a/cpplatformvm/admission.go
+++ b/cpplatformvm/admission.go
@@ -11,7 +11,7 @@
 	"github.com/clementineport/clementineport/cplogevent"
 )
 
-// writeAdmission writes the counts of admission. Workspaces have no series of their own: there may be too many.
+// writeAdmission writes the metrics of admission. Workspaces have no time series of their own, as there may be too many.
 func (p *Process) writeAdmission(w io.Writer) {
 	stats := p.forwarder.Admission()
 	fmt.Fprintf(w, "clementineport_admission_in_progress %d\n", stats.InProgress)
@@ -24,7 +24,8 @@
 	}
 }
 
-// admissionChanged logs that requests for some services begin or cease to be refused.
+// admissionChanged logs that requests for some services begin or cease to be refused. The line names the first service and the
+// number of services, since a gather may have many.
 func (p *Process) admissionChanged(services []clementineport.ServiceID, overloaded bool) {
 	fields := []zap.Field{zap.String("Service", string(services[0])), zap.Int("Services", len(services))}
 	if overloaded {
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -56,7 +56,7 @@
 	// sender has requests run by other VMs while this VM reaches no target, and receiver runs those of other VMs.
 	sender   *cpreroute.Sender
 	receiver *cpreroute.Receiver
-	// limiter keeps the quotas of workspaces.
+	// limiter enforces the quotas of workspaces.
 	limiter *cpratelimit.Limiter
 	// reach tracks whether this VM reaches targets.
 	reach *cpreach.Tracker
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// writeRollouts writes the phase and the share of each rollout.
+// writeRollouts writes the phase, as its number, and the share of each rollout.
 func (p *Process) writeRollouts(w io.Writer) {
 	rollouts := p.rolloutStatuses(p.watcher.View())
 	for _, r := range rollouts[:min(len(rollouts), maxServices)] {
--- a/cpplatformvm/status.go
+++ b/cpplatformvm/status.go
@@ -36,7 +36,7 @@
 	Sending   int
 	VMs       []VMStatus
 	Services  []cpfleetstate.Totals
-	// Rollouts are the rollouts, under way and ended.
+	// Rollouts are the rollouts under way and those that have ended, sorted by service.
 	Rollouts []RolloutStatus `json:",omitempty"`
 }
 
@@ -48,7 +48,7 @@
 	Share   float64
 	Driver  clementineport.VMID
 	Reason  string
-	// Elapsed is the time since the order, if it has not ended.
+	// Elapsed is the time since the order, as in "1m2.5s". It is empty once the rollout has ended.
 	Elapsed string `json:",omitempty"`
 }
 
--- a/cpplatformvm/workspace.go
+++ b/cpplatformvm/workspace.go
@@ -18,8 +18,8 @@
 	return b.Revoke
 }
 
-// watchBound returns the time within which a change in the store must be known. Keys that must be refused at a lower age of the
-// view need more frequent confirmations of it.
+// watchBound returns the time within which a change in the store must be known. If keys are refused by a view older than some
+// age, the view must be confirmed more often than that.
 func watchBound(b *cpconf.Bounds) time.Duration {
 	if age := maxKeyAge(b); age > 0 {
 		return min(b.ConfigApply, age)
--- a/cpsimulator/cpsimulator.go
+++ b/cpsimulator/cpsimulator.go
@@ -75,11 +75,11 @@
 	NetworkDelay time.Duration
 	// CallerDelay is the one-way delay between a caller and a VM. If it is zero, NetworkDelay applies.
 	CallerDelay time.Duration
-	// CallTime is how long a VM's processor works on sending a call, and on receiving its result.
+	// CallTime is the time that a VM's processor takes to send a call, and again to receive its result.
 	CallTime time.Duration
 	// Retries limits the extra calls of all VMs to the targets of a shard.
 	Retries cpquota.RetryBound
-	// FairAdmission makes VMs share admission among workspaces. All requests are of one.
+	// FairAdmission makes VMs share admission among workspaces. All requests belong to the same workspace.
 	FairAdmission bool
 	// NoAdmission disables admission control and NoHedges disables hedging, for comparison.
 	NoAdmission bool
--- a/cpsimulator/scenarios.go
+++ b/cpsimulator/scenarios.go
@@ -61,7 +61,8 @@
 }
 
 // SmallVMsConfig returns a deployment of VMs with a fifth of a core, which add to the latency of each call, and with an
-// urgent kind whose objective is a few times its latency. The kinds are in the order of their rates.
+// urgent kind whose objective is a few times its latency. Latencies, gathers and targets are those of deployment K in
+// docs/WORKSPACES-AND-ROLLOUTS.md. The kinds are in the order of their rates.
 func SmallVMsConfig() Config {
 	return Config{
 		Seed: 1, VMs: 40, Duration: 15 * time.Second, NetworkDelay: 1400 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
--- a/cpsimulator/vm.go
+++ b/cpsimulator/vm.go
@@ -26,7 +26,7 @@
 	targets    map[*cpbalancer.Target]*target
 	stats      []*kindStats
 	waiting    map[cpadmit.Ticket]func()
-	// freeAt is when the processor has done the work that it has now.
+	// freeAt is when the processor has done all work that is queued.
 	freeAt time.Time
 }
 
@@ -182,7 +182,7 @@
 	})
 }
 
-// process calls f once the processor of the VM has worked on a call.
+// process calls f once the processor of the VM has done the work that is queued and CallTime of its own.
 func (v *vm) process(f func()) {
 	if v.m.cfg.CallTime == 0 {
 		f()
