--- a/cpcatalog/options.go
+++ b/cpcatalog/options.go
@@ -11,7 +11,8 @@
 	// live targets register again after a store outage.
 	DefaultExpiryGrace = 2300 * time.Millisecond
 	// DefaultRestoreGrace is long because a domain that returns to service too early gets requests that operators have
-	// ruled out, while one that returns late only lacks its share of them.
+	// ruled out, while one that returns late only lacks its share of them. Operators need as long to write
+	// orders of rollouts again.
 	DefaultRestoreGrace = 10 * time.Second
 	// DefaultEndedRetention is many times the age of a copy from which a store is restored.
 	DefaultEndedRetention = 2 * time.Minute
@@ -25,8 +26,8 @@
 	OutageAfter time.Duration
 	// ExpiryGrace is how long targets whose registrations are gone are kept after a store outage.
 	ExpiryGrace time.Duration
-	// RestoreGrace is how long a failure domain stays out of service after a restore of the store that lost the record
-	// of it, so that operators can write it again.
+	// RestoreGrace is how long a failure domain stays out of service, and an order of a rollout in force, after a restore of
+	// the store that lost the entry, so that operators can write it again.
 	RestoreGrace time.Duration
 	// EndedRetention is how long the catalog remembers the last registration of a target that has ended.
 	EndedRetention time.Duration
@@ -55,7 +56,8 @@
 // WithExpiryGrace sets how long targets whose registrations are gone are kept after a store outage.
 func WithExpiryGrace(d time.Duration) Option { return func(o *Options) { o.ExpiryGrace = d } }
 
-// WithRestoreGrace sets how long a failure domain stays out of service after a restore that lost the record of it.
+// WithRestoreGrace sets how long a failure domain stays out of service, and an order of a rollout in force, after a restore that
+// lost the entry.
 func WithRestoreGrace(d time.Duration) Option { return func(o *Options) { o.RestoreGrace = d } }
 
 // WithEndedRetention sets how long the last registration of a target that has ended is remembered.
