Call what a version of targets is to a rollout its role

Age suggested a time, and Fresh is no term of the field. The phase in which the new version is tried with all requests was described as a growing share, and the revision of a status as absent from messages. go test ./cprollout ./cpforward passes.

--- a/cpfleetwatch/rollout.go
+++ b/cpfleetwatch/rollout.go
@@ -64,7 +64,7 @@
 	if r == nil || r.Usable(t.Version) {
 		return true
 	}
-	if r.Phase != clementineport.RolloutCompleted || r.AgeOf(t.Version) == cprollout.Avoided {
+	if r.Phase != clementineport.RolloutCompleted || r.RoleOf(t.Version) == cprollout.AvoidedVersion {
 		return false
 	}
 	for _, other := range w.catalog.Targets() {
@@ -159,7 +159,7 @@
 // callsOld reports whether a call of this VM to an old target of a service is under way.
 func (w *Watcher) callsOld(service clementineport.ServiceID, r *cprollout.Rollout) bool {
 	for _, s := range w.states {
-		if s.State.Service == service && r.AgeOf(s.State.Version) == cprollout.Old && s.State.InFlight() > 0 {
+		if s.State.Service == service && r.RoleOf(s.State.Version) == cprollout.OldVersion && s.State.InFlight() > 0 {
 			return true
 		}
 	}
@@ -305,11 +305,11 @@
 		if w.catalog.Out(t.Domain) || t.Cold(now) {
 			slots = 0
 		}
-		switch r.AgeOf(t.Version) {
-		case cprollout.Fresh:
+		switch r.RoleOf(t.Version) {
+		case cprollout.NewVersion:
 			e.NewTargets++
 			e.NewSlots += slots
-		case cprollout.Old:
+		case cprollout.OldVersion:
 			e.OldTargets++
 			e.OldSlots += slots
 		default:
--- a/cpforward/rollout.go
+++ b/cpforward/rollout.go
@@ -22,10 +22,10 @@
 		rollouts.Arrived(service, r.route.Name, rollout)
 	}
 	first := purpose == cpfanout.First || purpose == cpfanout.Late
-	try := func(age cprollout.Age) (*cpbalancer.Target, cpfanout.Availability) {
-		target, availability := r.f.choose(now, view, ofAge(view.Services[service], rollout, age), request)
+	try := func(role cprollout.Role) (*cpbalancer.Target, cpfanout.Availability) {
+		target, availability := r.f.choose(now, view, withRole(view.Services[service], rollout, role), request)
 		if target != nil {
-			r.versions[target] = rollouts.Sent(service, r.route.Name, age, isCold(now, view.Services[service], target))
+			r.versions[target] = rollouts.Sent(service, r.route.Name, role, isCold(now, view.Services[service], target))
 		}
 		return target, availability
 	}
@@ -34,26 +34,26 @@
 	case cprollout.UseNone:
 		return nil, cpfanout.Unavailable
 	case cprollout.UseNew:
-		return try(cprollout.Fresh)
+		return try(cprollout.NewVersion)
 	case cprollout.UseNewFirst:
-		if target, _ := try(cprollout.Fresh); target != nil {
+		if target, _ := try(cprollout.NewVersion); target != nil {
 			return target, cpfanout.Available
 		}
-		return try(cprollout.Old)
+		return try(cprollout.OldVersion)
 	default:
-		target, availability := try(cprollout.Old)
+		target, availability := try(cprollout.OldVersion)
 		// A hedge finds no old target if all have been called for the request, although they may be usable.
 		if availability == cpfanout.Unavailable && use == cprollout.UseOldFirst && purpose != cpfanout.Hedge {
-			return try(cprollout.Fresh)
+			return try(cprollout.NewVersion)
 		}
 		return target, availability
 	}
 }
 
-// ofAge returns the targets whose version is the old one, the new one or one to avoid.
-func ofAge(targets []cpfleetstate.Target, rollout *cprollout.Rollout, age cprollout.Age) (of []cpfleetstate.Target) {
+// withRole returns the targets whose version is the old one, the new one or one to avoid.
+func withRole(targets []cpfleetstate.Target, rollout *cprollout.Rollout, role cprollout.Role) (of []cpfleetstate.Target) {
 	for i := range targets {
-		if rollout.AgeOf(targets[i].State.Version) == age {
+		if rollout.RoleOf(targets[i].State.Version) == role {
 			of = append(of, targets[i])
 		}
 	}
@@ -66,7 +66,7 @@
 	if rollout == nil || rollout.Phase != clementineport.RolloutCompleting {
 		return view.Services[service]
 	}
-	return ofAge(view.Services[service], rollout, cprollout.Fresh)
+	return withRole(view.Services[service], rollout, cprollout.NewVersion)
 }
 
 // isCold reports whether a target is in its cold start.
--- a/cprollout/cprollout.go
+++ b/cprollout/cprollout.go
@@ -89,39 +89,39 @@
 // Active reports whether the rollout has an order and has not ended.
 func (r *Rollout) Active() bool { return r.Ordered && !r.Phase.Ended() }
 
-// Age is the part of a target that a rollout gives it.
-type Age uint8
+// Role is what a version of targets is to a rollout.
+type Role uint8
 
 const (
-	// Old is a target of the version that served before.
-	Old Age = iota
-	// Fresh is a target of the new version.
-	Fresh
-	// Avoided is a target of a version that was rolled back or replaced earlier.
-	Avoided
+	// OldVersion is a target of the version that served before.
+	OldVersion Role = iota
+	// NewVersion is a target of the new version.
+	NewVersion
+	// AvoidedVersion is a target of a version that was rolled back or replaced earlier.
+	AvoidedVersion
 )
 
-// AgeOf returns whether a version is the old one, the new one or one to avoid.
-func (r *Rollout) AgeOf(v clementineport.TargetVersion) Age {
+// RoleOf returns whether a version is the old one, the new one or one to avoid.
+func (r *Rollout) RoleOf(v clementineport.TargetVersion) Role {
 	switch {
 	case v == r.Version:
-		return Fresh
+		return NewVersion
 	case slices.Contains(r.Avoid, v):
-		return Avoided
+		return AvoidedVersion
 	default:
-		return Old
+		return OldVersion
 	}
 }
 
 // Usable reports whether targets of a version may be used at all. Whether requests go to the old or the new version while
 // the rollout is under way is up to the Tracker.
 func (r *Rollout) Usable(v clementineport.TargetVersion) bool {
-	switch age := r.AgeOf(v); {
+	switch role := r.RoleOf(v); {
 	case r.Phase == clementineport.RolloutCompleted:
-		return age == Fresh
+		return role == NewVersion
 	case r.Phase == clementineport.RolloutRolledBack:
-		return age == Old
+		return role == OldVersion
 	default:
-		return age != Avoided
+		return role != AvoidedVersion
 	}
 }
--- a/cprollout/cprollout_test.go
+++ b/cprollout/cprollout_test.go
@@ -173,7 +173,7 @@
 		tracker.Arrived(service, "a", rollout)
 		total++
 		if tracker.Plan(service, "a", rollout, true, 0) != cprollout.UseOld { // there is no old target
-			tracker.Sent(service, "a", cprollout.Fresh, false)
+			tracker.Sent(service, "a", cprollout.NewVersion, false)
 			fresh++
 		}
 	}
--- a/cprollout/sim_test.go
+++ b/cprollout/sim_test.go
@@ -246,19 +246,19 @@
 	vm.tracker.Arrived(service, route, vm.rollout)
 	use := vm.tracker.Plan(service, route, vm.rollout, true, at-vm.confirmed)
 	hasNew, hasOld := s.newFrom >= 0 && at >= s.newFrom, s.oldGone == 0 || at < s.oldGone
-	age := cprollout.Old
+	role := cprollout.OldVersion
 	switch {
 	case use == cprollout.UseNew, use == cprollout.UseNewFirst && hasNew, use == cprollout.UseOldFirst && !hasOld && hasNew:
-		age = cprollout.Fresh
+		role = cprollout.NewVersion
 	case !hasOld:
 		return false, false
 	}
-	if age == cprollout.Fresh && !hasNew {
+	if role == cprollout.NewVersion && !hasNew {
 		return false, false
 	}
-	call := vm.tracker.Sent(service, route, age, age == cprollout.Fresh && s.cold)
+	call := vm.tracker.Sent(service, route, role, role == cprollout.NewVersion && s.cold)
 	behave := s.old
-	if age == cprollout.Fresh {
+	if role == cprollout.NewVersion {
 		behave = s.new
 		out.fresh++
 		out.lastSent = at
@@ -269,12 +269,12 @@
 		if failed {
 			outcome = cprollout.Failed
 		}
-		if age == cprollout.Fresh && (failed || latency > 250*time.Millisecond) {
+		if role == cprollout.NewVersion && (failed || latency > 250*time.Millisecond) {
 			if out.bad++; out.bad == 50 {
 				out.fiftieth = done.Sub(now) + at
 			}
 		}
 		call.Done(done, outcome, latency, 60*time.Millisecond)
 	}})
-	return age == cprollout.Fresh, true
+	return role == cprollout.NewVersion, true
 }
--- a/cprollout/tracker.go
+++ b/cprollout/tracker.go
@@ -218,14 +218,14 @@
 
 // Sent counts a call. It must be called together with Plan while no other call for the service is planned, so that the
 // limits hold. cold is true if the target is in its cold start.
-func (t *Tracker) Sent(service clementineport.ServiceID, route clementineport.RouteID, age Age, cold bool) *Call {
+func (t *Tracker) Sent(service clementineport.ServiceID, route clementineport.RouteID, role Role, cold bool) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.meters[service]
-	if m == nil || age == Avoided {
+	if m == nil || role == AvoidedVersion {
 		return nil
 	}
-	c := &Call{t: t, m: m, r: t.route(m, service, route), fresh: age == Fresh, cold: cold}
+	c := &Call{t: t, m: m, r: t.route(m, service, route), fresh: role == NewVersion, cold: cold}
 	if c.fresh {
 		m.sent++
 		c.r.counts.New.Sent++
--- a/cprollout/tracker_test.go
+++ b/cprollout/tracker_test.go
@@ -50,8 +50,8 @@
 			if c.oldFails {
 				outcome = cprollout.Failed
 			}
-			tracker.Sent(service, "a", cprollout.Old, false).Done(now, outcome, time.Millisecond, time.Millisecond)
-			tracker.Sent(service, "a", cprollout.Fresh, false).Done(now, cprollout.Failed, time.Millisecond, time.Millisecond)
+			tracker.Sent(service, "a", cprollout.OldVersion, false).Done(now, outcome, time.Millisecond, time.Millisecond)
+			tracker.Sent(service, "a", cprollout.NewVersion, false).Done(now, cprollout.Failed, time.Millisecond, time.Millisecond)
 		}
 		assert.Equal(t, tracker.Plan(service, "a", r, true, 0), c.use)
 	}
--- a/rollout.go
+++ b/rollout.go
@@ -28,7 +28,7 @@
 	RolloutWaiting RolloutPhase = iota
 	// RolloutCanary means that the new version gets a small share of the requests.
 	RolloutCanary
-	// RolloutWidening means that the new version gets a growing share of the requests.
+	// RolloutWidening means that the new version gets all requests as a trial, before old targets are given up.
 	RolloutWidening
 	// RolloutCompleting means that old targets get no new requests and end the ones that they have.
 	RolloutCompleting
@@ -82,7 +82,7 @@
 	Avoid []TargetVersion `json:",omitempty"`
 	// Reason states what led to the phase, for operators.
 	Reason string `json:",omitempty"`
-	// Revision is the store's revision of the status. It is not part of the stored value.
+	// Revision is the store's revision of the status. It is zero in the stored value and set in updates between VMs.
 	Revision Revision `json:",omitempty"`
 }
 
