--- a/cpactiveset/cpactiveset.go
+++ b/cpactiveset/cpactiveset.go
@@ -18,18 +18,18 @@
 	"github.com/clementineport/clementineport"
 )
 
-// Millicores is processor time, in thousandths of a core. Integers make sums the same whatever their order.
+// Millicores is processor time per elapsed time, in thousandths of a core. Integers make sums the same whatever their order.
 type Millicores int64
 
 const (
 	// unknownCapacity is the capacity of a VM while no VM states one.
 	unknownCapacity Millicores = 1000
-	// linkMbpsPerCore is the bandwidth with which a VM can use a whole core. A gather takes some 10 ms of processor time and
-	// reads some 100 kB in 36 to 54 responses.
+	// linkMbpsPerCore is the bandwidth, in Mbit/s, with which a VM can use a whole core: a gather takes some 10 ms of processor
+	// time and reads some 100 kB in 36 to 54 responses.
 	linkMbpsPerCore = 80
 )
 
-// CapacityOf returns what a VM can do, or zero if it is not known. A slow link limits how much of the processor it can use.
+// CapacityOf returns how much of its processor a VM can use, or zero if that is not known. A slow link limits it.
 func CapacityOf(c clementineport.VMCapacity) Millicores {
 	cores := c.Cores
 	if c.LinkMbps > 0 {
@@ -52,13 +52,13 @@
 // class returns the capacity class. Each class begins at twice the capacity of the one below.
 func (c *candidate) class() int { return bits.Len64(uint64(c.capacity)) }
 
-// Set is an active set. It is immutable.
+// Set is an active set. It is immutable. Only Has, Size and Named may be called on a nil set.
 type Set struct {
 	vms map[clementineport.VMID]Millicores
 	// owners holds the first VMs of each domain, which are the same for any load.
-	owners    map[clementineport.VMID]bool
-	capacity  Millicores
-	strongest Millicores
+	owners map[clementineport.VMID]bool
+	// capacity is the sum of the capacities of the VMs, and strongest the largest of them.
+	capacity, strongest Millicores
 }
 
 // Has reports whether a VM is in the set. No VM is in a nil set.
@@ -135,14 +135,14 @@
 			ofStrongest += all[i].capacity
 		}
 	}
-	start := (total + startPart - 1) / startPart
-	if ofStrongest <= total/maxStartPart {
+	start := (total + startDivisor - 1) / startDivisor
+	if ofStrongest <= total/maxStartDivisor {
 		start = max(start, ofStrongest)
 	}
 	return start
 }
 
-// candidates returns the VMs that callers may connect to. VMs that reach no target are left out, unless that is so for all.
+// candidates returns the VMs that callers may connect to. VMs that reach no target are left out, unless none reaches any.
 func candidates(members []clementineport.Member, lost map[clementineport.VMID]bool) []candidate {
 	var serving, unreaching []candidate
 	weakest := Millicores(0)
--- a/cpactiveset/load.go
+++ b/cpactiveset/load.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// loadValidity is how long a statement counts. A VM that gets requests repeats its statement after repeatAfter.
+	// loadValidity is how long a statement counts. A VM that gets requests repeats its statement after repeatAfter, so a
+	// statement lapses only after three repeats have been lost.
 	loadValidity = 25 * time.Second
 	repeatAfter  = 8 * time.Second
 	// minInterval is the shortest time between two statements of a VM.
@@ -20,14 +21,14 @@
 	// processor. Smaller changes are noise of a measurement over a second or two.
 	notableChange = 0.25
 	minBusyChange = 0.05
-	// minRate is the rate of requests below which the load of a VM is not counted: its processor is then used for exchanges
+	// minRate is the rate of requests, per second, below which the load of a VM is not counted: its processor is then used for exchanges
 	// with other VMs, which don't go elsewhere.
 	minRate clementineport.RequestRate = 0.5
 	// announcedRise is the rise of the used share of the processor that other VMs are told at once.
 	announcedRise = 0.2
 )
 
-// Loads holds the latest that each VM has stated about its load. It is not safe for concurrent use.
+// Loads holds the latest statement of each VM about its load. It is not safe for concurrent use.
 type Loads struct {
 	all map[clementineport.VMID]statement
 }
@@ -51,7 +52,7 @@
 	return true
 }
 
-// valid reports whether a statement has finite numbers that are not negative.
+// valid reports whether the numbers of a statement are not negative and small enough to be added up.
 func valid(load *clementineport.VMLoad) bool {
 	for _, n := range []float64{float64(load.Rate), float64(load.Refused), load.Busy} {
 		if !(n >= 0 && n <= math.MaxInt32) {
--- a/cpactiveset/meter.go
+++ b/cpactiveset/meter.go
@@ -25,7 +25,7 @@
 	requests, refused uint64
 }
 
-// NewMeter returns a meter of a VM that may use a number of cores.
+// NewMeter returns a meter of a VM that may use a number of cores, which need not be whole.
 func NewMeter(cores float64) *Meter { return &Meter{cores: cores} }
 
 // Count counts a request of a caller, and whether it was refused in overload.
@@ -37,7 +37,8 @@
 	m.requests.Add(1)
 }
 
-// Load returns the load since the start of the window. processor is the processor time that this process has used so far.
+// Load returns the load since the start of the window. processor is the processor time that this process has used so far. The
+// result is zero at the first call, and if the number of cores is not known.
 func (m *Meter) Load(now time.Time, processor time.Duration) clementineport.VMLoad {
 	last := sample{at: now, processor: processor, requests: m.requests.Load(), refused: m.refused.Load()}
 	m.samples = append(m.samples, last)
--- a/cpactiveset/options.go
+++ b/cpactiveset/options.go
@@ -15,11 +15,11 @@
 	// headroomFactor is how many times the demand the set can carry after losses. The time that requests wait for a processor
 	// grows without bound as its use approaches one, and load may double before all VMs know of it.
 	headroomFactor = 2
-	// startPart is the divisor for the part of the capacity of all VMs that the set has at least while no load is known. It is
-	// large enough for a burst, since no VM knows the load. The strongest class is added if its part is at most that of
-	// maxStartPart; otherwise it is most of the fleet.
-	startPart    = 4
-	maxStartPart = 2
+	// startDivisor divides the capacity of all VMs into the least capacity of the set while no load is known, which must do for
+	// a burst. The set has the whole strongest class if that is at most the capacity of all VMs divided by maxStartDivisor;
+	// a larger class would be most of the fleet.
+	startDivisor    = 4
+	maxStartDivisor = 2
 )
 
 // Parameters of how the set follows the demand.
@@ -37,7 +37,8 @@
 	minEqualShare = 2
 )
 
-// viewsAllowance is the number of different sets that VMs may see for long. Each set's parts add up to one.
+// viewsAllowance is the number of different sets that VMs may use at the same time without a limit of time. The parts of each
+// set are divided by it, so that those of all of them add up to one at most.
 const viewsAllowance = 2
 
 // Defaults of Options.
--- a/cpactiveset/tracker.go
+++ b/cpactiveset/tracker.go
@@ -34,7 +34,8 @@
 	// joinedAt is when this VM came into the set for the present demand, and leftAt when it left that after it had used the
 	// share of a VM of the set.
 	joinedAt, leftAt time.Time
-	// capacity is that of this VM when it was last in that set, and total the highest one of the set lately.
+	// capacity is that of this VM when it was last in that set. total is the highest capacity of that set in the last seconds,
+	// which totals finds as it finds the highest number of VMs.
 	capacity Millicores
 	totals   cpquota.VMCount
 	total    Millicores
--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -66,7 +66,8 @@
 	Listed bool
 	// Active is the active set of VMs, or nil if callers use all VMs.
 	Active *cpactiveset.Set
-	// Rollouts holds the rollouts, under way and ended. Services has no target that a rollout has ended the use of.
+	// Rollouts holds the rollouts, under way and ended. Services omits the targets whose use a
+	// rollout has ended.
 	Rollouts map[clementineport.ServiceID]*cprollout.Rollout
 	// ActiveShare is this VM's share of bounds that apply to all VMs together, if its Set is true; otherwise all share equally.
 	ActiveShare cpquota.Share
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -82,8 +82,7 @@
 // requestFields are the fields of the events that report the end of a request.
 var requestFields = []string{
 	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
-	"Refused", "Target", "Workspace", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
-	"Refused", "Target", "TargetVersion", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
+	"Refused", "Target", "TargetVersion", "Workspace", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
 var kinds = []Kind{
--- a/cpquota/share.go
+++ b/cpquota/share.go
@@ -33,7 +33,7 @@
 	return reserve/sharers + s.Part*(total-reserve)
 }
 
-// slack returns this VM's share of the slack of a RetryBound. As far as the slack allows, each VM may hold one extra call.
+// slack returns this VM's share of the slack of a RetryBound, in extra calls. As far as the slack allows, each VM may hold one.
 func (s Share) slack(total float64) float64 {
 	return s.of(total, max(total*reservedPart, min(total, float64(max(s.VMs, 1)+unseenVMs))))
 }
--- a/cpratelimit/bound_test.go
+++ b/cpratelimit/bound_test.go
@@ -11,8 +11,8 @@
 	"github.com/clementineport/clementineport/cpratelimit/cpquotas"
 )
 
-// trouble applies faults to a fleet.
-type trouble struct {
+// faultInjector applies faults to a fleet.
+type faultInjector struct {
 	t *rapid.T
 	f *fleet
 	// parts holds the part of the fleet that each VM is in, while it is split.
@@ -23,8 +23,8 @@
 	counted int
 }
 
-func newTrouble(t *rapid.T, f *fleet) *trouble {
-	c := &trouble{t: t, f: f, parts: make([]int, len(f.vms)), counted: len(f.vms)}
+func newTrouble(t *rapid.T, f *fleet) *faultInjector {
+	c := &faultInjector{t: t, f: f, parts: make([]int, len(f.vms)), counted: len(f.vms)}
 	whole := f.members
 	f.members = func(v int) (seen []clementineport.Member) {
 		for _, m := range whole(v) {
@@ -49,8 +49,8 @@
 	return c
 }
 
-// watchWeights checks that no weight is counted twice, which is what the bound rests on, at all times until the fleet ends.
-func (c *trouble) watchWeights() {
+// checkWeights checks that no weight is counted twice, which is what the bound rests on, at all times until the fleet ends.
+func (c *faultInjector) checkWeights() {
 	sum := 0.0
 	for _, v := range c.f.vms {
 		if !v.down {
@@ -58,11 +58,11 @@
 		}
 	}
 	assert.Assert(c.t, sum <= 1.0001, "weights of %v are counted", sum)
-	c.f.after(20*time.Millisecond, c.watchWeights)
+	c.f.after(20*time.Millisecond, c.checkWeights)
 }
 
 // coordinator returns the VM that most others use.
-func (c *trouble) coordinator() *vm {
+func (c *faultInjector) coordinator() *vm {
 	most := c.f.vms[0]
 	for _, v := range c.f.vms {
 		if v.asked > most.asked {
@@ -76,7 +76,7 @@
 }
 
 // step draws a fault, and lets the fleet run for a while.
-func (c *trouble) step() {
+func (c *faultInjector) step() {
 	f, t := c.f, c.t
 	long := time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond
 	switch rapid.IntRange(0, 8).Draw(t, "fault") {
@@ -125,7 +125,7 @@
 		}
 		f := newFleet(rapid.IntRange(2, 30).Draw(t, "vms"), rapid.Uint64().Draw(t, "seed"), cpquotas.Quotas{"w": q})
 		c := newTrouble(t, f)
-		c.watchWeights()
+		c.checkWeights()
 		f.load("w", max(20, 3*float64(q.Rate)), time.Minute)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			c.step()
--- a/cpratelimit/cpclient/cpclient.go
+++ b/cpratelimit/cpclient/cpclient.go
@@ -52,9 +52,9 @@
 	latency time.Duration
 	// used is the time of the latest request.
 	used time.Time
-	// again is true if a call without a valid nonce was answered, so that the next one can bind the weight.
-	again bool
-	call  *call
+	// bindNext is true if a call without a valid nonce was answered, so that a further call can bind the weight now.
+	bindNext bool
+	call     *call
 	// called is when the latest call was made.
 	called time.Time
 	// waiting holds the workspaces with waiting requests.
@@ -127,7 +127,7 @@
 	}
 }
 
-// Weight returns the share of each quota that this VM brings.
+// Weight returns this VM's share of each quota, in (0, 1].
 func (c *Client) Weight() float64 { return c.weight }
 
 // Group returns the number of the group of a workspace.
@@ -181,20 +181,22 @@
 
 // nonceUsable reports whether the coordinator still accepts the nonce of its latest answer when a call arrives.
 func (c *Client) nonceUsable(now time.Time, g *clientGroup) bool {
+	// The rest of the binding time is left for the call to arrive.
 	return g.nonce != 0 && now.Sub(g.answered) < c.options.BindingTime*4/5
 }
 
-// Next returns the call to make now to the coordinator of a group, or nil if none is due. Answered or Failed must follow.
+// Next returns the call to make now to the coordinator of a group, or nil if none is due. Answered or Failed must be called with
+// its result.
 func (c *Client) Next(now time.Time, id int, coordinator clementineport.VMID) *clementineport.QuotaRequest {
 	g := c.group(id)
 	if g.call != nil || coordinator == "" {
 		return nil
 	}
 	if g.coordinator != coordinator {
-		g.coordinator, g.nonce, g.again = coordinator, 0, false
+		g.coordinator, g.nonce, g.bindNext = coordinator, 0, false
 	}
 	wanted := g.wanted(now)
-	renew := c.active(now, g) && (g.again || now.Sub(g.called) >= c.options.RenewPeriod)
+	renew := c.active(now, g) && (g.bindNext || now.Sub(g.called) >= c.options.RenewPeriod)
 	if len(wanted) == 0 && !renew {
 		return nil
 	}
@@ -208,7 +210,7 @@
 	for _, name := range wanted {
 		r.Demands = append(r.Demands, clementineport.QuotaDemand{Workspace: name, Tokens: c.stores[name].demand(now, c.options.Lifetime())})
 	}
-	g.call, g.called, g.again = &call{sent: now, free: free, request: r}, now, false
+	g.call, g.called, g.bindNext = &call{sent: now, free: free, request: r}, now, false
 	c.counts.Calls++
 	return r
 }
@@ -260,7 +262,7 @@
 		}
 	}
 	g.nonce, g.answered, g.latency = answer.Nonce, now, now.Sub(done.sent)
-	g.again = !answer.Bound && done.request.Nonce == 0 && c.nonceUsable(now, g) && g.mayBind(now, g.coordinator)
+	g.bindNext = !answer.Bound && done.request.Nonce == 0 && c.nonceUsable(now, g) && g.mayBind(now, g.coordinator)
 	for i := range min(len(answer.Grants), len(done.request.Demands)) {
 		d, grant := &done.request.Demands[i], &answer.Grants[i]
 		q, limited := c.quotas[d.Workspace]
--- a/cpratelimit/cpclient/store.go
+++ b/cpratelimit/cpclient/store.go
@@ -17,11 +17,14 @@
 	bindings uint64
 	// reserveFrom is when the reserve token may be used next.
 	reserveFrom time.Time
-	waiting     int
+	// waiting is the number of requests that wait for a token.
+	waiting int
 	// askAt is when the coordinator is asked next, and tokenAt when it expects to have a token.
 	askAt, tokenAt time.Time
-	refused        time.Time
-	rate           rate
+	// refused is when the coordinator last had too few tokens.
+	refused time.Time
+	// rate is that of the requests of the workspace at this VM.
+	rate rate
 }
 
 // lot is a number of tokens that expire together.
@@ -60,6 +63,7 @@
 	s.askAt, s.tokenAt, s.refused = now.Add(min(wait, maxAskWait)), now.Add(wait), now
 }
 
+// Bounds of the time between a refusal and the next call for the workspace. minAskWait limits the calls to 200 a second.
 const (
 	minAskWait = 5 * time.Millisecond
 	maxAskWait = 250 * time.Millisecond
@@ -90,7 +94,7 @@
 	count, earlier float64
 }
 
-// ratePeriod is the time over which requests are counted.
+// ratePeriod is the time over which the requests for a rate are counted.
 const ratePeriod = time.Second
 
 func (r *rate) observe(now time.Time) {
@@ -205,7 +209,7 @@
 	}
 }
 
-// latencyFactor times the latency of the latest call is the time in which an answer is expected.
+// latencyFactor is the factor by which an answer may take longer than that to the latest call.
 const latencyFactor = 2
 
 // Refusal reports whether a request that waits until a time gets no token by then, and when the coordinator expects to have one.
--- a/cpratelimit/cpcoordinator/collect.go
+++ b/cpratelimit/cpcoordinator/collect.go
@@ -6,7 +6,8 @@
 	"github.com/clementineport/clementineport"
 )
 
-// completeWeight is the sum of weights above which there is nothing to collect.
+// completeWeight is the sum of weights from which there is nothing left to collect. It is below one, so that rounding of many small
+// weights causes no collections.
 const completeWeight = 0.99
 
 // mayCollect reports whether idle VMs may be asked for their weight now.
--- a/cpratelimit/cpcoordinator/cpcoordinator.go
+++ b/cpratelimit/cpcoordinator/cpcoordinator.go
@@ -143,6 +143,7 @@
 	}
 }
 
+// settle fills a bucket up to the time of its group, and drops the tokens that the bound weights don't allow it to hold.
 func (c *Coordinator) settle(g *group, b *bucket, q cpquotas.Quota) {
 	b.level = min(b.level+c.options.Fill(q)*max(0, g.integral-b.integral), c.options.Depth(q)*g.weight)
 	b.integral = g.integral
@@ -215,10 +216,12 @@
 	return clementineport.QuotaGrant{Tokens: tokens, Wait: c.wait(now, g, b, q)}
 }
 
-// Bounds of the time after which a VM is told to ask again.
+// Times after which a VM is told to ask again.
 const (
+	// collectWait is the time in which idle VMs can answer a collection.
 	collectWait = 30 * time.Millisecond
-	minWait     = 5 * time.Millisecond
+	// minWait limits how often a VM calls for the same workspace.
+	minWait = 5 * time.Millisecond
 )
 
 // wait returns the time after which the bucket is expected to have a token.
--- a/cpratelimit/cpquotas/cpquotas.go
+++ b/cpratelimit/cpquotas/cpquotas.go
@@ -14,7 +14,7 @@
 // Quotas are the limits of the workspaces that have one.
 type Quotas map[clementineport.WorkspaceID]Quota
 
-// Quota is the limit of a workspace for all VMs together.
+// Quota is the limit of a workspace for all VMs together. Burst is a number of requests.
 type Quota struct {
 	Rate  clementineport.RequestRate
 	Burst float64
@@ -32,7 +32,7 @@
 }
 
 // Bounds limit the requests of a workspace within any window, for all VMs together:
-// (rate x Window + burst) x (1 + Overrun) + Slack.
+// (rate x Window + burst) x (1 + Overrun) + Slack. Overrun is a ratio and Slack a number of requests.
 type Bounds struct {
 	Window  time.Duration
 	Overrun float64
@@ -70,14 +70,15 @@
 // lifetimePart is the least number of token lifetimes in a window.
 const lifetimePart = 10
 
-// vmsPerGroup is the number of VMs from which the workspaces are divided into one more group.
+// vmsPerGroup is the number of further VMs for which the workspaces are divided into one more group, which spreads the calls of a
+// large fleet over more coordinators.
 const vmsPerGroup = 128
 
 // GroupCount returns the number of groups of workspaces for a number of VMs.
 func GroupCount(vms int) int { return 1 + vms/vmsPerGroup }
 
 // groupFactor separates the number of groups from the index of a group in a group's number, so that VMs that divide the
-// workspaces differently never mean the same group.
+// workspaces differently never mean the same group. It is above any number of groups: 4096 would need half a million VMs.
 const groupFactor = 1 << 12
 
 // GroupOf returns the number of the group of a workspace.
--- a/cpratelimit/cpquotas/options.go
+++ b/cpratelimit/cpquotas/options.go
@@ -6,10 +6,12 @@
 	// DefaultBindingTime is how long a coordinator counts the weight of a VM after a call. Until it has ended, a VM that lost
 	// its coordinator can't bind its weight to another one.
 	DefaultBindingTime = time.Second
-	// DefaultRenewPeriod leaves a call the time to be late before the binding lapses. Shorter periods cost the coordinator more
-	// processor time, and a VM whose call fails uses another coordinator anyway.
+	// DefaultRenewPeriod is the time between two calls that renew a binding. It lets a call be 400 ms late before the binding
+	// lapses. Shorter periods cost the coordinator more processor time, and a VM whose call fails uses another coordinator
+	// anyway.
 	DefaultRenewPeriod = 600 * time.Millisecond
-	// DefaultTokenLifetime is short against the window, since tokens from before a window may be used in it.
+	// DefaultTokenLifetime is how long a token may be used after it was requested. It is short against the window, since tokens
+	// from before a window may be used in it.
 	DefaultTokenLifetime = 500 * time.Millisecond
 	// DefaultIdleTime is how long a VM keeps its weight bound after its last request.
 	DefaultIdleTime = 10 * time.Second
--- a/cpratelimit/cpratelimit.go
+++ b/cpratelimit/cpratelimit.go
@@ -18,11 +18,11 @@
 	// usedRanks is the number of VMs, in their order of rank, that a VM uses as coordinator of a group. If none of them answers, it
 	// is rather this VM that is cut off.
 	usedRanks = 3
-	// choiceTime is how long the choice of a coordinator is kept.
+	// choiceTime is how long the choice of a coordinator is kept, so that the members are not ranked for each request.
 	choiceTime = 500 * time.Millisecond
-	// strongShare is the share of the processor time of the strongest VM that a coordinator needs.
+	// strongShare is the share of the cores of the strongest VM that a coordinator must have, since it gets the calls of all VMs.
 	strongShare = 0.5
-	// noCoordinatorWait is the retry delay while this VM has no coordinator.
+	// noCoordinatorWait is the retry delay that callers are told while this VM has no coordinator.
 	noCoordinatorWait = 500 * time.Millisecond
 )
 
@@ -135,16 +135,16 @@
 	return slices.ContainsFunc(ranked, func(i int32) bool { return n.members[i].ID == n.self })
 }
 
-// Request records a request of a workspace with a quota, which waits for a token for at most patience. Advance must follow.
-func (n *Node) Request(now time.Time, workspace clementineport.WorkspaceID, patience time.Duration) *Request {
-	r := &Request{Workspace: workspace, Decided: make(chan struct{}), arrived: now, until: now.Add(patience)}
+// Request records a request of a workspace with a quota, which waits for a token for at most maxWait. Advance must follow.
+func (n *Node) Request(now time.Time, workspace clementineport.WorkspaceID, maxWait time.Duration) *Request {
+	r := &Request{Workspace: workspace, Decided: make(chan struct{}), arrived: now, until: now.Add(maxWait)}
 	n.client.Request(now, workspace)
 	n.queues[workspace] = append(n.queues[workspace], r)
 	n.client.Wait(workspace, 1)
 	return r
 }
 
-// Cancel removes a request that waits no more, or returns its token.
+// Cancel withdraws a request that was not sent to targets: it removes a waiting one, and returns the token of a granted one.
 func (n *Node) Cancel(now time.Time, r *Request) {
 	if r.Granted {
 		n.client.Return(now, r.Token)
@@ -157,6 +157,7 @@
 	}
 }
 
+// setQueue sets the waiting requests of a workspace.
 func (n *Node) setQueue(workspace clementineport.WorkspaceID, queue []*Request) {
 	if len(queue) == 0 {
 		delete(n.queues, workspace)
--- a/cpratelimit/limiter.go
+++ b/cpratelimit/limiter.go
@@ -128,18 +128,18 @@
 		result.Stats.Sends == 0 && result.Attempts == 0 && result.Via == ""
 }
 
-// patienceFor returns how long a request with an objective waits for a token.
-func patienceFor(objective time.Duration) time.Duration {
-	return min(max(minPatience, time.Duration(float64(objective)*patienceShare)), maxPatience)
+// tokenWait returns how long a request with an objective waits for a token.
+func tokenWait(objective time.Duration) time.Duration {
+	return min(max(minTokenWait, time.Duration(float64(objective)*tokenWaitShare)), maxTokenWait)
 }
 
 // take waits for a token. The request is nil if the workspace has no quota.
 func (l *Limiter) take(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest) (*Request, *clementineport.Error) {
-	patience := min(patienceFor(route.Objective), time.Until(r.Deadline))
+	maxWait := min(tokenWait(route.Objective), time.Until(r.Deadline))
 	var request *Request
 	l.update(func(now time.Time) {
 		if l.node.Limited(r.Workspace) {
-			request = l.node.Request(now, r.Workspace, patience)
+			request = l.node.Request(now, r.Workspace, maxWait)
 		}
 	})
 	if request == nil {
--- a/cpratelimit/options.go
+++ b/cpratelimit/options.go
@@ -17,13 +17,13 @@
 	tickPeriod = 100 * time.Millisecond
 	// retainPeriod is the time between two checks for connections to VMs that are gone.
 	retainPeriod = time.Minute
-	// minWake bounds how often waiting requests are checked.
+	// minWake is the shortest time between two checks of waiting requests by the timer.
 	minWake = time.Millisecond
-	// patienceShare is the share of the objective for which a request waits for a token. A refusal leaves its caller enough time to
-	// come back. minPatience covers some round trips to the coordinator, and maxPatience bounds the number of waiting requests.
-	patienceShare = 0.25
-	minPatience   = 20 * time.Millisecond
-	maxPatience   = 100 * time.Millisecond
+	// tokenWaitShare is the share of the objective for which a request waits for a token. A refusal leaves its caller enough time to
+	// come back. minTokenWait covers some round trips to the coordinator, and maxTokenWait bounds the number of waiting requests.
+	tokenWaitShare = 0.25
+	minTokenWait   = 20 * time.Millisecond
+	maxTokenWait   = 100 * time.Millisecond
 	// maxCollecting is the number of calls to idle VMs under way at the same time.
 	maxCollecting = 16
 )
--- a/cpratelimit/sim_test.go
+++ b/cpratelimit/sim_test.go
@@ -15,10 +15,10 @@
 var bounds = cpquotas.Bounds{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}
 
 const (
-	latency  = 3 * time.Millisecond
-	patience = 100 * time.Millisecond
-	timeout  = 300 * time.Millisecond
-	tick     = 100 * time.Millisecond
+	latency   = 3 * time.Millisecond
+	tokenWait = 100 * time.Millisecond
+	timeout   = 300 * time.Millisecond
+	tick      = 100 * time.Millisecond
 )
 
 // fleet is a fleet of VMs in virtual time.
@@ -184,7 +184,7 @@
 }
 
 func (v *vm) request(name clementineport.WorkspaceID) {
-	v.do(func() { v.open = append(v.open, v.node.Request(v.f.now, name, patience)) })
+	v.do(func() { v.open = append(v.open, v.node.Request(v.f.now, name, tokenWait)) })
 }
 
 // decided counts the requests that were decided.
--- a/cpworkspace/cpworkspace.go
+++ b/cpworkspace/cpworkspace.go
@@ -26,7 +26,7 @@
 	Hash  clementineport.KeyHash
 }
 
-// Present returns the Presented of a request with a key.
+// Present returns what a request with a key presents. It hashes the key.
 func Present(key string) Presented {
 	return Presented{State: KeyPresented, Hash: clementineport.HashKey(key)}
 }
