Let the test of extra calls save up before it spends them

TestExtraCallsStayWithinTheBoundWhileTheSetChanges spent every extra call at once and drew mostly large slacks, so it passed without the reserve of one call for each VM. It now has times without extra calls and requests, and slacks down to the smallest one for which the bound holds. Without the reserve it fails.

--- a/cpquota/share_test.go
+++ b/cpquota/share_test.go
@@ -31,7 +31,7 @@
 		vms := rapid.IntRange(1, 100).Draw(t, "VMs")
 		bound := cpquota.RetryBound{
 			Ratio:  rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
-			Slack:  rapid.Float64Range(float64(vms+1)/cpquota.RetryShare, 5000).Draw(t, "slack"),
+			Slack:  float64(vms+1) / cpquota.RetryShare * rapid.SampledFrom([]float64{1, 1.3, 3, 20}).Draw(t, "slack for each VM"),
 			Window: 10 * time.Second,
 		}
 		budgets := make([]*cpquota.Budgets, vms)
@@ -41,7 +41,8 @@
 		h := &history{}
 		sets := [2][]cpquota.Share{drawSet(t, vms), drawSet(t, vms)}
 		change := rapid.IntRange(1, 300).Draw(t, "tenths to a change")
-		perTenth := rapid.IntRange(0, 20).Draw(t, "requests in a tenth")
+		perTenth := rapid.IntRange(0, 100).Draw(t, "requests in a tenth")
+		saving := rapid.IntRange(0, 150).Draw(t, "tenths of twenty seconds without extra calls")
 		for n := range 600 {
 			now, requests, extra := start.Add(time.Duration(n)*tenth), 0, 0
 			for i, b := range budgets {
@@ -51,11 +52,11 @@
 					share.Part = after.Part // it is new in the set, or its part has grown
 				}
 				b.SetShare(now, share)
-				if i < perTenth {
+				if i < perTenth && (n%200 < saving || saving < 50) {
 					b.Earn(now, service, share)
 					requests++
 				}
-				for b.Spend(now, service, 1) {
+				for n%200 >= saving && b.Spend(now, service, 1) {
 					extra++
 				}
 			}
