--- a/cpactiveset/cpactiveset_test.go
+++ b/cpactiveset/cpactiveset_test.go
@@ -135,7 +135,7 @@
 	assert.Assert(t, capacityOf(set, members, func(i int) bool { return i%4 == 1 }) >= 2*usual)
 }
 
-// Guards against two sets that have little in common when some VMs hold a whole domain for dead and others don't.
+// Guards against two sets that have little in common when some VMs consider a whole domain dead and others don't.
 func TestTheFleetIsSplitIntoTwoViewsOfADomain(t *testing.T) {
 	all := choose(fleetK(), nil, usual)
 	rest := choose(without(fleetK(), func(i int) bool { return i%4 == 0 }), nil, usual)
--- a/cpactiveset/share_test.go
+++ b/cpactiveset/share_test.go
@@ -12,7 +12,7 @@
 	"github.com/clementineport/clementineport/cpquota"
 )
 
-// fleetView is what some VMs believe: which members are alive, and the demand.
+// fleetView is the view that some VMs have: the members that they consider alive, and the demand.
 type fleetView struct {
 	members []clementineport.Member
 	demand  cpactiveset.Millicores
@@ -57,7 +57,7 @@
 	f.vms[vm].tracker = cpactiveset.NewTracker(cpactiveset.WithSelf(f.members[vm].ID))
 }
 
-// run passes seconds and checks the sum of the shares in each of them. sees reports whether a view has a VM for alive.
+// run passes seconds and checks the sum of the shares in each of them. sees reports whether a view considers a VM alive.
 func (f *sharingFleet) run(seconds int, demand cpactiveset.Millicores, sees func(view, vm int) bool) {
 	for range seconds {
 		f.now = f.now.Add(time.Second)
@@ -127,7 +127,7 @@
 	})
 }
 
-// Guards against the same while some VMs hold any other VMs for dead, for as long as it may be.
+// Guards against the same while some VMs consider any other VMs dead, for any time.
 func TestSharesStayWithinTheBoundUnderTwoViews(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newSharingFleet(t, 2)
--- a/cpratelimit/bound_test.go
+++ b/cpratelimit/bound_test.go
@@ -23,7 +23,7 @@
 	counted int
 }
 
-func newTrouble(t *rapid.T, f *fleet) *faultInjector {
+func newFaultInjector(t *rapid.T, f *fleet) *faultInjector {
 	c := &faultInjector{t: t, f: f, parts: make([]int, len(f.vms)), counted: len(f.vms)}
 	whole := f.members
 	f.members = func(v int) (seen []clementineport.Member) {
@@ -80,12 +80,12 @@
 	f, t := c.f, c.t
 	long := time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond
 	switch rapid.IntRange(0, 8).Draw(t, "fault") {
-	case 0: // two or three views
+	case 0: // the fleet is split
 		n := rapid.IntRange(2, 3).Draw(t, "parts")
 		for i := range c.parts {
 			c.parts[i] = f.rand.IntN(n)
 		}
-	case 1:
+	case 1: // the parts see each other again
 		clear(c.parts)
 	case 2:
 		v := c.coordinator()
@@ -124,7 +124,7 @@
 			Burst: rapid.SampledFrom([]float64{1, 5, 100}).Draw(t, "burst"),
 		}
 		f := newFleet(rapid.IntRange(2, 30).Draw(t, "vms"), rapid.Uint64().Draw(t, "seed"), cpquotas.Quotas{"w": q})
-		c := newTrouble(t, f)
+		c := newFaultInjector(t, f)
 		c.checkWeights()
 		f.load("w", max(20, 3*float64(q.Rate)), time.Minute)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -165,7 +165,7 @@
 func TestRequestsAreServedSoonAfterTheirCoordinatorIsKilled(t *testing.T) {
 	q := cpquotas.Quota{Rate: 49, Burst: 1}
 	f := newFleet(vms, 1, cpquotas.Quotas{"w": q})
-	c := newTrouble(nil, f)
+	c := newFaultInjector(nil, f)
 	f.load("w", 49/1.6, time.Minute)
 	f.run(15 * time.Second)
 	for range 3 { // successive kills
@@ -185,7 +185,7 @@
 func TestVMsOfAnEarlierBuildAreNotUsed(t *testing.T) {
 	q := cpquotas.Quota{Rate: 49, Burst: 1}
 	f := newFleet(vms, 1, cpquotas.Quotas{"w": q})
-	c := newTrouble(nil, f)
+	c := newFaultInjector(nil, f)
 	f.load("w", 49/1.6, time.Minute)
 	f.run(5 * time.Second)
 	c.coordinator().earlier = true
--- a/verdict.go
+++ b/verdict.go
@@ -87,7 +87,7 @@
 	FaultUnavailable
 	// FaultConflict means that the configuration has changed since the revision that was edited.
 	FaultConflict
-	// FaultUnauthorized means that the token was missing or wrong.
+	// FaultUnauthorized means that the token of a VM or operator, or the key of a caller, was missing or wrong.
 	FaultUnauthorized
 	// FaultCoverage means that the request ran, but its answer is below the least coverage of the service.
 	FaultCoverage
