--- a/cpactiveset/cpactiveset.go
+++ b/cpactiveset/cpactiveset.go
@@ -24,8 +24,8 @@
 const (
 	// unknownCapacity is the capacity of a VM while no VM states one.
 	unknownCapacity Millicores = 1000
-	// linkMbpsPerCore is the bandwidth, in Mbit/s, with which a VM can use a whole core: a gather takes some 10 ms of processor
-	// time and reads some 100 kB in 36 to 54 responses.
+	// linkMbpsPerCore is the bandwidth, in Mbit/s, with which a VM can use a whole core: a gather from some tens of shards
+	// takes about 10 ms of processor time and reads about 100 kB.
 	linkMbpsPerCore = 80
 )
 
--- a/cpactiveset/cpactiveset_test.go
+++ b/cpactiveset/cpactiveset_test.go
@@ -41,7 +41,7 @@
 	return members
 }
 
-// fleetK is the fleet of deployment K.
+// fleetK is the fleet of deployment K in docs/WORKSPACES-AND-ROLLOUTS.md.
 func fleetK() []clementineport.Member { return fleet(82, 8, 4) }
 
 func choose(members []clementineport.Member, lost map[clementineport.VMID]bool, demand cpactiveset.Millicores) *cpactiveset.Set {
--- a/cpplan/options.go
+++ b/cpplan/options.go
@@ -28,7 +28,7 @@
 
 // Parts of the objective margin of a VM whose processor is known.
 const (
-	// callerRoundTrip is the round-trip time between a VM and its callers, whose one-way latency is 3 ms.
+	// callerRoundTrip allows for a round trip between a VM and callers in its region.
 	callerRoundTrip = 6 * time.Millisecond
 	// answerWork is the processor time of a gather that is spent before the request is read or after its objective: receiving
 	// the request, merging the responses and sending the answer.
