--- a/review/standin/late_term.go
+++ b/review/standin/late_term.go
@@ -14,7 +14,7 @@
 
 // resolve asks a machine's directory for addresses, as clients do.
 func resolve(v *vm, zone string) ([]string, float64, error) {
-	resp, err := http.Get("http://" + v.directry + "/clementineport/resolve?name=" + host + "&region=cymru-south&zone=" + zone)
+	resp, err := http.Get("http://" + v.directory + "/clementineport/resolve?name=" + host + "&region=cymru-south&zone=" + zone)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,8 @@
 	vms       []*vm
 	zones     []string
 	root, dir string
+	// idleTimeout is the limit of that name in the configuration.
+	idleTimeout time.Duration
 
 	mu  sync.Mutex
 	ran map[string][]string // the searchers that have run an attempt
@@ -54,7 +56,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	d := &deployment{record: rec, trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, ran: map[string][]string{}}
+	d := &deployment{record: rec, trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, idleTimeout: 15 * time.Second, ran: map[string][]string{}}
 	defer os.RemoveAll(dir)
 	defer d.stop()
 	signals := make(chan os.Signal, 1)
@@ -132,12 +134,15 @@
 		return err
 	}
 	for _, s := range searchers {
-		s.record, s.runs = d.record, d.runs
+		s.record = d.record
+		if s.runs == nil {
+			s.runs = d.runs
+		}
 		if err := newSearcher(s, "127.0.0.1"); err != nil {
 			return err
 		}
 		d.searchers = append(d.searchers, s)
-		d.store.put("servers/"+s.id, s.entry("ready", 1))
+		d.store.put("servers/"+s.id, s.entry(0, 1))
 	}
 	return nil
 }
@@ -146,7 +151,7 @@
 func (d *deployment) configure(version int, routes, services []map[string]any) {
 	text, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": d.idleTimeout.Milliseconds()},
 	})
 	if err != nil {
 		panic(err) // values of these types always encode
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -80,10 +80,10 @@
 
 func (s *searcher) address() string { return s.listener.Addr().String() }
 
-// entry returns the searcher's registration.
-func (s *searcher) entry(state string, seq int) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`,
-		s.service, s.address(), s.zone, s.slots, state, seq, s.record.start.UnixMilli())
+// entry returns the searcher's registration. coldMS is how much longer it is cold.
+func (s *searcher) entry(coldMS, seq int) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":"ready","cold_left_ms":%d,"seq":%d,"born":%d}`,
+		s.service, s.address(), s.zone, s.slots, coldMS, seq, s.record.start.UnixMilli())
 }
 
 func (s *searcher) accept(f *os.File) {
--- a/review/standin/second_refusal.go
+++ b/review/standin/second_refusal.go
@@ -8,7 +8,7 @@
 
 // The disruption comes in spans, with a calm time before each.
 const (
-	spans     = 5
+	spans     = 9
 	spanS     = 5
 	pauseS    = 3
 	perSecond = 160
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -16,7 +16,7 @@
 // vm is one machine: an address on the loopback network on which a process of the project runs.
 type vm struct {
 	name, zone, ip                  string
-	front, ready, control, directry string
+	front, ready, control, directory string
 	settings                        string
 	root                            string
 	log                             *os.File
@@ -42,14 +42,17 @@
 	return "", fmt.Errorf("no loopback address with a free port %s", metricsPort)
 }
 
-// freePort returns an address with a port that is free now.
-func freePort(ip string) (string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freePorts returns addresses with different ports that are free now.
+func freePorts(ip string, n int) (addresses []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		addresses = append(addresses, ln.Addr().String())
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return addresses, nil
 }
 
 func newVM(dir, root string, seed, n int, zone string) (*vm, error) {
@@ -58,11 +61,11 @@
 		return nil, err
 	}
 	v := &vm{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: ip, root: root}
-	for _, p := range []*string{&v.front, &v.ready, &v.control, &v.directry} {
-		if *p, err = freePort(ip); err != nil {
-			return nil, err
-		}
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return nil, err
 	}
+	v.front, v.ready, v.control, v.directory = ports[0], ports[1], ports[2], ports[3]
 	v.settings = filepath.Join(dir, v.name+".conf")
 	v.log, err = os.Create(filepath.Join(dir, v.name+".log"))
 	return v, err
@@ -80,7 +83,7 @@
 		seeds = append(seeds, o.control)
 	}
 	fmt.Fprintf(&b, "listen.front=%s\nlisten.ready_addr=%s\nlisten.control=%s\nlisten.directory=%s\nport_range=7740,7755\nseeds=%s\n",
-		v.front, v.ready, v.control, v.directry, strings.Join(seeds[:min(3, len(seeds))], ","))
+		v.front, v.ready, v.control, v.directory, strings.Join(seeds[:min(3, len(seeds))], ","))
 	b.WriteString(siteSettings)
 	fmt.Fprintf(&b, "platform.address=%s\n%s", storeAddress, extra)
 	return os.WriteFile(v.settings, []byte(b.String()), 0o600)
@@ -183,5 +186,6 @@
 			}
 		}
 	}
-	return fmt.Errorf("%s is not ready after %v", v.name, limit)
+	text, _ := os.ReadFile(v.log.Name())
+	return fmt.Errorf("%s is not ready after %v, running %v: %.600s", v.name, limit, v.running(), text)
 }
