--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -22,7 +22,7 @@
 	// runs is called when the searcher begins to work on a request.
 	runs func(s *searcher, attempt string)
 	// duplicate returns whether the answer that is about to be sent is sent a second time, where the next one is expected.
-	duplicate func(s *searcher, status int) bool
+	duplicate func(status int) bool
 
 	listener *net.TCPListener
 	fd       int
@@ -72,7 +72,7 @@
 		s.runs = func(*searcher, string) {}
 	}
 	if s.duplicate == nil {
-		s.duplicate = func(*searcher, int) bool { return false }
+		s.duplicate = func(int) bool { return false }
 	}
 	go s.accept(f)
 	return nil
@@ -179,8 +179,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		if r.Header.Get(spareHeader) != "" {
@@ -196,13 +195,13 @@
 			c.extra = nil
 			time.Sleep(2 * time.Millisecond) // the extra answer arrives first
 		}
-		if !s.answer(c, r, body) {
+		if !s.answer(c, r) {
 			return
 		}
 	}
 }
 
-func (s *searcher) answer(c *searcherConn, r *http.Request, body []byte) bool {
+func (s *searcher) answer(c *searcherConn, r *http.Request) bool {
 	attempt := r.Header.Get("Attempt-Id")
 	head := "Attempt-Id: " + attempt + "\r\nInstance-Id: " + s.id + "\r\nKeep-Alive: timeout=15\r\n"
 	if r.URL.Path == "/health" {
@@ -228,7 +227,7 @@
 
 // write sends an answer and reports whether the connection may be used again.
 func (s *searcher) write(c *searcherConn, answer string, status int) bool {
-	if s.duplicate(s, status) {
+	if s.duplicate(status) {
 		c.extra = []byte(answer)
 	}
 	_, err := io.WriteString(c, answer)
--- a/review/standin/second_refusal.go
+++ b/review/standin/second_refusal.go
@@ -22,7 +22,7 @@
 	zones := []string{"cymru-south-a", "cymru-south-b"}
 	var mu sync.Mutex
 	answers, extras, on := 0, 0, false
-	duplicate := func(s *searcher, status int) bool {
+	duplicate := func(status int) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		if !on {
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -15,11 +15,11 @@
 
 // vm is one machine: an address on the loopback network on which a process of the project runs.
 type vm struct {
-	name, zone, ip                  string
+	name, zone, ip                   string
 	front, ready, control, directory string
-	settings                        string
-	root                            string
-	log                             *os.File
+	settings                         string
+	root                             string
+	log                              *os.File
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
