--- a/review/standin/cold_owners.go
+++ b/review/standin/cold_owners.go
@@ -25,7 +25,7 @@
 	sent, at time.Time
 }
 
-// coldOwners kills eleven of twenty processes at the same moment while the three searchers of a service are cold.
+// coldOwners kills fourteen of twenty-four processes at the same moment while the three searchers of a service are cold.
 func coldOwners(d *deployment) (broken []string, err error) {
 	zones := []string{"cymru-south-a", "cymru-south-b", "cymru-south-c"}
 	var mu sync.Mutex
@@ -47,7 +47,7 @@
 	shard["cold_per_s"], shard["cold_start_s"] = coldPerS, coldTime.Seconds()
 	d.configure(7, []map[string]any{route("r-shard", "/shard/", "idempotent", "shard-1", 1200, 200, 2)}, []map[string]any{shard})
 	var at []string
-	for i := range 20 {
+	for i := range 24 {
 		at = append(at, zones[i%3])
 	}
 	if err := d.startVMs(at, 10*time.Second); err != nil {
@@ -86,11 +86,11 @@
 	d.record.line("the three searchers have become cold for %v", coldTime)
 	time.Sleep(1500 * time.Millisecond)
 	if d.trouble {
-		d.record.line("DISRUPTION: 11 of %d processes are killed at the same moment, and start again", len(d.vms))
-		for _, v := range d.vms[:11] {
+		d.record.line("DISRUPTION: 14 of %d processes are killed at the same moment, and start again", len(d.vms))
+		for _, v := range d.vms[:14] {
 			_ = v.cmd.Process.Kill()
 		}
-		for _, v := range d.vms[:11] {
+		for _, v := range d.vms[:14] {
 			<-v.ended
 			if err := v.start(); err != nil {
 				return nil, err
