--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -105,6 +105,8 @@
 	for range 10 { // are new callers served?
 		last = append(last, c.send(left, "GET", "/sync/work/20/late", 2*time.Second, ""))
 	}
+	addrs, _, err := resolve(left, left.zone)
+	d.record.line("readiness check of %s: %v; its directory names %v (%v); its own address is %s", left.name, left.waitReady(time.Second), addrs, err, left.front)
 	mu.Lock()
 	defer mu.Unlock()
 	d.record.line("%d served after the disruption, %d failed, %d cut", served[true], len(failed), len(cut))
