--- a/review/standin/cold_owners.go
+++ b/review/standin/cold_owners.go
@@ -73,7 +73,7 @@
 				mu.Lock()
 				sent[a.id] = time.Now()
 				mu.Unlock()
-				c.exchange(conn, bufio.NewReader(conn), a, "GET", "/shard/work/20/x", 1200*time.Millisecond, "")
+				c.exchange(conn, bufio.NewReader(conn), a, "GET", "/shard/takes/20/x", 1200*time.Millisecond, "")
 				conn.Close()
 			}
 		})
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -103,7 +103,7 @@
 	time.Sleep(3 * time.Second)
 	var last []*attempt
 	for range 10 { // are new callers served?
-		last = append(last, c.send(left, "GET", "/sync/work/20/late", 2*time.Second, ""))
+		last = append(last, c.send(left, "GET", "/sync/takes/20/late", 2*time.Second, ""))
 	}
 	addrs, _, err := resolve(left, left.zone)
 	d.record.line("readiness check of %s: %v; its directory names %v (%v); its own address is %s", left.name, left.waitReady(time.Second), addrs, err, left.front)
@@ -160,7 +160,7 @@
 		if rand.Intn(longEvery) == 0 {
 			work = 1200
 		}
-		c.exchange(conn, reader, a, "GET", fmt.Sprintf("/sync/work/%d/x", work), 5*time.Second, "")
+		c.exchange(conn, reader, a, "GET", fmt.Sprintf("/sync/takes/%d/x", work), 5*time.Second, "")
 		done(a, kept)
 		kept = true
 		if a.err != nil {
--- a/review/standin/late_term.go
+++ b/review/standin/late_term.go
@@ -46,7 +46,7 @@
 	}
 	c := &client{record: d.record, prefix: "b2c3"}
 	for i := range 20 {
-		c.send(d.vms[i%2], "GET", "/sync/work/10/warm", 2*time.Second, "")
+		c.send(d.vms[i%2], "GET", "/sync/takes/10/warm", 2*time.Second, "")
 	}
 	leaving := d.vms[0]
 	addrs, ttl, err := resolve(d.vms[1], zones[0])
@@ -78,7 +78,7 @@
 				return
 			}
 			defer conn.Close()
-			c.exchange(conn, bufio.NewReader(conn), a, "GET", "/sync/work/2600/x", 5*time.Second, "")
+			c.exchange(conn, bufio.NewReader(conn), a, "GET", "/sync/takes/2600/x", 5*time.Second, "")
 			mu.Lock()
 			all = append(all, a)
 			mu.Unlock()
