--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -35,9 +35,11 @@
 	delays := newBackoff()
 	loaded, reached := false, true
 	var asOf clementineport.StorePosition
+	source := storeSource
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
+			source = w.logSource(source, string(vm.ID))
 			if next, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf); ok {
 				asOf = next
 				w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
@@ -45,6 +47,7 @@
 			}
 			requestedAt = w.options.Clock.Now()
 		}
+		source = w.logSource(source, storeSource)
 		update, err := w.fetchFromStore(ctx, loaded, asOf)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
@@ -72,6 +75,15 @@
 	}
 }
 
+// logSource logs where this VM gets its updates from, a VM or the store, if that has changed, and returns it.
+func (w *Watcher) logSource(before, source string) string {
+	if source != before {
+		w.options.Log.Info(string(cplogevent.SourceChanged), zap.String("Source", source), zap.String("Before", before),
+			zap.Duration("ViewAge", w.Age()))
+	}
+	return source
+}
+
 // fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, or its position is before
 // asOf, this VM watches the store itself for upstreamRetryDelay.
 func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.StorePosition) (clementineport.StorePosition, bool) {
@@ -82,7 +94,8 @@
 	if err != nil {
 		w.avoidUpstreamUntil = w.options.Clock.Now().Add(upstreamRetryDelay)
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, _ time.Time) { w.peers.Close(vm.ID) })
-		w.options.Log.Info(string(cplogevent.FollowFailed), zap.String("VM", string(vm.ID)), cplog.Cause("Error", err))
+		w.options.Log.Info(string(cplogevent.FollowFailed), zap.String("VM", string(vm.ID)),
+			zap.Duration("Waited", w.options.Clock.Now().Sub(requestedAt)), zap.Duration("ViewAge", w.Age()), cplog.Cause("Error", err))
 		return clementineport.StorePosition{}, false
 	}
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, requestedAt, update, string(vm.ID)) })
@@ -187,11 +200,12 @@
 		w.options.Log.Info(string(cplogevent.CatchUpFailed), zap.String("VM", string(from)), cplog.Cause("Error", err))
 		return
 	}
+	age := w.Age()
 	w.apply(now, requestedAt, update, string(from))
 	if w.catalog.ApplyRoutes(update.Routes) {
 		// A restore of the store has lost this version, so the other VM may have it from an earlier position than this VM's.
 		w.dirty = true
-		w.logRoutes(string(from))
+		w.logRoutes(age, string(from))
 	}
 }
 
--- a/cpforward/result.go
+++ b/cpforward/result.go
@@ -15,6 +15,8 @@
 	Attempts  int
 	// Via is the VM that ran the request for this one, or empty.
 	Via clementineport.VMID
+	// ViaVersion is the version of the routes by which Via handled the request, or zero.
+	ViaVersion clementineport.Revision
 }
 
 // Failed returns the result of a failed request.
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -23,6 +23,7 @@
 	Registered         Name = "Registered"
 	CatchUpFailed      Name = "CatchUpFailed"
 	FollowFailed       Name = "FollowFailed"
+	SourceChanged      Name = "SourceChanged"
 	PeerUnreached      Name = "PeerUnreached"
 	EntriesRejected    Name = "EntriesRejected"
 	RoutesChanged      Name = "RoutesChanged"
@@ -82,7 +83,7 @@
 // requestFields are the fields of the events that report the end of a request.
 var requestFields = []string{
 	FieldID, "Route", "Status", "Elapsed", "Left", "Version", "ViewAge", "Shards", "Covered", "Sends", "Hedges", "Retries",
-	"Refused", "Target", "TargetVersion", "Workspace", "Via", "LeftOut", "Verdict", "Reason", "WriteError",
+	"Refused", "Target", "TargetVersion", "Workspace", "Via", "ViaVersion", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
 var kinds = []Kind{
@@ -101,10 +102,11 @@
 	{RegistrationFailed, []string{"Error"}, "this VM could not register or renew its registration; it goes on trying"},
 	{Registered, nil, "this VM is registered in the store, or again"},
 	{CatchUpFailed, []string{FieldVM, "Error"}, "another VM could not be asked for news while the store is away"},
-	{FollowFailed, []string{FieldVM, "Error"}, "another VM, which follows the store for this one, did not answer; this VM follows the store itself for a while"},
+	{FollowFailed, []string{FieldVM, "Waited", "ViewAge", "Error"}, "another VM, which follows the store for this one, did not answer, or not in time; this VM follows the store itself for a while"},
+	{SourceChanged, []string{"Source", "Before", "ViewAge"}, "this VM now gets its updates from Source, another VM or the store, and no longer from Before"},
 	{PeerUnreached, []string{FieldVM, "Error"}, "another VM did not answer"},
 	{EntriesRejected, []string{"Faults", "Source"}, "entries of the store that cannot be read; they name no target"},
-	{RoutesChanged, []string{"Version", "Routes", "Source"}, "a new version of the routes is in force here"},
+	{RoutesChanged, []string{"Version", "Routes", "ViewAge", "Source"}, "a new version of the routes is in force here; the store has had it for ViewAge at most"},
 	{FleetChanged, []string{"From", "Era", "AsOf", "Targets", "VMs", "Registered", "Gone", "Source"}, "targets, VMs or failure domains changed"},
 	{TargetCold, []string{"Target", "Service", "ColdLeft"}, "a target that was warm says that it is cold"},
 	{TargetLeaving, []string{"Target", "Born", "Source"}, "a target has said that it is shutting down, to this VM (Source is Target) or to another one; it gets no further requests until it starts again"},
--- a/cpplatformvm/observe.go
+++ b/cpplatformvm/observe.go
@@ -47,7 +47,7 @@
 		fields = append(fields, zap.String("Workspace", string(e.Workspace)))
 	}
 	if e.Via != "" {
-		fields = append(fields, zap.String("Via", string(e.Via)))
+		fields = append(fields, zap.String("Via", string(e.Via)), zap.Uint64("ViaVersion", uint64(e.ViaVersion)))
 	}
 	if len(e.Stats.LeftOut) > 0 {
 		fields = append(fields, zap.Array("LeftOut", leftOut(e.Stats.LeftOut)))
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -141,6 +141,7 @@
 		result.Err = &clementineport.Error{Fault: clementineport.FaultOf(err), Reason: "rerouted to " + string(vm.ID), Err: err}
 	} else {
 		result.OpaqueResult, result.Stats = answer.OpaqueResult, stats(&answer.OpaqueResult)
+		result.ViaVersion = answer.Version
 		s.observeVersion(answer.Version)
 	}
 	s.options.OnSent(r, vm.ID, result.Err, s.options.Clock.Now().Sub(began))
