Pass updates on only at VMs that get them from the store

Callers saw a confirmed change that was not in force in time. Cause: a VM served updates to others also while it got its own from another one. A VM in between now refuses the wait for changes, and the caller turns to the store. The full state is still given to a VM that has lost the store. TestAVMThatGetsItsUpdatesFromAnotherPassesNoneOn failed before (no error).

--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -43,6 +43,8 @@
 	lastPeerContact atomic.Pointer[time.Time]
 	// updated is closed and replaced after each update, including one that reports no change.
 	updated atomic.Pointer[chan struct{}]
+	// source is where this VM gets its updates from: storeSource or the id of a VM. Only watchStore sets it.
+	source atomic.Pointer[string]
 	// avoidUpstreamUntil is the time until which this VM watches the store itself because its upstream VM failed.
 	// Only watchStore accesses it.
 	avoidUpstreamUntil time.Time
@@ -108,6 +110,8 @@
 	w.lastPeerContact.Store(&zero)
 	none := make(chan struct{})
 	w.updated.Store(&none)
+	source := storeSource
+	w.source.Store(&source)
 	w.registration = cpregistration.New(append([]cpregistration.Option{
 		cpregistration.WithVM(options.Self.VM), cpregistration.WithView(w.View), cpregistration.WithClock(options.Clock),
 		cpregistration.WithLog(options.Log),
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -11,7 +11,8 @@
 // Config implements cppeer.Handler. It returns the changes after the position have, and waits until there is a change or
 // the store has confirmed that there is none. For revision zero it returns the full state at once. It fails when this VM
 // has not heard from the store for MaxServedAge, or knows only an earlier era of it, so that the caller can turn to the
-// store instead.
+// store instead. It also fails when this VM gets its own updates from another one: with each VM in between, a change would take
+// longer to come into force.
 func (w *Watcher) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	began := w.options.Clock.Now()
 	lastCall := began.Add(-w.options.WatchPeriod / upstreamPollFactor) // when the caller probably called before
@@ -26,6 +27,9 @@
 			update.Age -= waited
 			return encodeUpdate(update)
 		}
+		if source := *w.source.Load(); source != storeSource {
+			return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM gets its updates from %s itself", source)
+		}
 		left := w.options.MaxServedAge() - max(update.Age, waited)
 		if left <= 0 {
 			return nil, clementineport.Fail(clementineport.FaultStale, "the store was last heard %v ago", update.Age)
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -210,3 +210,23 @@
 	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
 	await(t, "the others get the update from the store, and the three from them", func() bool { return d.allHave("x") })
 }
+
+// TestAVMThatGetsItsUpdatesFromAnotherPassesNoneOn guards against chains of VMs, which add to the time in which a change comes
+// into force.
+func TestAVMThatGetsItsUpdatesFromAnotherPassesNoneOn(t *testing.T) {
+	d := newDomain(t, 6)
+	watchers := d.storeWatchers(t)
+	for id, w := range d.vms {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		whole, err := w.Config(ctx, clementineport.StorePosition{})
+		assert.NilError(t, err, "a VM without the store may get the full state of any other")
+		assert.Assert(t, whole != nil)
+		_, err = w.Config(ctx, w.View().AsOf)
+		cancel()
+		if watchers[id] {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorContains(t, err, "gets its updates from")
+	}
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -35,11 +35,10 @@
 	delays := newBackoff()
 	loaded, reached := false, true
 	var asOf clementineport.StorePosition
-	source := storeSource
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
-			source = w.logSource(source, string(vm.ID))
+			w.setSource(string(vm.ID))
 			if next, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf); ok {
 				asOf = next
 				w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
@@ -47,7 +46,7 @@
 			}
 			requestedAt = w.options.Clock.Now()
 		}
-		source = w.logSource(source, storeSource)
+		w.setSource(storeSource)
 		update, err := w.fetchFromStore(ctx, loaded, asOf)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
@@ -75,13 +74,12 @@
 	}
 }
 
-// logSource logs where this VM gets its updates from, a VM or the store, if that has changed, and returns it.
-func (w *Watcher) logSource(before, source string) string {
-	if source != before {
+// setSource records where this VM gets its updates from, a VM or the store, and logs it if that has changed.
+func (w *Watcher) setSource(source string) {
+	if before := *w.source.Swap(&source); before != source {
 		w.options.Log.Info(string(cplogevent.SourceChanged), zap.String("Source", source), zap.String("Before", before),
 			zap.Duration("ViewAge", w.Age()))
 	}
-	return source
 }
 
 // fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, or its position is before
