--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -30,6 +30,11 @@
 	// maxServedAgeFactor, times WatchPeriod plus WatchWait, is the age at which a view is no longer served to other VMs:
 	// an answer of the store is overdue by then.
 	maxServedAgeFactor = 1.1
+	// maxFollowedAgeFactor, times WatchWait, is the view age at which a VM stops waiting for its upstream VM, which is confirmed
+	// every WatchWait. It leaves time for a call to the store before a change must be in force.
+	maxFollowedAgeFactor = 1.4
+	// minWatchWaitShare is the part of WatchWait for which the store holds a watch open at least.
+	minWatchWaitShare = 0.25
 	// upstreamPollFactor is how many times as often an upstream VM may be called as the store; these calls put no load on
 	// the store.
 	upstreamPollFactor = 4
@@ -166,6 +171,16 @@
 	return time.Duration(maxServedAgeFactor * float64(o.WatchPeriod+o.WatchWait))
 }
 
+// MaxFollowedAge returns the view age above which this VM doesn't wait for its upstream VM.
+func (o *Options) MaxFollowedAge() time.Duration {
+	return time.Duration(maxFollowedAgeFactor * float64(o.WatchWait))
+}
+
+// MinWatchWait returns how long the store holds a watch open at least.
+func (o *Options) MinWatchWait() time.Duration {
+	return time.Duration(minWatchWaitShare * float64(o.WatchWait))
+}
+
 // WithStoreWatchers sets the number of VMs per failure domain that watch the store.
 func WithStoreWatchers(n int) Option { return func(o *Options) { o.StoreWatchers = n } }
 
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -46,11 +48,14 @@
 }
 
 // Next implements clementineport.FleetSource.
-func (c storeClient) Next(_ context.Context, after clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
+func (c storeClient) Next(ctx context.Context, after clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
 	c.mu.Lock()
 	c.calls[c.id]++
 	c.mu.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		c.mu.Lock()
 		n, unavailable := int(after.Revision-c.initial.AsOf.Revision), c.unavailable[c.id]
 		if unavailable {
@@ -76,12 +81,16 @@
 
 	mu   sync.Mutex
 	down map[clementineport.VMID]bool
+	// silent holds the VMs that don't answer.
+	silent map[clementineport.VMID]bool
 }
 
 // newDomain starts n VMs, of which three are to watch the store.
-func newDomain(t *testing.T, n int) *domain {
+func newDomain(t *testing.T, n int, opts ...cpfleetwatch.Option) *domain {
 	t.Helper()
-	d := &domain{vms: map[clementineport.VMID]*cpfleetwatch.Watcher{}, down: map[clementineport.VMID]bool{}}
+	d := &domain{
+		vms: map[clementineport.VMID]*cpfleetwatch.Watcher{}, down: map[clementineport.VMID]bool{}, silent: map[clementineport.VMID]bool{},
+	}
 	d.store = &fakeStore{
 		initial: &clementineport.FleetUpdate{AsOf: clementineport.StorePosition{Revision: 1}, Whole: true, Routes: &clementineport.RouteTable{
 			Version: 5, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
@@ -93,11 +102,14 @@
 		id := clementineport.VMID(fmt.Sprintf("vm-%d", i))
 		d.store.initial.VMs = append(d.store.initial.VMs, clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)})
 	}
+	t.Cleanup(func() { time.Sleep(10 * time.Millisecond) }) // the calls of the watchers that were stopped end
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, vm := range d.store.initial.VMs {
-		d.vms[vm.ID] = startWatcher(t, vm.ID, cpfleetwatch.WithSource(storeClient{d.store, vm.ID}), cpfleetwatch.WithDial(d.dial),
-			cpfleetwatch.WithWatchTimes(20*time.Millisecond, 200*time.Millisecond))
+		d.vms[vm.ID] = startWatcher(t, vm.ID, append([]cpfleetwatch.Option{
+			cpfleetwatch.WithSource(storeClient{d.store, vm.ID}), cpfleetwatch.WithDial(d.dial),
+			cpfleetwatch.WithWatchTimes(20*time.Millisecond, 200*time.Millisecond),
+		}, opts...)...)
 	}
 	return d
 }
@@ -119,13 +131,22 @@
 
 // Config implements cppeer.Handler.
 func (h peerHandler) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
-	h.d.mu.Lock()
-	down := h.d.down[h.id]
-	h.d.mu.Unlock()
-	if down {
+	if h.is(h.d.down) {
 		return nil, clementineport.Fail(clementineport.FaultRefused, "down")
 	}
-	return h.Watcher.Config(ctx, have)
+	cfg, err := h.Watcher.Config(ctx, have)
+	if h.is(h.d.silent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return cfg, err
+}
+
+// is reports whether the VM is one of a set.
+func (h peerHandler) is(set map[clementineport.VMID]bool) bool {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	return set[h.id]
 }
 
 // storeWatchers waits until exactly three VMs call the store, and returns them.
@@ -230,3 +251,51 @@
 		assert.ErrorContains(t, err, "gets its updates from")
 	}
 }
+
+// Times of the watch, and the time in which a change must be in force with them: the shares of it are those of the programs.
+const (
+	testApplyTime   = time.Second
+	testWatchPeriod = 300 * time.Millisecond
+	testWatchWait   = 400 * time.Millisecond
+)
+
+// TestAChangeIsInForceInTimeWhenUpstreamVMsFallSilent guards against VMs that wait for a VM which has ended, for longer than a
+// change may take to come into force.
+func TestAChangeIsInForceInTimeWhenUpstreamVMsFallSilent(t *testing.T) {
+	for pause := time.Duration(0); pause < testWatchPeriod+testWatchWait; pause += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) { testSilentUpstreamVMs(t, pause) })
+	}
+}
+
+// testSilentUpstreamVMs lets the VMs that watch the store fall silent a time after a change, just before another one.
+func testSilentUpstreamVMs(t *testing.T, pause time.Duration) {
+	d := newDomain(t, 9, cpfleetwatch.WithWatchTimes(testWatchPeriod, testWatchWait))
+	watchers := d.storeWatchers(t)
+	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+	await(t, "the first target", func() bool { return d.allHave("x") })
+	time.Sleep(pause)
+	d.mu.Lock()
+	maps.Copy(d.silent, watchers)
+	d.mu.Unlock()
+	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("y")}})
+	time.Sleep(testApplyTime)
+	for id, w := range d.vms {
+		assert.Equal(t, len(w.View().Services["s"]), 2, "%s has a view that is %v old, with a pause of %v", id, w.Age(), pause)
+	}
+}
+
+// TestTheViewStaysFreshAfterAChange guards against a pause and a whole wait for the next change without any confirmation, which
+// leave less of the time in which a change must be in force.
+func TestTheViewStaysFreshAfterAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 1, cpfleetwatch.WithWatchTimes(testWatchPeriod, testWatchWait))
+		w := d.vms["vm-0"]
+		d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+		await(t, "the target", func() bool { return d.allHave("x") })
+		oldest := time.Duration(0)
+		for end := time.Now().Add(testApplyTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			oldest = max(oldest, w.Age())
+		}
+		assert.Assert(t, oldest < testWatchPeriod+testWatchWait/2, "the view was %v old", oldest)
+	})
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -35,10 +35,13 @@
 	delays := newBackoff()
 	loaded, reached := false, true
 	var asOf clementineport.StorePosition
+	// confirmed is when the latest answer of the store was current, or zero after an answer of another VM.
+	var confirmed time.Time
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
 			w.setSource(string(vm.ID))
+			confirmed = time.Time{}
 			if next, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf); ok {
 				asOf = next
 				w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
@@ -47,7 +50,8 @@
 			requestedAt = w.options.Clock.Now()
 		}
 		w.setSource(storeSource)
-		update, err := w.fetchFromStore(ctx, loaded, asOf)
+		wait := w.watchWait(requestedAt, confirmed)
+		update, err := w.fetchFromStore(ctx, loaded, asOf, wait)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
 			if reached {
@@ -62,18 +66,29 @@
 		}
 		took := w.options.Clock.Now().Sub(requestedAt)
 		confirmedAt := requestedAt
-		if loaded && !update.HasChanges() && took >= w.options.WatchWait {
-			confirmedAt = requestedAt.Add(w.options.WatchWait) // the store saw no change during the full wait
+		if loaded && !update.HasChanges() && took >= wait {
+			confirmedAt = requestedAt.Add(wait) // the store saw no change during the full wait
 		}
 		loaded, reached, asOf = true, true, update.AsOf
 		delays.Reset()
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
 		if !update.Partial {
+			confirmed = confirmedAt
 			w.sleep(ctx, w.options.WatchPeriod-took)
 		}
 	}
 }
 
+// watchWait returns how long the store may hold the next watch open: until WatchWait after the view was last confirmed, so that the
+// pause after a change doesn't add to the age of the view.
+func (w *Watcher) watchWait(now, confirmed time.Time) time.Duration {
+	age := w.Age()
+	if !confirmed.IsZero() {
+		age = now.Sub(confirmed)
+	}
+	return max(w.options.WatchWait-age, w.options.MinWatchWait())
+}
+
 // setSource records where this VM gets its updates from, a VM or the store, and logs it if that has changed.
 func (w *Watcher) setSource(source string) {
 	if before := *w.source.Swap(&source); before != source {
@@ -82,8 +97,8 @@
 	}
 }
 
-// fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, or its position is before
-// asOf, this VM watches the store itself for upstreamRetryDelay.
+// fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, its position is before asOf, or
+// this VM's view reaches MaxFollowedAge, this VM watches the store itself for upstreamRetryDelay.
 func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.StorePosition) (clementineport.StorePosition, bool) {
 	update, err := w.fetchUpdate(ctx, vm, asOf)
 	if err == nil && update.AsOf.Before(asOf) {
@@ -110,11 +125,11 @@
 }
 
 // fetchFromStore loads the full state, or the changes after asOf once it is loaded.
-func (w *Watcher) fetchFromStore(ctx context.Context, loaded bool, asOf clementineport.StorePosition) (*clementineport.FleetUpdate, error) {
+func (w *Watcher) fetchFromStore(ctx context.Context, loaded bool, asOf clementineport.StorePosition, wait time.Duration) (*clementineport.FleetUpdate, error) {
 	if !loaded {
 		return w.options.Source.Load(ctx)
 	}
-	return w.options.Source.Next(ctx, asOf, w.options.WatchWait)
+	return w.options.Source.Next(ctx, asOf, wait)
 }
 
 // sleep waits for d or until ctx ends.
