Count an update as part of the view before it is applied, and test upstream VMs in virtual time

Four tests of that package failed (three VMs watch the store: not within 20s). They ran on the clock of the machine; in virtual time they ask the same.

--- a/cpfleetwatch/upstream.go
+++ b/cpfleetwatch/upstream.go
@@ -19,9 +19,9 @@
 	return cpupstream.Choose(&w.options.Self, w.View().Members, w.options.StoreWatchers)
 }
 
-// fetchUpdate gets the changes after a position from another VM, waiting until the view has reached MaxFollowedAge.
-func (w *Watcher) fetchUpdate(ctx context.Context, vm clementineport.VM, after clementineport.StorePosition) (*clementineport.FleetUpdate, error) {
-	call, cancel := context.WithTimeout(ctx, w.options.MaxFollowedAge()-w.Age())
+// fetchUpdate gets the changes after a position from another VM.
+func (w *Watcher) fetchUpdate(ctx context.Context, vm clementineport.VM, after clementineport.StorePosition, timeout time.Duration) (*clementineport.FleetUpdate, error) {
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	peer, err := w.peer(call, vm)
 	if err != nil {
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -195,61 +195,69 @@
 }
 
 func TestThreeVMsOfADomainFollowTheStoreForAll(t *testing.T) {
-	d := newDomain(t, 9)
-	await(t, "six VMs get updates from the others", func() bool { return len(d.storeCallers(500*time.Millisecond)) == 3 })
-	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}})
-	await(t, "both targets", func() bool { return d.allHave("x", "y") })
-	d.store.add(&clementineport.FleetUpdate{Gone: []clementineport.TargetID{"x"}})
-	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("z")}})
-	await(t, "x is removed and z is added", func() bool { return d.allHave("y", "z") })
-	for id, w := range d.vms {
-		assert.Assert(t, w.Age() < 2*time.Second, "%s had no confirmation for %v", id, w.Age())
-	}
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 9)
+		await(t, "six VMs get updates from the others", func() bool { return len(d.storeCallers(500*time.Millisecond)) == 3 })
+		d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x"), targetInstance("y")}})
+		await(t, "both targets", func() bool { return d.allHave("x", "y") })
+		d.store.add(&clementineport.FleetUpdate{Gone: []clementineport.TargetID{"x"}})
+		d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("z")}})
+		await(t, "x is removed and z is added", func() bool { return d.allHave("y", "z") })
+		for id, w := range d.vms {
+			assert.Assert(t, w.Age() < 2*time.Second, "%s had no confirmation for %v", id, w.Age())
+		}
+	})
 }
 
 func TestAVMFollowsTheStoreItselfWhenTheOthersDoNotAnswer(t *testing.T) {
-	d := newDomain(t, 6)
-	watchers := d.storeWatchers(t)
-	d.mu.Lock()
-	for id := range watchers {
-		d.down[id] = true
-	}
-	d.mu.Unlock()
-	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
-	await(t, "all VMs call the store", func() bool { return len(d.storeCallers(500*time.Millisecond)) == 6 })
-	assert.Assert(t, d.allHave("x"))
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 6)
+		watchers := d.storeWatchers(t)
+		d.mu.Lock()
+		for id := range watchers {
+			d.down[id] = true
+		}
+		d.mu.Unlock()
+		d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+		await(t, "all VMs call the store", func() bool { return len(d.storeCallers(500*time.Millisecond)) == 6 })
+		assert.Assert(t, d.allHave("x"))
+	})
 }
 
 func TestAVMThatHasLostTheStoreIsNotFollowed(t *testing.T) {
-	d := newDomain(t, 6)
-	watchers := d.storeWatchers(t)
-	d.store.mu.Lock()
-	for id := range watchers {
-		d.store.unavailable[id] = true
-	}
-	d.store.mu.Unlock()
-	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
-	await(t, "the others get the update from the store, and the three from them", func() bool { return d.allHave("x") })
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 6)
+		watchers := d.storeWatchers(t)
+		d.store.mu.Lock()
+		for id := range watchers {
+			d.store.unavailable[id] = true
+		}
+		d.store.mu.Unlock()
+		d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+		await(t, "the others get the update from the store, and the three from them", func() bool { return d.allHave("x") })
+	})
 }
 
 // TestAVMThatGetsItsUpdatesFromAnotherPassesNoneOn guards against chains of VMs, which add to the time in which a change comes
 // into force.
 func TestAVMThatGetsItsUpdatesFromAnotherPassesNoneOn(t *testing.T) {
-	d := newDomain(t, 6)
-	watchers := d.storeWatchers(t)
-	for id, w := range d.vms {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		whole, err := w.Config(ctx, clementineport.StorePosition{})
-		assert.NilError(t, err, "a VM without the store may get the full state of any other")
-		assert.Assert(t, whole != nil)
-		_, err = w.Config(ctx, w.View().AsOf)
-		cancel()
-		if watchers[id] {
-			assert.NilError(t, err)
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 6)
+		watchers := d.storeWatchers(t)
+		for id, w := range d.vms {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			whole, err := w.Config(ctx, clementineport.StorePosition{})
+			assert.NilError(t, err, "a VM without the store may get the full state of any other")
+			assert.Assert(t, whole != nil)
+			_, err = w.Config(ctx, w.View().AsOf)
+			cancel()
+			if watchers[id] {
+				assert.NilError(t, err)
+				continue
+			}
+			assert.ErrorContains(t, err, "gets its updates from")
 		}
-		assert.ErrorContains(t, err, "gets its updates from")
-	}
+	})
 }
 
 // Times of the watch, and the time in which a change must be in force with them: the shares of it are those of the programs.
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -35,22 +35,21 @@
 	delays := newBackoff()
 	loaded, reached := false, true
 	var asOf clementineport.StorePosition
-	// confirmed is when the latest answer of the store was current, or zero after an answer of another VM.
+	// confirmed is when the latest update was current, which may not have been applied yet.
 	var confirmed time.Time
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
 			w.setSource(string(vm.ID))
-			confirmed = time.Time{}
-			if next, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf); ok {
-				asOf = next
+			if update, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf, w.age(requestedAt, confirmed)); ok {
+				asOf, confirmed = update.AsOf, requestedAt.Add(-update.Age)
 				w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
 				continue
 			}
 			requestedAt = w.options.Clock.Now()
 		}
 		w.setSource(storeSource)
-		wait := w.watchWait(requestedAt, confirmed)
+		wait := w.watchWait(w.age(requestedAt, confirmed))
 		update, err := w.fetchFromStore(ctx, loaded, asOf, wait)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
@@ -79,13 +78,14 @@
 	}
 }
 
+// age returns the age of the view once the latest update, which was current at confirmed, is applied.
+func (w *Watcher) age(now, confirmed time.Time) time.Duration {
+	return min(w.Age(), now.Sub(confirmed))
+}
+
 // watchWait returns how long the store may hold the next watch open: until WatchWait after the view was last confirmed, so that the
 // pause after a change doesn't add to the age of the view.
-func (w *Watcher) watchWait(now, confirmed time.Time) time.Duration {
-	age := w.Age()
-	if !confirmed.IsZero() {
-		age = now.Sub(confirmed)
-	}
+func (w *Watcher) watchWait(age time.Duration) time.Duration {
 	return max(w.options.WatchWait-age, w.options.MinWatchWait())
 }
 
@@ -97,10 +97,10 @@
 	}
 }
 
-// fetchFromUpstream gets an update from another VM and returns its position. If that VM fails, its position is before asOf, or
-// this VM's view reaches MaxFollowedAge, this VM watches the store itself for upstreamRetryDelay.
-func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.StorePosition) (clementineport.StorePosition, bool) {
-	update, err := w.fetchUpdate(ctx, vm, asOf)
+// fetchFromUpstream gets an update from another VM. If that VM fails, its position is before asOf, or this VM's view, of the given
+// age, reaches MaxFollowedAge, this VM watches the store itself for upstreamRetryDelay.
+func (w *Watcher) fetchFromUpstream(ctx context.Context, vm clementineport.VM, requestedAt time.Time, asOf clementineport.StorePosition, age time.Duration) (*clementineport.FleetUpdate, bool) {
+	update, err := w.fetchUpdate(ctx, vm, asOf, w.options.MaxFollowedAge()-age)
 	if err == nil && update.AsOf.Before(asOf) {
 		err = errBehind
 	}
@@ -109,10 +109,10 @@
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, _ time.Time) { w.peers.Close(vm.ID) })
 		w.options.Log.Info(string(cplogevent.FollowFailed), zap.String("VM", string(vm.ID)),
 			zap.Duration("Waited", w.options.Clock.Now().Sub(requestedAt)), zap.Duration("ViewAge", w.Age()), cplog.Cause("Error", err))
-		return clementineport.StorePosition{}, false
+		return nil, false
 	}
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, requestedAt, update, string(vm.ID)) })
-	return update.AsOf, true
+	return update, true
 }
 
 // retryDelay returns the delay before the next call to the store.
