Catch up at once with a VM that handles requests by newer routes, and refuse nothing for good until then

Callers could see the effect of a version and then be refused by an earlier one (came back older, an added route not served). Cause: a VM that has lost its path to the targets has other VMs run its requests, which may have newer routes already. It kept to their version for requests that it passed on, but matched routes and keys by its own, and answered 404 or 401 for what they serve, until the next update reached it. The sender now tells the watcher, which gets the full state from that VM at once, and a refusal until then says that the request may be sent again. A key that was revoked is still accepted until the full state has come.

--- a/cpfleetwatch/restore_test.go
+++ b/cpfleetwatch/restore_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -214,3 +215,18 @@
 	await(t, "the routes that the store has lost", func() bool { return routesVersion(late) == 9 })
 	assert.Equal(t, late.StoreEra(), clementineport.StoreEra(2))
 }
+
+// TestAVMCatchesUpAtOnceWithOneThatHasNewerRoutes guards against requests that are handled by newer routes at another VM, and by
+// earlier ones here until the next update.
+func TestAVMCatchesUpAtOnceWithOneThatHasNewerRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		newer := startWatcher(t, "newer", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 9}, version: 6}))
+		w := startWatcher(t, "vm", cpfleetwatch.WithSource(&fakeSource{asOf: clementineport.StorePosition{Revision: 8}, version: 5}),
+			cpfleetwatch.WithWatchTimes(time.Hour, time.Hour),
+			cpfleetwatch.WithDial(func(clementineport.VM) clementineport.Peer { return cppeer.New(cppeer.WithHandler(newer)) }))
+		await(t, "the first states", func() bool { return routesVersion(w) == 5 && routesVersion(newer) == 6 })
+		w.NewerRoutes(clementineport.VM{ID: "newer", Peer: "newer"}, 6)
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, routesVersion(w), clementineport.Revision(6))
+	})
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -166,6 +166,18 @@
 	w.newerRoutes.vm, w.newerRoutes.version = vm, version
 }
 
+// NewerRoutes records that another VM handles requests by a version of the routes, and gets its full state at once if that version is
+// newer than this VM's. It does not block.
+func (w *Watcher) NewerRoutes(vm clementineport.VM, version clementineport.Revision) {
+	observe := func(ctx context.Context, w *Watcher, now time.Time) {
+		if version > w.routesVersion() {
+			w.newerRoutes = newerRoutes{vm: vm, version: version}
+			w.catchUp(ctx, now)
+		}
+	}
+	go func() { w.events <- observe }()
+}
+
 // catchUpFrom returns the VM to request the full state from, if that is needed: any VM when this VM has not heard from the store
 // for StoreLostAfter, or a VM with newer routes when the store has not provided them for longer than a change takes, since a
 // restore has lost them.
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -194,6 +194,7 @@
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
 		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
+		cpreroute.WithOnNewerRoutes(p.watcher.NewerRoutes),
 	}
 	p.sender = cpreroute.NewSender(append(reroute, cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry))...)
 	p.receiver = cpreroute.NewReceiver(append(reroute, cpreroute.WithForward(p.forwardRerouted, nil, nil))...)
@@ -208,6 +209,7 @@
 	)
 	p.front = cpfront.New(
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
+		cpfront.WithBehind(p.sender.Behind),
 		cpfront.WithAdmit(p.admit),
 		cpfront.WithForward(p.limiter.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -58,6 +58,16 @@
 	return max(own, s.version), own < s.version
 }
 
+// Behind reports whether another VM has handled a request for this one by newer routes than this VM's.
+func (s *Sender) Behind() bool {
+	view := s.options.View()
+	if view.Router == nil {
+		return false
+	}
+	_, behind := s.lowestVersion(view)
+	return behind
+}
+
 // reroute has another VM run a request, or a further one if the first has not run it. If there is none, this VM runs it itself
 // while its open connections still work.
 func (s *Sender) reroute(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) *cpforward.Result {
@@ -142,7 +152,7 @@
 	} else {
 		result.OpaqueResult, result.Stats = answer.OpaqueResult, stats(&answer.OpaqueResult)
 		result.ViaVersion = answer.Version
-		s.observeVersion(answer.Version)
+		s.observeVersion(vm, answer.Version)
 	}
 	s.options.OnSent(r, vm.ID, result.Err, s.options.Clock.Now().Sub(began))
 	return result
@@ -169,10 +179,16 @@
 	}
 }
 
-func (s *Sender) observeVersion(v clementineport.Revision) {
+// observeVersion records the version of the routes by which a VM has handled a request.
+func (s *Sender) observeVersion(vm clementineport.VM, version clementineport.Revision) {
+	own := s.options.View().Router.Table().Version
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version = max(s.version, v)
+	newer := version > max(own, s.version)
+	s.version = max(s.version, version)
+	s.mu.Unlock()
+	if newer {
+		s.options.OnNewerRoutes(vm, version)
+	}
 }
 
 // mayTryAnother reports whether another VM may run the request after a failure at one: that VM is not able to run any, or the
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -45,6 +45,8 @@
 	called []clementineport.VMID
 	// budget is the number of retries left.
 	budget int
+	// newer are the VMs that were found to have newer routes.
+	newer []clementineport.VMID
 }
 
 func table(version clementineport.Revision) *cproute.Router {
@@ -118,7 +120,8 @@
 		return &cpforward.Result{OpaqueResult: served(5).OpaqueResult}
 	}
 	return cpreroute.NewSender(cpreroute.WithView(func() *cpfleetstate.View { return f.view }), cpreroute.WithReach(f.reach),
-		cpreroute.WithForward(forward, stay, spend), cpreroute.WithPeers(f))
+		cpreroute.WithForward(forward, stay, spend), cpreroute.WithPeers(f),
+		cpreroute.WithOnNewerRoutes(func(vm clementineport.VM, _ clementineport.Revision) { f.newer = append(f.newer, vm.ID) }))
 }
 
 func (f *fleet) member(id clementineport.VMID) *clementineport.Member {
@@ -287,3 +290,21 @@
 	assert.Assert(t, f.sender().Forward(t.Context(), route(true), request()).Part != nil)
 	assert.Equal(t, f.stayed, 1)
 }
+
+// TestAVMWhoseRequestsAreHandledByNewerRoutesIsBehind guards against callers that see the effect of a version and then that of
+// an earlier one.
+func TestAVMWhoseRequestsAreHandledByNewerRoutesIsBehind(t *testing.T) {
+	f := newFleet("a")
+	sender := f.sender()
+	assert.Assert(t, !sender.Behind())
+	f.answer = func(clementineport.VMID, *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+		return served(6), nil
+	}
+	for range 2 {
+		assert.Assert(t, sender.Forward(t.Context(), route(true), request()).Part != nil)
+		assert.Assert(t, sender.Behind())
+	}
+	assert.DeepEqual(t, f.newer, []clementineport.VMID{"a"})
+	f.view = &cpfleetstate.View{Self: f.view.Self, Members: f.view.Members, Router: table(6)}
+	assert.Assert(t, !sender.Behind())
+}
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -50,6 +50,9 @@
 	OnSent func(r *clementineport.ReroutedRequest, to clementineport.VMID, err *clementineport.Error, elapsed time.Duration)
 	// OnReceived is called when a request of another VM has ended.
 	OnReceived func(r *clementineport.ReroutedRequest, result *cpforward.Result, elapsed time.Duration)
+	// OnNewerRoutes is called when another VM has handled a request by a version of the routes that is newer than this VM's and
+	// than all before. It must not block.
+	OnNewerRoutes func(vm clementineport.VM, version clementineport.Revision)
 	// RetryAfter is the retry delay of a request that no VM can run.
 	RetryAfter time.Duration
 }
@@ -60,12 +63,13 @@
 // NewOptions returns the defaults changed by opts.
 func NewOptions(opts ...Option) Options {
 	options := Options{
-		Clock:      clockwork.NewRealClock(),
-		SpendRetry: func([]clementineport.ServiceID) bool { return false },
-		Admit:      func() *clementineport.Error { return nil },
-		OnSent:     func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration) {},
-		OnReceived: func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration) {},
-		RetryAfter: DefaultRetryAfter,
+		Clock:         clockwork.NewRealClock(),
+		SpendRetry:    func([]clementineport.ServiceID) bool { return false },
+		Admit:         func() *clementineport.Error { return nil },
+		OnSent:        func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration) {},
+		OnReceived:    func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration) {},
+		OnNewerRoutes: func(clementineport.VM, clementineport.Revision) {},
+		RetryAfter:    DefaultRetryAfter,
 	}
 	for _, o := range opts {
 		o(&options)
@@ -105,3 +109,8 @@
 func WithOnReceived(f func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration)) Option {
 	return func(o *Options) { o.OnReceived = f }
 }
+
+// WithOnNewerRoutes sets the function that is called when another VM has handled a request by newer routes than this VM's.
+func WithOnNewerRoutes(f func(clementineport.VM, clementineport.Revision)) Option {
+	return func(o *Options) { o.OnNewerRoutes = f }
+}
