--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -206,7 +206,7 @@
 
 // apply applies an update that was requested at requestedAt and logs what changed.
 func (w *Watcher) apply(now, requestedAt time.Time, update *clementineport.FleetUpdate, source string) {
-	before, version, age := w.catalog.AsOf(), w.routesVersion(), now.Sub(w.catalog.Confirmed())
+	before, version, replaced := w.catalog.AsOf(), w.routesVersion(), w.catalog.Confirmed()
 	cooled := w.newlyCold(now, update)
 	w.applyNews(now, &update.TargetNews, source)
 	changed := w.catalog.Apply(now, requestedAt, update)
@@ -232,18 +232,23 @@
 			zap.Duration("ColdLeft", d.ColdLeft))
 	}
 	if w.routesVersion() != version {
-		w.logRoutes(age, source)
+		w.logRoutes(now, replaced, source)
 	}
 	w.options.Log.Info(string(cplogevent.FleetChanged), zap.Uint64("From", uint64(before.Revision)), cplog.Position(w.catalog.AsOf()),
 		zap.Int("Targets", len(w.catalog.Targets())), zap.Int("VMs", len(w.catalog.VMs())),
 		zap.Int("Registered", len(update.Targets)), zap.Int("Gone", len(update.Gone)), zap.String("Source", source))
 }
 
-// logRoutes logs the version of the routes that is now in force. The store has had it for viewAge, the age of the view that it
-// replaces, at most.
-func (w *Watcher) logRoutes(viewAge time.Duration, source string) {
-	w.options.Log.Info(string(cplogevent.RoutesChanged), zap.Uint64("Version", uint64(w.routesVersion())),
-		zap.Int("Routes", len(w.catalog.Routes().Routes)), zap.Duration("ViewAge", viewAge), zap.String("Source", source))
+// logRoutes logs the version of the routes that is now in force. The store has had it since replaced at the earliest, when the view
+// was last known to be complete before; zero means that there was none.
+func (w *Watcher) logRoutes(now, replaced time.Time, source string) {
+	fields := []zap.Field{
+		zap.Uint64("Version", uint64(w.routesVersion())), zap.Int("Routes", len(w.catalog.Routes().Routes)), zap.String("Source", source),
+	}
+	if !replaced.IsZero() {
+		fields = append(fields, zap.Duration("ViewAge", now.Sub(replaced)))
+	}
+	w.options.Log.Info(string(cplogevent.RoutesChanged), fields...)
 }
 
 // storeRestored logs that the store was restored and makes this VM register again.
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -225,12 +225,12 @@
 		w.options.Log.Info(string(cplogevent.CatchUpFailed), zap.String("VM", string(from)), cplog.Cause("Error", err))
 		return
 	}
-	age := w.Age()
+	replaced := w.catalog.Confirmed()
 	w.apply(now, requestedAt, update, string(from))
 	if w.catalog.ApplyRoutes(update.Routes) {
 		// A restore of the store has lost this version, so the other VM may have it from an earlier position than this VM's.
 		w.dirty = true
-		w.logRoutes(age, string(from))
+		w.logRoutes(now, replaced, string(from))
 	}
 }
 
