Run no request of another VM whose route has changed since that VM's version

Callers could see the effect of a version and then that of an earlier one at the same VM (came back older). Cause: a VM that has lost its path to the targets has eight others run its requests, by their own routes. It required the version of the last answer, but answers come after the target has begun: while a request ran by the new route at one VM, the next one ran by the old route at another that was not as far. The request now states a fingerprint of its route; a VM with another route refuses it as not run, and the sender catches up with that VM at once. Requests whose route is the same in both versions run as before, and earlier builds state no fingerprint.

--- a/cppeer/cpmessage/reroute.go
+++ b/cppeer/cpmessage/reroute.go
@@ -25,6 +25,7 @@
 		EarlierAttempts: int32(r.EarlierAttempts),
 		Traceparent:     traceparent,
 		Workspace:       string(r.Workspace),
+		Route:           uint64(r.Route),
 	}
 }
 
@@ -46,6 +47,7 @@
 		},
 		From:    clementineport.VMID(m.GetFrom()),
 		Version: clementineport.Revision(m.GetVersion()),
+		Route:   clementineport.RouteFingerprint(m.GetRoute()),
 	}
 }
 
--- a/cppeer/reroute_test.go
+++ b/cppeer/reroute_test.go
@@ -25,7 +25,7 @@
 			Arrived: now.Add(-time.Second), Deadline: now.Add(time.Minute), MaxWait: 2 * time.Minute, EarlierAttempts: 1,
 			Workspace: "w\ufffd",
 		},
-		From: "vm-1", Version: 7,
+		From: "vm-1", Version: 7, Route: 1 << 63,
 	}
 }
 
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -46,7 +46,9 @@
 		again.EarlierAttempts = result.Attempts
 		r = &again
 	}
-	return s.reroute(ctx, route, &clementineport.ReroutedRequest{OpaqueRequest: *r, From: view.Self, Version: version})
+	return s.reroute(ctx, route, &clementineport.ReroutedRequest{
+		OpaqueRequest: *r, From: view.Self, Version: version, Route: route.Fingerprint(),
+	})
 }
 
 // lowestVersion returns the lowest version of the routes by which requests may be handled, and whether this VM has only an
@@ -152,7 +154,7 @@
 	} else {
 		result.OpaqueResult, result.Stats = answer.OpaqueResult, stats(&answer.OpaqueResult)
 		result.ViaVersion = answer.Version
-		s.observeVersion(vm, answer.Version)
+		s.observeVersion(vm, answer)
 	}
 	s.options.OnSent(r, vm.ID, result.Err, s.options.Clock.Now().Sub(began))
 	return result
@@ -179,15 +181,17 @@
 	}
 }
 
-// observeVersion records the version of the routes by which a VM has handled a request.
-func (s *Sender) observeVersion(vm clementineport.VM, version clementineport.Revision) {
+// observeVersion records the version of the routes by which a VM has handled a request, or refused it since its route has changed.
+func (s *Sender) observeVersion(vm clementineport.VM, answer *clementineport.ReroutedResult) {
 	own := s.options.View().Router.Table().Version
 	s.mu.Lock()
-	newer := version > max(own, s.version)
-	s.version = max(s.version, version)
+	newer := answer.Version > max(own, s.version)
+	if answer.Err == nil || answer.Err.Fault != clementineport.FaultStale {
+		s.version = max(s.version, answer.Version)
+	}
 	s.mu.Unlock()
 	if newer {
-		s.options.OnNewerRoutes(vm, version)
+		s.options.OnNewerRoutes(vm, answer.Version)
 	}
 }
 
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -308,3 +308,19 @@
 	f.view = &cpfleetstate.View{Self: f.view.Self, Members: f.view.Members, Router: table(6)}
 	assert.Assert(t, !sender.Behind())
 }
+
+// TestARefusalForAChangedRouteMakesTheVMCatchUp guards against a VM that keeps its routes after it was told of newer ones, and
+// against one that waits for them although no caller has seen their effect.
+func TestARefusalForAChangedRouteMakesTheVMCatchUp(t *testing.T) {
+	f := newFleet("a")
+	f.answer = func(_ clementineport.VMID, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+		assert.Equal(t, r.Route, route(true).Fingerprint())
+		answer := refused(clementineport.FaultStale)
+		answer.Version = 6
+		return answer, nil
+	}
+	sender := f.sender()
+	sender.Forward(t.Context(), route(true), request())
+	assert.DeepEqual(t, f.newer, []clementineport.VMID{"a"})
+	assert.Assert(t, !sender.Behind())
+}
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -50,6 +50,10 @@
 	}
 	version := view.Router.Table().Version
 	route := view.Router.Match(r.Host, path(r.URI))
+	if r.Route != 0 && (route == nil || route.Fingerprint() != r.Route) {
+		// The callers of the sender must not see the effect of routes that it doesn't have yet.
+		return cpforward.Failed(clementineport.Fail(clementineport.FaultStale, "the route is another one in version %d", version)), version
+	}
 	if route == nil {
 		return cpforward.Failed(clementineport.Fail(clementineport.FaultNotFound, "no route for %s%s in version %d", r.Host, path(r.URI), version)), version
 	}
--- a/cpreroute/receiver_test.go
+++ b/cpreroute/receiver_test.go
@@ -98,3 +98,26 @@
 		assert.Assert(t, forwarded == nil)
 	}
 }
+
+// TestAReceiverRunsNoRequestWhoseRouteHasChanged guards against callers that see the effect of a version at a VM and then that of
+// an earlier one, since the VM has its requests run by others of which only some have the version.
+func TestAReceiverRunsNoRequestWhoseRouteHasChanged(t *testing.T) {
+	unchanged := rerouted(4)
+	unchanged.Route = route(true).Fingerprint()
+	result, forwarded := receive(t, unchanged)
+	assert.Assert(t, result.Err == nil && forwarded != nil)
+
+	changed := rerouted(4)
+	earlier := route(true)
+	earlier.Services[0].Service = "other"
+	changed.Route = earlier.Fingerprint()
+	result, forwarded = receive(t, changed)
+	assert.Assert(t, forwarded == nil)
+	assert.Equal(t, result.Err.Fault, clementineport.FaultStale)
+	assert.Equal(t, result.Version, clementineport.Revision(5))
+
+	dropped := rerouted(4)
+	dropped.Host, dropped.Route = "dropped", earlier.Fingerprint()
+	result, _ = receive(t, dropped)
+	assert.Equal(t, result.Err.Fault, clementineport.FaultStale)
+}
--- a/opaque.go
+++ b/opaque.go
@@ -86,6 +86,9 @@
 	From VMID
 	// Version is the lowest version of the routes by which the request may be handled.
 	Version Revision
+	// Route is the fingerprint of the route that the sender has found, or zero if it states none. A receiver that finds another
+	// one doesn't run the request.
+	Route RouteFingerprint
 }
 
 // ReroutedResult is the result of a ReroutedRequest.
--- a/route.go
+++ b/route.go
@@ -1,6 +1,11 @@
 package clementineport
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // RouteID names a route of the configuration.
 type RouteID string
@@ -41,6 +46,31 @@
 // Gathers reports whether an answer combines one part from each shard.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
+// RouteFingerprint is a hash of all that determines how the requests of a route are handled. It doesn't depend on the build.
+type RouteFingerprint uint64
+
+// Fingerprint returns the fingerprint of the route, which is never zero.
+func (r *Route) Fingerprint() RouteFingerprint {
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%q %q %q %t %d %d %d %d %q %v %q %d %v %t", r.Name, r.Host, r.Prefix, r.Idempotent, r.MaxAttempts,
+		r.Timeout, r.Objective, r.Priority, services(r.Services), weights(r.Services), r.Shards, r.TopRecords, r.LeastCoverage, r.Public)
+	return RouteFingerprint(max(h.Sum64(), 1))
+}
+
+func services(all []WeightedService) (ids []ServiceID) {
+	for _, s := range all {
+		ids = append(ids, s.Service)
+	}
+	return ids
+}
+
+func weights(all []WeightedService) (weights []float64) {
+	for _, s := range all {
+		weights = append(weights, s.Weight)
+	}
+	return weights
+}
+
 // UnansweredFault returns the fault of a request on the route that may have run and has no sufficient answer.
 func (r *Route) UnansweredFault() Fault {
 	if r.Gathers() {
