Confirm a view also while large changes follow each other, and tell other VMs of it at once

Cause: a change of over 512 KB may be an answer that lacks others, so it confirmed nothing, and neither did the next one. After such an answer the store is now asked whether there is more, without a wait. A VM that gets its updates from another one got a confirmation only if it came after its call had begun, not one of a moment before; now one since its call before is enough. The shortest wait is an eighth of the wait.

--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -34,7 +34,7 @@
 	// every WatchWait. It leaves time for a call to the store before a change must be in force.
 	maxFollowedAgeFactor = 1.4
 	// minWatchWaitShare is the part of WatchWait for which the store holds a watch open at least.
-	minWatchWaitShare = 0.25
+	minWatchWaitShare = 0.125
 	// upstreamPollFactor is how many times as often an upstream VM may be called as the store; these calls put no load on
 	// the store.
 	upstreamPollFactor = 4
--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -9,27 +9,28 @@
 )
 
 // Config implements cppeer.Handler. It returns the changes after the position have, and waits until there is a change or
-// the store has confirmed that there is none. For revision zero it returns the full state at once. It fails when this VM
+// the store has confirmed that there is none since the caller probably called before. For revision zero it returns the full state at once. It fails when this VM
 // has not heard from the store for MaxServedAge, or knows only an earlier era of it, so that the caller can turn to the
 // store instead. It also fails when this VM gets its own updates from another one: with each VM in between, a change would take
 // longer to come into force.
 func (w *Watcher) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	began := w.options.Clock.Now()
-	lastCall := began.Add(-w.options.WatchPeriod / upstreamPollFactor) // when the caller probably called before
+	pause := w.options.WatchPeriod / upstreamPollFactor
+	lastCall := began.Add(-pause) // when the caller probably called before
 	for {
 		signal := w.updated.Load()
 		update, news, err := w.changesSince(ctx, have, lastCall)
 		if err != nil {
 			return nil, err
 		}
+		if source := *w.source.Load(); source != storeSource && !update.HasChanges() {
+			return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM gets its updates from %s itself", source)
+		}
 		waited := w.options.Clock.Now().Sub(began)
-		if have.Revision == 0 || update.HasChanges() || news || !update.AsOf.Before(have) && update.Age < waited {
+		if have.Revision == 0 || update.HasChanges() || news || !update.AsOf.Before(have) && update.Age < waited+pause {
 			update.Age -= waited
 			return encodeUpdate(update)
 		}
-		if source := *w.source.Load(); source != storeSource {
-			return nil, clementineport.Fail(clementineport.FaultNotOwner, "this VM gets its updates from %s itself", source)
-		}
 		left := w.options.MaxServedAge() - max(update.Age, waited)
 		if left <= 0 {
 			return nil, clementineport.Fail(clementineport.FaultStale, "the store was last heard %v ago", update.Age)
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	initial *clementineport.FleetUpdate
 	changes []*clementineport.FleetUpdate
+	// partial marks answers with changes as too large to be known to be all.
+	partial bool
 	// calls counts the calls of each VM for changes; the VMs in unavailable get errors instead of answers.
 	calls       map[clementineport.VMID]int
 	unavailable map[clementineport.VMID]bool
@@ -64,6 +66,7 @@
 		}
 		if n < len(c.changes) {
 			update := *c.changes[n]
+			update.Partial = c.partial
 			c.mu.Unlock()
 			return &update, nil
 		}
@@ -307,3 +310,23 @@
 		assert.Assert(t, oldest < testWatchPeriod+testWatchWait/2, "the view was %v old", oldest)
 	})
 }
+
+// TestLargeChangesInSuccessionConfirmTheView guards against views that count as old while each change is so large that the store may
+// have left out others: other VMs then get no updates, and the VM takes the store for lost.
+func TestLargeChangesInSuccessionConfirmTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, 6, cpfleetwatch.WithWatchTimes(testWatchPeriod, testWatchWait))
+		d.store.mu.Lock()
+		d.store.partial = true
+		d.store.mu.Unlock()
+		watchers := d.storeWatchers(t)
+		for i := range 40 {
+			d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance(clementineport.TargetID(fmt.Sprint(i)))}})
+			time.Sleep(testWatchWait / 4)
+			for id, w := range d.vms {
+				assert.Assert(t, w.Age() < testApplyTime, "%s has a view that is %v old", id, w.Age())
+			}
+		}
+		assert.DeepEqual(t, d.storeCallers(testApplyTime), watchers)
+	})
+}
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -23,6 +23,9 @@
 	maxRetryDelayWithoutRoutes = 500 * time.Millisecond
 )
 
+// noWait is the wait of a watch that only asks whether there are changes.
+const noWait = time.Millisecond
+
 // newBackoff returns the delays between failed calls to the store.
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
@@ -37,6 +40,7 @@
 	var asOf clementineport.StorePosition
 	// confirmed is when the latest update was current, which may not have been applied yet.
 	var confirmed time.Time
+	partial := false
 	for ctx.Err() == nil {
 		requestedAt := w.options.Clock.Now()
 		if vm, ok := w.upstream(requestedAt); ok && loaded {
@@ -49,7 +53,7 @@
 			requestedAt = w.options.Clock.Now()
 		}
 		w.setSource(storeSource)
-		wait := w.watchWait(w.age(requestedAt, confirmed))
+		wait := w.watchWait(w.age(requestedAt, confirmed), partial)
 		update, err := w.fetchFromStore(ctx, loaded, asOf, wait)
 		if err != nil {
 			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
@@ -68,7 +72,7 @@
 		if loaded && !update.HasChanges() && took >= wait {
 			confirmedAt = requestedAt.Add(wait) // the store saw no change during the full wait
 		}
-		loaded, reached, asOf = true, true, update.AsOf
+		loaded, reached, asOf, partial = true, true, update.AsOf, update.Partial
 		delays.Reset()
 		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
 		if !update.Partial {
@@ -84,8 +88,12 @@
 }
 
 // watchWait returns how long the store may hold the next watch open: until WatchWait after the view was last confirmed, so that the
-// pause after a change doesn't add to the age of the view.
-func (w *Watcher) watchWait(age time.Duration) time.Duration {
+// pause after a change doesn't add to the age of the view. After a partial answer it returns noWait, since only an answer without
+// changes, or a small one, confirms the view.
+func (w *Watcher) watchWait(age time.Duration, partial bool) time.Duration {
+	if partial {
+		return noWait
+	}
 	return max(w.options.WatchWait-age, w.options.MinWatchWait())
 }
 
