Take a request during a shutdown only if it ends before the VM does

Cause: a leaving VM took every request for 3.2 s after the signal and ended after 5 s whatever was in flight. Now a request that may run once at most is taken only if its deadline comes before that end, and one that can be repeated if three times its route's objective does; any other is refused at once as not run. TestARequestIsTakenOnlyIfItEndsBeforeTheDrain covers the rule in virtual time.

--- a/cpdrain/cpdrain.go
+++ b/cpdrain/cpdrain.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// usualDuration is the number of objectives within which nearly every request of a route is answered.
+const usualDuration = 3
+
+// AdmitRequest returns nil if a request on a route is accepted, or the error to refuse it with. During a shutdown it is accepted only
+// if it will have ended before the drain does: by its deadline or, if it can be repeated, in the usual time.
+func (d *Drain) AdmitRequest(now time.Time, route *clementineport.Route, deadline time.Time) error {
+	if d.signals == 0 {
+		return nil
+	}
+	end := deadline
+	if usual := now.Add(usualDuration * route.Objective); route.Idempotent && usual.Before(end) {
+		end = usual
+	}
+	if end.After(d.signaledAt.Add(d.options.MaxDuration)) {
+		return clementineport.Fail(clementineport.FaultDraining, "this VM shuts down before the request would end")
+	}
+	return nil
+}
+
 // Signal records a request to shut down. The second one skips the wait for entry lists to expire,
 // the third ends the drain without waiting for requests in flight.
 func (d *Drain) Signal(now time.Time) {
--- a/cpdrain/cpdrain_test.go
+++ b/cpdrain/cpdrain_test.go
@@ -115,6 +115,36 @@
 	}
 }
 
+// TestARequestIsTakenOnlyIfItEndsBeforeTheDrain guards against requests that arrive late in the grace period of a planned stop and
+// are cut at its end, among them such that can't be repeated.
+func TestARequestIsTakenOnlyIfItEndsBeforeTheDrain(t *testing.T) {
+	start := time.Now()
+	d := cpdrain.New(cpdrain.WithPropagationTime(500*time.Millisecond), cpdrain.WithEntryListTTL(2700*time.Millisecond), cpdrain.WithMaxDuration(5*time.Second))
+	once := &clementineport.Route{Objective: 800 * time.Millisecond}
+	repeatable := &clementineport.Route{Objective: 800 * time.Millisecond, Idempotent: true}
+	assert.NilError(t, d.AdmitRequest(start, once, start.Add(time.Minute)))
+	d.Signal(start)
+	for _, row := range []struct {
+		after, timeLeft time.Duration
+		route           *clementineport.Route
+		taken           bool
+	}{
+		{0, 5 * time.Second, once, true},
+		{time.Second, 5 * time.Second, once, false},
+		{time.Second, 4 * time.Second, once, true},
+		{time.Second, 5 * time.Second, repeatable, true},
+		{3020 * time.Millisecond, 5 * time.Second, repeatable, false},
+		{3140 * time.Millisecond, 5 * time.Second, once, false},
+		{3140 * time.Millisecond, 1200 * time.Millisecond, repeatable, true},
+	} {
+		now := start.Add(row.after)
+		d.Tick(now, 1)
+		err := d.AdmitRequest(now, row.route, now.Add(row.timeLeft))
+		assert.Equal(t, err == nil, row.taken, "%+v: %v", row, err)
+		assert.Assert(t, row.taken || clementineport.VerdictOf(err) == clementineport.NotRun)
+	}
+}
+
 func ExampleDrain() {
 	d := cpdrain.New(cpdrain.WithEntryListTTL(5*time.Second), cpdrain.WithPropagationTime(time.Second))
 	now := time.Unix(0, 0)
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -193,7 +193,8 @@
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
 		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
-		cpreroute.WithAdmit(p.admit), cpreroute.WithOnReceived(p.reroutedCompleted),
+		cpreroute.WithAdmit(p.admit), cpreroute.WithAdmitRequest(p.drain.admitRequest),
+		cpreroute.WithOnReceived(p.reroutedCompleted),
 		cpreroute.WithOnNewerRoutes(p.watcher.NewerRoutes),
 	}
 	p.sender = cpreroute.NewSender(append(reroute, cpreroute.WithForward(p.forwarder.Forward, p.forwarder.Stay, p.forwarder.SpendRetry))...)
@@ -211,6 +212,7 @@
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithBehind(p.sender.Behind),
 		cpfront.WithAdmit(p.admit),
+		cpfront.WithAdmitRequest(p.drain.admitRequest),
 		cpfront.WithForward(p.limiter.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
--- a/cpplatformvm/drain.go
+++ b/cpplatformvm/drain.go
@@ -52,6 +52,16 @@
 	return nil
 }
 
+// admitRequest returns the reason for which a request on a route is refused, or nil.
+func (d *drainer) admitRequest(route *clementineport.Route, deadline time.Time) *clementineport.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := errors.AsType[*clementineport.Error](d.drain.AdmitRequest(d.clock.Now(), route, deadline)); ok {
+		return e
+	}
+	return nil
+}
+
 // serving reports whether callers may be directed to this VM.
 func (d *drainer) serving() bool {
 	d.mu.Lock()
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -46,6 +46,8 @@
 	Peers      Peers
 	// Admit returns nil if this VM accepts new requests, and otherwise the error that rejects them.
 	Admit func() *clementineport.Error
+	// AdmitRequest returns nil if this VM accepts a request on a route with a deadline, and otherwise the error that rejects it.
+	AdmitRequest func(route *clementineport.Route, deadline time.Time) *clementineport.Error
 	// OnSent is called when a request that was sent to another VM has ended, with its error if it failed.
 	OnSent func(r *clementineport.ReroutedRequest, to clementineport.VMID, err *clementineport.Error, elapsed time.Duration)
 	// OnReceived is called when a request of another VM has ended.
@@ -65,6 +67,7 @@
 	options := Options{
 		Clock:         clockwork.NewRealClock(),
 		SpendRetry:    func([]clementineport.ServiceID) bool { return false },
+		AdmitRequest:  func(*clementineport.Route, time.Time) *clementineport.Error { return nil },
 		Admit:         func() *clementineport.Error { return nil },
 		OnSent:        func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration) {},
 		OnReceived:    func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration) {},
@@ -100,6 +103,11 @@
 	return func(o *Options) { o.Admit = admit }
 }
 
+// WithAdmitRequest sets the function that decides whether a request on a route is accepted.
+func WithAdmitRequest(admit func(*clementineport.Route, time.Time) *clementineport.Error) Option {
+	return func(o *Options) { o.AdmitRequest = admit }
+}
+
 // WithOnSent sets the function that is called when a request that was sent to another VM has ended.
 func WithOnSent(f func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration)) Option {
 	return func(o *Options) { o.OnSent = f }
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -63,6 +63,9 @@
 	}
 	request := r.OpaqueRequest
 	request.Deadline = earlier(request.Deadline.Add(-replyMargin), request.Arrived.Add(route.Timeout))
+	if err := c.options.AdmitRequest(route, request.Deadline); err != nil {
+		return cpforward.Failed(err), 0
+	}
 	return c.options.Forward(ctx, route, &request), version
 }
 
--- a/cpreroute/receiver_test.go
+++ b/cpreroute/receiver_test.go
@@ -81,6 +81,9 @@
 // that are shutting down.
 func TestAReceiverRunsNothingThatItCannotServe(t *testing.T) {
 	draining := cpreroute.WithAdmit(func() *clementineport.Error { return clementineport.Fail(clementineport.FaultDraining, "leaving") })
+	noTime := cpreroute.WithAdmitRequest(func(*clementineport.Route, time.Time) *clementineport.Error {
+		return clementineport.Fail(clementineport.FaultDraining, "leaving")
+	})
 	noRoutes := cpreroute.WithView(func() *cpfleetstate.View { return &cpfleetstate.View{} })
 	for _, row := range []struct {
 		version clementineport.Revision
@@ -90,6 +93,7 @@
 		{6, nil, clementineport.FaultStale},
 		{5, []cpreroute.Option{noRoutes}, clementineport.FaultStale},
 		{5, []cpreroute.Option{draining}, clementineport.FaultDraining},
+		{5, []cpreroute.Option{noTime}, clementineport.FaultDraining},
 		{5, []cpreroute.Option{cpreroute.WithReach(lostTracker())}, clementineport.FaultUnreached},
 	} {
 		result, forwarded := receive(t, rerouted(row.version), row.opts...)
