Send a repeated request over another connection than before

A request that may run once at most ran twice, or was answered 503 after it had run. Cause: a target that is full sent its refusal twice, the second time late. The request was sent again to the same target over the connection that was used last, which is that one, and with the same id, so that the copy was taken for the answer to the second send while the target ran it. A connection now remembers the last 16 requests that it has carried, and a request never uses one that has carried it; if no more are allowed, an idle one is closed for it. That holds for retries and hedges alike.

--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -91,7 +91,7 @@
 	if err := c.closed(); err != nil {
 		return nil, err
 	}
-	conn, err := c.pool.Get(ctx)
+	conn, err := c.pool.Get(ctx, req.ID)
 	if err != nil {
 		return nil, err
 	}
--- a/cptarget/cpopaque/cpopaque_test.go
+++ b/cptarget/cpopaque/cpopaque_test.go
@@ -466,3 +466,64 @@
 		assert.Equal(t, clementineport.VerdictOf(err), clementineport.MayHaveRun, "cut after %d bytes", cut)
 	}
 }
+
+// TestARepeatedRequestNeedsAnotherConnection guards against a refusal that a target has sent twice, and whose copy is taken for
+// the answer to the next send of the same request, which the target is running.
+func TestARepeatedRequestNeedsAnotherConnection(t *testing.T) {
+	for _, between := range []int{0, 1, 3} {
+		address, accepted := target(t, func(c *connection) {
+			defer func() { _ = c.Close() }()
+			for {
+				r, _, err := c.read()
+				if err != nil {
+					return
+				}
+				id := r.Header.Get("X-Request")
+				refusal := fmt.Sprintf("HTTP/1.1 503 Full\r\nX-Request: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+				switch {
+				case id != "id":
+					c.answer(id, "other")
+				case c.number == 1: // also in place of the answer to the next send, which a copy would come before
+					c.raw(refusal)
+				default:
+					c.answer(id, "ran")
+				}
+			}
+		})
+		c := client(address)
+		_, err := do(t, c, request("id"))
+		assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultShed)
+		for i := range between {
+			response, err := do(t, c, request(fmt.Sprintf("other-%d", i)))
+			assert.NilError(t, err)
+			assert.Equal(t, string(response.Body), "other")
+		}
+		assert.Equal(t, accepted.Load(), int64(1), "other requests use the connection")
+		response, err := do(t, c, request("id"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(response.Body), "ran")
+		assert.Equal(t, accepted.Load(), int64(2))
+	}
+}
+
+// TestARepeatedRequestReplacesAConnectionIfNoMoreAreAllowed guards against a repeated request that waits for a connection although
+// an idle one, which it must not use, can be closed.
+func TestARepeatedRequestReplacesAConnectionIfNoMoreAreAllowed(t *testing.T) {
+	address, accepted := target(t, func(c *connection) {
+		for {
+			r, _, err := c.read()
+			if err != nil {
+				return
+			}
+			c.answer(r.Header.Get("X-Request"), "ran")
+		}
+	})
+	c := client(address, cpopaque.WithConnections(1))
+	for range 3 {
+		_, err := do(t, c, request("id"))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, accepted.Load(), int64(3))
+	open, _ := c.Open()
+	assert.Equal(t, open, 1)
+}
--- a/cptarget/cpopaqueconn/conn.go
+++ b/cptarget/cpopaqueconn/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,6 +34,8 @@
 	expires time.Time
 	// reused is true from the second exchange on the connection.
 	reused bool
+	// carried are the latest requests that were sent on the connection, the newest last.
+	carried []clementineport.RequestID
 	// extra holds the bytes that the connection has received while it was idle.
 	extra []byte
 	// offered and received are the numbers of bytes passed to Write and read in the current exchange.
@@ -70,6 +73,25 @@
 	c.received.Store(0)
 }
 
+// maxCarried is the number of requests that a connection remembers.
+const maxCarried = 16
+
+// mayCarry reports whether a request has not been sent on the connection. A request without an id can't be told from others.
+func (c *Conn) mayCarry(id clementineport.RequestID) bool {
+	return id == "" || !slices.Contains(c.carried, id)
+}
+
+// carry records that a request is sent on the connection.
+func (c *Conn) carry(id clementineport.RequestID) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+}
+
 // Abort closes the connection, which makes reads and writes on it return.
 func (c *Conn) Abort() {
 	// The connection is not used again, so the error of Close is irrelevant.
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -57,19 +57,25 @@
 	return &Pool{options: options, limit: options.Connections}
 }
 
-// Get returns a usable idle connection, or a new one.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+// Get returns a connection for a request: a usable idle one that has not carried the request yet, or a new one. A target may send
+// an answer twice, and the copy of the answer to an earlier send would be taken for that to a later one.
+func (p *Pool) Get(ctx context.Context, id clementineport.RequestID) (*Conn, error) {
 	for {
-		c, err := p.reserve()
+		c, err := p.reserve(id)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx)
+			c, err := p.dial(ctx)
+			if err == nil {
+				c.carry(id)
+			}
+			return c, err
 		}
 		if c.usable(p.options.Clock.Now()) {
 			c.resetCounts()
 			c.reused = true
+			c.carry(id)
 			return c, nil
 		}
 		p.options.OnExtra(c.extra)
@@ -77,15 +83,21 @@
 	}
 }
 
-// reserve removes and returns the idle connection that was used last. If there is none, it reserves a new connection
-// and returns nil.
-func (p *Pool) reserve() (*Conn, error) {
+// reserve removes and returns the idle connection that was used last and has not carried a request. If there is none, it reserves
+// a new connection, in place of an idle one if no more are allowed, and returns nil.
+func (p *Pool) reserve(id clementineport.RequestID) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil
+		}
+	}
+	if p.open >= p.limit && len(p.idle) > 0 {
+		p.idle[0].Abort()
+		p.idle = p.idle[1:]
+		p.open--
 	}
 	return nil, p.reserveNew()
 }
@@ -144,7 +156,7 @@
 			return false
 		case <-p.options.Clock.After(refusalCheckDelay):
 		}
-		c, err := p.Get(ctx)
+		c, err := p.Get(ctx, "")
 		if err == nil {
 			p.Put(c, c.expires.Sub(p.options.Clock.Now()))
 			return false
