Count a call as one that may have run until it has ended otherwise

A request that may run once at most was answered 503, which promises that it has not run, while a target ran it. Cause: a request ends a little before its deadline and its calls do at it, but only calls that had ended counted as attempts. When the VM had lost its path to the targets, a request whose only call was under way counted as never sent, was given to another VM too late and came back as not run. A call now counts from its start, and no longer when it ends with the proof that it didn't run.

--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -282,7 +282,7 @@
 func (r *run) send(sends []cpfanout.Send) {
 	for _, s := range sends {
 		r.running++
-		r.attempts.running.Add(1)
+		r.attempts.began(s.Shard)
 		sent := r.now()
 		s.Target.Sent(sent)
 		go r.call(s, sent, r.takeVersion(s.Target))
--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -8,7 +8,8 @@
 	"github.com/clementineport/clementineport/cpreach"
 )
 
-// attempts counts the calls of each shard of a request that may have reached a target.
+// attempts counts the calls of each shard of a request that may have reached a target. A call counts from its start, and no longer
+// once it has ended with the proof that it didn't.
 type attempts struct {
 	// running counts the calls that have not ended.
 	running sync.WaitGroup
@@ -19,11 +20,19 @@
 
 func newAttempts(shards int) *attempts { return &attempts{calls: make([]int, shards)} }
 
+// began records the start of a call to a shard.
+func (a *attempts) began(shard int) {
+	a.running.Add(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls[shard]++
+}
+
 // ended records the end of a call to a shard.
 func (a *attempts) ended(shard int, mayHaveRun bool) {
-	if mayHaveRun {
+	if !mayHaveRun {
 		a.mu.Lock()
-		a.calls[shard]++
+		a.calls[shard]--
 		a.mu.Unlock()
 	}
 	a.running.Done()
--- a/cpforward/unreached_test.go
+++ b/cpforward/unreached_test.go
@@ -91,6 +91,21 @@
 	assert.Assert(t, !answer.Unreached && answer.Err.Verdict() == clementineport.MayHaveRun)
 }
 
+// TestARequestUnderWayAtItsDeadlineMayHaveRun guards against a promise that a request has not run, from another VM that gets it
+// too late, while a target still runs it.
+func TestARequestUnderWayAtItsDeadlineMayHaveRun(t *testing.T) {
+	f := newFleet("a")
+	f.setServe(func(ctx context.Context, _ *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
+		<-ctx.Done() // the deadline of the call is later than the end of the request
+		time.Sleep(50 * time.Millisecond)
+		return nil, clementineport.Fail(clementineport.FaultTimeout, "no answer")
+	})
+	answer := f.forwarder(cpforward.WithReach(losing(100*time.Millisecond))).Forward(context.Background(), singleRoute(false), request(400*time.Millisecond, 0))
+	assert.Assert(t, !answer.Unreached)
+	assert.Equal(t, answer.Attempts, 1)
+	assert.Equal(t, answer.Err.Verdict(), clementineport.MayHaveRun)
+}
+
 func TestARequestThatReachedNoTargetIsGivenToAnotherVM(t *testing.T) {
 	f := newFleet("a")
 	f.setServe(func(context.Context, *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
