Go on accepting connections after a failed accept, and keep descriptors back for the VM

A VM that had no descriptor left for one more connection of a caller cut the requests in progress, and closed every later connection at once while it counted as ready. Cause: any error of Accept ended the server, and its next run used the state of the one that had ended. The server now goes on after a pause of 5 ms to 0.5 s, ends only when its listener is closed, starts anew when it is served again, and the VM is ready only while it accepts. Callers may use seven tenths of the descriptors that the settings name (less those for files); further connections wait.

--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -34,6 +34,7 @@
 	"github.com/clementineport/clementineport/cpregistration"
 	"github.com/clementineport/clementineport/cpreroute"
 	"github.com/clementineport/clementineport/cprollout"
+	"github.com/clementineport/clementineport/cpserver"
 	"github.com/clementineport/clementineport/cptarget/cpopaque"
 	"github.com/clementineport/clementineport/cptoken"
 	"github.com/clementineport/clementineport/platform/cpconf"
@@ -52,6 +53,7 @@
 	clock     clementineport.Clock
 	self      clementineport.Member
 	watcher   *cpfleetwatch.Watcher
+	callers   *cpserver.Limited
 	forwarder *cpforward.Forwarder
 	// sender has requests run by other VMs while this VM reaches no target, and receiver runs those of other VMs.
 	sender   *cpreroute.Sender
@@ -218,6 +220,7 @@
 		cpfront.WithStaleAfter(share(apply, staleShare)),
 		cpfront.WithMaxKeyAge(maxKeyAge(&s.Bounds)),
 	)
+	p.callers = cpserver.NewLimited(p.front, p.limits, closeTimeout)
 }
 
 // setRoutes applies a new version of the routes.
@@ -290,7 +293,7 @@
 
 // ready reports whether callers may be directed to this VM.
 func (p *Process) ready() bool {
-	return p.watcher.View().Router != nil && p.drain.serving() && !p.watcher.Isolated()
+	return p.watcher.View().Router != nil && p.drain.serving() && !p.watcher.Isolated() && p.callers.Accepting()
 }
 
 // inFlight returns the number of requests in flight, of callers and of other VMs.
--- a/cpplatformvm/services.go
+++ b/cpplatformvm/services.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpfleetstate"
@@ -28,6 +29,14 @@
 	maxEntryListTTL = 2 * time.Second
 )
 
+const (
+	// fileDescriptors is the number of descriptors that the platform reserves for files.
+	fileDescriptors = 200
+	// callerDescriptorShare is the part of the other descriptors that connections of callers may use. The rest is for the store, the
+	// other VMs, the targets and the platform.
+	callerDescriptorShare = 0.7
+)
+
 // callers serves the caller listener as a supervised service.
 type callers struct {
 	*cpserver.Limited
@@ -64,7 +73,16 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return append(services, &callers{cpserver.NewLimited(p.front, p.limits, closeTimeout), listener}), nil
+	if n := maxCallerConnections(s.Limits.Descriptors); n > 0 {
+		listener = netutil.LimitListener(listener, n)
+	}
+	return append(services, &callers{p.callers, listener}), nil
+}
+
+// maxCallerConnections returns how many connections of callers a process with a number of descriptors keeps open, or zero if the
+// number is not known. Further ones wait until another is closed.
+func maxCallerConnections(descriptors int) int {
+	return int(callerDescriptorShare * float64(max(0, descriptors-fileDescriptors)))
 }
 
 // httpServer returns a server for requests that are answered immediately. Other VMs connect with HTTP/2 over cleartext,
--- a/cpserver/limited.go
+++ b/cpserver/limited.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -17,6 +20,8 @@
 	handler http.Handler
 	limits  func() clementineport.CallerLimits
 	grace   time.Duration
+	// accepting is true while Serve accepts connections.
+	accepting atomic.Bool
 
 	mu      sync.Mutex
 	current *generation
@@ -36,21 +41,49 @@
 	listener *connListener
 }
 
-// Serve accepts connections until ctx ends, and then waits for the requests in progress, for at most the grace period.
+// Bounds of the pause after a failed accept, which is for want of descriptors or memory.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 500 * time.Millisecond
+)
+
+// Accepting reports whether the server accepts connections.
+func (s *Limited) Accepting() bool { return s.accepting.Load() }
+
+// Serve accepts connections until ctx ends or the listener is closed, and then waits for the requests in progress, for at most the
+// grace period. After any other failure to accept one it goes on. It may be called again.
 func (s *Limited) Serve(ctx context.Context, ln net.Listener) error {
 	// Closing the listener makes Accept return; the error of Close is irrelevant.
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
+	s.accepting.Store(true)
+	defer s.accepting.Store(false)
+	pause := minAcceptPause
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			s.generation(ln.Addr()).listener.deliver(conn)
+		case ctx.Err() != nil:
+			s.shutdown()
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			s.shutdown()
-			if ctx.Err() != nil {
-				return nil
-			}
 			return err
+		default:
+			metrics.GetOrCreateCounter("clementineport_accept_failures_total").Inc()
+			sleep(ctx, pause)
+			pause = min(2*pause, maxAcceptPause)
 		}
-		s.generation(ln.Addr()).listener.deliver(conn)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -82,6 +115,7 @@
 	defer cancel()
 	s.mu.Lock()
 	all := s.all
+	s.current, s.all = nil, nil
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, g := range all {
