--- a/cpfleetwatch/serve.go
+++ b/cpfleetwatch/serve.go
@@ -8,11 +8,11 @@
 	"github.com/clementineport/clementineport"
 )
 
-// Config implements cppeer.Handler. It returns the changes after the position have, and waits until there is a change or
-// the store has confirmed that there is none since the caller probably called before. For revision zero it returns the full state at once. It fails when this VM
-// has not heard from the store for MaxServedAge, or knows only an earlier era of it, so that the caller can turn to the
-// store instead. It also fails when this VM gets its own updates from another one: with each VM in between, a change would take
-// longer to come into force.
+// Config implements cppeer.Handler. It returns the changes after the position have, and waits until there is a change or the store
+// has confirmed, since shortly before the call, that there is none. For revision zero it returns the full state at once. It fails
+// when this VM has not heard from the store for MaxServedAge, or knows only an earlier era of it, so that the caller can turn to
+// the store instead. It also fails when this VM gets its own updates from another one: with each VM in between, a change would
+// take longer to come into force.
 func (w *Watcher) Config(ctx context.Context, have clementineport.StorePosition) (*clementineport.Config, error) {
 	began := w.options.Clock.Now()
 	pause := w.options.WatchPeriod / upstreamPollFactor
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -33,52 +33,73 @@
 	return b
 }
 
+// watch is the state of the calls for updates, to an upstream VM or to the store.
+type watch struct {
+	delays *backoff.ExponentialBackOff
+	// loaded is true once the full state was loaded, and reached unless the latest call to the store failed.
+	loaded, reached bool
+	// asOf is the position of the latest update, and confirmed when it was current. It may not have been applied yet.
+	asOf      clementineport.StorePosition
+	confirmed time.Time
+	// partial is true if the store may have left changes out of its latest answer.
+	partial bool
+}
+
 // watchStore gets updates, from an upstream VM or from the store, until ctx ends.
 func (w *Watcher) watchStore(ctx context.Context) {
-	delays := newBackoff()
-	loaded, reached := false, true
-	var asOf clementineport.StorePosition
-	// confirmed is when the latest update was current, which may not have been applied yet.
-	var confirmed time.Time
-	partial := false
+	s := &watch{delays: newBackoff(), reached: true}
 	for ctx.Err() == nil {
-		requestedAt := w.options.Clock.Now()
-		if vm, ok := w.upstream(requestedAt); ok && loaded {
+		if vm, ok := w.upstream(w.options.Clock.Now()); ok && s.loaded {
 			w.setSource(string(vm.ID))
-			if update, ok := w.fetchFromUpstream(ctx, vm, requestedAt, asOf, w.age(requestedAt, confirmed)); ok {
-				asOf, confirmed = update.AsOf, requestedAt.Add(-update.Age)
-				w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
+			if w.nextFromUpstream(ctx, s, vm) {
 				continue
 			}
-			requestedAt = w.options.Clock.Now()
 		}
 		w.setSource(storeSource)
-		wait := w.watchWait(w.age(requestedAt, confirmed), partial)
-		update, err := w.fetchFromStore(ctx, loaded, asOf, wait)
-		if err != nil {
-			loaded = loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
-			if reached {
-				w.options.Log.Warn(string(cplogevent.StoreLost), cplog.Cause("Error", err), cplog.Position(asOf))
-			}
-			reached = false
-			w.sleep(ctx, w.retryDelay(delays))
-			continue
-		}
-		if !reached {
-			w.options.Log.Info(string(cplogevent.StoreRegained), cplog.Position(update.AsOf))
-		}
-		took := w.options.Clock.Now().Sub(requestedAt)
-		confirmedAt := requestedAt
-		if loaded && !update.HasChanges() && took >= wait {
-			confirmedAt = requestedAt.Add(wait) // the store saw no change during the full wait
-		}
-		loaded, reached, asOf, partial = true, true, update.AsOf, update.Partial
-		delays.Reset()
-		w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
-		if !update.Partial {
-			confirmed = confirmedAt
-			w.sleep(ctx, w.options.WatchPeriod-took)
+		w.nextFromStore(ctx, s)
+	}
+}
+
+// nextFromUpstream gets the next update from another VM and waits until the next call is due. It reports whether it got one.
+func (w *Watcher) nextFromUpstream(ctx context.Context, s *watch, vm clementineport.VM) bool {
+	requestedAt := w.options.Clock.Now()
+	update, ok := w.fetchFromUpstream(ctx, vm, requestedAt, s.asOf, w.age(requestedAt, s.confirmed))
+	if !ok {
+		return false
+	}
+	s.asOf, s.confirmed = update.AsOf, requestedAt.Add(-update.Age)
+	w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
+	return true
+}
+
+// nextFromStore gets the next update from the store and waits until the next call is due.
+func (w *Watcher) nextFromStore(ctx context.Context, s *watch) {
+	requestedAt := w.options.Clock.Now()
+	wait := w.watchWait(w.age(requestedAt, s.confirmed), s.partial)
+	update, err := w.fetchFromStore(ctx, s.loaded, s.asOf, wait)
+	if err != nil {
+		s.loaded = s.loaded && clementineport.FaultOf(err) != clementineport.FaultHistory
+		if s.reached {
+			w.options.Log.Warn(string(cplogevent.StoreLost), cplog.Cause("Error", err), cplog.Position(s.asOf))
 		}
+		s.reached = false
+		w.sleep(ctx, w.retryDelay(s.delays))
+		return
+	}
+	if !s.reached {
+		w.options.Log.Info(string(cplogevent.StoreRegained), cplog.Position(update.AsOf))
+	}
+	took := w.options.Clock.Now().Sub(requestedAt)
+	confirmedAt := requestedAt
+	if s.loaded && !update.HasChanges() && took >= wait {
+		confirmedAt = requestedAt.Add(wait) // the store saw no change during the full wait
+	}
+	s.loaded, s.reached, s.asOf, s.partial = true, true, update.AsOf, update.Partial
+	s.delays.Reset()
+	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
+	if !update.Partial {
+		s.confirmed = confirmedAt
+		w.sleep(ctx, w.options.WatchPeriod-took)
 	}
 }
 
