Ask another VM for its state as soon as a view is older than it becomes with nothing wrong

A VM that the store turns away, or whose call to it hangs, asked others at 4.55 of the 5 s in which a change must be in force, so that the first one asked had to have it. It now asks at 2.8 s, as it leaves an upstream VM.

--- a/cpfleetwatch/options.go
+++ b/cpfleetwatch/options.go
@@ -30,8 +30,8 @@
 	// maxServedAgeFactor, times WatchPeriod plus WatchWait, is the age at which a view is no longer served to other VMs:
 	// an answer of the store is overdue by then.
 	maxServedAgeFactor = 1.1
-	// maxFollowedAgeFactor, times WatchWait, is the view age at which a VM stops waiting for its upstream VM, which is confirmed
-	// every WatchWait. It leaves time for a call to the store before a change must be in force.
+	// maxFollowedAgeFactor, times WatchWait, is the view age at which a VM stops waiting for its upstream VM or the store alone; a
+	// view is confirmed every WatchWait. It leaves time for other calls before a change must be in force.
 	maxFollowedAgeFactor = 1.4
 	// minWatchWaitShare is the part of WatchWait for which the store holds a watch open at least.
 	minWatchWaitShare = 0.125
@@ -160,8 +160,8 @@
 	return options
 }
 
-// StoreLostAfter returns the view age above which the store counts as lost. From then on this VM catches up from other
-// VMs, and registrations that are missing when the store is back may merely have expired during the outage.
+// StoreLostAfter returns the view age above which the store counts as lost: registrations that are missing when it is back may
+// merely have expired during the outage.
 func (o *Options) StoreLostAfter() time.Duration {
 	return time.Duration(storeLostFactor * float64(o.WatchPeriod+o.WatchWait))
 }
@@ -171,7 +171,7 @@
 	return time.Duration(maxServedAgeFactor * float64(o.WatchPeriod+o.WatchWait))
 }
 
-// MaxFollowedAge returns the view age above which this VM doesn't wait for its upstream VM.
+// MaxFollowedAge returns the view age above which this VM doesn't wait for its upstream VM, and asks any other for its state.
 func (o *Options) MaxFollowedAge() time.Duration {
 	return time.Duration(maxFollowedAgeFactor * float64(o.WatchWait))
 }
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -295,6 +295,26 @@
 	}
 }
 
+// TestAChangeIsInForceInTimeAtVMsThatTheStoreTurnsAway guards against VMs that ask others only once so little time is left that the
+// first one asked has to have the change.
+func TestAChangeIsInForceInTimeAtVMsThatTheStoreTurnsAway(t *testing.T) {
+	for pause := time.Duration(0); pause < testWatchPeriod+testWatchWait; pause += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDomain(t, 9, cpfleetwatch.WithWatchTimes(testWatchPeriod, testWatchWait), cpfleetwatch.WithCatchUpPeriod(testApplyTime/10))
+			watchers := d.storeWatchers(t)
+			time.Sleep(pause)
+			d.store.mu.Lock()
+			maps.Copy(d.store.unavailable, watchers)
+			d.store.mu.Unlock()
+			d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+			time.Sleep(testApplyTime)
+			for id, w := range d.vms {
+				assert.Equal(t, len(w.View().Services["s"]), 1, "%s has a view that is %v old, with a pause of %v", id, w.Age(), pause)
+			}
+		})
+	}
+}
+
 // TestTheViewStaysFreshAfterAChange guards against a pause and a whole wait for the next change without any confirmation, which
 // leave less of the time in which a change must be in force.
 func TestTheViewStaysFreshAfterAChange(t *testing.T) {
--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -207,11 +207,11 @@
 	go func() { w.events <- observe }()
 }
 
-// catchUpFrom returns the VM to request the full state from, if that is needed: any VM when this VM has not heard from the store
-// for StoreLostAfter, or a VM with newer routes when the store has not provided them for longer than a change takes, since a
+// catchUpFrom returns the VM to request the full state from, if that is needed: any VM when this VM's view is older than
+// MaxFollowedAge, or a VM with newer routes when the store has not provided them for longer than a change takes, since a
 // restore has lost them.
 func (w *Watcher) catchUpFrom(now time.Time) (clementineport.VM, bool) {
-	if w.Age() >= w.options.StoreLostAfter() {
+	if w.Age() >= w.options.MaxFollowedAge() {
 		return cpupstream.RandomPeer(w.options.Self.ID, w.membership.Members(), w.options.Seeds, rand.IntN)
 	}
 	newer := &w.newerRoutes
