Keep a lent weight lent when a call that was sent before the loan ends

What callers see: while VMs start again and the fleet is split, a workspace may get a little more than its quota: the weight of an idle VM counts twice for up to 2 s, at the coordinator that it was lent to and at the VM itself (or at a second coordinator).

Cause: a client that has a binding call under way remembers what its weight's free time was before that call, and goes back to it when the call has failed unsent or was answered. A collection that arrives meanwhile lends the weight (for 2 s) to the same coordinator, and the answer then erases the loan.

TestALoanOutlastsACallThatWasSentBeforeIt fails in its three forms on the code before (1 instead of 0 is counted), without network or random numbers.

Change: Lend raises what the call under way goes back to. Ruled out: weights that differ between VMs (each is at most one by the number of VMs) and the delayed answer to a collection (it counts from when it was sent).

--- a/cpratelimit/cpclient/cpclient.go
+++ b/cpratelimit/cpclient/cpclient.go
@@ -64,7 +64,7 @@
 // call is a call that has not been answered.
 type call struct {
 	sent time.Time
-	// free is what clientGroup.free becomes if the call was not sent.
+	// free is what clientGroup.free becomes if the call was not sent. It covers a loan that was made while the call was under way.
 	free    time.Time
 	request *clementineport.QuotaRequest
 }
@@ -314,7 +314,11 @@
 		}
 		answer.Grants = append(answer.Grants, grant)
 	}
-	g.bind(r.From, now.Add(c.options.LoanTime()))
+	until := now.Add(c.options.LoanTime())
+	g.bind(r.From, until)
+	if g.call != nil {
+		g.call.free = cpquotas.Later(g.call.free, until)
+	}
 	return answer
 }
 
--- a/cpratelimit/cpclient/cpclient_test.go
+++ b/cpratelimit/cpclient/cpclient_test.go
@@ -67,3 +67,37 @@
 		assert.Equal(t, ok, at%5000 == 0, at)
 	}
 }
+
+// TestALoanOutlastsACallThatWasSentBeforeIt guards against a weight that counts twice: at the coordinator that it was lent to while a
+// call was under way, and at this VM once that call has failed or was answered.
+func TestALoanOutlastsACallThatWasSentBeforeIt(t *testing.T) {
+	results := map[string]func(c *cpclient.Client, now time.Time, group int){
+		"not bound": func(c *cpclient.Client, now time.Time, group int) {
+			c.Answered(now, group, &clementineport.QuotaAnswer{Nonce: 2})
+		},
+		"bound": func(c *cpclient.Client, now time.Time, group int) {
+			c.Answered(now, group, &clementineport.QuotaAnswer{Nonce: 2, Bound: true})
+		},
+		"not sent": func(c *cpclient.Client, now time.Time, group int) {
+			c.Failed(now, group, clementineport.Fail(clementineport.FaultRefused, "nothing answers the call"))
+		},
+	}
+	for name, finish := range results {
+		t.Run(name, func(t *testing.T) {
+			c := cpclient.New(time.Unix(1e9, 0), "a", "1", cpquotas.WithBounds(bounds))
+			c.SetQuotas(1, cpquotas.Quotas{"w": {Rate: 10, Burst: 10}})
+			group := c.Group("w")
+			now := time.Unix(1e9, 0).Add(time.Minute)
+			c.Request(now, "w")
+			c.Wait("w", 1)
+			c.Next(now, group, "b")
+			c.Answered(now, group, &clementineport.QuotaAnswer{Nonce: 1})
+			assert.Assert(t, c.Next(now, group, "b").Nonce == 1)
+			assert.Assert(t, c.Lend(now, &clementineport.QuotaRequest{From: "b", Group: group}, "b").Bound)
+			finish(c, now, group)
+			options := cpquotas.NewOptions()
+			assert.Equal(t, c.OwnWeight(now.Add(options.LoanTime()-1), "w"), 0.0)
+			assert.Equal(t, c.OwnWeight(now.Add(options.LoanTime()), "w"), c.Weight())
+		})
+	}
+}
