Run the test of rollouts' shares in virtual time

Seen: TestRequestsKeepToTheVersionsOfARollout failed once in a run of ten packages at once (9 calls to the new target, 10 to 17 are expected, canary_and_the_old_target_has_gone), then on 1 time in 200 runs of which 12 were started at once.

Cause: the requests of this case have a deadline of 20 ms of real time, and a request that a busy machine delays past it takes its share of the rollout without a call.

Change: the cases run in a bubble of testing/synctest, in which no time passes while a request is worked on. Deadlines and ranges are as they were. 400 of 400 runs pass, 12 at once.

--- a/cpforward/rollout_test.go
+++ b/cpforward/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -71,21 +72,23 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := newFleet("a")
-			forwarder := f.rollout(c.phase, c.share, c.viewAge)
-			if c.change != nil {
-				c.change(f)
-			}
-			left := 5 * time.Second
-			if len(f.view.Services["a"]) == 1 && f.view.Services["a"][0].State.Version == "v2" {
-				left = 20 * time.Millisecond // most requests find no target and wait for one until their deadline
-			}
-			for range requests {
-				forwarder.Forward(t.Context(), singleRoute(true), request(left, time.Second))
-			}
-			fresh, old := f.clients["a"][1].count(), f.clients["a"][0].count()
-			assert.Assert(t, fresh >= c.fresh[0] && fresh <= c.fresh[1], "%d calls to the new target", fresh)
-			assert.Assert(t, old >= c.old[0] && old <= c.old[1], "%d calls to the old target", old)
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("a")
+				forwarder := f.rollout(c.phase, c.share, c.viewAge)
+				if c.change != nil {
+					c.change(f)
+				}
+				left := 5 * time.Second
+				if len(f.view.Services["a"]) == 1 && f.view.Services["a"][0].State.Version == "v2" {
+					left = 20 * time.Millisecond // most requests find no target and wait for one until their deadline
+				}
+				for range requests {
+					forwarder.Forward(t.Context(), singleRoute(true), request(left, time.Second))
+				}
+				fresh, old := f.clients["a"][1].count(), f.clients["a"][0].count()
+				assert.Assert(t, fresh >= c.fresh[0] && fresh <= c.fresh[1], "%d calls to the new target", fresh)
+				assert.Assert(t, old >= c.old[0] && old <= c.old[1], "%d calls to the old target", old)
+			})
 		})
 	}
 }
