Use a target that starts again with its clock set back

What callers see: a target that crashes and starts again under its id, with its clock set back meanwhile, gets no requests until its entry lapses: never, while it renews it. The VMs go on calling the address of the run that has ended.

Cause: the catalog ignores a registration whose run began before the known one (cpcatalog.register), so that an entry of an ended run that the store writes late takes nothing back.

Change: such a registration is kept aside, and replaces the target once it has stood in the store for 3.5 s, in which a run that goes on registers twice. A full update for another VM holds what the store lists.

Not covered: a target that has also stated that it is leaving and comes back with an earlier start, if another VM repeats that statement.

--- a/cpcatalog/cpcatalog.go
+++ b/cpcatalog/cpcatalog.go
@@ -44,6 +44,7 @@
 	routes      *clementineport.RouteTable
 	out         map[clementineport.FailureDomain]bool
 	targets     map[clementineport.TargetID]*Target
+	earlier     map[clementineport.TargetID]earlierRun
 	vms         map[clementineport.VMID]clementineport.VM
 	rollouts    map[clementineport.ServiceID]*rolloutEntry
 }
@@ -54,6 +55,7 @@
 		options: NewOptions(opts...),
 		out:     map[clementineport.FailureDomain]bool{},
 		targets: map[clementineport.TargetID]*Target{},
+		earlier: map[clementineport.TargetID]earlierRun{},
 		vms:     map[clementineport.VMID]clementineport.VM{},
 		restore: newRestore(),
 		ended:   map[clementineport.TargetID]endedTarget{},
@@ -199,17 +201,21 @@
 	return !maps.Equal(before, c.vms)
 }
 
-// register applies a registration. It ignores one of an earlier start, an earlier one of the same start, and one that a
-// restore of the store has brought back.
+// register applies a registration. It ignores an earlier one of the same run and one that a restore of the store has brought back,
+// and delays one of an earlier run.
 func (c *Catalog) register(now time.Time, d *clementineport.TargetInstance) (changed bool) {
 	old := c.targets[d.ID]
-	if old != nil && (d.Born < old.Born || (d.Born == old.Born && d.Seq < old.Seq)) || c.endedBeforeRestore(d) {
+	switch {
+	case c.endedBeforeRestore(d):
+		return false
+	case old != nil && d.Born < old.Born:
+		c.delayEarlierRun(now, d)
+		return false
+	case old != nil && d.Born == old.Born && d.Seq < old.Seq:
 		return false
 	}
-	t := &Target{TargetInstance: *d}
-	if d.ColdLeft > 0 {
-		t.ColdUntil = now.Add(d.ColdLeft)
-	}
+	delete(c.earlier, d.ID)
+	t := newTarget(now, d)
 	c.targets[d.ID] = t
 	if old == nil || old.Born != d.Born {
 		return true
@@ -220,6 +226,15 @@
 	return !old.expiresAt.IsZero() || !equivalent(old, t)
 }
 
+// newTarget returns a target that was registered at a time.
+func newTarget(now time.Time, d *clementineport.TargetInstance) *Target {
+	t := &Target{TargetInstance: *d}
+	if d.ColdLeft > 0 {
+		t.ColdUntil = now.Add(d.ColdLeft)
+	}
+	return t
+}
+
 // equivalent reports whether two registrations have the same effect on the use of a target. It compares whether they have
 // a remaining cold time but not how long it is, since the time shrinks with every registration.
 func equivalent(a, b *Target) bool {
@@ -231,6 +246,7 @@
 // unregister removes a target whose registration is gone. After a store outage it waits until ExpiryGrace is over, since
 // the registration may have expired only because the target could not renew it.
 func (c *Catalog) unregister(now time.Time, id clementineport.TargetID) (changed bool) {
+	delete(c.earlier, id)
 	t := c.targets[id]
 	if t == nil {
 		return false
@@ -268,6 +284,7 @@
 			changed = true
 		}
 	}
+	changed = c.useEarlierRuns(now) || changed
 	c.forgetEnded(now)
 	c.forgetLeaving(now)
 	c.forgetLimits(now)
@@ -276,7 +293,7 @@
 }
 
 // FullUpdate returns the full state, for VMs that don't get it from the store. It omits targets whose registrations are
-// gone.
+// gone, and holds the runs that the store lists.
 func (c *Catalog) FullUpdate(now time.Time) *clementineport.FleetUpdate {
 	update := &clementineport.FleetUpdate{AsOf: c.asOf, Whole: true, Age: now.Sub(c.confirmed), Routes: c.routes}
 	for d := range c.out {
@@ -286,6 +303,9 @@
 		if !t.expiresAt.IsZero() {
 			continue
 		}
+		if e, ok := c.earlier[t.ID]; ok {
+			t = e.target
+		}
 		d := t.TargetInstance
 		d.ColdLeft = max(0, t.WarmAt().Sub(now))
 		update.Targets = append(update.Targets, d)
--- a/cpcatalog/options.go
+++ b/cpcatalog/options.go
@@ -18,6 +18,8 @@
 	DefaultEndedRetention = 2 * time.Minute
 	// DefaultAssumedColdTime covers two registrations of a target and their delay on the way to this VM.
 	DefaultAssumedColdTime = 3500 * time.Millisecond
+	// DefaultEarlierRunDelay covers two registrations as well: a target whose later run goes on registers within it.
+	DefaultEarlierRunDelay = 3500 * time.Millisecond
 )
 
 // Options are the settings of a Catalog.
@@ -33,6 +35,9 @@
 	EndedRetention time.Duration
 	// AssumedColdTime is how long the targets of a failure domain are treated as cold after it returned to service.
 	AssumedColdTime time.Duration
+	// EarlierRunDelay is how long the registration of a run that began earlier than the known one must stand in the store to
+	// replace it.
+	EarlierRunDelay time.Duration
 }
 
 // Option changes Options.
@@ -43,6 +48,7 @@
 	options := Options{
 		OutageAfter: DefaultOutageAfter, ExpiryGrace: DefaultExpiryGrace, RestoreGrace: DefaultRestoreGrace,
 		EndedRetention: DefaultEndedRetention, AssumedColdTime: DefaultAssumedColdTime,
+		EarlierRunDelay: DefaultEarlierRunDelay,
 	}
 	for _, o := range opts {
 		o(&options)
@@ -65,3 +71,7 @@
 
 // WithAssumedColdTime sets how long the targets of a failure domain are treated as cold after it returned to service.
 func WithAssumedColdTime(d time.Duration) Option { return func(o *Options) { o.AssumedColdTime = d } }
+
+// WithEarlierRunDelay sets how long the registration of a run that began earlier than the known one must stand in the store to
+// replace it.
+func WithEarlierRunDelay(d time.Duration) Option { return func(o *Options) { o.EarlierRunDelay = d } }
