Let a VM that starts own only the cold targets that rank it first among the listed VMs

What callers see: cold targets crash after many VMs have started together, since each of these calls them at its full rate for a cold target.

Cause: a VM ranks the members that it has reached for the owner of a cold target; right after its start that is itself alone (cpfleetwatch.ownsTarget), and its active set is chosen from itself alone as well.

The log says what was found when the time is over (FleetKnown).

--- a/cpfleetstate/cpfleetstate.go
+++ b/cpfleetstate/cpfleetstate.go
@@ -45,6 +45,9 @@
 	// Services holds the targets of each service that may be called.
 	Services map[clementineport.ServiceID][]Target
 	Members  []clementineport.Member
+	// Presumed holds the members and, for some time after the start of this VM, those that the store lists and nobody has reached
+	// yet. What this VM may take for its own follows from them.
+	Presumed []clementineport.Member
 	// Self is the ID of this VM.
 	Self clementineport.VMID
 	// VMs is the number of VMs by which bounds for all VMs together are divided.
--- a/cpfleetwatch/active.go
+++ b/cpfleetwatch/active.go
@@ -70,7 +70,7 @@
 // activeInput returns what the active set of a view is chosen from.
 func (w *Watcher) activeInput(now time.Time, view *cpfleetstate.View) *cpactiveset.Input {
 	return &cpactiveset.Input{
-		Members: view.Members, Lost: view.Lost, Demand: w.loads.Demand(now, view.Members),
+		Members: view.Presumed, Lost: view.Lost, Demand: w.loads.Demand(now, view.Members),
 		EqualShare: cpactiveset.EqualShare(w.catalog.Routes(), view.Senders()),
 	}
 }
--- a/cpfleetwatch/cpfleetwatch.go
+++ b/cpfleetwatch/cpfleetwatch.go
@@ -184,9 +184,13 @@
 	if w.crashes.Tick(now) {
 		w.dirty = true
 	}
+	presuming := w.membership.Presuming()
 	for _, a := range w.membership.Tick(now) {
 		w.exchange(ctx, a)
 	}
+	if presuming && !w.membership.Presuming() {
+		w.logFleetKnown()
+	}
 	w.catchUp(ctx, now)
 	w.checkReach(ctx, now)
 	w.checkActive(now)
@@ -251,6 +255,22 @@
 	w.options.Log.Info(string(cplogevent.RoutesChanged), fields...)
 }
 
+// logFleetKnown logs which VMs this VM knows when it stops presuming that the listed ones are alive.
+func (w *Watcher) logFleetKnown() {
+	members := w.membership.Members()
+	known := map[clementineport.VMID]bool{}
+	for i := range members {
+		known[members[i].ID] = true
+	}
+	unreached := 0
+	for id := range w.catalog.VMs() {
+		if !known[id] {
+			unreached++
+		}
+	}
+	w.options.Log.Info(string(cplogevent.FleetKnown), zap.Int("Members", len(members)), zap.Int("Unreached", unreached))
+}
+
 // storeRestored logs that the store was restored and makes this VM register again.
 func (w *Watcher) storeRestored(before clementineport.StorePosition, source string) {
 	w.options.Log.Warn(string(cplogevent.StoreRestored), zap.Uint64("FromEra", uint64(before.Era)), zap.Uint64("From", uint64(before.Revision)),
--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -22,6 +22,7 @@
 	view := &cpfleetstate.View{
 		Services: map[clementineport.ServiceID][]cpfleetstate.Target{},
 		Members:  w.membership.Members(),
+		Presumed: w.membership.Presumed(),
 		Self:     w.options.Self.ID,
 		VMs:      w.vmCount,
 
@@ -153,10 +154,14 @@
 }
 
 // ownsTarget reports whether this VM is the one that sends requests to a target while it is cold: the first of those that reach
-// targets and, if there is an active set, are in it for any load.
+// targets and, if there is an active set, are in it for any load. A VM that has just started and that the store does not list yet
+// owns none, since those that have started with it may not be listed either.
 func (w *Watcher) ownsTarget(view *cpfleetstate.View, id clementineport.TargetID) bool {
-	ranked := cpowner.Rank(string(id), view.Members, 1, func(m *clementineport.Member) bool {
+	if w.membership.Presuming() && !view.Listed {
+		return false
+	}
+	ranked := cpowner.Rank(string(id), view.Presumed, 1, func(m *clementineport.Member) bool {
 		return m.State == clementineport.MemberAlive && !view.Lost[m.ID] && (view.Active == nil || view.Active.Owns(m.ID))
 	})
-	return len(ranked) == 1 && view.Members[ranked[0]].ID == w.options.Self.ID
+	return len(ranked) == 1 && view.Presumed[ranked[0]].ID == w.options.Self.ID
 }
--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -42,6 +42,7 @@
 	TargetsLost        Name = "TargetsLost"
 	TargetsRegained    Name = "TargetsRegained"
 	ReachChanged       Name = "ReachChanged"
+	FleetKnown         Name = "FleetKnown"
 	QuotaCoordinator   Name = "QuotaCoordinator"
 	QuotaLimited       Name = "QuotaLimited"
 	ActiveSetChanged   Name = "ActiveSetChanged"
@@ -124,6 +125,7 @@
 	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
+	{FleetKnown, []string{"Members", "Unreached"}, "some time after its start, this VM no longer presumes that the VMs that the store lists are alive: it knows Members, itself included, and nobody has reached Unreached of the listed ones"},
 	{QuotaCoordinator, []string{"Group", "Coordinates"}, "this VM has become the coordinator of the quotas of a group of workspaces (Coordinates is true), or no VM has called it as such for 10 s"},
 	{QuotaLimited, []string{"Workspace", "Limited"}, "at their coordinator, requests of a workspace were refused or delayed by its quota (Limited is true), or none was for 10 s"},
 	{ActiveSetChanged, []string{"VMs", "Before", "Member", "Of"}, "the active set has another size, VMs, or this VM has come into it or left it; Member is whether it is in it, and Of the number of all VMs; VMs is 0 while callers use all VMs"},
--- a/cpmemberlist/cpmemberlist.go
+++ b/cpmemberlist/cpmemberlist.go
@@ -118,9 +118,19 @@
 
 // Members returns self and all confirmed peers, sorted by id.
 func (r *List) Members(self clementineport.Member) []clementineport.Member {
+	return r.members(self, func(p *Peer) bool { return p.Confirmed })
+}
+
+// MembersAndListed returns self, all confirmed peers and those that the platform lists, sorted by id.
+func (r *List) MembersAndListed(self clementineport.Member) []clementineport.Member {
+	return r.members(self, func(p *Peer) bool { return p.Confirmed || p.Listed })
+}
+
+// members returns self and the peers for which include returns true, sorted by id.
+func (r *List) members(self clementineport.Member, include func(*Peer) bool) []clementineport.Member {
 	members := make([]clementineport.Member, 0, len(r.peers)+1)
 	for _, p := range r.peers {
-		if p.Confirmed {
+		if include(p) {
 			members = append(members, p.Published())
 		}
 	}
--- a/cpmembership/cpmembership.go
+++ b/cpmembership/cpmembership.go
@@ -47,6 +47,8 @@
 	minIncarnation uint64 // the highest incarnation seen of this VM, while it joins
 	nextRegular    time.Time
 	nextDeadProbe  time.Time
+	startedAt      time.Time // when this VM first ticked
+	presuming      bool
 	lastTick       time.Time
 	lastInbound    time.Time // when another VM last called
 	version        uint64
@@ -66,6 +68,8 @@
 		limiter: rate.NewLimiter(rate.Limit(options.UrgentPerSecond), options.UrgentBurst),
 		peers:   cpmemberlist.New(),
 		version: 1,
+
+		presuming: true,
 	}
 }
 
@@ -92,6 +96,19 @@
 // Members returns this VM and all confirmed peers, sorted by id.
 func (m *Membership) Members() []clementineport.Member { return m.peers.Members(m.self) }
 
+// Presumed returns the VMs that this VM takes for alive, sorted by id: the members and, until it has had the time to learn of them, the
+// VMs that the platform lists. What a VM may take for its own follows from them, since VMs that start together know the
+// same list long before they have reached each other.
+func (m *Membership) Presumed() []clementineport.Member {
+	if !m.presuming {
+		return m.Members()
+	}
+	return m.peers.MembersAndListed(m.self)
+}
+
+// Presuming reports whether the VMs that the platform lists are presumed to be alive.
+func (m *Membership) Presuming() bool { return m.presuming }
+
 // SetRevision records the revision in force at this VM.
 func (m *Membership) SetRevision(r clementineport.Revision) {
 	if m.self.Revision != r {
@@ -149,6 +166,7 @@
 
 // Tick returns the exchanges to make now. It must be called several times a second.
 func (m *Membership) Tick(now time.Time) []Action {
+	m.endPresumption(now)
 	m.detectPause(now)
 	m.expireSuspects(now)
 	m.reportIsolation(now)
@@ -179,6 +197,17 @@
 	return actions
 }
 
+// endPresumption ends the time after the start of this VM in which the VMs that the platform lists are presumed to be alive.
+func (m *Membership) endPresumption(now time.Time) {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
+	if m.presuming && now.Sub(m.startedAt) >= m.options.PresumeTime {
+		m.presuming = false
+		m.version++
+	}
+}
+
 // nextUrgent returns the next peer for an additional exchange, or nil if there is none or the rate limit is reached.
 func (m *Membership) nextUrgent(now time.Time) *cpmemberlist.Peer {
 	if len(m.urgent) > 0 && m.limiter.AllowN(now, 1) {
--- a/cpmembership/cpmembership_test.go
+++ b/cpmembership/cpmembership_test.go
@@ -280,3 +280,35 @@
 	}
 	return count
 }
+
+// TestAVMPresumesThatTheListedVMsAreAliveUntilItHasHadTimeToReachThem guards against a VM that starts and takes itself for the only one, and
+// against one that counts VMs that are gone for good.
+func TestAVMPresumesThatTheListedVMsAreAliveUntilItHasHadTimeToReachThem(t *testing.T) {
+	vm := func(id clementineport.VMID) clementineport.VM { return clementineport.VM{ID: id, Peer: string(id)} }
+	ids := func(members []clementineport.Member) (ids []clementineport.VMID) {
+		for _, m := range members {
+			if m.State == clementineport.MemberAlive {
+				ids = append(ids, m.ID)
+			}
+		}
+		return ids
+	}
+	now := time.Unix(1000, 0)
+	leaving := vm("d")
+	leaving.Leaving = true
+	m := cpmembership.New(clementineport.Member{VM: vm("b"), Start: firstStart})
+	m.Tick(now)
+	m.SetListed(now, []clementineport.VM{vm("a"), vm("b"), vm("c"), leaving})
+	assert.DeepEqual(t, ids(m.Presumed()), []clementineport.VMID{"a", "b", "c"})
+	assert.DeepEqual(t, ids(m.Members()), []clementineport.VMID{"b"})
+	m.HandleResponse(now, "c", now, &clementineport.Digest{From: clementineport.Member{VM: vm("c"), Start: firstStart, Incarnation: 1}})
+	version := m.Version()
+	end := now.Add(cpmembership.NewOptions().PresumeTime)
+	m.Tick(end.Add(-1))
+	assert.DeepEqual(t, ids(m.Presumed()), []clementineport.VMID{"a", "b", "c"})
+	m.Tick(end)
+	assert.DeepEqual(t, ids(m.Presumed()), []clementineport.VMID{"b", "c"})
+	assert.Assert(t, m.Version() > version, "who asks only when something has changed learns of the end")
+	m.SetListed(end, []clementineport.VM{vm("a"), vm("b"), vm("c"), vm("e")})
+	assert.DeepEqual(t, ids(m.Presumed()), []clementineport.VMID{"b", "c"})
+}
--- a/cpmembership/options.go
+++ b/cpmembership/options.go
@@ -25,6 +25,9 @@
 	PauseThreshold time.Duration
 	// IsolatedAfter is how long this VM may fail to reach any other before it sets its own state to suspect.
 	IsolatedAfter time.Duration
+	// PresumeTime is how long after the start of this VM those that the platform lists are presumed to be alive although nobody has
+	// reached them. It is longer than a VM takes to learn of the others.
+	PresumeTime time.Duration
 	// Partners is the number of VMs with which the regular exchanges keep connections open.
 	Partners int
 	// DeadProbePeriod is the time between probes of dead or unconfirmed VMs.
@@ -62,6 +65,7 @@
 		SuspicionCooldown:        30 * time.Second,
 		PauseThreshold:           700 * time.Millisecond,
 		IsolatedAfter:            2500 * time.Millisecond,
+		PresumeTime:              5 * time.Second,
 		Partners:                 16,
 		DeadProbePeriod:          5 * time.Second,
 		DeadRetention:            2 * time.Minute,
