Leave the trial of a blocked request to the VM that ranks first among the listed ones

What callers see: nothing; targets crash once more for each VM that has just started and gets a request that has crashed three of them.

Cause: the same as of the owners of cold targets: the VM that may try a blocked request is the first of the members that a VM has reached, itself if it has reached none. Found while looking for that cause elsewhere.

Evidence: TestVMsThatHaveJustStartedLeaveABlockedRequestToTheOneThatRanksFirst: 20 trials of 20 VMs on the code before, 1 now.

--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -50,8 +50,8 @@
 	if suspect.Crashed > cpcrash.MaxCrashes || now.Sub(suspect.LastCrash) < trialDelay {
 		return false
 	}
-	first := cpowner.Rank(key.String(), view.Members, 1, func(m *clementineport.Member) bool { return m.State == clementineport.MemberAlive })
-	if len(first) == 0 || view.Members[first[0]].ID != view.Self {
+	first := cpowner.Rank(key.String(), view.Presumed, 1, func(m *clementineport.Member) bool { return m.State == clementineport.MemberAlive })
+	if len(first) == 0 || view.Presumed[first[0]].ID != view.Self {
 		return false
 	}
 	f.mu.Lock()
--- a/cpforward/crash_test.go
+++ b/cpforward/crash_test.go
@@ -21,9 +21,11 @@
 // crashPath is the path of requests that crash each target that runs them.
 const crashPath = "/crash"
 
-// crashFleet is a number of VMs with the targets of one service. The VMs share their reports at once.
+// crashFleet is a number of VMs with the targets of one service. The VMs share their reports at once, unless they have not reached
+// each other.
 type crashFleet struct {
-	vms []*cpforward.Forwarder
+	vms       []*cpforward.Forwarder
+	unreached bool
 
 	mu      sync.Mutex
 	tracker *cpcrash.Tracker
@@ -70,7 +72,7 @@
 func (f *crashFleet) vm(members []clementineport.Member, i int) *cpforward.Forwarder {
 	view := cpfleetstate.View{
 		Router:   cproute.New(&clementineport.RouteTable{Services: map[clementineport.ServiceID]clementineport.TargetService{}}, nil),
-		Services: map[clementineport.ServiceID][]cpfleetstate.Target{}, VMs: len(members), Members: members, Self: members[i].ID,
+		Services: map[clementineport.ServiceID][]cpfleetstate.Target{}, VMs: len(members), Members: members, Presumed: members, Self: members[i].ID,
 	}
 	for _, c := range f.targets {
 		state := cpbalancer.NewTarget(clementineport.TargetInstance{ID: c.id, Service: "a", Slots: 2})
@@ -81,6 +83,9 @@
 		defer f.mu.Unlock()
 		current := view
 		current.Suspects = f.tracker.Suspects()
+		if f.unreached {
+			current.Members = members[i : i+1]
+		}
 		return &current
 	}
 	return newFleet("a").forwarder(cpforward.WithView(get), cpforward.WithSeed(uint64(i)), cpforward.WithOnReport(f.report))
@@ -90,6 +95,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports = append(f.reports, r)
+	if f.unreached {
+		return
+	}
 	f.tracker.Report(time.Now(), &r)
 }
 
@@ -169,6 +177,19 @@
 	}
 }
 
+// TestVMsThatHaveJustStartedLeaveABlockedRequestToTheOneThatRanksFirst guards against a trial by each of them before they have reached
+// each other.
+func TestVMsThatHaveJustStartedLeaveABlockedRequestToTheOneThatRanksFirst(t *testing.T) {
+	f := newCrashFleet(20, 30)
+	r := crashRequest()
+	f.crashedAgo(11*time.Second, r, 3)
+	f.unreached = true
+	for _, vm := range f.vms {
+		vm.Forward(context.Background(), singleRoute(true), r)
+	}
+	assert.Equal(t, f.calls.Load(), int64(1))
+}
+
 func TestABlockedGatherIsNotTried(t *testing.T) {
 	f := newCrashFleet(5, 10)
 	r := crashRequest()
