Leave a cold target to its old owner until the handover is over

What callers see: on the product's own path, a target that is cold and that serves one call at a time falls over when two VMs own it at once, as happens while their views differ.

Cause: the new owner of a target is limited to a share of its slots during the handover, but at least to one call at a time. The old owner of a cold target has one call under way as well.

Change: once an answer has told a new owner that its target is cold, it sends nothing until the handover time (2 s) is over, and refuses what would not start by then at once (docs/design/ownership.md, before a VM knows the fleet). Ruled out: no call at all before the handover is over, since warm targets would be idle for 2 s after each change of owner. The first call of a new owner may still meet one of the old owner.

--- a/cplimit/advance.go
+++ b/cplimit/advance.go
@@ -49,6 +49,9 @@
 // hasCapacity reports whether one more call may start. If only lingering calls use up the limit, one probe call may start
 // after a grace period; its answer shows whether they have stopped.
 func (t *TargetLimiter) hasCapacity(now time.Time) bool {
+	if t.handoverWait(now) > 0 {
+		return false
+	}
 	if t.InUse() < t.Limit(now) {
 		return true
 	}
--- a/cplimit/model_test.go
+++ b/cplimit/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -227,6 +228,34 @@
 	assert.Equal(t, b.overloads, 0)
 }
 
+// TestANewOwnerLeavesAColdTargetToTheOldOne has a VM begin to own a cold target. Once it has learned that the target is cold, it refuses
+// what would not start before the end of the handover at once, and sends nothing until then.
+func TestANewOwnerLeavesAColdTargetToTheOldOne(t *testing.T) {
+	o := cplimit.NewOptions()
+	l := cplimit.NewTargetLimiter(&o, 1, &clementineport.Group{Slots: 6, Queue: 4}, &cpslowstart.Average{}, start)
+	handedOver := start.Add(o.HandoverTime)
+	assert.Equal(t, len(l.Offer(start, cplimit.Request{Ticket: 1, Deadline: start.Add(time.Second)})), 1)
+	at := start.Add(10 * time.Millisecond)
+	l.Done(at, 1, &clementineport.CallResult{
+		Elapsed: 10 * time.Millisecond, Reply: &clementineport.Reply{}, Signals: clementineport.Signals{Start: "a", Cold: true},
+	})
+	refused := l.Offer(at, cplimit.Request{Ticket: 2, Deadline: at.Add(time.Second)})
+	assert.Equal(t, len(refused), 1)
+	var e *clementineport.Error
+	assert.Assert(t, errors.As(refused[0].Err, &e))
+	assert.Equal(t, e.Fault, clementineport.FaultShed)
+	assert.Assert(t, e.RetryAfter >= handedOver.Sub(at)/2)
+	assert.Equal(t, len(l.Offer(at, cplimit.Request{Ticket: 3, Deadline: at.Add(5 * time.Second)})), 0, "it waits in the queue")
+	next, ok := l.NextEvent(at)
+	assert.Assert(t, ok)
+	assert.Equal(t, next, handedOver)
+	assert.Equal(t, len(l.Tick(handedOver.Add(-1))), 0)
+	started := l.Tick(handedOver)
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Ticket, cplimit.Ticket(3))
+	assert.NilError(t, started[0].Err)
+}
+
 // TestColdStart floods cold targets with different slots and steps. A target is never overloaded, whether it reports
 // that it is cold or shows it only by its latency, and it reaches full service.
 func TestColdStart(t *testing.T) {
--- a/cplimit/target.go
+++ b/cplimit/target.go
@@ -51,9 +51,11 @@
 	closed           clementineport.Fault
 	drainingUntil    time.Time
 	handoverUntil    time.Time
-	otherCalls       int
-	otherCallsUntil  time.Time
-	latency          cpslowstart.Average
+	// cold is true if the latest answer stated that the target is cold.
+	cold            bool
+	otherCalls      int
+	otherCallsUntil time.Time
+	latency         cpslowstart.Average
 	// lastResponse is when the target last responded, also with a refusal.
 	lastResponse time.Time
 
@@ -114,7 +116,7 @@
 	t.startQueued(now)
 	if len(t.queued) > t.queueSize {
 		last := len(t.queued) - 1
-		t.decisions = append(t.decisions, Decision{t.queued[last].Ticket, t.shed("queue is full", last)})
+		t.decisions = append(t.decisions, Decision{t.queued[last].Ticket, t.shed(now, "queue is full", last)})
 		t.queued = t.queued[:last]
 	}
 	return t.decisions
@@ -140,9 +142,12 @@
 	case !r.Deadline.After(now):
 		return clementineport.Fail(clementineport.FaultDeadline, "no time left")
 	}
+	if now.Add(t.handoverWait(now)).After(r.Deadline) {
+		return t.shed(now, "target is cold, and its old owner may still call it", 0)
+	}
 	ahead, _ := slices.BinarySearchFunc(t.queued, r, compareRequests)
 	if wait := t.estimateWait(now, ahead); now.Add(wait).After(r.Deadline) {
-		return t.shed("would not start before its deadline", ahead)
+		return t.shed(now, "would not start before its deadline", ahead)
 	}
 	return nil
 }
@@ -151,9 +156,18 @@
 func (t *TargetLimiter) estimateWait(now time.Time, ahead int) time.Duration {
 	limit := t.Limit(now)
 	if t.InUse()+ahead < limit {
+		return t.handoverWait(now)
+	}
+	return t.handoverWait(now) + t.serviceTime()*time.Duration(ahead+1)/time.Duration(limit)
+}
+
+// handoverWait returns how long a new owner sends nothing to a target that it has found cold. The old owner may still call the target,
+// which serves one call at a time.
+func (t *TargetLimiter) handoverWait(now time.Time) time.Duration {
+	if !t.cold || t.opts.SlowStart.Disabled {
 		return 0
 	}
-	return t.serviceTime() * time.Duration(ahead+1) / time.Duration(limit)
+	return max(0, t.handoverUntil.Sub(now))
 }
 
 func (t *TargetLimiter) serviceTime() time.Duration {
@@ -167,9 +181,10 @@
 }
 
 // shed returns the error of a refused call, with jitter in RetryAfter so that callers do not retry at the same time.
-func (t *TargetLimiter) shed(reason string, ahead int) error {
+func (t *TargetLimiter) shed(now time.Time, reason string, ahead int) error {
 	drain := t.serviceTime() * time.Duration(ahead+1) / time.Duration(max(t.slowStart.Limit(), 1))
 	drain = max(drain, t.opts.MinRetryAfter)
+	drain = max(drain, t.handoverWait(now))
 	return &clementineport.Error{
 		Fault:      clementineport.FaultShed,
 		Reason:     reason,
@@ -186,7 +201,7 @@
 	call, inUse := t.running[i], t.InUse()
 	t.running = slices.Delete(t.running, i, i+1)
 	if res.Signals.Start != "" {
-		t.lastResponse = now
+		t.lastResponse, t.cold = now, res.Signals.Cold
 	}
 	t.observeLatency(res)
 	t.releaseLingering(call, res)
