Share the connections of targets with all VMs that the store lists for 5 s after a start

What callers see: little; a VM that starts opens up to half of the connections that a target accepts from all VMs, and the target resets those of others.

Cause: a VM divides the connections by the VMs that it has reached; right after its start that is itself alone. The same gap as of the owners of cold targets, and the same rule: for 5 s the listed VMs count.

--- a/cpfleetwatch/view.go
+++ b/cpfleetwatch/view.go
@@ -71,7 +71,7 @@
 
 // activeVMs returns the number of VMs that may send requests to targets: all that are not dead.
 func (w *Watcher) activeVMs() (n int) {
-	for _, m := range w.membership.Members() {
+	for _, m := range w.membership.Presumed() {
 		if m.State != clementineport.MemberDead {
 			n++
 		}
