Number what targets and VMs state, so that an older statement does not hold for the latest

What callers see: a target whose limit has ended is still limited by some VMs or all, until one of them gets an answer of it; or VMs leave one out that reaches targets again, until it hears of that.

Cause: statements are ordered by their age, which does not count the time on the way from VM to VM. One that was under way for longer, or that a paused VM reads when it goes on, counts as newer than it is; and VMs that tell each other the same again move its time forward each time. So it may replace a later one, and is then told on as new.

Evidence: TestAStatementThatIsLongOnItsWayDoesNotReplaceALaterOne (cpcatalog, cpreach) and TestAllVMsAgreeOnTheLatestLimit fail on the code before.

Change: a VM that gets a statement from a target numbers it one above the latest that it knows of that run, and a VM counts its own statements about its path. The higher number holds. Of two with the same number the lower limit holds, so that all VMs agree; the next answer that says otherwise gets a higher number. Statements without a number, from earlier builds, are compared by age.

--- a/cpcatalog/limits.go
+++ b/cpcatalog/limits.go
@@ -12,6 +12,7 @@
 // statedLimit is the latest that a run of a target has stated about the requests that it takes.
 type statedLimit struct {
 	born    int64
+	seq     clementineport.StatementSeq
 	limited bool
 	rate    clementineport.RequestRate
 	// at is when the target stated it, and learnedAt when this VM learned the present value.
@@ -19,24 +20,33 @@
 	learnedAt time.Time
 }
 
-// SetLimit records what a run of a target has stated about the requests that it takes, and reports whether that changes
-// what this VM knows. The latest statement of the latest run holds, whatever the order in which they arrive.
+// StateLimit records what a run of a target has stated to this VM, and reports whether that changes what this VM knows.
+func (c *Catalog) StateLimit(now time.Time, l *clementineport.TargetLimit) (changed bool) {
+	stated, known := *l, c.knownLimit(l.Run)
+	if stated.Seq = known.seq; known.seq == 0 || !known.states(l) {
+		stated.Seq++
+	}
+	return c.SetLimit(now, &stated)
+}
+
+// SetLimit records what a run of a target has stated, and reports whether that changes what this VM knows. The latest statement of the
+// latest run holds, whatever the order in which they arrive. Of different ones that VMs have numbered alike, the lower limit holds.
 func (c *Catalog) SetLimit(now time.Time, l *clementineport.TargetLimit) (changed bool) {
 	if math.IsNaN(float64(l.Rate)) || l.Rate < 0 {
 		return false // from a VM of another build
 	}
-	if t := c.targets[l.Run.ID]; t != nil && t.Born > l.Run.Born {
+	if t := c.targets[l.Run.ID]; t != nil && t.Born > l.Run.Born || c.limits[l.Run.ID].born > l.Run.Born {
 		return false
 	}
-	known := c.limits[l.Run.ID]
-	at := now.Add(-max(l.Age, 0))
-	if known.born > l.Run.Born || known.born == l.Run.Born && !at.After(known.at) {
+	known := c.knownLimit(l.Run)
+	next := statedLimit{
+		born: l.Run.Born, seq: max(l.Seq, known.seq), limited: l.Limited, rate: l.Rate, at: now.Add(-max(l.Age, 0)), learnedAt: known.learnedAt,
+	}
+	if !known.at.IsZero() && !known.replacedBy(l.Seq, &next) {
 		return false
 	}
-	sameRun := known.born == l.Run.Born
-	next := statedLimit{born: l.Run.Born, limited: l.Limited, rate: l.Rate, at: at, learnedAt: known.learnedAt}
-	changed = l.Limited != (known.limited && sameRun) || l.Limited && l.Rate != known.rate
-	if !changed && !l.Limited && !sameRun {
+	changed = !known.states(l)
+	if !changed && !l.Limited && known.at.IsZero() {
 		return false // a target that has never stated a limit needs no record
 	}
 	if changed {
@@ -46,6 +56,27 @@
 	return changed
 }
 
+// knownLimit returns the latest statement of a run, or that of one that has stated none.
+func (c *Catalog) knownLimit(run clementineport.TargetRun) statedLimit {
+	if known := c.limits[run.ID]; known.born == run.Born {
+		return known
+	}
+	return statedLimit{born: run.Born}
+}
+
+// states reports whether a statement has the known value.
+func (s *statedLimit) states(l *clementineport.TargetLimit) bool {
+	return l.Limited == s.limited && (!l.Limited || l.Rate == s.rate)
+}
+
+// replacedBy reports whether another statement of the same run, with a number or zero, holds in place of this one.
+func (s *statedLimit) replacedBy(seq clementineport.StatementSeq, next *statedLimit) bool {
+	if c := seq.Compare(next.at, s.seq, s.at); c != 0 || seq == 0 || s.seq == 0 {
+		return c > 0
+	}
+	return next.limited && (!s.limited || next.rate < s.rate)
+}
+
 // Limit returns the number of requests a second that a target takes from all VMs together, and whether it states one.
 func (c *Catalog) Limit(t *Target) (_ clementineport.RequestRate, limited bool) {
 	known, ok := c.limits[t.ID]
@@ -61,7 +92,7 @@
 	for id, known := range c.limits {
 		if known.learnedAt.After(after) {
 			run := clementineport.TargetRun{ID: id, Born: known.born}
-			limits = append(limits, clementineport.TargetLimit{Run: run, Limited: known.limited, Rate: known.rate, Age: now.Sub(known.at)})
+			limits = append(limits, clementineport.TargetLimit{Run: run, Limited: known.limited, Rate: known.rate, Age: now.Sub(known.at), Seq: known.seq})
 		}
 	}
 	slices.SortFunc(limits, func(a, b clementineport.TargetLimit) int {
--- a/cpcatalog/limits_test.go
+++ b/cpcatalog/limits_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpcatalog"
@@ -82,3 +84,118 @@
 	c.SetLimit(at(700), limit(-1, 0))
 	assert.DeepEqual(t, c.LimitsSince(at(700), at(600)), []clementineport.TargetLimit{*limit(-1, 0)})
 }
+
+// TestAStatementThatIsLongOnItsWayDoesNotReplaceALaterOne guards against a limit that has ended and comes back, since a VM was paused
+// with the message that named it, or VMs tell each other of it again and again.
+func TestAStatementThatIsLongOnItsWayDoesNotReplaceALaterOne(t *testing.T) {
+	a, b := cpcatalog.New(), cpcatalog.New()
+	for _, c := range []*cpcatalog.Catalog{a, b} {
+		apply(c, 0, full(position(1, 10), target("x", 1)))
+	}
+	assert.Assert(t, a.StateLimit(at(0), limit(20, 0)))
+	message := a.LimitsSince(at(0), start.Add(-1))[0]
+	assert.Assert(t, b.SetLimit(at(50), &message))
+	assert.Assert(t, b.StateLimit(at(100), limit(-1, 0)))
+	late := message
+	assert.Assert(t, !b.SetLimit(at(3000), &late))
+	assert.Equal(t, limitOf(b), clementineport.RequestRate(-1))
+	end := b.LimitsSince(at(3000), start)[0]
+	assert.Assert(t, a.SetLimit(at(4000), &end))
+	assert.Equal(t, limitOf(a), clementineport.RequestRate(-1))
+}
+
+// TestAllVMsAgreeOnTheLatestLimit has VMs state limits one after the other, each after it has learned of the one before, and pass on what they
+// know with delays, in any order.
+func TestAllVMsAgreeOnTheLatestLimit(t *testing.T) {
+	type message struct {
+		arrives time.Time
+		to      int
+		limits  []clementineport.TargetLimit
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const vms = 4
+		var all []*cpcatalog.Catalog
+		for range vms {
+			c := cpcatalog.New()
+			apply(c, 0, full(position(1, 10), target("x", 1)))
+			all = append(all, c)
+		}
+		now, latest, stated := start, clementineport.RequestRate(-1), 0
+		var statement []clementineport.TargetLimit // the latest
+		knowsLatest := func(c *cpcatalog.Catalog) bool {
+			known := c.LimitsSince(now, start.Add(-1))
+			return stated == 0 || len(known) == 1 && known[0].Seq == statement[0].Seq
+		}
+		var underWay []message
+		vm := rapid.IntRange(0, vms-1)
+		for i := range rapid.IntRange(10, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
+			if from := vm.Draw(t, "from"); i%10 == 0 && knowsLatest(all[from]) {
+				stated++
+				latest = clementineport.RequestRate(stated % 3 * 10)
+				if latest == 0 {
+					latest = -1
+				}
+				all[from].StateLimit(now, limit(latest, 0))
+				statement = all[from].LimitsSince(now, start.Add(-1))
+			} else if to := vm.Draw(t, "to"); to != from {
+				delay := time.Duration(rapid.SampledFrom([]int{1, 20, 2000}).Draw(t, "delay ms")) * time.Millisecond
+				underWay = append(underWay, message{now.Add(delay), to, all[from].LimitsSince(now, start.Add(-1))})
+			}
+			underWay = slices.DeleteFunc(underWay, func(m message) bool {
+				for j := range m.limits {
+					if !m.arrives.After(now) {
+						all[m.to].SetLimit(now, &m.limits[j])
+					}
+				}
+				return !m.arrives.After(now)
+			})
+		}
+		for range 2 {
+			now = now.Add(3 * time.Second)
+			for _, m := range underWay {
+				for j := range m.limits {
+					all[m.to].SetLimit(now, &m.limits[j])
+				}
+			}
+			underWay = nil
+			for from := range all {
+				for to := range all {
+					underWay = append(underWay, message{now, to, all[from].LimitsSince(now, start.Add(-1))})
+				}
+			}
+		}
+		for _, m := range underWay {
+			for j := range m.limits {
+				all[m.to].SetLimit(now, &m.limits[j])
+			}
+		}
+		for i := range all {
+			assert.Equal(t, limitOf(all[i]), latest, "VM %d", i)
+		}
+	})
+}
+
+// TestVMsThatStateDifferentLimitsAtOnceAgree guards against VMs that keep different limits of a target for good.
+func TestVMsThatStateDifferentLimitsAtOnceAgree(t *testing.T) {
+	for name, other := range map[string]clementineport.RequestRate{"higher": 30, "none": -1} {
+		t.Run(name, func(t *testing.T) {
+			a, b := cpcatalog.New(), cpcatalog.New()
+			for _, c := range []*cpcatalog.Catalog{a, b} {
+				apply(c, 0, full(position(1, 10), target("x", 1)))
+				c.SetLimit(at(0), &clementineport.TargetLimit{Run: clementineport.TargetRun{ID: "x", Born: 1}, Limited: true, Rate: 50, Seq: 3})
+			}
+			a.StateLimit(at(100), limit(20, 0))
+			b.StateLimit(at(110), limit(other, 0))
+			fromA, fromB := a.LimitsSince(at(120), at(50)), b.LimitsSince(at(120), at(50))
+			a.SetLimit(at(150), &fromB[0])
+			b.SetLimit(at(150), &fromA[0])
+			assert.Equal(t, limitOf(a), clementineport.RequestRate(20), "the lower one")
+			assert.Equal(t, limitOf(b), clementineport.RequestRate(20))
+			b.StateLimit(at(200), limit(other, 0))
+			again := b.LimitsSince(at(200), at(199))
+			a.SetLimit(at(250), &again[0])
+			assert.Equal(t, limitOf(a), other, "the target states it again")
+		})
+	}
+}
--- a/cpfleetwatch/news.go
+++ b/cpfleetwatch/news.go
@@ -80,7 +80,11 @@
 
 // setLimit records what a target takes, and reports whether that was not known.
 func (w *Watcher) setLimit(now time.Time, l *clementineport.TargetLimit, source string) bool {
-	if !w.catalog.SetLimit(now, l) {
+	set := w.catalog.SetLimit
+	if source == targetSource {
+		set = w.catalog.StateLimit
+	}
+	if !set(now, l) {
 		return false
 	}
 	fields := []zap.Field{zap.String("Target", string(l.Run.ID)), zap.Int64("Born", l.Run.Born), zap.String("Source", source)}
--- a/cpfleetwatch/news_test.go
+++ b/cpfleetwatch/news_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -56,6 +58,34 @@
 	}
 }
 
+// TestTheEndOfALimitIsKnownToAllVMsAlthoughMessagesAreLate guards against a limit that comes back after its end, since VMs had messages on
+// their way that name it.
+func TestTheEndOfALimitIsKnownToAllVMsAlthoughMessagesAreLate(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDomain(t, 12)
+				d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+				await(t, "the target", func() bool { return d.allHave("x") })
+				time.Sleep(5 * time.Second) // the VMs know each other
+				random := rand.New(rand.NewPCG(seed, 1))
+				const latest = 1500 * time.Millisecond
+				d.setLate(func() time.Duration { return time.Duration(random.Int64N(int64(latest))) })
+				defer func() {
+					d.setLate(func() time.Duration { return 0 })
+					time.Sleep(latest) // the exchanges under way end
+				}()
+				limit := clementineport.TargetLimit{Run: clementineport.TargetRun{ID: "x", Born: 1}, Limited: true, Rate: 20}
+				d.vms["vm-2"].TargetLimit(limit)
+				await(t, "all VMs know the limit", func() bool { return d.allLimited(20) })
+				limit.Limited, limit.Rate = false, 0
+				d.vms["vm-0"].TargetLimit(limit)
+				await(t, "all VMs know that it has ended", func() bool { return d.allUnlimited() })
+			})
+		})
+	}
+}
+
 // allLimited reports whether all VMs know the same limit of target x.
 func (d *domain) allLimited(rate clementineport.RequestRate) bool {
 	for _, w := range d.vms {
--- a/cpfleetwatch/reach.go
+++ b/cpfleetwatch/reach.go
@@ -90,8 +90,7 @@
 
 // stateReach states whether this VM reaches targets.
 func (w *Watcher) stateReach(now time.Time) {
-	statement := clementineport.VMReach{VM: w.options.Self.ID, Lost: !w.lostAt.IsZero()}
-	if w.reach.Set(now, &statement) {
+	if w.reach.State(now, w.options.Self.ID, !w.lostAt.IsZero()) {
 		w.dirty = true
 		w.notifyWaiters()
 		w.membership.Announce()
@@ -105,7 +104,7 @@
 		return false
 	}
 	if r.VM == w.options.Self.ID {
-		w.stateReach(now.Add(time.Nanosecond)) // later than the old statement
+		w.stateReach(now)
 		return false
 	}
 	if r.Lost {
--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -86,6 +86,8 @@
 	down map[clementineport.VMID]bool
 	// silent holds the VMs that don't answer.
 	silent map[clementineport.VMID]bool
+	// late returns how long an exchange takes on its way to a VM.
+	late func() time.Duration
 }
 
 // newDomain starts n VMs, of which three are to watch the store.
@@ -93,6 +95,7 @@
 	t.Helper()
 	d := &domain{
 		vms: map[clementineport.VMID]*cpfleetwatch.Watcher{}, down: map[clementineport.VMID]bool{}, silent: map[clementineport.VMID]bool{},
+		late: func() time.Duration { return 0 },
 	}
 	d.store = &fakeStore{
 		initial: &clementineport.FleetUpdate{AsOf: clementineport.StorePosition{Revision: 1}, Whole: true, Routes: &clementineport.RouteTable{
@@ -145,6 +148,22 @@
 	return cfg, err
 }
 
+// Exchange implements cppeer.Handler.
+func (h peerHandler) Exchange(ctx context.Context, digest *clementineport.Digest) (*clementineport.Digest, error) {
+	h.d.mu.Lock()
+	late := h.d.late()
+	h.d.mu.Unlock()
+	time.Sleep(late)
+	return h.Watcher.Exchange(ctx, digest)
+}
+
+// setLate sets how long exchanges take on their way.
+func (d *domain) setLate(late func() time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.late = late
+}
+
 // is reports whether the VM is one of a set.
 func (h peerHandler) is(set map[clementineport.VMID]bool) bool {
 	h.d.mu.Lock()
--- a/cppeer/cpmessage/digest.go
+++ b/cppeer/cpmessage/digest.go
@@ -81,7 +81,7 @@
 func reachToWire(reach []clementineport.VMReach) []*cpwire.VMReach {
 	out := make([]*cpwire.VMReach, len(reach))
 	for i, r := range reach {
-		out[i] = &cpwire.VMReach{VM: string(r.VM), Lost: r.Lost, AgeNanos: int64(r.Age)}
+		out[i] = &cpwire.VMReach{VM: string(r.VM), Lost: r.Lost, AgeNanos: int64(r.Age), Seq: uint64(r.Seq)}
 	}
 	return out
 }
@@ -91,6 +91,7 @@
 	for _, r := range reach {
 		out = append(out, clementineport.VMReach{
 			VM: clementineport.VMID(r.GetVM()), Lost: r.GetLost(), Age: time.Duration(r.GetAgeNanos()),
+			Seq: clementineport.StatementSeq(r.GetSeq()),
 		})
 	}
 	return out
@@ -119,7 +120,7 @@
 	out := make([]*cpwire.TargetLimit, len(limits))
 	for i, l := range limits {
 		out[i] = &cpwire.TargetLimit{
-			Run: runToWire(l.Run), Limited: l.Limited, PerSecond: float64(l.Rate), AgeNanos: int64(l.Age),
+			Run: runToWire(l.Run), Limited: l.Limited, PerSecond: float64(l.Rate), AgeNanos: int64(l.Age), Seq: uint64(l.Seq),
 		}
 	}
 	return out
@@ -130,7 +131,7 @@
 	for _, l := range limits {
 		out = append(out, clementineport.TargetLimit{
 			Run: runFromWire(l.GetRun()), Limited: l.GetLimited(), Rate: clementineport.RequestRate(l.GetPerSecond()),
-			Age: time.Duration(l.GetAgeNanos()),
+			Age: time.Duration(l.GetAgeNanos()), Seq: clementineport.StatementSeq(l.GetSeq()),
 		})
 	}
 	return out
--- a/cppeer/cppeer_test.go
+++ b/cppeer/cppeer_test.go
@@ -198,7 +198,7 @@
 				Revision: 9, Staleness: time.Second, Members: []clementineport.Member{}, TargetNews: clementineport.TargetNews{
 					Leaving: []clementineport.TargetRun{{ID: "t-1", Born: 7}},
 					Limits: []clementineport.TargetLimit{
-						{Run: clementineport.TargetRun{ID: "t-2", Born: 8}, Limited: true, Rate: 2.5, Age: time.Second},
+						{Run: clementineport.TargetRun{ID: "t-2", Born: 8}, Limited: true, Rate: 2.5, Age: time.Second, Seq: 6},
 						{Run: clementineport.TargetRun{ID: "t-3", Born: 9}},
 					},
 					Requests: []clementineport.RequestReport{
@@ -211,6 +211,7 @@
 							New: clementineport.VersionCounts{Sent: 1},
 						}},
 					}},
+					Reach: []clementineport.VMReach{{VM: "vm-2", Lost: true, Age: time.Second, Seq: 3}},
 					Loads: []clementineport.VMLoad{{VM: "vm-1", Rate: 3, Refused: 1, Busy: 0.5, Age: time.Second}},
 				},
 			}
--- a/cpreach/statements.go
+++ b/cpreach/statements.go
@@ -17,6 +17,7 @@
 // statement is the latest statement of a VM.
 type statement struct {
 	lost bool
+	seq  clementineport.StatementSeq
 	// at is when the VM stated it, and learnedAt when this VM learned the present value.
 	at        time.Time
 	learnedAt time.Time
@@ -25,15 +26,22 @@
 // NewStatements returns no statements: all VMs are taken to reach targets.
 func NewStatements() *Statements { return &Statements{all: map[clementineport.VMID]statement{}} }
 
+// State records what this VM states about itself, and reports whether that changes what is known. It holds whatever is known.
+func (s *Statements) State(now time.Time, self clementineport.VMID, lost bool) (changed bool) {
+	known := s.all[self]
+	s.all[self] = statement{lost: lost, seq: known.seq + 1, at: now, learnedAt: now}
+	return lost != known.lost
+}
+
 // Set records a statement, and reports whether it changes what is known. The latest statement of a VM holds, whatever the
 // order in which they arrive.
 func (s *Statements) Set(now time.Time, r *clementineport.VMReach) (changed bool) {
 	known, ok := s.all[r.VM]
 	at := now.Add(-max(r.Age, 0))
-	if ok && !at.After(known.at) {
+	if ok && r.Seq.Compare(at, known.seq, known.at) <= 0 {
 		return false
 	}
-	next := statement{lost: r.Lost, at: at, learnedAt: known.learnedAt}
+	next := statement{lost: r.Lost, seq: max(r.Seq, known.seq), at: at, learnedAt: known.learnedAt}
 	changed = r.Lost != known.lost
 	if changed || !ok {
 		next.learnedAt = now // others may know only that the VM had lost its path
@@ -57,7 +65,7 @@
 func (s *Statements) Since(now, after time.Time) (reach []clementineport.VMReach) {
 	for vm, known := range s.all {
 		if known.learnedAt.After(after) {
-			reach = append(reach, clementineport.VMReach{VM: vm, Lost: known.lost, Age: now.Sub(known.at)})
+			reach = append(reach, clementineport.VMReach{VM: vm, Lost: known.lost, Age: now.Sub(known.at), Seq: known.seq})
 		}
 	}
 	slices.SortFunc(reach, func(a, b clementineport.VMReach) int {
--- a/cpreach/statements_test.go
+++ b/cpreach/statements_test.go
@@ -29,6 +29,35 @@
 	})
 }
 
+// TestAStatementThatIsLongOnItsWayDoesNotReplaceALaterOne guards against a VM that callers avoid although it reaches targets again, since
+// another VM was paused with the message that it does not.
+func TestAStatementThatIsLongOnItsWayDoesNotReplaceALaterOne(t *testing.T) {
+	self, other := cpreach.NewStatements(), cpreach.NewStatements()
+	assert.Assert(t, self.State(start, "a", true))
+	lost := self.Since(start, start.Add(-1))[0]
+	assert.Assert(t, other.Set(start.Add(time.Second), &lost))
+	assert.Assert(t, self.State(start.Add(2*time.Second), "a", false))
+	regained := self.Since(start.Add(2*time.Second), start)[0]
+	assert.Assert(t, other.Set(start.Add(3*time.Second), &regained))
+	assert.Assert(t, !other.Set(start.Add(4*time.Second), &lost))
+	assert.Equal(t, len(other.Lost()), 0)
+}
+
+// TestAVMThatHasStartedAgainCorrectsWhatItStatedBefore guards against a VM whose statements are ignored, since it counts them anew.
+func TestAVMThatHasStartedAgainCorrectsWhatItStatedBefore(t *testing.T) {
+	other, self := cpreach.NewStatements(), cpreach.NewStatements()
+	for i := range 3 {
+		other.Set(start.Add(time.Duration(i)*time.Second), &clementineport.VMReach{VM: "a", Lost: i%2 == 0, Seq: clementineport.StatementSeq(i + 1)})
+	}
+	now := start.Add(5 * time.Second)
+	old := other.Since(now, start.Add(-1))[0]
+	assert.Assert(t, self.Set(now, &old), "it differs from what holds")
+	assert.Assert(t, self.State(now, "a", false))
+	present := self.Since(now, start)[0]
+	assert.Assert(t, other.Set(now, &present))
+	assert.Equal(t, len(other.Lost()), 0)
+}
+
 func TestOnlyWhatChangesIsToldOn(t *testing.T) {
 	s := cpreach.NewStatements()
 	assert.Assert(t, !s.Set(start, &clementineport.VMReach{VM: "a", Age: 2 * time.Second}), "reaching targets is nothing new")
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,7 @@
 package clementineport
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -37,6 +38,19 @@
 // RequestRate is a number of requests a second.
 type RequestRate float64
 
+// StatementSeq counts the statements on one subject: whoever makes one that differs from the latest that it knows takes the next number.
+// It is zero in statements from VMs of earlier builds.
+type StatementSeq uint64
+
+// Compare compares the numbers of two statements on the same subject. Without both numbers it compares the times at which the statements
+// were made, which are known only as exactly as the time that they have taken from VM to VM.
+func (s StatementSeq) Compare(at time.Time, other StatementSeq, otherAt time.Time) int {
+	if s != 0 && other != 0 {
+		return cmp.Compare(s, other)
+	}
+	return at.Compare(otherAt)
+}
+
 // TargetLimit is what a run of a target has stated about the requests that it takes from all VMs together.
 type TargetLimit struct {
 	Run TargetRun
@@ -45,6 +59,7 @@
 	Rate    RequestRate
 	// Age is the time since the target stated it.
 	Age time.Duration
+	Seq StatementSeq
 }
 
 // RequestReport states that a target has crashed while it ran a request, or that one has served it.
@@ -64,6 +79,7 @@
 	Lost bool
 	// Age is the time since the VM stated it.
 	Age time.Duration
+	Seq StatementSeq
 }
 
 // VMLoad is what a VM has stated about the requests of its callers.
