Let the test of shared losses wait for a VM that makes sure of its path again

Cause: the test. VM a hears that b has lost its path, connects to a target and is sure of its own. If c, which does the same a moment later and fails, states its loss after that, a doubts its path again, and makes sure two seconds later (soundPathPeriod). All know of both losses by then, so the test asked in between. Nothing but connection attempts follows from "suspected".

Change: the test asks for 3 s that neither a nor any other VM takes a's path for lost, which it asked once, and then that a is sure of it.

--- a/cpfleetwatch/reach_test.go
+++ b/cpfleetwatch/reach_test.go
@@ -247,8 +247,14 @@
 		}
 		return true
 	})
-	assert.Equal(t, all["a"].reach.State(), cpreach.Reached)
-	assert.Assert(t, !all["b"].View().Lost["a"])
+	// A VM that hears of a loss after it has made sure of its own path does so again after a while.
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, all["a"].reach.State() != cpreach.Lost)
+		for _, v := range all {
+			assert.Assert(t, !v.View().Lost["a"])
+		}
+	}
+	await(t, "the VM has made sure of its path", func() bool { return all["a"].reach.State() == cpreach.Reached })
 }
 
 // TestAVMCorrectsAnOldStatementOfItsOwn guards against a VM that callers avoid for good, since another VM still tells what it
