Keep one copy of the wait that ends with a context, and of the connection that counts bytes

The test of large configurations counts bytes with the connection of the traffic benchmark. No change of behaviour, but that a wait of no time no longer yields.

--- a/cpfleetwatch/watch.go
+++ b/cpfleetwatch/watch.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	s.asOf, s.confirmed = update.AsOf, requestedAt.Add(-update.Age)
-	w.sleep(ctx, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
+	clementineport.Sleep(ctx, w.options.Clock, w.options.WatchPeriod/upstreamPollFactor-w.options.Clock.Now().Sub(requestedAt))
 	return true
 }
 
@@ -83,7 +83,7 @@
 			w.options.Log.Warn(string(cplogevent.StoreLost), cplog.Cause("Error", err), cplog.Position(s.asOf))
 		}
 		s.reached = false
-		w.sleep(ctx, w.retryDelay(s.delays))
+		clementineport.Sleep(ctx, w.options.Clock, w.retryDelay(s.delays))
 		return
 	}
 	if !s.reached {
@@ -99,7 +99,7 @@
 	w.enqueue(ctx, func(_ context.Context, w *Watcher, now time.Time) { w.apply(now, confirmedAt, update, storeSource) })
 	if !update.Partial {
 		s.confirmed = confirmedAt
-		w.sleep(ctx, w.options.WatchPeriod-took)
+		clementineport.Sleep(ctx, w.options.Clock, w.options.WatchPeriod-took)
 	}
 }
 
@@ -161,17 +161,6 @@
 	return w.options.Source.Next(ctx, asOf, wait)
 }
 
-// sleep waits for d or until ctx ends.
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-w.options.Clock.After(d):
-	}
-}
-
 // changePeriods is the number of watch periods in which a change reaches a VM that gets its updates from another one: each of the
 // two makes one call a period.
 const changePeriods = 2
--- a/cpload/cpload.go
+++ b/cpload/cpload.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	vegeta "github.com/tsenart/vegeta/v12/lib"
 
 	"github.com/clementineport/clementineport"
@@ -99,7 +100,7 @@
 	interval := time.Duration(float64(time.Second) / r.opts.Rate)
 	for n := range total {
 		wait, stop := pacer.Pace(time.Since(start), uint64(n))
-		if stop || !sleep(ctx, wait) {
+		if stop || !clementineport.Sleep(ctx, clockwork.NewRealClock(), wait) {
 			return
 		}
 		q, policy := r.nextQuery(n, total)
@@ -169,17 +170,3 @@
 	}
 	r.collector.Add(result)
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cppeer/config_test.go
+++ b/cppeer/config_test.go
@@ -27,19 +27,6 @@
 	return &clementineport.Config{Text: h.text}, nil
 }
 
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	n *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.n.Add(int64(n))
-	return n, err
-}
-
 // manyRoutes returns the text of a configuration of n routes over 36 shards.
 func manyRoutes(n int) []byte {
 	var text bytes.Buffer
@@ -66,19 +53,19 @@
 	codec := cpconnect.WithCodec(func(c *clementineport.Config) ([]byte, error) { return c.Text, nil },
 		func(text []byte) (*clementineport.Config, error) { return &clementineport.Config{Text: text}, nil })
 	server := startServer(t, cpconnect.NewHandler(h, cpconnect.WithToken(token), codec))
-	var read atomic.Int64
+	var transferred atomic.Int64
 	peer := cpconnect.New(cpconnect.WithAddress(server), cpconnect.WithToken(token), codec,
 		cpconnect.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			return countedConn{conn, &read}, err
+			return countingConn{conn, &transferred}, err
 		}))
 	defer peer.Close()
 	for range 2 { // the second call reuses what the first one needed
-		read.Store(0)
+		transferred.Store(0)
 		cfg, err := peer.Config(t.Context(), clementineport.StorePosition{Revision: 1})
 		assert.NilError(t, err)
 		assert.Assert(t, bytes.Equal(cfg.Text, h.text))
-		assert.Assert(t, followers*read.Load() < seconds*linkBytesPerSecond, "%d bytes for %d", read.Load(), len(h.text))
+		assert.Assert(t, followers*transferred.Load() < seconds*linkBytesPerSecond, "%d bytes for %d", transferred.Load(), len(h.text))
 	}
 }
 
--- a/cpregistration/cpregistration.go
+++ b/cpregistration/cpregistration.go
@@ -50,7 +50,7 @@
 	delays.InitialInterval, delays.MaxInterval = initialRetryDelay, maxRetryDelay
 	for ctx.Err() == nil && !k.stopped.Load() {
 		if k.options.View().Router == nil {
-			k.sleep(ctx, k.options.PollPeriod)
+			clementineport.Sleep(ctx, k.options.Clock, k.options.PollPeriod)
 			continue
 		}
 		err := k.registerOrRenew(ctx, registered)
@@ -68,7 +68,7 @@
 		}
 		failing = true
 		registered = registered && clementineport.FaultOf(err) != clementineport.FaultNotFound
-		k.sleep(ctx, delays.NextBackOff())
+		clementineport.Sleep(ctx, k.options.Clock, delays.NextBackOff())
 	}
 }
 
@@ -79,7 +79,7 @@
 	case <-ctx.Done():
 	case <-k.options.Clock.After(d):
 	case <-k.lost:
-		k.sleep(ctx, time.Duration(rand.Int64N(1+int64(k.options.Spread(k.options.View().VMs)))))
+		clementineport.Sleep(ctx, k.options.Clock, time.Duration(rand.Int64N(1+int64(k.options.Spread(k.options.View().VMs)))))
 		return true
 	}
 	return false
@@ -93,11 +93,3 @@
 	}
 	return k.options.Registrar.Register(ctx, k.options.VM)
 }
-
-// sleep waits for d or until ctx ends.
-func (k *Keeper) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-k.options.Clock.After(d):
-	}
-}
--- a/cpserver/limited.go
+++ b/cpserver/limited.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
 )
@@ -73,20 +74,12 @@
 			return err
 		default:
 			metrics.GetOrCreateCounter("clementineport_accept_failures_total").Inc()
-			sleep(ctx, pause)
+			clementineport.Sleep(ctx, clockwork.NewRealClock(), pause)
 			pause = min(2*pause, maxAcceptPause)
 		}
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // generation returns the generation for the limits in force, and starts it if it is new.
 func (s *Limited) generation(addr net.Addr) *generation {
 	s.mu.Lock()
--- a/cpstore/cpstoreserver/failures.go
+++ b/cpstore/cpstoreserver/failures.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpjson"
 	"github.com/clementineport/clementineport/cpstore"
@@ -42,7 +44,7 @@
 		w.Header().Set(VersionHeader, "1")
 		_, _ = w.Write(bytes.Repeat([]byte(" "), oversizedBytes))
 	case cpstore.ModeSlow:
-		if sleep(r, f.Delay) {
+		if clementineport.Sleep(r.Context(), clockwork.NewRealClock(), f.Delay) {
 			call(w)
 		}
 	default:
@@ -50,17 +52,6 @@
 	}
 }
 
-func sleep(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // sendTruncated sends half of a response and closes the connection.
 func sendTruncated(w http.ResponseWriter, call func(http.ResponseWriter)) {
 	recorded := newRecorder()
