Number statements by the clock where the latest is not known

Cause: numbers that only count put the statement of a VM that does not know the latest one last for good: a VM that was cut off while a limit came and went, or one that has started again and has not heard what it stated before, is not believed.

Change: the next number is not below the time in milliseconds. Who knows the latest statement still takes a higher number whatever its clock says.

--- a/cpcatalog/limits.go
+++ b/cpcatalog/limits.go
@@ -24,7 +24,7 @@
 func (c *Catalog) StateLimit(now time.Time, l *clementineport.TargetLimit) (changed bool) {
 	stated, known := *l, c.knownLimit(l.Run)
 	if stated.Seq = known.seq; known.seq == 0 || !known.states(l) {
-		stated.Seq++
+		stated.Seq = known.seq.Next(now)
 	}
 	return c.SetLimit(now, &stated)
 }
--- a/cpreach/statements.go
+++ b/cpreach/statements.go
@@ -29,7 +29,7 @@
 // State records what this VM states about itself, and reports whether that changes what is known. It holds whatever is known.
 func (s *Statements) State(now time.Time, self clementineport.VMID, lost bool) (changed bool) {
 	known := s.all[self]
-	s.all[self] = statement{lost: lost, seq: known.seq + 1, at: now, learnedAt: now}
+	s.all[self] = statement{lost: lost, seq: known.seq.Next(now), at: now, learnedAt: now}
 	return lost != known.lost
 }
 
--- a/cpreach/statements_test.go
+++ b/cpreach/statements_test.go
@@ -58,6 +58,22 @@
 	assert.Equal(t, len(other.Lost()), 0)
 }
 
+// TestALossHoldsThatAVMStatesWithoutKnowingWhatItStatedBefore guards against a VM that has started again, has lost its path, and still gets
+// callers, since it has not heard of its earlier statements.
+func TestALossHoldsThatAVMStatesWithoutKnowingWhatItStatedBefore(t *testing.T) {
+	before, other, self := cpreach.NewStatements(), cpreach.NewStatements(), cpreach.NewStatements()
+	for i := range 5 {
+		before.State(start.Add(time.Duration(i)*time.Second), "a", i%2 == 0)
+	}
+	before.State(start.Add(5*time.Second), "a", false)
+	old := before.Since(start.Add(6*time.Second), start)[0]
+	other.Set(start.Add(6*time.Second), &old)
+	self.State(start.Add(20*time.Second), "a", true)
+	lost := self.Since(start.Add(20*time.Second), start)[0]
+	assert.Assert(t, other.Set(start.Add(20*time.Second), &lost))
+	assert.Assert(t, other.Lost()["a"])
+}
+
 func TestOnlyWhatChangesIsToldOn(t *testing.T) {
 	s := cpreach.NewStatements()
 	assert.Assert(t, !s.Set(start, &clementineport.VMReach{VM: "a", Age: 2 * time.Second}), "reaching targets is nothing new")
--- a/fleet.go
+++ b/fleet.go
@@ -38,10 +38,16 @@
 // RequestRate is a number of requests a second.
 type RequestRate float64
 
-// StatementSeq counts the statements on one subject: whoever makes one that differs from the latest that it knows takes the next number.
+// StatementSeq orders the statements on one subject: whoever makes one that differs from the latest that it knows takes a higher number.
 // It is zero in statements from VMs of earlier builds.
 type StatementSeq uint64
 
+// Next returns the number of a statement that is made now by one who knows number s. It is not below the time in milliseconds, so that
+// a statement also holds if whoever makes it does not know the latest one.
+func (s StatementSeq) Next(now time.Time) StatementSeq {
+	return max(s+1, StatementSeq(now.UnixMilli()))
+}
+
 // Compare compares the numbers of two statements on the same subject. Without both numbers it compares the times at which the statements
 // were made, which are known only as exactly as the time that they have taken from VM to VM.
 func (s StatementSeq) Compare(at time.Time, other StatementSeq, otherAt time.Time) int {
