--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpreach"
 )
@@ -108,6 +110,7 @@
 	}
 	answer.Attempts = r.attempts.most()
 	if answer.Attempts > 0 && (!r.route.Idempotent || answer.Attempts >= r.route.MaxAttempts) {
+		metrics.GetOrCreateCounter("clementineport_reroutes_withheld_total").Inc()
 		return
 	}
 	answer.Unreached = answer.Attempts == 0 || r.f.SpendRetry(r.attempts.called(r.shards))
--- a/cptarget/cpopaqueconn/cpopaqueconn.go
+++ b/cptarget/cpopaqueconn/cpopaqueconn.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -93,6 +95,7 @@
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, nil
 		}
+		metrics.GetOrCreateCounter("clementineport_connections_passed_over_total").Inc()
 	}
 	if p.open >= p.limit && len(p.idle) > 0 {
 		p.idle[0].Abort()
