--- a/cpcatalog/earlierrun_test.go
+++ b/cpcatalog/earlierrun_test.go
@@ -59,8 +59,8 @@
 	assert.Assert(t, !has(c, "x"))
 }
 
-// TestAFullUpdateHoldsTheRunThatTheStoreLists guards against a VM that gets its first state from another one and never learns of the run that
-// is to replace the listed one.
+// TestAFullUpdateHoldsTheRunThatTheStoreLists guards against a VM that gets its first state from another one, and never learns of the
+// run that the store lists.
 func TestAFullUpdateHoldsTheRunThatTheStoreLists(t *testing.T) {
 	c := cpcatalog.New(cpcatalog.WithEarlierRunDelay(3 * time.Second))
 	register(c, 0, 1, run(5000, 9, "old"))
--- a/cpcatalog/limits_test.go
+++ b/cpcatalog/limits_test.go
@@ -127,6 +127,20 @@
 			return stated == 0 || len(known) == 1 && known[0].Seq == statement[0].Seq
 		}
 		var underWay []message
+		send := func(from, to int, delay time.Duration) {
+			underWay = append(underWay, message{now.Add(delay), to, all[from].LimitsSince(now, start.Add(-1))})
+		}
+		receive := func() {
+			underWay = slices.DeleteFunc(underWay, func(m message) bool {
+				if m.arrives.After(now) {
+					return false
+				}
+				for j := range m.limits {
+					all[m.to].SetLimit(now, &m.limits[j])
+				}
+				return true
+			})
+		}
 		vm := rapid.IntRange(0, vms-1)
 		for i := range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
@@ -139,36 +153,19 @@
 				all[from].StateLimit(now, limit(latest, 0))
 				statement = all[from].LimitsSince(now, start.Add(-1))
 			} else if to := vm.Draw(t, "to"); to != from {
-				delay := time.Duration(rapid.SampledFrom([]int{1, 20, 2000}).Draw(t, "delay ms")) * time.Millisecond
-				underWay = append(underWay, message{now.Add(delay), to, all[from].LimitsSince(now, start.Add(-1))})
+				send(from, to, time.Duration(rapid.SampledFrom([]int{1, 20, 2000}).Draw(t, "delay ms"))*time.Millisecond)
 			}
-			underWay = slices.DeleteFunc(underWay, func(m message) bool {
-				for j := range m.limits {
-					if !m.arrives.After(now) {
-						all[m.to].SetLimit(now, &m.limits[j])
-					}
-				}
-				return !m.arrives.After(now)
-			})
+			receive()
 		}
+		now = now.Add(3 * time.Second) // all that was under way has arrived
+		receive()
 		for range 2 {
-			now = now.Add(3 * time.Second)
-			for _, m := range underWay {
-				for j := range m.limits {
-					all[m.to].SetLimit(now, &m.limits[j])
-				}
-			}
-			underWay = nil
 			for from := range all {
 				for to := range all {
-					underWay = append(underWay, message{now, to, all[from].LimitsSince(now, start.Add(-1))})
+					send(from, to, 0)
 				}
 			}
-		}
-		for _, m := range underWay {
-			for j := range m.limits {
-				all[m.to].SetLimit(now, &m.limits[j])
-			}
+			receive()
 		}
 		for i := range all {
 			assert.Equal(t, limitOf(all[i]), latest, "VM %d", i)
