Answer the requests that are in flight when a shutdown reaches its end

Cause: the drain ended at its bound whatever was in flight, and the listener then closed the connections. Nothing told a request that the VM was about to end, so no layer could answer it. Ruled out: the time for closing the listener (0.3 s) was not too short, as the handlers had nothing to write.

Change: a state "answering" between refusing and ended. cpdrain.Requests, shared by the requests of callers and those of other VMs, cancels their contexts with a cause of its own, and each layer returns what it can prove: not run before a call was sent (admission, token of a quota, body still arriving), may have run with a call under way here or at another VM, a gather with the shards that have answered if they are enough. The third signal takes the same way.

The interface of the product itself is unchanged: its bound is longer than any query there.

--- a/cpdrain/cpdrain.go
+++ b/cpdrain/cpdrain.go
@@ -20,11 +20,13 @@
 	StateLeaving
 	// StateRefusing means that the VM refuses new work and finishes what is in flight.
 	StateRefusing
+	// StateAnswering means that the VM has ended the requests in flight and writes their answers.
+	StateAnswering
 	// StateEnded means that the process may exit.
 	StateEnded
 )
 
-var stateNames = [...]string{"serving", "leaving", "refusing", "ended"}
+var stateNames = [...]string{"serving", "leaving", "refusing", "answering", "ended"}
 
 // String returns the name of the state.
 func (s State) String() string { return stateNames[s] }
@@ -36,6 +38,7 @@
 	signals      int
 	leftAt       time.Time
 	signaledAt   time.Time
+	answeringAt  time.Time
 	outOfService bool
 	forced       bool
 	aborted      int
@@ -55,8 +58,7 @@
 // Listed reports whether the VM may appear in entry lists.
 func (d *Drain) Listed() bool { return d.state == StateServing }
 
-// Aborted returns the number of requests that were still in flight when the drain ended at its maximum duration or at
-// a third signal.
+// Aborted returns the number of requests whose answers were not written when the drain ended.
 func (d *Drain) Aborted() int { return d.aborted }
 
 // Admit returns nil if new work is accepted, or the error to refuse it with.
@@ -75,7 +77,7 @@
 const usualDuration = 3
 
 // AdmitRequest returns nil if a request on a route is accepted, or the error to refuse it with. During a shutdown it is accepted only
-// if it will have ended before the drain does: by its deadline or, if it can be repeated, in the usual time.
+// if it will have ended before the VM ends what is in flight: by its deadline or, if it can be repeated, in the usual time.
 func (d *Drain) AdmitRequest(now time.Time, route *clementineport.Route, deadline time.Time) error {
 	if d.signals == 0 {
 		return nil
@@ -84,14 +86,19 @@
 	if usual := now.Add(usualDuration * route.Objective); route.Idempotent && usual.Before(end) {
 		end = usual
 	}
-	if end.After(d.signaledAt.Add(d.options.MaxDuration)) {
+	if end.After(d.answersFrom()) {
 		return clementineport.Fail(clementineport.FaultDraining, "this VM shuts down before the request would end")
 	}
 	return nil
 }
 
+// answersFrom returns when the VM ends the requests that are in flight.
+func (d *Drain) answersFrom() time.Time {
+	return d.signaledAt.Add(d.options.MaxDuration - d.options.AnswerTime)
+}
+
 // Signal records a request to shut down. The second one skips the wait for entry lists to expire,
-// the third ends the drain without waiting for requests in flight.
+// the third ends the requests in flight.
 func (d *Drain) Signal(now time.Time) {
 	d.signals++
 	switch d.signals {
@@ -134,12 +141,11 @@
 	if d.state == StateLeaving && now.Sub(d.leftAt) >= d.refuseAfter() {
 		d.state = StateRefusing
 	}
-	if d.state != StateRefusing || d.signals == 0 {
-		return d.state
+	if d.state == StateRefusing && d.signals > 0 && (inFlight == 0 || d.forced || !now.Before(d.answersFrom())) {
+		d.state, d.answeringAt = StateAnswering, now
 	}
-	if inFlight == 0 || d.forced || now.Sub(d.signaledAt) >= d.options.MaxDuration {
-		d.state = StateEnded
-		d.aborted = inFlight
+	if d.state == StateAnswering && (inFlight == 0 || now.Sub(d.answeringAt) >= d.options.AnswerTime) {
+		d.state, d.aborted = StateEnded, inFlight
 	}
 	return d.state
 }
--- a/cpdrain/cpdrain_test.go
+++ b/cpdrain/cpdrain_test.go
@@ -145,6 +145,73 @@
 	}
 }
 
+// TestRequestsInFlightAreAnsweredBeforeTheDrainEnds guards against a planned stop that closes the connections of requests in flight
+// without an answer, at its maximum duration or at a third signal.
+func TestRequestsInFlightAreAnsweredBeforeTheDrainEnds(t *testing.T) {
+	const answerTime = 3 * time.Second
+	for _, row := range []struct {
+		name             string
+		signals          []time.Duration
+		answered         time.Duration // when the last answer is written
+		answering, ended time.Duration
+		aborted          int
+	}{
+		{"idle", []time.Duration{0}, 0, 12 * time.Second, 12 * time.Second, 0},
+		{"answered in time", []time.Duration{0}, 20 * time.Second, 20 * time.Second, 20 * time.Second, 0},
+		{"answered at the end", []time.Duration{0}, 28 * time.Second, 27 * time.Second, 28 * time.Second, 0},
+		{"slow readers", []time.Duration{0}, time.Hour, 27 * time.Second, maxDuration, 1},
+		{"second signal", []time.Duration{0, time.Second}, time.Hour, 27 * time.Second, maxDuration, 1},
+		{"third signal", []time.Duration{0, time.Second, 2 * time.Second}, 3 * time.Second, 2 * time.Second, 3 * time.Second, 0},
+		{"third signal, slow readers", []time.Duration{0, time.Second, 2 * time.Second}, time.Hour, 2 * time.Second, 5 * time.Second, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			d := cpdrain.New(cpdrain.WithEntryListTTL(ttl), cpdrain.WithPropagationTime(propagation),
+				cpdrain.WithMaxDuration(maxDuration), cpdrain.WithAnswerTime(answerTime))
+			start := time.Unix(1_700_000_000, 0)
+			first := map[cpdrain.State]time.Duration{}
+			for at := time.Duration(0); at <= time.Minute; at += 500 * time.Millisecond {
+				if slices.Contains(row.signals, at) {
+					d.Signal(start.Add(at))
+				}
+				inFlight := 0
+				if at < row.answered {
+					inFlight = 1
+				}
+				s := d.Tick(start.Add(at), inFlight)
+				if _, seen := first[s]; !seen {
+					first[s] = at
+				}
+				assert.Assert(t, s < cpdrain.StateAnswering || d.Admit() != nil)
+			}
+			if row.answering != row.ended { // else both happen in the same tick
+				assert.Equal(t, first[cpdrain.StateAnswering], row.answering)
+			}
+			assert.Equal(t, first[cpdrain.StateEnded], row.ended)
+			assert.Equal(t, d.Aborted(), row.aborted)
+		})
+	}
+}
+
+func TestRequestsEndTogether(t *testing.T) {
+	q := cpdrain.NewRequests()
+	first, firstDone := q.Begin(t.Context())
+	second, secondDone := q.Begin(t.Context())
+	assert.Equal(t, q.InFlight(), 2)
+	firstDone()
+	assert.Equal(t, q.InFlight(), 1)
+	assert.Assert(t, first.Err() != nil && !cpdrain.Ended(first))
+	assert.NilError(t, second.Err())
+	q.End()
+	<-second.Done()
+	assert.Assert(t, cpdrain.Ended(second))
+	late, lateDone := q.Begin(t.Context())
+	<-late.Done()
+	assert.Assert(t, cpdrain.Ended(late))
+	secondDone()
+	lateDone()
+	assert.Equal(t, q.InFlight(), 0)
+}
+
 func ExampleDrain() {
 	d := cpdrain.New(cpdrain.WithEntryListTTL(5*time.Second), cpdrain.WithPropagationTime(time.Second))
 	now := time.Unix(0, 0)
--- a/cpdrain/options.go
+++ b/cpdrain/options.go
@@ -10,6 +10,9 @@
 	PropagationTime time.Duration
 	// MaxDuration is the maximum duration of the drain from the first signal to the end.
 	MaxDuration time.Duration
+	// AnswerTime is the part of MaxDuration in which the answers to requests that are still in flight are written. Without it they
+	// are aborted.
+	AnswerTime time.Duration
 }
 
 // Option changes Options.
@@ -42,3 +45,8 @@
 func WithMaxDuration(d time.Duration) Option {
 	return func(o *Options) { o.MaxDuration = d }
 }
+
+// WithAnswerTime sets the part of the maximum duration in which the answers to requests that are still in flight are written.
+func WithAnswerTime(d time.Duration) Option {
+	return func(o *Options) { o.AnswerTime = d }
+}
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -77,6 +77,9 @@
 }
 
 func (f *Forwarder) forward(ctx context.Context, route *clementineport.Route, r *clementineport.OpaqueRequest, stay bool) *Result {
+	if ctx.Err() != nil {
+		return Failed(Unsent(ctx))
+	}
 	view, now := f.options.View(), f.options.Clock.Now()
 	run := f.newRun(view, route, r)
 	run.stay = stay
@@ -91,7 +94,9 @@
 	if run.trial {
 		f.endTrial(run.key, answer)
 	}
-	run.markUnreached(answer)
+	if ctx.Err() == nil {
+		run.markUnreached(answer)
+	}
 	return answer
 }
 
@@ -187,6 +192,8 @@
 	stay bool
 	// unreached is true once this VM has lost its path to the targets during the request.
 	unreached bool
+	// stopped is true once the request sends no further calls, since this VM is shutting down.
+	stopped bool
 	// arrived holds the services with a rollout that have counted the request. versions holds the counted calls to targets that
 	// have been chosen but not sent yet.
 	arrived  map[clementineport.ServiceID]bool
@@ -209,9 +216,7 @@
 		timer.Reset(r.wake())
 		select {
 		case <-ctx.Done():
-			r.cancel()
-			r.cancelCallsAfter(0)
-			return r.callerGone(ctx)
+			return r.stop(ctx)
 		case result := <-r.results:
 			r.running--
 			r.send(r.fan.Done(r.now(), &result.Result))
@@ -222,19 +227,12 @@
 		}
 	}
 	if !r.fan.Ended() {
-		return r.leave()
+		return r.abandon(clementineport.FaultUnreached, "this VM reaches no target")
 	}
 	r.cancelCallsAfter(r.f.options.UnneededCallTimeout)
 	return r.answer()
 }
 
-// callerGone returns the result for a caller that has disconnected.
-func (r *run) callerGone(ctx context.Context) *Result {
-	return Failed(&clementineport.Error{
-		Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx),
-	})
-}
-
 // cancelCallsAfter cancels the remaining calls after a delay. Calls that complete within it keep their connections
 // reusable.
 func (r *run) cancelCallsAfter(d time.Duration) {
--- a/cpforward/crash.go
+++ b/cpforward/crash.go
@@ -84,7 +84,7 @@
 
 // mayCall reports whether a call for the request may be sent. A trial is one call.
 func (r *run) mayCall(purpose cpfanout.Purpose) bool {
-	if r.unreached {
+	if r.unreached || r.stopped {
 		return false
 	}
 	if r.trial {
--- a/cpforward/unreached.go
+++ b/cpforward/unreached.go
@@ -91,21 +91,10 @@
 	return d
 }
 
-// leave ends the calls of a request that this VM can't complete.
-func (r *run) leave() *Result {
-	r.cancel()
-	r.attempts.running.Wait() // canceled calls end at once
-	fault := clementineport.FaultUnreached
-	if r.attempts.most() > 0 {
-		fault = r.route.UnansweredFault()
-	}
-	return Failed(clementineport.Fail(fault, "this VM reaches no target"))
-}
-
 // markUnreached marks the result of a request that failed while this VM reached no target and may be run by another one. Calls
 // that may have reached targets are charged to the budget as retries are, since the other VM repeats them.
 func (r *run) markUnreached(answer *Result) {
-	if r.stay || answer.Err == nil || answer.Err.Fault == clementineport.FaultCanceled || r.f.options.Reach.State() != cpreach.Lost {
+	if r.stay || answer.Err == nil || r.f.options.Reach.State() != cpreach.Lost {
 		return
 	}
 	answer.Attempts = r.attempts.most()
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -71,6 +71,8 @@
 	registrar clementineport.Registrar
 	front     *cpfront.Front
 	drain     *drainer
+	// requests counts the requests in flight, of callers and of other VMs, and ends them in a shutdown.
+	requests *cpdrain.Requests
 	// fleet is the name of the fleet.
 	fleet string
 	// metricsAddress is the address of the metrics listener; if empty, there is none.
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &Process{log: cfg.Log, clock: clockwork.NewRealClock(), fleet: cfg.Fleet}
+	p := &Process{log: cfg.Log, clock: clockwork.NewRealClock(), fleet: cfg.Fleet, requests: cpdrain.NewRequests()}
 	if p.fleet == "" {
 		p.fleet = "fleet at " + cfg.Settings.Store.Address
 	}
@@ -196,6 +198,7 @@
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
 		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithAdmitRequest(p.drain.admitRequest),
+		cpreroute.WithRequests(p.requests),
 		cpreroute.WithOnReceived(p.reroutedCompleted),
 		cpreroute.WithOnNewerRoutes(p.watcher.NewerRoutes),
 	}
@@ -215,6 +218,7 @@
 		cpfront.WithBehind(p.sender.Behind),
 		cpfront.WithAdmit(p.admit),
 		cpfront.WithAdmitRequest(p.drain.admitRequest),
+		cpfront.WithRequests(p.requests),
 		cpfront.WithForward(p.limiter.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
 		cpfront.WithStaleAfter(share(apply, staleShare)),
@@ -296,9 +300,6 @@
 	return p.watcher.View().Router != nil && p.drain.serving() && !p.watcher.Isolated() && p.callers.Accepting()
 }
 
-// inFlight returns the number of requests in flight, of callers and of other VMs.
-func (p *Process) inFlight() int { return p.front.InFlight() + p.receiver.InFlight() }
-
 // peerHandler serves the calls of other VMs.
 type peerHandler struct {
 	*cpfleetwatch.Watcher
@@ -346,7 +347,7 @@
 	p.waitForShutdown(running, signals)
 	stop()
 	<-ended
-	p.log.Info(string(cplogevent.Stopped), zap.Int("InFlight", p.inFlight()))
+	p.log.Info(string(cplogevent.Stopped), zap.Int("InFlight", p.requests.InFlight()))
 	return nil
 }
 
@@ -372,9 +373,12 @@
 			p.signal(ctx, s)
 		case <-ticker.C:
 		}
-		state := p.drain.tick(p.inFlight())
+		state := p.drain.tick(p.requests.InFlight())
 		if state != last {
-			p.log.Info(string(cplogevent.DrainState), zap.String("State", state.String()), zap.Int("InFlight", p.inFlight()))
+			p.log.Info(string(cplogevent.DrainState), zap.String("State", state.String()), zap.Int("InFlight", p.requests.InFlight()))
+		}
+		if state >= cpdrain.StateAnswering {
+			p.requests.End()
 		}
 		if last = state; state == cpdrain.StateEnded {
 			return
--- a/cpplatformvm/drain.go
+++ b/cpplatformvm/drain.go
@@ -19,9 +19,11 @@
 	// entryListShare is the share of the grace period in which callers may still connect to an address that they have
 	// cached; the rest is for requests in flight.
 	entryListShare = 0.45
-	// maxDurationShare is the share of the grace period after which requests in flight are aborted, so that the process
-	// exits before the platform kills it.
-	maxDurationShare = 5.0 / 6
+	// requestShare is the share of the grace period after which requests in flight are ended with an answer.
+	requestShare = 5.0 / 6
+	// answerShare is the share of the grace period in which these answers are written. What remains is for closing the listeners,
+	// so that the process exits before the platform kills it.
+	answerShare = 1.0 / 15
 )
 
 // drainer guards the Drain of the process for concurrent use.
@@ -37,8 +39,9 @@
 func newDrainer(s *cpconf.Settings, clock clementineport.Clock) *drainer {
 	return &drainer{clock: clock, drain: cpdrain.New(
 		cpdrain.WithPropagationTime(propagationTime),
-		cpdrain.WithEntryListTTL(time.Duration(float64(s.Bounds.Grace)*entryListShare)),
-		cpdrain.WithMaxDuration(time.Duration(float64(s.Bounds.Grace)*maxDurationShare)),
+		cpdrain.WithEntryListTTL(share(s.Bounds.Grace, entryListShare)),
+		cpdrain.WithMaxDuration(share(s.Bounds.Grace, requestShare+answerShare)),
+		cpdrain.WithAnswerTime(share(s.Bounds.Grace, answerShare)),
 	)}
 }
 
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -53,7 +53,7 @@
 		name  string
 		value float64
 	}{
-		{"clementineport_requests_in_flight", float64(p.inFlight())},
+		{"clementineport_requests_in_flight", float64(p.requests.InFlight())},
 		{"clementineport_view_age_seconds", p.watcher.Age().Seconds()},
 		{"clementineport_routes_version", version},
 		{"clementineport_store_era", float64(view.AsOf.Era)},
--- a/cpplatformvm/status.go
+++ b/cpplatformvm/status.go
@@ -69,7 +69,7 @@
 	view := p.watcher.View()
 	s := &Status{
 		VM: p.self.ID, Start: p.self.Start, Store: view.AsOf, ViewAge: p.watcher.Age().Round(time.Millisecond).String(),
-		Ready: p.ready(), Isolated: p.watcher.Isolated(), TargetsLost: p.reach.State() == cpreach.Lost, InFlight: p.inFlight(),
+		Ready: p.ready(), Isolated: p.watcher.Isolated(), TargetsLost: p.reach.State() == cpreach.Lost, InFlight: p.requests.InFlight(),
 		DividedBy: view.VMs, Sending: view.Sending, Services: view.Totals(p.clock.Now()),
 	}
 	if view.Router != nil {
--- a/cpratelimit/limiter.go
+++ b/cpratelimit/limiter.go
@@ -149,7 +149,7 @@
 	case <-request.Decided:
 	case <-ctx.Done():
 		l.update(func(now time.Time) { l.node.Cancel(now, request) })
-		return nil, &clementineport.Error{Fault: clementineport.FaultCanceled, Reason: "the caller has left", Err: context.Cause(ctx)}
+		return nil, cpforward.Unsent(ctx)
 	}
 	if request.Granted {
 		return request, nil
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -77,6 +77,9 @@
 	if again && !s.options.Reach.Silent(s.options.Clock.Now()) && r.Version <= s.options.View().Router.Table().Version {
 		result = s.options.Stay(ctx, route, &r.OpaqueRequest)
 	}
+	if result.Err != nil && result.Err.Fault == clementineport.FaultCanceled && ctx.Err() != nil {
+		result.Err = cpforward.Unanswered(ctx, route)
+	}
 	if result.Err != nil && r.EarlierAttempts > 0 && result.Err.Verdict() == clementineport.NotRun {
 		result.Err = &clementineport.Error{Fault: route.UnansweredFault(), Reason: "an earlier attempt may have run", Err: result.Err}
 	}
--- a/cpreroute/cpreroute_test.go
+++ b/cpreroute/cpreroute_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cpreach"
@@ -324,3 +325,19 @@
 	assert.DeepEqual(t, f.newer, []clementineport.VMID{"a"})
 	assert.Assert(t, !sender.Behind())
 }
+
+// TestARequestAtAnotherVMMayHaveRunWhenThisOneShutsDown guards against a planned stop that cuts the requests that other VMs run for
+// this one, and against a promise that they have not run.
+func TestARequestAtAnotherVMMayHaveRunWhenThisOneShutsDown(t *testing.T) {
+	f, requests := newFleet("a"), cpdrain.NewRequests()
+	ctx, done := requests.Begin(t.Context())
+	defer done()
+	f.answer = func(clementineport.VMID, *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
+		requests.End()
+		<-ctx.Done()
+		return nil, clementineport.Fail(clementineport.FaultCanceled, "canceled")
+	}
+	result := f.sender().Forward(ctx, route(false), request())
+	assert.Equal(t, result.Err.Fault, clementineport.FaultTimeout)
+	assert.Equal(t, f.stayed, 0)
+}
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cpreach"
@@ -44,6 +45,8 @@
 	// SpendRetry takes a retry to each of the services from the budget of this VM.
 	SpendRetry func(services []clementineport.ServiceID) bool
 	Peers      Peers
+	// Requests counts the requests that this VM runs for others, and ends them in a shutdown.
+	Requests *cpdrain.Requests
 	// Admit returns nil if this VM accepts new requests, and otherwise the error that rejects them.
 	Admit func() *clementineport.Error
 	// AdmitRequest returns nil if this VM accepts a request on a route with a deadline, and otherwise the error that rejects it.
@@ -66,6 +69,7 @@
 func NewOptions(opts ...Option) Options {
 	options := Options{
 		Clock:         clockwork.NewRealClock(),
+		Requests:      cpdrain.NewRequests(),
 		SpendRetry:    func([]clementineport.ServiceID) bool { return false },
 		AdmitRequest:  func(*clementineport.Route, time.Time) *clementineport.Error { return nil },
 		Admit:         func() *clementineport.Error { return nil },
@@ -98,6 +102,9 @@
 // WithPeers sets the clients of other VMs.
 func WithPeers(p Peers) Option { return func(o *Options) { o.Peers = p } }
 
+// WithRequests sets what counts the requests that this VM runs for others, and ends them in a shutdown.
+func WithRequests(q *cpdrain.Requests) Option { return func(o *Options) { o.Requests = q } }
+
 // WithAdmit sets the function that decides whether new requests are accepted.
 func WithAdmit(admit func() *clementineport.Error) Option {
 	return func(o *Options) { o.Admit = admit }
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/clementineport/clementineport"
@@ -13,21 +12,17 @@
 
 // Receiver runs the requests of VMs that reach no target. It is safe for concurrent use.
 type Receiver struct {
-	options  Options
-	inFlight atomic.Int64
+	options Options
 }
 
 // NewReceiver returns a receiver.
 func NewReceiver(opts ...Option) *Receiver { return &Receiver{options: NewOptions(opts...)} }
 
-// InFlight returns the number of requests in flight.
-func (c *Receiver) InFlight() int { return int(c.inFlight.Load()) }
-
 // Reroute runs a request of another VM. That VM has authenticated it; this one only checks that the request has a workspace if it
 // needs one. It implements the method of cppeer.Handler.
 func (c *Receiver) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
+	ctx, done := c.options.Requests.Begin(ctx)
+	defer done()
 	began := c.options.Clock.Now()
 	result, version := c.run(ctx, r)
 	c.options.OnReceived(r, result, c.options.Clock.Now().Sub(began))
--- a/cpreroute/receiver_test.go
+++ b/cpreroute/receiver_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cpforward"
 	"github.com/clementineport/clementineport/cpreach"
@@ -20,17 +21,19 @@
 func receive(t *testing.T, r *clementineport.ReroutedRequest, opts ...cpreroute.Option) (*clementineport.ReroutedResult, *clementineport.OpaqueRequest) {
 	t.Helper()
 	var forwarded *clementineport.OpaqueRequest
-	view := &cpfleetstate.View{Router: table(5)}
+	view, requests := &cpfleetstate.View{Router: table(5)}, cpdrain.NewRequests()
 	c := cpreroute.NewReceiver(append([]cpreroute.Option{
+		cpreroute.WithRequests(requests),
 		cpreroute.WithView(func() *cpfleetstate.View { return view }), cpreroute.WithReach(cpreach.New()),
 		cpreroute.WithForward(func(_ context.Context, _ *clementineport.Route, r *clementineport.OpaqueRequest) *cpforward.Result {
 			forwarded = r
+			assert.Equal(t, requests.InFlight(), 1)
 			return &cpforward.Result{OpaqueResult: served(0).OpaqueResult}
 		}, nil, nil),
 	}, opts...)...)
 	result, err := c.Reroute(t.Context(), r)
 	assert.NilError(t, err)
-	assert.Equal(t, c.InFlight(), 0)
+	assert.Equal(t, requests.InFlight(), 0)
 	return result, forwarded
 }
 
@@ -125,3 +128,15 @@
 	result, _ = receive(t, dropped)
 	assert.Equal(t, result.Err.Fault, clementineport.FaultStale)
 }
+
+// TestARequestOfAnotherVMIsAnsweredWhenThisOneShutsDown guards against a planned stop that cuts the requests that a VM runs for others.
+func TestARequestOfAnotherVMIsAnsweredWhenThisOneShutsDown(t *testing.T) {
+	requests := cpdrain.NewRequests()
+	forward := func(ctx context.Context, route *clementineport.Route, _ *clementineport.OpaqueRequest) *cpforward.Result {
+		requests.End()
+		<-ctx.Done()
+		return cpforward.Failed(cpforward.Unanswered(ctx, route))
+	}
+	result, _ := receive(t, rerouted(5), cpreroute.WithRequests(requests), cpreroute.WithForward(forward, nil, nil))
+	assert.Equal(t, result.Err.Fault, clementineport.FaultTimeout)
+}
