Take a request during a shutdown by the latency that its route has had

Cause: the only estimate of a request's duration was its route's objective, and of one that is not idempotent its deadline. Change: the latency within which most calls of the route were answered lately counts as well, for both kinds: three times the longer of objective and latency, up to the deadline. Without any call seen it is as before.

--- a/cpdrain/cpdrain.go
+++ b/cpdrain/cpdrain.go
@@ -73,18 +73,20 @@
 	}
 }
 
-// usualDuration is the number of objectives within which nearly every request of a route is answered.
+// usualDuration is the number of objectives, or of high latencies, within which nearly every request of a route is answered.
 const usualDuration = 3
 
 // AdmitRequest returns nil if a request on a route is accepted, or the error to refuse it with. During a shutdown it is accepted only
-// if it will have ended before the VM ends what is in flight: by its deadline or, if it can be repeated, in the usual time.
-func (d *Drain) AdmitRequest(now time.Time, route *clementineport.Route, deadline time.Time) error {
+// if it will probably have ended before the VM ends what is in flight. latency is the time within which most calls of the route have
+// been answered lately, or zero if it is not known. A request that is not idempotent is then expected to take until its deadline.
+func (d *Drain) AdmitRequest(now time.Time, route *clementineport.Route, deadline time.Time, latency time.Duration) error {
 	if d.signals == 0 {
 		return nil
 	}
 	end := deadline
-	if usual := now.Add(usualDuration * route.Objective); route.Idempotent && usual.Before(end) {
-		end = usual
+	if route.Idempotent || latency > 0 {
+		usual := now.Add(usualDuration * max(route.Objective, latency))
+		end = earlier(deadline, usual)
 	}
 	if end.After(d.answersFrom()) {
 		return clementineport.Fail(clementineport.FaultDraining, "this VM shuts down before the request would end")
@@ -92,6 +94,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // answersFrom returns when the VM ends the requests that are in flight.
 func (d *Drain) answersFrom() time.Time {
 	return d.signaledAt.Add(d.options.MaxDuration - d.options.AnswerTime)
--- a/cpforward/cpforward.go
+++ b/cpforward/cpforward.go
@@ -146,6 +146,16 @@
 	return s
 }
 
+// HighLatency returns the time within which most calls of a route have been answered lately, or zero if there were none.
+func (f *Forwarder) HighLatency(route clementineport.RouteID) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.routes[route]; s != nil {
+		return s.latency.High()
+	}
+	return 0
+}
+
 // Budgets returns the number of extra calls in the budget of each service.
 func (f *Forwarder) Budgets() map[clementineport.ServiceID]float64 { return f.budgets.Levels() }
 
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -197,7 +197,7 @@
 	reroute := []cpreroute.Option{
 		cpreroute.WithView(p.watcher.View), cpreroute.WithReach(p.reach),
 		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
-		cpreroute.WithAdmit(p.admit), cpreroute.WithAdmitRequest(p.drain.admitRequest),
+		cpreroute.WithAdmit(p.admit), cpreroute.WithAdmitRequest(p.admitRequest),
 		cpreroute.WithRequests(p.requests),
 		cpreroute.WithOnReceived(p.reroutedCompleted),
 		cpreroute.WithOnNewerRoutes(p.watcher.NewerRoutes),
@@ -217,7 +217,7 @@
 		cpfront.WithView(p.watcher.View, p.watcher.Age),
 		cpfront.WithBehind(p.sender.Behind),
 		cpfront.WithAdmit(p.admit),
-		cpfront.WithAdmitRequest(p.drain.admitRequest),
+		cpfront.WithAdmitRequest(p.admitRequest),
 		cpfront.WithRequests(p.requests),
 		cpfront.WithForward(p.limiter.Forward),
 		cpfront.WithOnComplete(p.requestCompleted),
@@ -295,6 +295,11 @@
 	return nil
 }
 
+// admitRequest returns the reason for which this VM refuses a request on a route with a deadline, or nil.
+func (p *Process) admitRequest(route *clementineport.Route, deadline time.Time) *clementineport.Error {
+	return p.drain.admitRequest(route, deadline, p.forwarder.HighLatency(route.Name))
+}
+
 // ready reports whether callers may be directed to this VM.
 func (p *Process) ready() bool {
 	return p.watcher.View().Router != nil && p.drain.serving() && !p.watcher.Isolated() && p.callers.Accepting()
