--- a/cpfleetwatch/start_test.go
+++ b/cpfleetwatch/start_test.go
@@ -40,8 +40,7 @@
 		f.store.targets = append(f.store.targets, cold)
 	}
 	for i := range vms {
-		id := fmt.Sprintf("vm-%d", i)
-		f.store.vms = append(f.store.vms, clementineport.VM{ID: clementineport.VMID(id), Domain: "a", Caller: id, Peer: id})
+		f.store.vms = append(f.store.vms, f.vm(clementineport.VMID(fmt.Sprintf("vm-%d", i))))
 	}
 	ids := f.ids()
 	t.Cleanup(func() {
@@ -51,6 +50,15 @@
 	return f
 }
 
+// vm returns the VM with an ID. It states its capacity if the routes have a service with few connections, so that an active set is chosen.
+func (f *startingFleet) vm(id clementineport.VMID) clementineport.VM {
+	vm := clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)}
+	if len(f.store.shards) > 0 {
+		vm.Capacity.Cores = 1
+	}
+	return vm
+}
+
 // ids returns the VMs that the store lists.
 func (f *startingFleet) ids() (ids []clementineport.VMID) {
 	f.store.mu.Lock()
@@ -69,13 +77,14 @@
 		f.starts++
 		w := cpfleetwatch.New(
 			cpfleetwatch.WithSelf(clementineport.Member{
-				VM:    clementineport.VM{ID: id, Domain: "a", Caller: string(id), Peer: string(id)},
+				VM:    f.vm(id),
 				Start: clementineport.StartID(fmt.Sprint(f.starts)),
 			}),
 			cpfleetwatch.WithTargetClient(func(_ clementineport.TargetInstance, _ int, n clementineport.TargetNotice) clementineport.OpaqueTarget {
 				return &fakeTarget{notice: n}
 			}),
 			cpfleetwatch.WithSource(f.store), cpfleetwatch.WithDial(f.dial), cpfleetwatch.WithSeed(uint64(f.starts)),
+			cpfleetwatch.WithLoad(func(time.Time) clementineport.VMLoad { return clementineport.VMLoad{} }),
 			cpfleetwatch.WithRegistration(cpregistration.WithRegistrar(&listingRegistrar{f: f, delay: time.Duration(f.starts*37%300) * time.Millisecond})),
 		)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -219,3 +228,40 @@
 		})
 	}
 }
+
+// active returns the number of VMs that take themselves for members of the active set.
+func (f *startingFleet) active() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, w := range f.running {
+		if active := w.View().Active; active != nil && active.Has(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestNoVMThatStartsIsAloneInItsActiveSet guards against VMs that start together and each take themselves for the only one that carries
+// load, with all connections of the targets and all cold targets for itself.
+func TestNoVMThatStartsIsAloneInItsActiveSet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, set = 24, 6 // a set begins with a quarter of the capacity of all VMs
+		f := newStartingFleet(t, vms)
+		f.store.shards = []clementineport.ServiceID{"scarce"}
+		ids := f.ids()
+		for i, id := range ids {
+			f.store.vms[i] = f.vm(id)
+		}
+		check := func(during time.Duration) {
+			for began := time.Now(); time.Since(began) < during; time.Sleep(5 * time.Millisecond) {
+				assert.Assert(t, f.active() <= set, "%d VMs are in their set after %v", f.active(), time.Since(began))
+			}
+		}
+		f.start(ids...)
+		check(10 * time.Second)
+		f.stop(ids[:14]...)
+		f.start(ids[:14]...)
+		check(10 * time.Second)
+		assert.Assert(t, f.active() > 0)
+	})
+}
