Take a response that names no request only from a connection that carried no other

A response that names another request was refused, and a repeated request takes another connection, but a refusal, a failure or an answer without the name of any request was taken for the response to whatever request came next. For a refusal that is a promise that the request has not run, while the target runs it.

On a new connection a response without a name can't belong to another request and counts as before.

TestAResponseThatNamesNoRequestIsNoneOnAReusedConnection failed before (shed in place of mismatched).

--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, 0, conn.Fault(err)
 	}
-	result, err := c.checkResponse(resp, body, req)
+	result, err := c.checkResponse(resp, body, req, conn.Reused())
 	if err == nil || clementineport.FaultOf(err) == clementineport.FaultShed {
 		c.readNoLimit(resp.Header)
 	}
@@ -207,11 +207,15 @@
 	return b, nil
 }
 
-// checkResponse checks that the response is a valid answer to the request.
-func (c *Client) checkResponse(resp *http.Response, body []byte, req *clementineport.OpaqueRequest) (*clementineport.OpaqueResponse, error) {
+// checkResponse checks that the response is a valid answer to the request. On a connection that has carried other requests, a
+// response that names no request may be a late copy of an answer to one of them.
+func (c *Client) checkResponse(resp *http.Response, body []byte, req *clementineport.OpaqueRequest, reused bool) (*clementineport.OpaqueResponse, error) {
 	names := &c.options.HeaderNames
-	if echo := resp.Header.Get(names.Request); echo != "" && echo != string(req.ID) {
+	switch echo := resp.Header.Get(names.Request); {
+	case echo != "" && echo != string(req.ID):
 		return nil, clementineport.Fail(clementineport.FaultMismatched, "response to another request")
+	case echo == "" && reused:
+		return nil, clementineport.Fail(clementineport.FaultMismatched, "response that names no request, on a connection that was used before")
 	}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return nil, clementineport.Fail(clementineport.FaultMisdirected, "another process answers at %s", c.options.Address)
--- a/cptarget/cpopaque/cpopaque_test.go
+++ b/cptarget/cpopaque/cpopaque_test.go
@@ -527,3 +527,39 @@
 	open, _ := c.Open()
 	assert.Equal(t, open, 1)
 }
+
+// TestAResponseThatNamesNoRequestIsNoneOnAReusedConnection guards against a late copy of a refusal, a failure or an answer that is
+// taken for the response to the next request on the connection, which the target is running.
+func TestAResponseThatNamesNoRequestIsNoneOnAReusedConnection(t *testing.T) {
+	for name, stray := range map[string]string{
+		"refusal":         "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"another process": "HTTP/1.1 421 Misdirected\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"failure":         "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+		"answer":          "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nother",
+	} {
+		address, _ := target(t, func(c *connection) {
+			defer func() { _ = c.Close() }()
+			for {
+				r, _, err := c.read()
+				switch {
+				case err != nil:
+					return
+				case r.Header.Get("X-Request") == "first":
+					c.answer("first", "ran")
+				default:
+					c.raw(stray)
+				}
+			}
+		})
+		c := client(address)
+		_, fresh := do(t, c, request("id"))
+		assert.Assert(t, clementineport.FaultOf(fresh) != clementineport.FaultMismatched, "%s over a new connection: %v", name, fresh)
+		c = client(address)
+		_, err := do(t, c, request("first"))
+		assert.NilError(t, err)
+		response, err := do(t, c, request("id"))
+		assert.Assert(t, response == nil)
+		assert.Equal(t, clementineport.FaultOf(err), clementineport.FaultMismatched, name)
+		assert.Equal(t, clementineport.VerdictOf(err), clementineport.MayHaveRun)
+	}
+}
--- a/cptarget/cpopaque/notice_test.go
+++ b/cptarget/cpopaque/notice_test.go
@@ -176,7 +176,7 @@
 			received := make(chan string, 10)
 			address, _ := target(t, answers(func(id string) string {
 				received <- id
-				return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + row.stated + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + row.stated + "\r\nX-Not-Run: 1\r\nX-Request: " + id + "\r\nContent-Length: 0\r\n\r\n"
 			}))
 			invalid := 0
 			c, clock := noticeClient(address, cpopaque.WithOnInvalidRetryAfter(func(string, time.Duration) { invalid++ }))
--- a/cptarget/cpopaqueconn/conn.go
+++ b/cptarget/cpopaqueconn/conn.go
@@ -73,6 +73,9 @@
 	c.received.Store(0)
 }
 
+// Reused reports whether the connection carried other requests before the current one.
+func (c *Conn) Reused() bool { return c.reused }
+
 // maxCarried is the number of requests that a connection remembers.
 const maxCarried = 16
 
