Test that a change is in force in time after open connections fell silent

It passes; without the calls by which a VM asks another one for its state (WithCatchUpPeriod of an hour) it fails with 5 silent connections to the store and a view 1.1 s old.

--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -26,8 +26,13 @@
 	// calls counts the calls of each VM for changes; the VMs in unavailable get errors instead of answers.
 	calls       map[clementineport.VMID]int
 	unavailable map[clementineport.VMID]bool
+	// severed holds the VMs whose open connection is silent: a call over it ends with a timeout, and the next one uses a new connection.
+	severed map[clementineport.VMID]bool
 }
 
+// storeCallTimeout is the time after which a call to the store fails, beyond the time for which the store may hold it.
+const storeCallTimeout = 2 * testApplyTime / 3
+
 // add appends a change.
 func (s *fakeStore) add(update *clementineport.FleetUpdate) {
 	s.mu.Lock()
@@ -60,6 +65,10 @@
 		}
 		c.mu.Lock()
 		n, unavailable := int(after.Revision-c.initial.AsOf.Revision), c.unavailable[c.id]
+		if c.severed[c.id] {
+			c.mu.Unlock()
+			return nil, c.timeOut(ctx, end.Add(storeCallTimeout))
+		}
 		if unavailable {
 			c.mu.Unlock()
 			return nil, clementineport.Fail(clementineport.FaultTimeout, "store unavailable")
@@ -77,6 +86,18 @@
 	}
 }
 
+// timeOut waits until a call over a silent connection ends, and returns its error.
+func (c storeClient) timeOut(ctx context.Context, end time.Time) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(end)):
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.severed, c.id)
+	return clementineport.Fail(clementineport.FaultTimeout, "no answer")
+}
+
 // domain is a failure domain whose VMs know each other.
 type domain struct {
 	store *fakeStore
@@ -86,6 +107,8 @@
 	down map[clementineport.VMID]bool
 	// silent holds the VMs that don't answer.
 	silent map[clementineport.VMID]bool
+	// severed holds the VMs whose open connections from others are silent: a call over one ends with a timeout, and the next uses a new one.
+	severed map[clementineport.VMID]int
 	// late returns how long an exchange takes on its way to a VM.
 	late func() time.Duration
 }
@@ -95,14 +118,14 @@
 	t.Helper()
 	d := &domain{
 		vms: map[clementineport.VMID]*cpfleetwatch.Watcher{}, down: map[clementineport.VMID]bool{}, silent: map[clementineport.VMID]bool{},
-		late: func() time.Duration { return 0 },
+		severed: map[clementineport.VMID]int{}, late: func() time.Duration { return 0 },
 	}
 	d.store = &fakeStore{
 		initial: &clementineport.FleetUpdate{AsOf: clementineport.StorePosition{Revision: 1}, Whole: true, Routes: &clementineport.RouteTable{
 			Version: 5, Routes: []clementineport.Route{{Name: "r", Host: "h", Prefix: "/"}},
 			Services: map[clementineport.ServiceID]clementineport.TargetService{"s": {Name: "s", Connections: 20}},
 		}},
-		calls: map[clementineport.VMID]int{}, unavailable: map[clementineport.VMID]bool{},
+		calls: map[clementineport.VMID]int{}, unavailable: map[clementineport.VMID]bool{}, severed: map[clementineport.VMID]bool{},
 	}
 	for i := range n {
 		id := clementineport.VMID(fmt.Sprintf("vm-%d", i))
@@ -141,13 +164,24 @@
 		return nil, clementineport.Fail(clementineport.FaultRefused, "down")
 	}
 	cfg, err := h.Watcher.Config(ctx, have)
-	if h.is(h.d.silent) {
+	if h.is(h.d.silent) || h.overSevered() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	return cfg, err
 }
 
+// overSevered reports whether the call came over a connection that has gone silent.
+func (h peerHandler) overSevered() bool {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	if h.d.severed[h.id] == 0 {
+		return false
+	}
+	h.d.severed[h.id]--
+	return true
+}
+
 // Exchange implements cppeer.Handler.
 func (h peerHandler) Exchange(ctx context.Context, digest *clementineport.Digest) (*clementineport.Digest, error) {
 	h.d.mu.Lock()
@@ -314,6 +348,60 @@
 	}
 }
 
+// TestAChangeIsInForceInTimeWhenOpenConnectionsFallSilent guards against VMs that wait for an answer over a connection that went silent
+// just before a change, for longer than the change may take to come into force.
+func TestAChangeIsInForceInTimeWhenOpenConnectionsFallSilent(t *testing.T) {
+	const vms = 10
+	for _, to := range []string{"store", "VMs"} {
+		for severed := 3; severed <= vms; severed++ {
+			first := time.Duration(0)
+			if severed > maxSeveredAtOnce {
+				first = testContactTime
+			}
+			for pause := first; pause < testContactTime+testWatchPeriod+testWatchWait; pause += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) { testSevered(t, to, vms, severed, pause) })
+			}
+		}
+	}
+}
+
+const (
+	// testContactTime is the time after a loss of connections from which changes must be in force in time at the VMs that had them.
+	testContactTime = 4 * testApplyTime / 3
+	// maxSeveredAtOnce is the number of VMs, of ten, with silent connections up to which that holds for all VMs from the loss on.
+	maxSeveredAtOnce = 8
+)
+
+// testSevered lets the connections of some VMs fall silent a time before a change, first of those that watch the store.
+func testSevered(t *testing.T, to string, vms, severed int, pause time.Duration) {
+	d := newDomain(t, vms, cpfleetwatch.WithWatchTimes(testWatchPeriod, testWatchWait), cpfleetwatch.WithCatchUpPeriod(testApplyTime/10))
+	watchers := d.storeWatchers(t)
+	left := severed - len(watchers)
+	d.mu.Lock()
+	d.store.mu.Lock()
+	for id := range d.vms {
+		if !watchers[id] {
+			left--
+		}
+		switch {
+		case !watchers[id] && left < 0:
+		case to == "store":
+			d.store.severed[id] = true
+		default:
+			d.severed[id] = vms - 1 // the connections of all others
+		}
+	}
+	d.store.mu.Unlock()
+	d.mu.Unlock()
+	time.Sleep(pause)
+	d.store.add(&clementineport.FleetUpdate{Targets: []clementineport.TargetInstance{targetInstance("x")}})
+	time.Sleep(testApplyTime)
+	for id, w := range d.vms {
+		assert.Equal(t, len(w.View().Services["s"]), 1, "%s: %d connections to %s were silent, a change came %v later, the view is %v old",
+			id, severed, to, pause, w.Age())
+	}
+}
+
 // TestAChangeIsInForceInTimeAtVMsThatTheStoreTurnsAway guards against VMs that ask others only once so little time is left that the
 // first one asked has to have the change.
 func TestAChangeIsInForceInTimeAtVMsThatTheStoreTurnsAway(t *testing.T) {
