--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -297,6 +297,9 @@
 
 // admitRequest returns the reason for which this VM refuses a request on a route with a deadline, or nil.
 func (p *Process) admitRequest(route *clementineport.Route, deadline time.Time) *clementineport.Error {
+	if p.drain.serving() {
+		return nil
+	}
 	return p.drain.admitRequest(route, deadline, p.forwarder.HighLatency(route.Name))
 }
 
