--- a/cpfleetwatch/upstream_test.go
+++ b/cpfleetwatch/upstream_test.go
@@ -366,9 +366,9 @@
 }
 
 const (
-	// testContactTime is the time after a loss of connections from which changes must be in force in time at the VMs that had them.
+	// testContactTime is how long after a loss of its connections a VM must have each change in time again.
 	testContactTime = 4 * testApplyTime / 3
-	// maxSeveredAtOnce is the number of VMs, of ten, with silent connections up to which that holds for all VMs from the loss on.
+	// maxSeveredAtOnce is how many of ten VMs may lose connections at the moment of a change that all VMs must have in time.
 	maxSeveredAtOnce = 8
 )
 
--- a/cpratelimit/silent_test.go
+++ b/cpratelimit/silent_test.go
@@ -18,7 +18,7 @@
 	q := cpquotas.Quota{Rate: 49, Burst: 1}
 	f := newFleet(vms, seed, cpquotas.Quotas{"w": q})
 	f.run(30 * time.Second)
-	f.load("w", 1.3*float64(q.Rate), before+2*after) // longer than the test runs
+	f.load("w", 1.3*float64(q.Rate), before+2*after)
 	f.run(before)
 	happen(f)
 	from := f.now.Sub(time.Unix(1e9, 0))
