--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec "$root/target/review-2/reviewcase" deadly "$root" "$here"
+exec "$root/target/review-2/reviewcase" cold "$root" "$here"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(root, dir string, trouble bool) (breaches int, err error){
 	"silent": playSilent,
 	"deadly": playDeadly,
+	"cold":   playCold,
 }
 
 func main() {
--- a/review/standin2/searcher.go
+++ b/review/standin2/searcher.go
@@ -29,6 +29,8 @@
 	address           string
 	born              int64
 
+	// coldFor is how long the searcher is cold after its start.
+	coldFor time.Duration
 	// deadly is the path of requests under which the searcher crashes as soon as it begins to run them.
 	deadly string
 	// onCrash is called once the searcher has crashed.
@@ -48,13 +50,18 @@
 
 // newSearcherAt starts a searcher at an address.
 func newSearcherAt(s *store, address, id, service, zone string, capacity int, work time.Duration) (*searcher, error) {
+	return newColdSearcher(s, address, id, service, zone, capacity, work, 0)
+}
+
+// newColdSearcher starts a searcher that is cold for a time.
+func newColdSearcher(s *store, address, id, service, zone string, capacity int, work, coldFor time.Duration) (*searcher, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	x := &searcher{
 		id: id, service: service, zone: zone, capacity: capacity, work: work, store: s, address: listener.Addr().String(),
-		born: time.Now().UnixMilli(), state: "ready", onCrash: func() {},
+		born: time.Now().UnixMilli(), state: "ready", coldFor: coldFor, onCrash: func() {},
 	}
 	x.server = &http.Server{Handler: x}
 	go func() { _ = x.server.Serve(listener) }() // ends with close
@@ -82,7 +89,7 @@
 	x.seq++
 	entry := map[string]any{
 		"service": x.service, "address": x.address, "zone": x.zone, "version": "v1", "capacity": x.capacity, "state": x.state,
-		"cold_left_ms": 0, "seq": x.seq, "born": x.born,
+		"cold_left_ms": max(0, time.Until(time.UnixMilli(x.born).Add(x.coldFor)).Milliseconds()), "seq": x.seq, "born": x.born,
 	}
 	x.mu.Unlock()
 	x.store.put("servers/"+x.id, entry)
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -24,6 +24,8 @@
 	searchers []*searcher
 	vms       []*vm
 	record    *record
+	// coldPerSecond is what the configuration says of each service.
+	coldPerSecond float64
 }
 
 // record is the file that says what was sent, answered and run.
@@ -183,7 +185,7 @@
 	}
 	var all []service
 	for _, name := range services {
-		all = append(all, service{name, "/health", 45, 3, 0})
+		all = append(all, service{name, "/health", 45, 3, s.coldPerSecond})
 	}
 	s.store.put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": all,
@@ -244,7 +246,7 @@
 		for i, v := range s.vms {
 			path, id := paths[n%len(paths)], fmt.Sprintf("a%d-%06d", i, n)
 			wg.Go(func() {
-				a := s.ask(v, http.MethodGet, path+"q", id, "", 2*time.Second)
+				a := s.ask(v, http.MethodGet, path+id, id, "", 2*time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				all = append(all, a)
