--- a/review/standin2/cold.go
+++ b/review/standin2/cold.go
@@ -18,7 +18,7 @@
 	downTime = 600 * time.Millisecond
 	startGap = 100 * time.Millisecond
 	// crashesOfAll is how often all searchers of the service crash.
-	crashesOfAll = 4
+	crashesOfAll = 6
 )
 
 // playCold lets all searchers of a service crash. They start again under the ids that they had, and are cold.
