Bound what the clients of a process hold at once

What callers saw: a crowd whose bodies stop short of their end, or whose heads are made of very many short lines, takes more memory than the machine has, at the listeners of callers, of the directory and of the readiness check, before and after the routes are known; with limits.max_fds=700, 700 such bodies kept an ordinary caller out for as long as they stayed, also as refusals whose rest was unread.

Cause: nothing bounded what all requests hold together. A body had no time limit and was read into buffers that double, a parsed head takes forty times its bytes, the directory and the readiness check had no limit of connections, the listener of callers waited until one of its connections ended by itself, the server read the rest of a refused body without a time limit before it sent the refusal, and the heap could double before a collection whatever the machine has.

Change: cpclientlimit counts bytes and connections of all clients of a process and takes the limits from the settings' memory and descriptors. Heads count as they arrive and again as parsed, bodies by their buffers. When the room is used up, the connection that has fallen behind most is closed (a body gets 503 first); complete requests and steady bodies keep theirs, waiting requests get room by age, and an eighth is kept for small ones. A body must be complete by the deadline of its request. The heap is limited to 0.6 of the memory. docs/design/limits.md weighs the ways, docs/OPERATIONS.md has each limit, counter and log event.

--- a/cplogevent/cplogevent.go
+++ b/cplogevent/cplogevent.go
@@ -48,6 +48,8 @@
 	ActiveSetChanged   Name = "ActiveSetChanged"
 	AdmissionLimited   Name = "AdmissionLimited"
 	AdmissionUnlimited Name = "AdmissionUnlimited"
+	ClientsLimited     Name = "ClientsLimited"
+	ClientsUnlimited   Name = "ClientsUnlimited"
 	RequestServed      Name = "RequestServed"
 	RequestRepeated    Name = "RequestRepeated"
 	RequestIncomplete  Name = "RequestIncomplete"
@@ -87,6 +89,9 @@
 	"Refused", "Target", "TargetVersion", "Workspace", "Via", "ViaVersion", "LeftOut", "Verdict", "Reason", "WriteError",
 }
 
+// clientFields are the fields of the events about the limits of what clients hold.
+var clientFields = []string{"Bytes", "MaxBytes", "Connections", "ClosedForBytes", "ClosedForConnections", "RefusedForBytes"}
+
 var kinds = []Kind{
 	{Started, []string{FieldVM, "Domain", "Start", "Caller", "Peer"}, "the process runs; Start names this run"},
 	{Stopped, []string{"InFlight"}, "the process ends; InFlight requests were given up"},
@@ -122,6 +127,8 @@
 	{TargetResponsive, []string{"Target", "Service"}, "a target that was dark has answered this VM"},
 	{AdmissionLimited, []string{"Service", "Services"}, "this VM begins to refuse requests for these services, of which Service is the first, since they would wait too long"},
 	{AdmissionUnlimited, []string{"Service", "Services"}, "this VM has refused no request for these services for five seconds"},
+	{ClientsLimited, clientFields, "clients hold so much memory or so many connections that this VM closes connections of those that have fallen behind, or refuses requests; the counts are those of the last second"},
+	{ClientsUnlimited, clientFields, "for five seconds this VM has closed no connection and refused no request to make room; the counts are those since its start"},
 	{TargetsLost, []string{"Failing", "Targets"}, "this VM reaches no target, or only over connections that are open already: Failing targets have not answered or have refused a connection, and connection attempts to others have failed"},
 	{TargetsRegained, []string{"Lost"}, "this VM reaches targets again, after the time Lost"},
 	{ReachChanged, []string{FieldVM, "Lost", "Source"}, "another VM has stated that it reaches no target (Lost is true), or that it reaches targets again; callers are not sent to it meanwhile"},
--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -19,6 +19,7 @@
 	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cpactiveset"
 	"github.com/clementineport/clementineport/cpcatalog"
+	"github.com/clementineport/clementineport/cpclientlimit"
 	"github.com/clementineport/clementineport/cpdrain"
 	"github.com/clementineport/clementineport/cpfleetwatch"
 	"github.com/clementineport/clementineport/cpforward"
@@ -66,6 +67,8 @@
 	rollouts *cprollout.Tracker
 	// readBudget bounds the large responses of all targets.
 	readBudget *cpopaque.ReadBudget
+	// clients bounds what clients hold.
+	clients *cpclientlimit.Limiter
 	// meter measures the load of this VM.
 	meter     *cpactiveset.Meter
 	registrar clementineport.Registrar
@@ -156,6 +159,7 @@
 // build creates the registrar, the watcher, the forwarder and the front.
 func (p *Process) build(s *cpconf.Settings) {
 	p.readBudget = newReadBudget(s.Limits)
+	p.clients = newClientLimiter(s.Limits)
 	p.reach = cpreach.New(cpreach.WithMaxOverdue(max(cpreach.DefaultMinOverdue, share(s.Bounds.UndisturbedTime, maxOverdueShare))))
 	p.rollouts = cprollout.NewTracker(cprollout.WithBounds(rolloutBounds(s.Bounds)), cprollout.WithStart(string(p.self.Start)))
 	store := cpkv.New(cpkv.WithAddress(s.Store.Address))
--- a/cpplatformvm/metrics.go
+++ b/cpplatformvm/metrics.go
@@ -30,6 +30,7 @@
 		p.writeServices(w)
 		p.limiter.WriteMetrics(w)
 		p.writeAdmission(w)
+		p.writeClients(w)
 		p.writeRollouts(w)
 	})
 }
--- a/cpplatformvm/services.go
+++ b/cpplatformvm/services.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/net/netutil"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpclientlimit"
 	"github.com/clementineport/clementineport/cpfleetstate"
 	"github.com/clementineport/clementineport/cppeer/cpconnect"
 	"github.com/clementineport/clementineport/cpserver"
@@ -20,23 +20,17 @@
 const (
 	// closeTimeout limits how long a listener may take to close.
 	closeTimeout = 300 * time.Millisecond
-	// headerTimeout limits the time to read the header of a request from the platform or another VM.
+	// headerTimeout limits the time to read the header of a request to the directory, from the platform or another VM.
 	headerTimeout = 2 * time.Second
-	// idleTimeout limits how long idle connections of the platform and of other VMs stay open.
+	// idleTimeout limits how long idle connections to these listeners stay open.
 	idleTimeout = 30 * time.Second
+	// maxHeaderBytes limits the header of a request to the directory or from the platform.
+	maxHeaderBytes = 64 << 10
 	// maxEntryListTTL is the maximum TTL of a directory response. It is short enough that most callers have refreshed
 	// their list before a VM that is leaving refuses requests.
 	maxEntryListTTL = 2 * time.Second
 )
 
-const (
-	// fileDescriptors is the number of descriptors that the platform reserves for files.
-	fileDescriptors = 200
-	// callerDescriptorShare is the part of the other descriptors that connections of callers may use. The rest is for the store, the
-	// other VMs, the targets and the platform.
-	callerDescriptorShare = 0.7
-)
-
 // callers serves the caller listener as a supervised service.
 type callers struct {
 	*cpserver.Limited
@@ -53,44 +47,51 @@
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
-		peers         bool
+		share         float64
 	}{
-		{"ready", s.Ready, cpfront.Ready(p.ready), false},
-		{"directory", s.Directory, cpfront.Directory(p.addresses, p.entryListTTL), false},
-		{"peer", s.Peer, cpconnect.NewHandler(&peerHandler{p.watcher, p.receiver, p.limiter}, p.peerOptions()...), true},
-		{"metrics", p.metricsAddress, p.operatorHandler(), false},
+		{"ready", s.Ready, cpfront.Ready(p.ready), operatorShare},
+		{"directory", s.Directory, cpfront.Directory(p.addresses, p.entryListTTL), directoryShare},
+		{"metrics", p.metricsAddress, p.operatorHandler(), operatorShare},
 	} {
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := p.listen(l.name, l.address, l.share)
 		if err != nil {
-			return nil, Error.Wrap(err)
+			return nil, err
 		}
-		services = append(services, cpserver.NewService(l.name, listener, httpServer(l.handler, l.peers), closeTimeout))
+		services = append(services, cpserver.NewService(l.name, listener, clientServer(l.handler), closeTimeout))
 	}
-	listener, err := net.Listen("tcp", s.Caller)
+	peers, err := net.Listen("tcp", s.Peer)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if n := maxCallerConnections(s.Limits.Descriptors); n > 0 {
-		listener = netutil.LimitListener(listener, n)
+	handler := cpconnect.NewHandler(&peerHandler{p.watcher, p.receiver, p.limiter}, p.peerOptions()...)
+	listener, err := p.listen("callers", s.Caller, callerShare)
+	if err != nil {
+		return nil, err
+	}
+	return append(services, cpserver.NewService("peer", peers, peerServer(handler), closeTimeout), &clientWatcher{p: p}, &callers{p.callers, listener}), nil
+}
+
+// listen listens for clients, who may have a share of the connections of the process.
+func (p *Process) listen(name, address string, share float64) (net.Listener, error) {
+	listener, err := cpclientlimit.Listen(address)
+	if err != nil {
+		return nil, Error.Wrap(err)
 	}
-	return append(services, &callers{p.callers, listener}), nil
+	return p.clients.Listener(listener, name, max(minConnections, int(share*float64(maxConnections(&p.settings.Load().Limits))))), nil
 }
 
-// maxCallerConnections returns how many connections of callers a process with a number of descriptors keeps open, or zero if the
-// number is not known. Further ones wait until another is closed.
-func maxCallerConnections(descriptors int) int {
-	return int(callerDescriptorShare * float64(max(0, descriptors-fileDescriptors)))
+// clientServer returns a server for HTTP/1 requests of clients that are answered immediately.
+func clientServer(h http.Handler) *http.Server {
+	return cpclientlimit.Guard(&http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 }
 
-// httpServer returns a server for requests that are answered immediately. Other VMs connect with HTTP/2 over cleartext,
-// the platform with HTTP/1.
-func httpServer(h http.Handler, peers bool) *http.Server {
+// peerServer returns a server for other VMs, which connect with HTTP/2 over cleartext.
+func peerServer(h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: &http.Protocols{}}
-	s.Protocols.SetHTTP1(!peers)
-	s.Protocols.SetUnencryptedHTTP2(peers)
+	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
 
--- a/cpserver/limited.go
+++ b/cpserver/limited.go
@@ -1,6 +1,7 @@
 package cpserver
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/clementineport/clementineport"
+	"github.com/clementineport/clementineport/cpclientlimit"
 )
 
 // Limited serves callers on one listener with the limits in force. When the limits change, new connections are served
@@ -48,6 +50,12 @@
 	maxAcceptPause = 500 * time.Millisecond
 )
 
+// Timeouts of connections that are accepted while there are no limits.
+const (
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = time.Minute
+)
+
 // Accepting reports whether the server accepts connections.
 func (s *Limited) Accepting() bool { return s.accepting.Load() }
 
@@ -88,12 +96,12 @@
 	if s.current != nil && s.current.limits == limits {
 		return s.current
 	}
-	g := &generation{limits: limits, listener: newConnListener(addr), http: &http.Server{
+	g := &generation{limits: limits, listener: newConnListener(addr), http: cpclientlimit.Guard(&http.Server{
 		Handler:           s.handler,
 		MaxHeaderBytes:    limits.HeaderBytes,
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-	}}
+		ReadHeaderTimeout: cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       cmp.Or(limits.IdleTimeout, defaultIdleTimeout),
+	})}
 	s.current, s.all = g, append(s.all, g)
 	s.wg.Go(func() {
 		// Accept fails only after Close, so the error carries no information.
--- a/opaque.go
+++ b/opaque.go
@@ -25,6 +25,8 @@
 	MaxWait time.Duration
 	// Workspace is the customer on whose behalf the request was sent, or empty.
 	Workspace WorkspaceID
+	// Memory counts what the request holds, with the responses to it. It is nil if there is no limit.
+	Memory MemoryAccount
 	// EarlierAttempts is the number of targets of a shard that may have got the request from another VM.
 	EarlierAttempts int
 }
