Count answers that are not read, and don't copy a large body for each call

What callers saw: clients that ask for large answers and don't read them take the memory of the process: the room for a response was given back once it was read from the target, while the answer waited for its client without a limit of time. And each call and hedge of a request, one for each shard of a gather, held a copy of its body until the target had read it.

Change: what exceeds 64 KiB of a response counts in the memory of its request until the answer is written, so that a client that has stopped reading gives way like one that has stopped sending. A large request is written in two parts, the head and the body that all its calls share; only what is under 16 KiB is still copied, so that it goes out in one write.

--- a/cptarget/cpopaque/budget.go
+++ b/cptarget/cpopaque/budget.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync/atomic"
 
+	"github.com/clementineport/clementineport"
 	"github.com/clementineport/clementineport/cptarget/cpopaqueconn"
 )
 
@@ -40,6 +41,8 @@
 type budgetReader struct {
 	io.Reader
 	budget *ReadBudget
+	// memory counts what exceeds freeBytes until the answer to the request is written. It may be nil.
+	memory clementineport.MemoryAccount
 	// allowed is the number of bytes that may be read, of which drawn are from the budget.
 	allowed, drawn int64
 }
@@ -52,6 +55,9 @@
 			return n, cpopaqueconn.ErrOversized
 		}
 		r.drawn += drawBytes
+		if r.memory != nil && r.memory.Grow(drawBytes) != nil {
+			return n, cpopaqueconn.ErrOversized
+		}
 	}
 	return n, err
 }
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -42,6 +42,9 @@
 // maxFramingFactor is the largest ratio of the bytes of a body with its framing to those without.
 const maxFramingFactor = 2
 
+// ordinaryHeadBytes is the size of most heads.
+const ordinaryHeadBytes = 512
+
 // errProtocol means that a target sent only 1xx responses.
 var errProtocol = errors.New("no final response")
 
@@ -130,7 +133,7 @@
 	if err := c.closed(); err != nil {
 		return nil, c.options.IdleTimeout, err // the notice came while this call waited for its connection
 	}
-	written := conn.Send(c.encode(req, left))
+	written := conn.Send(c.encodeHead(req, left), req.Body)
 	conn.LimitReads(c.options.MaxHeaderBytes)
 	resp, err := readResponse(conn.Reader, req.Method)
 	if err != nil {
@@ -138,7 +141,7 @@
 	}
 	c.readNotice(resp)
 	conn.LimitReads(maxFramingFactor * c.options.MaxResponseBytes)
-	body, err := c.readBody(resp)
+	body, err := c.readBody(resp, req.Memory)
 	if err != nil {
 		return nil, 0, conn.Fault(err)
 	}
@@ -153,11 +156,11 @@
 	return result, c.idleTimeout(resp.Header), err
 }
 
-// encode returns the bytes of the request.
-func (c *Client) encode(req *clementineport.OpaqueRequest, left time.Duration) []byte {
+// encodeHead returns the bytes of the request without its body, in a buffer with room for a small one.
+func (c *Client) encodeHead(req *clementineport.OpaqueRequest, left time.Duration) []byte {
 	names := &c.options.HeaderNames
 	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	b.Grow(ordinaryHeadBytes + min(len(req.Body), ordinaryHeadBytes))
 	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// Writing to a bytes.Buffer never fails.
 	_ = req.Header.WriteSubset(&b, c.options.dropped)
@@ -168,7 +171,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
@@ -189,13 +191,13 @@
 	return nil, errProtocol
 }
 
-// readBody reads the complete body, up to MaxResponseBytes.
-func (c *Client) readBody(resp *http.Response) ([]byte, error) {
+// readBody reads the complete body, up to MaxResponseBytes. A large one counts in the memory of the request.
+func (c *Client) readBody(resp *http.Response, memory clementineport.MemoryAccount) ([]byte, error) {
 	limit := c.options.MaxResponseBytes
 	if resp.ContentLength > limit {
 		return nil, cpopaqueconn.ErrOversized
 	}
-	r := &budgetReader{Reader: io.LimitReader(resp.Body, limit+1), budget: c.options.ReadBudget, allowed: freeBytes}
+	r := &budgetReader{Reader: io.LimitReader(resp.Body, limit+1), budget: c.options.ReadBudget, memory: memory, allowed: freeBytes}
 	defer r.release()
 	b, err := io.ReadAll(r)
 	if err != nil {
--- a/cptarget/cpopaqueconn/conn.go
+++ b/cptarget/cpopaqueconn/conn.go
@@ -104,17 +104,20 @@
 // Unsent reports whether no byte of the request was passed to Write.
 func (c *Conn) Unsent() bool { return c.offered.Load() == 0 }
 
-// Send writes a request, a large one in the background. The returned function reports whether all of it has been
-// written by the time of the call.
-func (c *Conn) Send(request []byte) (written func() bool) {
-	c.offered.Add(int64(len(request)))
-	if len(request) <= inlineBytes {
-		_, err := c.raw.Write(request)
+// Send writes a request, a large one in the background. It copies the body of a small one behind the head, so that both are
+// written at once. The returned function reports whether all of the request has been written by the time of the call.
+func (c *Conn) Send(head, body []byte) (written func() bool) {
+	c.offered.Add(int64(len(head) + len(body)))
+	if len(head)+len(body) <= inlineBytes {
+		_, err := c.raw.Write(append(head, body...))
 		return func() bool { return err == nil }
 	}
 	var done atomic.Bool
 	go func() {
-		if _, err := c.raw.Write(request); err == nil {
+		if _, err := c.raw.Write(head); err != nil {
+			return
+		}
+		if _, err := c.raw.Write(body); err == nil {
 			done.Store(true)
 		}
 	}()
