Count the copies of a request that another VM runs

Cause: a request on its way to another VM exists once more as a message and as its bytes, and the VM that runs it holds it beside them without any limit, whatever its own callers hold.

Change: the sender takes room for two copies before it sends a large request, and answers 503 (not run) if there is none; the receiver takes room for the request and two copies, and refuses it as not run. Found by reading; there is no process test of it, as it takes two VMs, one of them without a path to its targets, and a crowd.

--- a/cpplatformvm/cpplatformvm.go
+++ b/cpplatformvm/cpplatformvm.go
@@ -203,6 +203,7 @@
 		cpreroute.WithPeers(peers), cpreroute.WithOnSent(p.requestRerouted),
 		cpreroute.WithAdmit(p.admit), cpreroute.WithAdmitRequest(p.admitRequest),
 		cpreroute.WithRequests(p.requests),
+		cpreroute.WithNewAccount(p.newAccount),
 		cpreroute.WithOnReceived(p.reroutedCompleted),
 		cpreroute.WithOnNewerRoutes(p.watcher.NewerRoutes),
 	}
--- a/cpreroute/cpreroute.go
+++ b/cpreroute/cpreroute.go
@@ -73,7 +73,7 @@
 // reroute has another VM run a request, or a further one if the first has not run it. If there is none, this VM runs it itself
 // while its open connections still work.
 func (s *Sender) reroute(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) *cpforward.Result {
-	result, again := s.sendToAny(ctx, route, r)
+	result, again := s.sendWithin(ctx, route, r)
 	if again && !s.options.Reach.Silent(s.options.Clock.Now()) && r.Version <= s.options.View().Router.Table().Version {
 		result = s.options.Stay(ctx, route, &r.OpaqueRequest)
 	}
@@ -86,6 +86,14 @@
 	return result
 }
 
+// sendWithin sends a request to other VMs if there is room for the copies that this takes.
+func (s *Sender) sendWithin(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) (result *cpforward.Result, again bool) {
+	if err := clementineport.GrowLarge(r.Memory, messageCopies*r.MemoryBytes()); err != nil {
+		return cpforward.Failed(err), false
+	}
+	return s.sendToAny(ctx, route, r)
+}
+
 // sendToAny sends a request to other VMs until one has run it, and returns the last result. again reports whether a further VM
 // could run it, if there were one.
 func (s *Sender) sendToAny(ctx context.Context, route *clementineport.Route, r *clementineport.ReroutedRequest) (result *cpforward.Result, again bool) {
--- a/cpreroute/options.go
+++ b/cpreroute/options.go
@@ -18,6 +18,9 @@
 	usedVMs = 8
 	// maxVMs is the number of VMs that one request is sent to.
 	maxVMs = 3
+	// messageCopies is the number of copies of a request that exist while it is sent to another VM, or received from one, besides
+	// the request itself.
+	messageCopies = 2
 	// replyMargin is the part of the time left that an answer needs from one VM to the other.
 	replyMargin = 10 * time.Millisecond
 	// DefaultRetryAfter is about the time between two attempts to reach targets.
@@ -58,6 +61,8 @@
 	// OnNewerRoutes is called when another VM has handled a request by a version of the routes that is newer than this VM's and
 	// than all before. It must not block.
 	OnNewerRoutes func(vm clementineport.VM, version clementineport.Revision)
+	// NewAccount returns the account of the memory of a request of another VM, and a function to call when the request has ended.
+	NewAccount func() (account clementineport.MemoryAccount, end func())
 	// RetryAfter is the retry delay of a request that no VM can run.
 	RetryAfter time.Duration
 }
@@ -76,6 +81,7 @@
 		OnSent:        func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration) {},
 		OnReceived:    func(*clementineport.ReroutedRequest, *cpforward.Result, time.Duration) {},
 		OnNewerRoutes: func(clementineport.VM, clementineport.Revision) {},
+		NewAccount:    func() (clementineport.MemoryAccount, func()) { return clementineport.Unlimited{}, func() {} },
 		RetryAfter:    DefaultRetryAfter,
 	}
 	for _, o := range opts {
@@ -115,6 +121,11 @@
 	return func(o *Options) { o.AdmitRequest = admit }
 }
 
+// WithNewAccount sets the function that returns the account of the memory of a request of another VM, and what ends it.
+func WithNewAccount(f func() (account clementineport.MemoryAccount, end func())) Option {
+	return func(o *Options) { o.NewAccount = f }
+}
+
 // WithOnSent sets the function that is called when a request that was sent to another VM has ended.
 func WithOnSent(f func(*clementineport.ReroutedRequest, clementineport.VMID, *clementineport.Error, time.Duration)) Option {
 	return func(o *Options) { o.OnSent = f }
--- a/cpreroute/receiver.go
+++ b/cpreroute/receiver.go
@@ -23,6 +23,9 @@
 func (c *Receiver) Reroute(ctx context.Context, r *clementineport.ReroutedRequest) (*clementineport.ReroutedResult, error) {
 	ctx, done := c.options.Requests.Begin(ctx)
 	defer done()
+	account, end := c.options.NewAccount()
+	defer end()
+	r.Memory = account
 	began := c.options.Clock.Now()
 	result, version := c.run(ctx, r)
 	c.options.OnReceived(r, result, c.options.Clock.Now().Sub(began))
@@ -61,6 +64,9 @@
 	if err := c.options.AdmitRequest(route, request.Deadline); err != nil {
 		return cpforward.Failed(err), 0
 	}
+	if err := clementineport.GrowLarge(request.Memory, (1+messageCopies)*request.MemoryBytes()); err != nil {
+		return cpforward.Failed(err), 0
+	}
 	return c.options.Forward(ctx, route, &request), version
 }
 
