Take a status that no response has for no answer

Cause: cpopaque skipped every status below 200 as informational. After 000 it waited for another response until the deadline, or took what followed on the connection as the answer to the request. On the other paths: cphttp believed a refusal, which proves that a call has not run, and a statement about health under any status; a status up to 999 was passed on, and taken from another VM.

Change: only 200 to 599 are statuses of final responses, and only 1xx but 101 is skipped. Anything else is malformed: the request may have run, and it is repeated only if it is idempotent.

--- a/cppeer/cpmessage/reroute.go
+++ b/cppeer/cpmessage/reroute.go
@@ -81,7 +81,7 @@
 			Target: clementineport.TargetID(p.GetTarget()), Status: int(p.GetStatus()), Header: headersFromWire(p.GetHeaders()),
 			Body: p.GetBody(), Signature: string(p.GetSignature()),
 		}
-		if r.Part.Status < http.StatusOK || r.Part.Status > maxStatus {
+		if !clementineport.ValidStatus(r.Part.Status) {
 			return nil, clementineport.Fail(clementineport.FaultMalformed, "rerouted response with status %d", r.Part.Status)
 		}
 	case m.GetGathered() != nil:
@@ -96,9 +96,6 @@
 	return r, nil
 }
 
-// maxStatus is the highest status that net/http writes.
-const maxStatus = 999
-
 func headersToWire(h http.Header) []*cpwire.Header {
 	out := make([]*cpwire.Header, 0, len(h))
 	for name, values := range h {
--- a/cptarget/cphttp/classify.go
+++ b/cptarget/cphttp/classify.go
@@ -101,6 +101,9 @@
 }
 
 func decodeRefusal(call *clementineport.Call, status int, data []byte) (*clementineport.Reply, error) {
+	if !clementineport.ValidStatus(status) {
+		return nil, clementineport.Fail(clementineport.FaultMalformed, "response with status %03d", status)
+	}
 	var body Refusal
 	if err := easyjson.Unmarshal(data, &body); err != nil {
 		return nil, clementineport.Fail(faultOfStatus(status), "status %d without a refusal", status)
--- a/cptarget/cphttp/cphttp.go
+++ b/cptarget/cphttp/cphttp.go
@@ -148,6 +148,9 @@
 		return s, &clementineport.Error{Fault: clementineport.FaultUnavailable, Err: err}
 	}
 	defer resp.Body.Close()
+	if !clementineport.ValidStatus(resp.StatusCode) {
+		return s, clementineport.Fail(clementineport.FaultMalformed, "health response with status %03d", resp.StatusCode)
+	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, c.opts.MaxResponseBytes)).Decode(&s)
 	if err != nil {
 		return s, &clementineport.Error{Fault: clementineport.FaultMalformed, Err: err}
--- a/cptarget/cpopaque/cpopaque.go
+++ b/cptarget/cpopaque/cpopaque.go
@@ -45,8 +45,12 @@
 // ordinaryHeadBytes is the size of most heads.
 const ordinaryHeadBytes = 512
 
-// errProtocol means that a target sent only 1xx responses.
-var errProtocol = errors.New("no final response")
+var (
+	// errProtocol means that a target sent only 1xx responses.
+	errProtocol = errors.New("no final response")
+	// errStatus means that a target sent a status that no response has.
+	errStatus = errors.New("status that no response has")
+)
 
 // maxInformational limits the number of 1xx responses before the final one.
 const maxInformational = 4
@@ -181,16 +185,21 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case clementineport.ValidStatus(resp.StatusCode):
 			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			break
+		case !informational(resp.StatusCode):
+			return nil, errStatus
 		}
 	}
 	return nil, errProtocol
 }
 
+// informational reports whether a status is that of a response that another one follows on the connection.
+func informational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // readBody reads the complete body, up to MaxResponseBytes. A large one counts in the memory of the request.
 func (c *Client) readBody(resp *http.Response, memory clementineport.MemoryAccount) ([]byte, error) {
 	limit := c.options.MaxResponseBytes
--- a/cptarget/cpopaque/notice.go
+++ b/cptarget/cpopaque/notice.go
@@ -114,7 +114,7 @@
 		return
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(extra)), &http.Request{Method: http.MethodGet})
-	if err != nil {
+	if err != nil || !clementineport.ValidStatus(resp.StatusCode) {
 		return // the bytes are no response; the connection is closed in any case
 	}
 	c.readNotice(resp)
--- a/opaque.go
+++ b/opaque.go
@@ -59,6 +59,15 @@
 	Signature string
 }
 
+// The range of the statuses of final responses.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// ValidStatus reports whether a final response may have a status. What has another one, such as 000, is no response.
+func ValidStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
 // Success reports whether the response has a 2xx status.
 func (r *OpaqueResponse) Success() bool { return r.Status >= 200 && r.Status < 300 }
 
