Refuse a head that gives way with 503, and end a body at once whose request a shutdown has ended

What callers saw: a request whose head lost its room, or found none, got 400 from the HTTP server, or a reset. Callers don't try again after 400, although the request has not run. Cause: the server answers an error of a read that is neither a time-out nor the end of the stream. Now the connection answers 503 with Retry-After and returns a time-out, which the server doesn't answer.

A body whose request was ended by a shutdown between the start of the wait for that and the setting of the body's deadline was awaited until that deadline; ReadBody now looks at the context after it has set the deadline.

--- a/cpclientlimit/body.go
+++ b/cpclientlimit/body.go
@@ -1,6 +1,7 @@
 package cpclientlimit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,8 +16,8 @@
 
 // ReadBody reads the body of a request, from a reader that may limit it, until a time, and takes room for it. The buffer grows
 // with what arrives, whatever length the client has stated. The error is a *clementineport.Error if there was no room, and that of
-// the reader otherwise.
-func ReadBody(r *http.Request, body io.Reader, until time.Time) ([]byte, error) {
+// the reader otherwise. If ctx has ended already, ReadBody fails at once.
+func ReadBody(ctx context.Context, r *http.Request, body io.Reader, until time.Time) ([]byte, error) {
 	c := fromContext(r.Context())
 	if c == nil {
 		return readAll(clementineport.Unlimited{}, body, r.ContentLength)
@@ -24,6 +25,9 @@
 	if err := c.SetReadDeadline(until); err != nil {
 		return nil, c.closedError(err)
 	}
+	if ctx.Err() != nil {
+		_ = c.SetReadDeadline(past) // fails if the connection is closed
+	}
 	b, err := readAll(c.account(), body, r.ContentLength)
 	if err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/cpclientlimit/conn.go
+++ b/cpclientlimit/conn.go
@@ -1,7 +1,6 @@
 package cpclientlimit
 
 import (
-	"bytes"
 	"net"
 	"os"
 	"sync"
@@ -106,20 +105,23 @@
 
 // Read implements net.Conn. It fails if there is no room for the head that is being read.
 func (c *Conn) Read(b []byte) (int, error) {
-	switch c.phase() {
+	before := c.phase()
+	switch before {
 	case phaseClosing:
 		return 0, errEvicted()
 	case phaseIdle:
-		if err := c.beginHead(); err != nil {
-			return 0, err
+		if c.beginHead() != nil {
+			return 0, os.ErrDeadlineExceeded // there may be no request to answer
 		}
 	}
 	n, err := c.Conn.Read(b)
-	if n == 0 {
+	switch {
+	case n == 0 && before == phaseHead && c.phase() == phaseClosing:
+		return 0, c.refuseHead()
+	case n == 0:
 		return 0, c.closedError(err)
-	}
-	if readErr := c.received(b[:n]); readErr != nil {
-		return 0, readErr
+	case c.received(b[:n]) != nil:
+		return 0, c.refuseHead()
 	}
 	return n, err
 }
@@ -132,39 +134,6 @@
 	return err
 }
 
-// beginHead takes room for what the last segment may hold of the next head.
-func (c *Conn) beginHead() error {
-	c.head = 0
-	return c.growHead(c.carried)
-}
-
-// received records what was read.
-func (c *Conn) received(b []byte) error {
-	if c.phase() == phaseIdle {
-		c.upToDate()
-		c.listener.limiter.begin(c)
-		c.setPhase(phaseHead)
-	}
-	c.advance(len(b))
-	if c.carried = 0; len(b) <= segmentBytes {
-		c.carried = headBytes(b)
-	}
-	if c.phase() == phaseHead {
-		return c.growHead(headBytes(b))
-	}
-	return nil
-}
-
-// growHead takes room for a further part of a head. The first freeHeadBytes are part of ConnectionBytes.
-func (c *Conn) growHead(n int64) error {
-	taken := max(0, c.head-freeHeadBytes)
-	c.head += n
-	if more := max(0, c.head-freeHeadBytes) - taken; more > 0 {
-		return c.grow(more)
-	}
-	return nil
-}
-
 // Write implements net.Conn. A client that takes nothing for the write timeout loses its connection.
 func (c *Conn) Write(b []byte) (written int, err error) {
 	before := c.phase()
@@ -254,14 +223,3 @@
 	}
 	return nil
 }
-
-// lineBytes is the memory that a header line takes once it is parsed, without its bytes.
-const lineBytes = 160
-
-// freeHeadBytes is the memory that the head of an ordinary request takes.
-const freeHeadBytes = clementineport.OrdinaryHeadBytes
-
-// headBytes returns the memory that a part of a head takes once it is parsed.
-func headBytes(b []byte) int64 {
-	return int64(len(b) + lineBytes*bytes.Count(b, []byte{'\n'}))
-}
--- a/cpclientlimit/cpclientlimit_test.go
+++ b/cpclientlimit/cpclientlimit_test.go
@@ -135,7 +135,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := cpclientlimit.ReadBody(r, r.Body, time.Now().Add(s.bodyTime))
+	body, err := cpclientlimit.ReadBody(r.Context(), r, r.Body, time.Now().Add(s.bodyTime))
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -326,3 +326,28 @@
 	assert.Equal(t, c.status(), http.StatusServiceUnavailable)
 	assert.Assert(t, time.Since(began) < deadline)
 }
+
+// TestAHeadThatGivesWayIsRefused guards against a status after which callers don't try again.
+func TestAHeadThatGivesWayIsRefused(t *testing.T) {
+	s := newServer(t)
+	stalled, whole := s.dial(), s.dial()
+	_, err := io.WriteString(stalled.conn, "POST / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\n", 1500))
+	assert.NilError(t, err)
+	s.await("the lines count", func() bool { return s.limiter.Stats().Bytes > 200<<10 })
+	whole.send("/", 250<<10, 250<<10)
+	assert.Equal(t, whole.status(), http.StatusOK)
+	assert.Equal(t, stalled.status(), http.StatusServiceUnavailable)
+}
+
+// TestAHeadThatFindsNoRoomIsRefused guards against the same where no other connection gives way.
+func TestAHeadThatFindsNoRoomIsRefused(t *testing.T) {
+	s := newServer(t, cpclientlimit.WithMaxWait(stall))
+	running, late := s.dial(), s.dial()
+	running.send("/wait", 250<<10, 250<<10)
+	<-s.waiting
+	_, err := io.WriteString(late.conn, "POST / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\n", 3000))
+	assert.NilError(t, err)
+	assert.Equal(t, late.status(), http.StatusServiceUnavailable)
+	close(s.proceed)
+	assert.Equal(t, running.status(), http.StatusOK)
+}
