--- a/cpclientlimit/body.go
+++ b/cpclientlimit/body.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -29,12 +31,16 @@
 		_ = c.SetReadDeadline(past) // fails if the connection is closed
 	}
 	b, err := readAll(c.account(), body, r.ContentLength)
-	if err != nil {
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			// What the server still reads before it answers is the rest of a refused request.
-			_ = c.SetReadDeadline(time.Now().Add(c.listener.limiter.options.RestTimeout)) // fails if the connection is closed
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if ctx.Err() == nil {
+			metrics.GetOrCreateCounter("clementineport_client_body_timeouts_total").Inc()
 		}
 		return nil, c.closedError(err)
+	case err != nil:
+		// What the server still reads before it answers is the rest of a refused request. Fails if the connection is closed.
+		_ = c.SetReadDeadline(time.Now().Add(c.listener.limiter.options.RestTimeout))
+		return nil, c.closedError(err)
 	}
 	c.setPhase(phaseRunning)
 	// Without a deadline, the server can tell when the client disconnects. Fails if the connection is closed.
--- a/cpclientlimit/conn.go
+++ b/cpclientlimit/conn.go
@@ -1,12 +1,15 @@
 package cpclientlimit
 
 import (
+	"errors"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/clementineport/clementineport"
 )
 
@@ -152,6 +155,9 @@
 			return written, errEvicted()
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.phase() != phaseClosing {
+		metrics.GetOrCreateCounter("clementineport_client_write_timeouts_total").Inc()
+	}
 	return written, c.closedError(err)
 }
 
