Let connections give way whose requests wait for room or are refused

What callers saw: in a trial with 3,000 clients that come back 200 ms after they are refused (160 MB), and with 1,500 (80 MB), an ordinary caller got no answer for 30 s. Cause: a connection whose body waited for room, for up to 600 ms, could not be closed for another one, nor one whose client had been refused, which the server keeps for 500 ms so that the refusal can be read. With more bodies than room nearly all connections were of these two kinds, and the queue before the listener grew beyond the 4 s that the caller waits.

--- a/cpclientlimit/conn.go
+++ b/cpclientlimit/conn.go
@@ -23,7 +23,9 @@
 	phaseHead
 	// phaseBody is while the body of a request arrives, and while the rest of a refused one does.
 	phaseBody
-	// phaseRunning is while a complete request is in progress, or waits for room.
+	// phaseWaiting is while an unfinished request waits for room.
+	phaseWaiting
+	// phaseRunning is while a complete request is in progress.
 	phaseRunning
 	// phaseWriting is while an answer is written.
 	phaseWriting
@@ -90,7 +92,7 @@
 	c.progress.Store(min(caughtUp, c.now()))
 }
 
-// grow adds bytes to what the request holds. Meanwhile the client can't fall behind.
+// grow adds bytes to what the request holds. What the client can't send meanwhile doesn't count against it afterwards.
 func (c *Conn) grow(bytes int64) error {
 	before := c.phase()
 	switch before {
@@ -99,7 +101,8 @@
 	case phaseRunning, phaseWriting:
 		return c.listener.limiter.grow(&c.request, bytes)
 	}
-	c.setPhase(phaseRunning)
+	c.upToDate()
+	c.setPhase(phaseWaiting)
 	err := c.listener.limiter.grow(&c.request, bytes)
 	c.upToDate()
 	c.setPhase(before)
@@ -169,6 +172,7 @@
 	if !c.current.CompareAndSwap(int32(p), int32(phaseClosing)) {
 		return false
 	}
+	c.upToDate()
 	// A deadline can't be set on a connection that is closed already.
 	_ = c.Conn.SetReadDeadline(past)
 	if p == phaseWriting {
--- a/cpclientlimit/cpclientlimit.go
+++ b/cpclientlimit/cpclientlimit.go
@@ -168,60 +168,22 @@
 		if now.Before(l.searchAfter) {
 			return l.searchAfter.Sub(now)
 		}
-		victim, p, wait := l.victim(now, false, func(c *Conn) bool { return c.request.bytes > 0 })
+		victim, wait := l.victim(now, false, (*Conn).holds)
 		if victim == nil {
 			l.searchAfter = now.Add(wait)
 			return wait
 		}
-		if !victim.evict(p) {
+		if !victim.c.evict(victim.phase) {
 			continue // it has just made progress
 		}
 		l.stats.ClosedForBytes++
-		l.leaving += victim.request.bytes - victim.request.leaving
-		victim.request.leaving = victim.request.bytes
+		request := &victim.c.request
+		l.leaving += request.bytes - request.leaving
+		request.leaving = request.bytes
 	}
 	return l.options.MinStall
 }
 
-// victim returns the connection to close among those that match: the one that has fallen behind most with its request, or else
-// the one that has been idle for longest. With spareIdle, that one is kept while an unfinished request has begun to fall behind.
-// victim returns nil and the time after which to look again if there is none. The phase is that of the connection when it was
-// chosen. The caller holds l.mu.
-func (l *Limiter) victim(now time.Time, spareIdle bool, match func(*Conn) bool) (_ *Conn, _ phase, retry time.Duration) {
-	var found [2]*Conn // the one with a request, the idle one
-	var phases [2]phase
-	var behind [2]time.Duration
-	for c := range l.conns {
-		kind, allowed := 0, l.options.MinStall
-		p := c.phase()
-		switch p {
-		case phaseIdle:
-			kind, allowed = 1, l.options.MinIdle
-		case phaseHead:
-			allowed = l.options.MinIdle
-		case phaseRunning, phaseClosing:
-			continue
-		}
-		if d := c.behind(now) - allowed; (found[kind] == nil || d > behind[kind]) && match(c) {
-			found[kind], phases[kind], behind[kind] = c, p, d
-		}
-	}
-	if spareIdle && found[0] != nil && found[0].behind(now) >= minPause {
-		found[1] = nil
-	}
-	retry = l.options.MinIdle
-	for kind, c := range found {
-		if c == nil {
-			continue
-		}
-		if behind[kind] >= 0 {
-			return c, phases[kind], 0
-		}
-		retry = min(retry, -behind[kind])
-	}
-	return nil, phaseIdle, max(minPause, retry)
-}
-
 // shrink takes bytes from a holding.
 func (l *Limiter) shrink(h *holding, bytes int64) {
 	if bytes == 0 {
@@ -246,15 +208,15 @@
 	if ln.maxConns > 0 && l.stats.Connections[ln.name] >= ln.maxConns {
 		now := l.options.Clock.Now()
 		spareIdle := c.behind(now) < l.options.MinStall // the new connection has not waited for long
-		victim, p, wait := l.victim(now, spareIdle, func(other *Conn) bool { return other.listener == ln })
+		victim, wait := l.victim(now, spareIdle, func(other *Conn, _ phase) bool { return other.listener == ln })
 		if victim == nil {
 			return wait
 		}
-		if !victim.abort(p) {
+		if !victim.c.abort(victim.phase) {
 			return minPause // it has just made progress
 		}
 		l.stats.ClosedForConnections++
-		l.remove(victim)
+		l.remove(victim.c)
 	}
 	l.conns[c] = struct{}{}
 	l.stats.Connections[ln.name]++
