Let the tests of cpclientlimit wait for what they need, not for a time

TestTheOldestRequestGetsTheRoom slept 20 ms until a request waited; it now asks a fake clock whether it does. The test of a stalled connection before an idle one waits until the bodies of all are awaited, not only until their connections are open, and that of idle ones leaves the server more time to begin to wait.

--- a/cpclientlimit/cpclientlimit_test.go
+++ b/cpclientlimit/cpclientlimit_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -70,11 +72,12 @@
 
 // TestTheOldestRequestGetsTheRoom guards against a request that later ones keep out.
 func TestTheOldestRequestGetsTheRoom(t *testing.T) {
-	l := cpclientlimit.New(cpclientlimit.WithMaxBytes(1<<20), cpclientlimit.WithMaxWait(time.Minute))
+	clock := clockwork.NewFakeClock()
+	l := cpclientlimit.New(cpclientlimit.WithMaxBytes(1<<20), cpclientlimit.WithMaxWait(time.Minute), cpclientlimit.WithClock(clock))
 	holder := l.NewAccount()
 	assert.NilError(t, holder.Grow(800<<10))
 	older := l.NewAccount()
-	time.Sleep(time.Millisecond)
+	clock.Advance(time.Millisecond)
 	younger := l.NewAccount()
 	var mu sync.Mutex
 	var order []string
@@ -88,10 +91,11 @@
 			a.Close()
 		})
 	}
+	const timers = 2 // of a request that waits
 	grow("younger", younger)
-	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), timers))
 	grow("older", older)
-	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2*timers))
 	holder.Close()
 	wg.Wait()
 	assert.DeepEqual(t, order, []string{"older", "younger"})
@@ -105,6 +109,8 @@
 	address string
 	proceed chan struct{}
 	waiting chan struct{}
+	// served counts the requests whose handler has begun.
+	served atomic.Int64
 	// bodyTime is the time in which a body must be complete.
 	bodyTime time.Duration
 }
@@ -134,6 +140,7 @@
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	s.served.Add(1)
 	if r.URL.Path == "/refuse" {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -232,7 +239,7 @@
 		c.send("/", 1, 1)
 		assert.Equal(t, c.status(), http.StatusOK)
 		clients = append(clients, c)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(stall) // the server begins to wait for the next request
 	}
 	late := s.dial()
 	late.send("/", 1, 1)
@@ -254,7 +261,7 @@
 		c.send("/", 10, 1)
 		stalled = append(stalled, c)
 	}
-	s.await("all are open", func() bool { return s.limiter.Stats().Connections["test"] == maxConns })
+	s.await("all bodies are awaited", func() bool { return s.served.Load() == maxConns })
 	time.Sleep(stall / 2) // the idle one is the first that may be closed
 	late := s.dial()
 	late.send("/", 1, 1)
