Give no room to a request that has ended

A request could end while a call to a target, which may outlast it, waited for room for its response. The room was given to the ended request and never returned: to the account of another VM's request after Close, or to a connection after it was closed. Whether a request has ended was looked up before the wait, in two ways, one for accounts and one for connections. It is now a part of what is held and is looked at when bytes are added, so that one account serves both kinds of requests, and the number by which connections told their requests apart is gone.

A function named for its clients' patience is called maxBehind.

--- a/cpclientlimit/body.go
+++ b/cpclientlimit/body.go
@@ -30,7 +30,7 @@
 	if ctx.Err() != nil {
 		_ = c.SetReadDeadline(past) // fails if the connection is closed
 	}
-	b, err := readAll(c.account(), body, r.ContentLength)
+	b, err := readAll(bodyAccount{c.account(), c}, body, r.ContentLength)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if ctx.Err() == nil {
--- a/cpclientlimit/conn.go
+++ b/cpclientlimit/conn.go
@@ -51,10 +51,8 @@
 	// reader uses them.
 	carried, head int64
 
-	// request is what the current request holds, serial changes with each request, and serving is true while a handler runs.
-	// The limiter's mutex guards them.
-	request holding
-	serial  uint64
+	// request is what the current request holds, and serving is true while its handler runs. The limiter's mutex guards both.
+	request *holding
 	serving bool
 
 	// deadlines guards the deadlines of the connection, which stay as they are once it is closed to make room.
@@ -92,18 +90,16 @@
 	c.progress.Store(min(caughtUp, c.now()))
 }
 
-// grow adds bytes to what the request holds. What the client can't send meanwhile doesn't count against it afterwards.
+// grow adds bytes to what an unfinished request holds. What the client can't send meanwhile doesn't count against it afterwards.
 func (c *Conn) grow(bytes int64) error {
 	before := c.phase()
-	switch before {
-	case phaseClosing:
+	if before == phaseClosing {
 		return errEvicted()
-	case phaseRunning, phaseWriting:
-		return c.listener.limiter.grow(&c.request, bytes)
 	}
+	l := c.listener.limiter
 	c.upToDate()
 	c.setPhase(phaseWaiting)
-	err := c.listener.limiter.grow(&c.request, bytes)
+	err := l.grow(l.holding(c), bytes)
 	c.upToDate()
 	c.setPhase(before)
 	return err
--- a/cpclientlimit/cpclientlimit.go
+++ b/cpclientlimit/cpclientlimit.go
@@ -63,6 +63,8 @@
 	leaving int64
 	// since is the time at which the request began.
 	since time.Time
+	// ended is true once the request has ended. What a call to a target still reads for it then is not added.
+	ended bool
 }
 
 // waiter is a request that waits for bytes.
@@ -76,7 +78,7 @@
 // is a *clementineport.Error whose verdict is that the request has not run.
 func (l *Limiter) grow(h *holding, bytes int64) error {
 	l.mu.Lock()
-	if len(l.waiters) == 0 && l.used+bytes <= l.limit(h, bytes) {
+	if h.ended || len(l.waiters) == 0 && l.used+bytes <= l.limit(h, bytes) {
 		l.add(h, bytes)
 		l.mu.Unlock()
 		return nil
@@ -111,7 +113,11 @@
 	return int64(float64(l.options.MaxBytes) * (1 - smallShare))
 }
 
+// add adds bytes to a holding whose request has not ended. The caller holds l.mu.
 func (l *Limiter) add(h *holding, bytes int64) {
+	if h.ended {
+		return
+	}
 	h.bytes += bytes
 	l.used += bytes
 }
@@ -148,7 +154,7 @@
 		if blocked >= 0 && limit <= blocked {
 			return false
 		}
-		if l.used+w.bytes > limit {
+		if !w.holding.ended && l.used+w.bytes > limit {
 			retry = min(retry, l.closeFor(w.bytes, limit))
 			blocked = limit
 			return false
@@ -177,7 +183,7 @@
 			continue // it has just made progress
 		}
 		l.stats.ClosedForBytes++
-		request := &victim.c.request
+		request := victim.c.request
 		l.leaving += request.bytes - request.leaving
 		request.leaving = request.bytes
 	}
@@ -231,10 +237,16 @@
 	delete(l.conns, c)
 	l.stats.Connections[c.listener.name]--
 	if !c.serving {
-		l.shrink(&c.request, c.request.bytes)
+		l.finish(c.request)
 	}
 }
 
+// finish takes all bytes from a holding, whose request has ended. The caller holds l.mu.
+func (l *Limiter) finish(h *holding) {
+	h.ended = true
+	l.shrink(h, h.bytes)
+}
+
 // begin records that the head of a request begins to arrive on a connection.
 func (l *Limiter) begin(c *Conn) {
 	l.mu.Lock()
@@ -247,15 +259,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.serving = true
-	c.serial++
 	if c.request.since.IsZero() || c.request.bytes == 0 {
 		c.request.since = l.options.Clock.Now() // the whole head came with an earlier request
 	}
 	if more := head - c.request.bytes; more > 0 {
-		l.add(&c.request, more)
+		l.add(c.request, more)
 		return
 	}
-	l.shrink(&c.request, c.request.bytes-head)
+	l.shrink(c.request, c.request.bytes-head)
 }
 
 // answered records that the handler of a request has ended. The server still holds the request while it reads the rest of it.
@@ -263,8 +274,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.serving = false
+	c.request.ended = true
 	if _, open := l.conns[c]; !open {
-		l.shrink(&c.request, c.request.bytes)
+		l.finish(c.request)
 	}
 }
 
@@ -272,7 +284,13 @@
 func (l *Limiter) end(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.serial++
-	l.shrink(&c.request, c.request.bytes)
-	c.request.since = l.options.Clock.Now()
+	l.finish(c.request)
+	c.request = &holding{since: l.options.Clock.Now()}
+}
+
+// holding returns what the current request of a connection holds.
+func (l *Limiter) holding(c *Conn) *holding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.request
 }
--- a/cpclientlimit/cpclientlimit_test.go
+++ b/cpclientlimit/cpclientlimit_test.go
@@ -101,6 +101,22 @@
 	assert.DeepEqual(t, order, []string{"older", "younger"})
 }
 
+// TestARequestThatEndsWhileItWaitsHoldsNothing guards against room that is given to a request that has ended, and never returned.
+func TestARequestThatEndsWhileItWaitsHoldsNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := cpclientlimit.New(cpclientlimit.WithMaxBytes(1<<20), cpclientlimit.WithMaxWait(time.Minute), cpclientlimit.WithClock(clock))
+	holder, ended := l.NewAccount(), l.NewAccount()
+	assert.NilError(t, holder.Grow(800<<10))
+	grown := make(chan error)
+	go func() { grown <- ended.Grow(600 << 10) }()
+	const timers = 2 // of a request that waits
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), timers))
+	ended.Close()
+	holder.Close()
+	assert.NilError(t, <-grown)
+	assert.Equal(t, l.Stats().Bytes, int64(0))
+}
+
 // server serves requests through a limiter. It answers with the length of the body, or with 503 if the body can't be read; /wait
 // waits for a signal, and /refuse answers 404 without the body.
 type server struct {
--- a/cpclientlimit/server.go
+++ b/cpclientlimit/server.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: raw, listener: ln}
+	c := &Conn{Conn: raw, listener: ln, request: &holding{}}
 	c.upToDate()
 	for {
 		retry := ln.limiter.open(c)
--- a/cpclientlimit/victim.go
+++ b/cpclientlimit/victim.go
@@ -13,9 +13,9 @@
 	numKinds
 )
 
-// patience returns the kind of a connection in a phase, and how far its client must have fallen behind before it may be closed to
+// maxBehind returns the kind of a connection in a phase, and how far its client must have fallen behind before it may be closed to
 // make room for another connection. ok is false if it may not be closed.
-func (l *Limiter) patience(c *Conn, p phase) (k kind, d time.Duration, ok bool) {
+func (l *Limiter) maxBehind(c *Conn, p phase) (k kind, d time.Duration, ok bool) {
 	switch p {
 	case phaseIdle:
 		return kindIdle, l.options.MinIdle, true
@@ -37,10 +37,11 @@
 	return c.request.bytes > 0 && p != phaseWaiting && p != phaseClosing
 }
 
-// candidate is a connection that may be closed, with its phase, and for how long it has been one that may be.
+// candidate is a connection to close, with its phase.
 type candidate struct {
-	c       *Conn
-	phase   phase
+	c     *Conn
+	phase phase
+	// overdue is by how much its client is further behind than it may be; it is negative while the connection may not be closed.
 	overdue time.Duration
 }
 
@@ -52,7 +53,7 @@
 	var behind [numKinds]time.Duration // the most of each kind
 	for c := range l.conns {
 		p := c.phase()
-		k, d, ok := l.patience(c, p)
+		k, d, ok := l.maxBehind(c, p)
 		if !ok || !match(c, p) {
 			continue
 		}
